--- /dev/null
+++ b/auth/doc.go
@@ -0,0 +1,2 @@
+// Package auth checks bearer tokens and the roles they carry.
+package auth
--- /dev/null
+++ b/command/doc.go
@@ -0,0 +1,2 @@
+// Package command is the command line of operators and job callers.
+package command
--- /dev/null
+++ b/delegation/delegation.go
@@ -0,0 +1,106 @@
+// Package delegation defines the messages by which a queue shard gives
+// tasks to a cell and gets their outcome back.
+//
+// The queue journals a delegation before it sends it, repeats it until the
+// cell answers, and does not give the task to anyone else until that cell
+// has durably returned it. The cell recognises an attempt that it has seen.
+package delegation
+
+import (
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/shard"
+)
+
+// Peer methods.
+const (
+	MethodOffer  = "cell.offer"   // Offer -> OfferReply, once durable at the cell
+	MethodCancel = "cell.cancel"  // Cancel -> CancelReply, once durable at the cell
+	MethodReturn = "queue.return" // Return -> ReturnReply, once durable at the queue
+	MethodStart  = "queue.start"  // Started -> StartedReply, not journaled
+)
+
+// Task is one attempt of a task as a cell gets it.
+type Task struct {
+	platform.AttemptRef
+	Queue              shard.ID           `json:"queue" cbor:"3,keyasint"` // where the outcome goes
+	Organisation       fleet.Organisation `json:"organisation" cbor:"4,keyasint"`
+	Team               fleet.Team         `json:"team" cbor:"5,keyasint"`
+	Class              fleet.JobClass     `json:"class" cbor:"6,keyasint"`
+	Resources          fleet.Resources    `json:"resources" cbor:"7,keyasint"` // declared
+	Priority           int                `json:"priority" cbor:"8,keyasint,omitempty"`
+	Command            string             `json:"command" cbor:"9,keyasint,omitempty"`
+	Checkpoint         string             `json:"checkpoint,omitempty" cbor:"10,keyasint,omitempty"`
+	CheckpointProgress float64            `json:"checkpoint_progress,omitempty" cbor:"11,keyasint,omitempty"`
+}
+
+// Offer gives tasks to a cell.
+type Offer struct {
+	Cell  shard.ID `json:"cell"`
+	Tasks []Task   `json:"tasks"`
+}
+
+// OfferReply tells for each task whether the cell has accepted it. A task in
+// neither list was not looked at and stays delegated.
+type OfferReply struct {
+	Accepted []platform.AttemptRef `json:"accepted"`
+	Refused  []Refusal             `json:"refused"`
+}
+
+// Refusal durably gives an attempt back: the cell never starts it.
+type Refusal struct {
+	platform.AttemptRef
+	Reason string `json:"reason"` // machine-readable
+}
+
+// Cancel asks a cell to stop tasks. They come back by Return.
+type Cancel struct {
+	Cell  shard.ID              `json:"cell"`
+	Tasks []platform.AttemptRef `json:"tasks"`
+}
+
+// CancelReply acknowledges a Cancel.
+type CancelReply struct{}
+
+// End is how an attempt ended.
+type End string
+
+// Ends of an attempt.
+const (
+	EndFinished End = "finished"
+	EndFailed   End = "failed"  // the task's own failure
+	EndEvicted  End = "evicted" // to be resumed from its checkpoint
+	EndLost     End = "lost"    // the worker is gone, its lease has surely run out
+	EndNotRun   End = "not_run"
+	EndStopped  End = "stopped" // after a Cancel
+)
+
+// Outcome is the end of one attempt. The attempt runs nowhere any more.
+type Outcome struct {
+	platform.AttemptRef
+	End                End             `json:"end" cbor:"3,keyasint"`
+	Worker             fleet.WorkerID  `json:"worker,omitempty" cbor:"4,keyasint,omitempty"`
+	Checkpoint         string          `json:"checkpoint,omitempty" cbor:"5,keyasint,omitempty"`
+	CheckpointProgress float64         `json:"checkpoint_progress,omitempty" cbor:"6,keyasint,omitempty"`
+	Used               fleet.Resources `json:"used" cbor:"7,keyasint"` // highest observed
+	Error              string          `json:"error,omitempty" cbor:"8,keyasint,omitempty"`
+}
+
+// Return gives outcomes to a queue shard.
+type Return struct {
+	Queue    shard.ID  `json:"queue"`
+	Cell     shard.ID  `json:"cell"`
+	Outcomes []Outcome `json:"outcomes"`
+}
+
+// ReturnReply acknowledges a Return: the cell may forget the attempts.
+type ReturnReply struct{}
+
+// Started reports attempts that a worker was seen running, for status only.
+type Started struct {
+	Queue shard.ID              `json:"queue"`
+	Tasks []platform.AttemptRef `json:"tasks"`
+}
+
+// StartedReply acknowledges a Started.
+type StartedReply struct{}
--- /dev/null
+++ b/internal/standin/backend.go
@@ -0,0 +1,187 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/platform"
+)
+
+// BackendFaults are the faults of a Backend.
+type BackendFaults struct {
+	Delay       time.Duration // added before the answer
+	Status      int           // answer with this status instead of 200
+	CutBody     bool          // announce the whole body, send half and close
+	DropBefore  bool          // close the connection before the answer
+	GoSilent    bool          // connections open now never answer again; new ones work
+	RefuseDials bool          // close new connections at once
+}
+
+// RequestRecord is one request that a Backend ran.
+type RequestRecord struct {
+	ID      string // X-Request-Id
+	Started time.Time
+	Ended   time.Time
+}
+
+// Backend is one backend server: HTTP/1.1 with a fixed number of slots. It
+// answers with its ID, the request ID and the request body, so that a caller
+// can tell a whole answer to its own request. Safe for concurrent use.
+type Backend struct {
+	info    platform.Server
+	service func() time.Duration // time to work on a request
+
+	mu       sync.Mutex
+	faults   BackendFaults
+	silent   map[net.Conn]bool
+	conns    map[net.Conn]bool
+	running  int
+	maxRun   int
+	maxConns int
+	records  []RequestRecord
+	server   *http.Server
+}
+
+type connKey struct{}
+
+// StartBackend listens on info.Address ("127.0.0.1:0" picks a port) and
+// serves until Close.
+func StartBackend(info platform.Server, service func() time.Duration) (*Backend, error) {
+	ln, err := new(net.ListenConfig).Listen(context.Background(), "tcp", info.Address)
+	if err != nil {
+		return nil, err
+	}
+	info.Address = ln.Addr().String()
+	b := &Backend{
+		info:    info,
+		service: service,
+		silent:  make(map[net.Conn]bool),
+		conns:   make(map[net.Conn]bool),
+	}
+	b.server = &http.Server{
+		Handler:     http.HandlerFunc(b.serve),
+		ConnState:   b.connState,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+	}
+	go func() { _ = b.server.Serve(ln) }() // ends with Close
+	return b, nil
+}
+
+// Info returns the server's entry for the host list.
+func (b *Backend) Info() platform.Server { return b.info }
+
+// Close ends the server and its connections.
+func (b *Backend) Close() error { return b.server.Close() }
+
+// SetFaults replaces the faults.
+func (b *Backend) SetFaults(f BackendFaults) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.faults = f
+	if f.GoSilent {
+		for c := range b.conns {
+			b.silent[c] = true
+		}
+	}
+}
+
+func (b *Backend) connState(c net.Conn, state http.ConnState) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		b.conns[c] = true
+		b.maxConns = max(b.maxConns, len(b.conns))
+		if b.faults.RefuseDials {
+			c.Close()
+		}
+	case http.StateClosed, http.StateHijacked:
+		delete(b.conns, c)
+	}
+}
+
+func (b *Backend) serve(w http.ResponseWriter, r *http.Request) {
+	conn, _ := r.Context().Value(connKey{}).(net.Conn)
+	f, index, silent := b.begin(conn, r.Header.Get("X-Request-Id"))
+	if silent {
+		<-r.Context().Done()
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err == nil {
+		err = wait(context.Background(), b.service()+f.Delay)
+	}
+	// The slot is free before the answer is written, so that the next request
+	// of a fast caller is not counted together with this one.
+	b.finish(index)
+	if err != nil || f.DropBefore {
+		panic(http.ErrAbortHandler)
+	}
+	b.answer(w, r, f, body)
+}
+
+func (b *Backend) begin(conn net.Conn, id string) (BackendFaults, int, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.silent[conn] {
+		return b.faults, 0, true
+	}
+	b.running++
+	b.maxRun = max(b.maxRun, b.running)
+	b.records = append(b.records, RequestRecord{ID: id, Started: time.Now()})
+	return b.faults, len(b.records) - 1, false
+}
+
+func (b *Backend) finish(index int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.running--
+	b.records[index].Ended = time.Now()
+}
+
+func (b *Backend) answer(w http.ResponseWriter, r *http.Request, f BackendFaults, body []byte) {
+	text := Answer(b.info, r.Header.Get("X-Request-Id"), body)
+	if n, err := strconv.Atoi(r.Header.Get("X-Answer-Bytes")); err == nil && n > len(text) {
+		text += fmt.Sprintf("%*s", n-len(text), "")
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	if f.Status != 0 {
+		w.WriteHeader(f.Status)
+	}
+	if f.CutBody {
+		io.WriteString(w, text[:len(text)/2])
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	io.WriteString(w, text)
+}
+
+// Answer is the body that a Backend answers with.
+func Answer(info platform.Server, id string, body []byte) string {
+	return fmt.Sprintf("server=%s request=%s body=%s\n", info.ID, id, body)
+}
+
+// Stats is what a Backend saw.
+type Stats struct {
+	MaxRequests    int // at once
+	MaxConnections int // at once
+	Requests       []RequestRecord
+}
+
+// Stats returns what was seen so far.
+func (b *Backend) Stats() Stats {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return Stats{
+		MaxRequests:    b.maxRun,
+		MaxConnections: b.maxConns,
+		Requests:       append([]RequestRecord(nil), b.records...),
+	}
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,363 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+)
+
+// WorkerFaults are the faults of a Worker.
+type WorkerFaults struct {
+	Silent     bool          // takes calls and never answers; tasks go on
+	FailStarts bool          // every started task fails at once
+	LoseReply  int           // the next n calls take effect and their replies are lost
+	UsageLag   time.Duration // age of the usage in reports
+	Delay      time.Duration // before every call
+}
+
+// RunTime decides how long a task runs unthrottled.
+type RunTime func(req platform.StartRequest) time.Duration
+
+// Record is one run of an attempt on a worker.
+type Record struct {
+	platform.AttemptRef
+	Worker     fleet.WorkerID
+	DataCentre fleet.DataCentre
+	Cell       string
+	Resources  fleet.Resources
+	Checkpoint string // resumed from
+	Started    time.Time
+	Ended      time.Time // zero while running
+	State      platform.TaskState
+	Progress   float64
+}
+
+// Worker is a worker host's control interface. It implements the calls of
+// platform.WorkerControl without the address; Workers routes by address. Safe
+// for concurrent use.
+type Worker struct {
+	info    platform.Worker
+	runTime RunTime
+	records *Records
+
+	mu      sync.Mutex
+	faults  WorkerFaults
+	dead    bool
+	tokens  map[string]fleet.Epoch
+	runs    map[platform.AttemptRef]*run
+	ended   map[platform.AttemptRef]bool // stopped or forgotten
+	reserve fleet.Resources              // taken by backend servers
+}
+
+type run struct {
+	req         platform.StartRequest
+	record      *Record
+	state       platform.TaskState
+	err         string
+	share       float64
+	progress    float64 // at updated
+	updated     time.Time
+	need        time.Duration
+	checkpoint  string
+	checkpointP float64
+	end         *time.Timer
+	lease       *time.Timer
+}
+
+// NewWorker returns a worker that logs its runs in records.
+func NewWorker(info platform.Worker, reserve fleet.Resources, runTime RunTime, records *Records) *Worker {
+	return &Worker{
+		info:    info,
+		runTime: runTime,
+		records: records,
+		reserve: reserve,
+		tokens:  make(map[string]fleet.Epoch),
+		runs:    make(map[platform.AttemptRef]*run),
+		ended:   make(map[platform.AttemptRef]bool),
+	}
+}
+
+// Info returns the worker's entry for the host list.
+func (w *Worker) Info() platform.Worker { return w.info }
+
+// SetFaults replaces the faults.
+func (w *Worker) SetFaults(f WorkerFaults) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = f
+}
+
+// Kill ends the worker and every task on it, without a word.
+func (w *Worker) Kill() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dead = true
+	for _, r := range w.runs {
+		w.finish(r, platform.TaskStopped, "worker died")
+	}
+}
+
+// Restart brings a killed worker back without any task.
+func (w *Worker) Restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dead = false
+	w.tokens = make(map[string]fleet.Epoch)
+	w.runs = make(map[platform.AttemptRef]*run)
+}
+
+// enter applies faults and returns with the mutex held if err is nil.
+func (w *Worker) enter(ctx context.Context, op string) error {
+	w.mu.Lock()
+	f := w.faults
+	dead := w.dead
+	w.mu.Unlock()
+	if dead {
+		return eris.Wrap(&platform.WorkerUnknownError{Op: op, Cause: errDown}, "standin")
+	}
+	if f.Silent {
+		<-ctx.Done()
+		return eris.Wrap(&platform.WorkerUnknownError{Op: op, Cause: ctx.Err()}, "standin")
+	}
+	if err := wait(ctx, f.Delay); err != nil {
+		return eris.Wrap(&platform.WorkerUnknownError{Op: op, Cause: err}, "standin")
+	}
+	w.mu.Lock()
+	return nil
+}
+
+func (w *Worker) leave(op string) error {
+	if w.faults.LoseReply == 0 {
+		return nil
+	}
+	w.faults.LoseReply--
+	return eris.Wrap(&platform.WorkerUnknownError{Op: op, Cause: errReplyLost}, "standin")
+}
+
+// fence checks a token and remembers it if it is the highest.
+func (w *Worker) fence(cell string, token fleet.Epoch) error {
+	if token < w.tokens[cell] {
+		return w.refuse(cell, platform.RefusedFenced)
+	}
+	w.tokens[cell] = token
+	return nil
+}
+
+func (w *Worker) refuse(cell string, reason platform.RefusalReason) error {
+	return eris.Wrap(&platform.RefusedError{Reason: reason, Token: w.tokens[cell]}, "standin")
+}
+
+// Start runs an attempt.
+func (w *Worker) Start(ctx context.Context, req platform.StartRequest) (platform.WorkerReport, error) {
+	if err := w.enter(ctx, "start"); err != nil {
+		return platform.WorkerReport{}, err
+	}
+	defer w.mu.Unlock()
+	if err := w.fence(req.Cell, req.Token); err != nil {
+		return platform.WorkerReport{}, err
+	}
+	ref := platform.AttemptRef{Task: req.Task, Attempt: req.Attempt}
+	if w.ended[ref] {
+		return platform.WorkerReport{}, w.refuse(req.Cell, platform.RefusedEnded)
+	}
+	if _, known := w.runs[ref]; !known {
+		if time.Now().UnixMilli() > req.DeadlineMS {
+			return platform.WorkerReport{}, w.refuse(req.Cell, platform.RefusedLate)
+		}
+		w.begin(ref, req)
+	}
+	return w.report(req.Cell), w.leave("start")
+}
+
+func (w *Worker) begin(ref platform.AttemptRef, req platform.StartRequest) {
+	now := time.Now()
+	r := &run{
+		req:         req,
+		state:       platform.TaskRunning,
+		share:       1,
+		progress:    checkpointProgress(req.Checkpoint),
+		updated:     now,
+		need:        w.runTime(req),
+		checkpoint:  req.Checkpoint,
+		checkpointP: checkpointProgress(req.Checkpoint),
+	}
+	r.record = w.records.begin(Record{
+		AttemptRef: ref,
+		Worker:     w.info.ID,
+		DataCentre: w.info.DataCentre,
+		Cell:       req.Cell,
+		Resources:  req.Resources,
+		Checkpoint: req.Checkpoint,
+		Started:    now,
+		State:      platform.TaskRunning,
+	}, w.info.Capacity.Sub(w.reserve))
+	w.runs[ref] = r
+	lease := time.Duration(req.LeaseMS) * time.Millisecond
+	r.lease = time.AfterFunc(lease, func() { w.expire(r) })
+	if w.faults.FailStarts {
+		w.finish(r, platform.TaskFailed, "exit status 1")
+		return
+	}
+	w.schedule(r)
+}
+
+// checkpointProgress reads the progress that a checkpoint name carries.
+func checkpointProgress(checkpoint string) float64 {
+	var p float64
+	if _, err := fmt.Sscanf(checkpoint, "cp-%f", &p); err != nil {
+		return 0
+	}
+	return p
+}
+
+func (w *Worker) schedule(r *run) {
+	if r.end != nil {
+		r.end.Stop()
+	}
+	if r.share <= 0 {
+		return
+	}
+	left := time.Duration((1 - r.progress) * float64(r.need) / r.share)
+	r.end = time.AfterFunc(left, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		r.advance()
+		if r.progress >= 0.999 {
+			w.finish(r, platform.TaskFinished, "")
+		}
+	})
+}
+
+func (r *run) advance() {
+	if r.state.Final() {
+		return
+	}
+	now := time.Now()
+	r.progress = min(1, r.progress+now.Sub(r.updated).Seconds()*r.share/max(r.need.Seconds(), 1e-9))
+	r.updated = now
+}
+
+func (w *Worker) expire(r *run) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.finish(r, platform.TaskStopped, "lease lapsed")
+}
+
+func (w *Worker) finish(r *run, state platform.TaskState, reason string) {
+	if r.state.Final() {
+		return
+	}
+	r.advance()
+	r.state = state
+	r.err = reason
+	if r.end != nil {
+		r.end.Stop()
+	}
+	r.lease.Stop()
+	w.records.end(r.record, state, r.progress)
+}
+
+// Renew extends the leases of a cell's tasks.
+func (w *Worker) Renew(ctx context.Context, req platform.RenewRequest) (platform.WorkerReport, error) {
+	if err := w.enter(ctx, "renew"); err != nil {
+		return platform.WorkerReport{}, err
+	}
+	defer w.mu.Unlock()
+	if err := w.fence(req.Cell, req.Token); err != nil {
+		return platform.WorkerReport{}, err
+	}
+	for _, ref := range req.Forget {
+		if r, ok := w.runs[ref]; ok && r.state.Final() {
+			delete(w.runs, ref)
+			w.ended[ref] = true
+		}
+	}
+	for _, r := range w.runs {
+		if r.req.Cell == req.Cell && !r.state.Final() {
+			r.lease.Reset(time.Duration(req.LeaseMS) * time.Millisecond)
+		}
+	}
+	return w.report(req.Cell), w.leave("renew")
+}
+
+// Stop ends an attempt. Stopping one that was never started makes a later
+// start of it be refused.
+func (w *Worker) Stop(ctx context.Context, req platform.StopRequest) (platform.WorkerReport, error) {
+	if err := w.enter(ctx, "stop"); err != nil {
+		return platform.WorkerReport{}, err
+	}
+	defer w.mu.Unlock()
+	if err := w.fence(req.Cell, req.Token); err != nil {
+		return platform.WorkerReport{}, err
+	}
+	r, ok := w.runs[req.AttemptRef]
+	if !ok {
+		w.ended[req.AttemptRef] = true
+		return platform.WorkerReport{}, w.refuse(req.Cell, platform.RefusedUnknown)
+	}
+	if !r.state.Final() && req.Checkpoint {
+		r.advance()
+		r.checkpoint = fmt.Sprintf("cp-%.6f", r.progress)
+		r.checkpointP = r.progress
+	}
+	w.finish(r, platform.TaskStopped, "stopped")
+	return w.report(req.Cell), w.leave("stop")
+}
+
+// Throttle sets an attempt's share of its processors.
+func (w *Worker) Throttle(ctx context.Context, req platform.ThrottleRequest) (platform.WorkerReport, error) {
+	if err := w.enter(ctx, "throttle"); err != nil {
+		return platform.WorkerReport{}, err
+	}
+	defer w.mu.Unlock()
+	if err := w.fence(req.Cell, req.Token); err != nil {
+		return platform.WorkerReport{}, err
+	}
+	r, ok := w.runs[req.AttemptRef]
+	if !ok {
+		return platform.WorkerReport{}, w.refuse(req.Cell, platform.RefusedUnknown)
+	}
+	r.advance()
+	r.share = req.Share
+	w.schedule(r)
+	return w.report(req.Cell), w.leave("throttle")
+}
+
+func (w *Worker) report(cell string) platform.WorkerReport {
+	rep := platform.WorkerReport{Worker: w.info.ID, Token: w.tokens[cell]}
+	for ref, r := range w.runs {
+		if r.req.Cell != cell {
+			continue
+		}
+		r.advance()
+		rep.Tasks = append(rep.Tasks, r.status(ref, w.faults.UsageLag))
+		if !r.state.Final() {
+			rep.Used = rep.Used.Add(r.req.Resources)
+		}
+	}
+	return rep
+}
+
+func (r *run) status(ref platform.AttemptRef, lag time.Duration) platform.TaskStatus {
+	st := platform.TaskStatus{
+		AttemptRef:         ref,
+		State:              r.state,
+		Progress:           r.progress,
+		Checkpoint:         r.checkpoint,
+		CheckpointProgress: r.checkpointP,
+		Share:              r.share,
+	}
+	if r.state == platform.TaskFailed {
+		st.Error = r.err
+	}
+	if time.Since(r.record.Started) > lag {
+		st.Used = r.req.Resources
+	}
+	return st
+}
--- /dev/null
+++ b/journal/journal.go
@@ -0,0 +1,64 @@
+// Package journal keeps the state of one shard in the platform's store: a
+// ring of entries plus a snapshot. The ring is also the fence between owners
+// of the shard: a superseded owner collides at its next append.
+package journal
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+)
+
+// Sequence numbers the entries of one journal from 1, without gaps.
+type Sequence uint64
+
+// Machine is the state machine of a shard. Apply and Restore must be
+// deterministic and free of I/O. A Machine is used by one goroutine.
+type Machine interface {
+	// Apply applies one record, as it was passed to Tx.Append. An error
+	// means that the record can't be decoded or contradicts the state;
+	// recovery stops with it.
+	Apply(record []byte) error
+	// Snapshot encodes the whole state.
+	Snapshot() ([]byte, error)
+	// Restore replaces the state by a decoded snapshot.
+	Restore(snapshot []byte) error
+}
+
+// Tx is one transaction on a shard's Machine, run on the shard's goroutine.
+type Tx interface {
+	// Append applies record to the Machine at once and journals it with the
+	// next group commit. If that commit fails for good, the owner stops and
+	// the Machine is thrown away.
+	Append(record []byte)
+	// OnDurable registers an effect to run after every record appended so
+	// far in this journal is durable. It runs on its own goroutine.
+	OnDurable(effect func())
+	// Epoch returns the owner's epoch, its fencing token.
+	Epoch() fleet.Epoch
+}
+
+// Committer runs transactions on the shard that this host owns.
+type Committer interface {
+	// Do runs fn on the shard's goroutine and returns when the records it
+	// appended are durable. fn's error is returned and nothing it appended
+	// may then be relied on, so fn must return its error before it appends.
+	// Errors besides fn's: *StoppedError, the context's error (the records
+	// may still become durable).
+	Do(ctx context.Context, fn func(Tx) error) error
+}
+
+// StoppedError reports that this process no longer owns the shard. Records
+// not yet reported durable may or may not be in the journal.
+type StoppedError struct {
+	Shard string
+	Cause error
+}
+
+func (e *StoppedError) Error() string {
+	return fmt.Sprintf("journal: no longer the owner of %s: %v", e.Shard, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *StoppedError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,76 @@
+// Package peer carries typed calls between entry hosts: JSON-RPC 2.0 over
+// TCP, one connection per pair of hosts and direction, opened when needed.
+package peer
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+)
+
+// Caller calls a method on another entry host. It is safe for concurrent
+// use. Errors are *RemoteError, *UnreachableError or *UnknownError.
+type Caller interface {
+	Call(ctx context.Context, host fleet.HostID, method string, request, response any) error
+}
+
+// Handler answers one method. params is the JSON request. An error that is a
+// *RemoteError is passed on as it is; any other becomes one of kind
+// "internal".
+type Handler func(ctx context.Context, from fleet.HostID, params []byte) (response any, err error)
+
+// Registry takes the handlers of a host. Register before serving.
+type Registry interface {
+	Handle(method string, h Handler)
+}
+
+// Kind classifies a RemoteError across processes.
+type Kind string
+
+// Kinds of errors that a peer answers with.
+const (
+	KindInternal    Kind = "internal"
+	KindBadRequest  Kind = "bad_request"
+	KindNotOwner    Kind = "not_owner"   // the callee does not own the shard
+	KindUnavailable Kind = "unavailable" // not done, may be tried again
+	KindRefused     Kind = "refused"     // not done, with a reason for the caller
+	KindNotFound    Kind = "not_found"
+)
+
+// RemoteError is an error that the called host answered with.
+type RemoteError struct {
+	Kind    Kind   `json:"kind"`
+	Reason  string `json:"reason,omitempty"` // machine-readable
+	Message string `json:"message"`
+}
+
+func (e *RemoteError) Error() string { return fmt.Sprintf("peer: %s: %s", e.Kind, e.Message) }
+
+// UnreachableError reports that the call was surely not delivered.
+type UnreachableError struct {
+	Host  fleet.HostID
+	Cause error
+}
+
+func (e *UnreachableError) Error() string {
+	return fmt.Sprintf("peer: host %s unreachable: %v", e.Host, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Cause }
+
+// UnknownError reports that the call may have been delivered and no answer
+// came.
+type UnknownError struct {
+	Host   fleet.HostID
+	Method string
+	Cause  error
+}
+
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("peer: outcome of %s at host %s unknown: %v", e.Method, e.Host, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/route/doc.go
@@ -0,0 +1,2 @@
+// Package route chooses a backend server for a request and limits, queues and retries requests.
+package route
--- /dev/null
+++ b/settings/values.go
@@ -0,0 +1,79 @@
+// Package settings holds the tree of settings that operators change: its
+// types, validation, inheritance, audit trail and the view of it that is in
+// force on a host.
+package settings
+
+import (
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/store"
+)
+
+// Resolved is the complete set of values in force at one leaf of the tree,
+// after inheritance. The JSON name of each value is its name in the tree.
+type Resolved struct {
+	// Requests.
+	RequestTimeoutMS   int64   `json:"request_timeout_ms"`   // whole exchange, if the caller gives no deadline
+	ObjectiveMS        int64   `json:"objective_ms"`         // latency objective at the 99th percentile
+	Concurrency        int     `json:"concurrency"`          // requests at once per service and entry host
+	QueueLength        int     `json:"queue_length"`         // requests waiting per service and entry host
+	RetryBudgetPercent float64 `json:"retry_budget_percent"` // of recent requests
+	FirstByteTimeoutMS int64   `json:"first_byte_timeout_ms"`
+	IdleTimeoutMS      int64   `json:"idle_timeout_ms"` // longest silence inside a body
+	DialTimeoutMS      int64   `json:"dial_timeout_ms"`
+	BufferBytes        int64   `json:"buffer_bytes"` // answers up to this size are buffered whole
+
+	// Batch.
+	Priority        int     `json:"priority"` // 0 to 100, higher first; urgent is 90 and above
+	MaxAttempts     int     `json:"max_attempts"`
+	GraceMS         int64   `json:"grace_ms"`         // for a checkpoint before a stop
+	WorkerLeaseMS   int64   `json:"worker_lease_ms"`  // lease of tasks on a worker
+	EvictionsMinute int     `json:"evictions_minute"` // limit per cell
+	ThrottleFloor   float64 `json:"throttle_floor"`   // least share of a throttled task
+	Aging           float64 `json:"aging_per_minute"` // priority gained by a waiting job
+}
+
+// DataCentreState says whether operators let work into a data centre.
+type DataCentreState string
+
+// Data centre states.
+const (
+	DataCentreIn  DataCentreState = "in"
+	DataCentreOut DataCentreState = "out"
+)
+
+// DataCentre is the entry of one data centre.
+type DataCentre struct {
+	Region fleet.Region    `json:"region" validate:"required"`
+	State  DataCentreState `json:"state" validate:"oneof=in out"`
+	Cells  int             `json:"cells" validate:"gte=1,lte=64"` // cannot change after creation
+}
+
+// Team is the entry of one team: its home and quota.
+type Team struct {
+	Organisation fleet.Organisation `json:"organisation" validate:"required"`
+	Quota        fleet.Resources    `json:"quota"`
+	Shards       int                `json:"shards" validate:"gte=1,lte=16"` // queue shards that share the quota
+}
+
+// Snapshot is the tree at one revision, ready for lookups. It is immutable.
+type Snapshot interface {
+	Revision() store.Revision
+	DataCentres() map[fleet.DataCentre]DataCentre
+	Teams() map[fleet.Team]Team
+	// Service returns the values for a service of an organisation in a data
+	// centre; unknown names inherit from the level above.
+	Service(fleet.Organisation, fleet.DataCentre, fleet.Service) Resolved
+	// JobClass is Service for a job class.
+	JobClass(fleet.Organisation, fleet.DataCentre, fleet.JobClass) Resolved
+}
+
+// View is what is in force on this host. It is safe for concurrent use.
+type View interface {
+	// Current returns the newest snapshot; its revision never decreases.
+	Current() Snapshot
+	// ConfirmedAt returns when Current was last known to be the newest one
+	// in the store. Tasks may be started only for 2 s after that.
+	ConfirmedAt() time.Time
+}
--- /dev/null
+++ b/store/present.go
@@ -0,0 +1,16 @@
+package store
+
+import (
+	"cmp"
+	"slices"
+)
+
+// presentState turns entries into events in order of revision.
+func presentState(entries []Entry) []Event {
+	events := make([]Event, 0, len(entries))
+	for _, e := range entries {
+		events = append(events, Event{Entry: e})
+	}
+	slices.SortFunc(events, func(a, b Event) int { return cmp.Compare(a.Revision, b.Revision) })
+	return events
+}
