Add peer calls, the registry of hosts and the manager of shards

peer: JSON-RPC over TCP with a hello, deadlines on every call, probes of silent connections, bounded messages and handlers. member: host records under store leases, exchange of changed summaries. shard: claims by compare-and-swap, planned hand-over, rights to send that end by the owner's own clock.

--- /dev/null
+++ b/member/lease.go
@@ -0,0 +1,157 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/rotisserie/eris"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/store"
+)
+
+const (
+	hostPrefix = "hosts/"
+	// revokeTimeout bounds the goodbye of a host that shuts down.
+	revokeTimeout = time.Second
+)
+
+// keepRecord keeps hosts/<self> in the store under a lease, until ctx ends.
+func (r *Registry) keepRecord(ctx context.Context) error {
+	var lease store.LeaseID
+	defer func() { r.revoke(lease) }()
+	for {
+		wait := renewInterval
+		err := r.refresh(ctx, &lease)
+		var superseded *SupersededError
+		switch {
+		case errors.As(err, &superseded):
+			return err
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case err != nil:
+			level.Warn(r.logger).Log("event", "lease_not_kept", "err", err)
+			wait = retryInterval
+		}
+		if err := sleep(ctx, wait); err != nil {
+			return err
+		}
+	}
+}
+
+// refresh renews the lease, or registers anew if there is none.
+func (r *Registry) refresh(ctx context.Context, lease *store.LeaseID) error {
+	if *lease == 0 {
+		return r.register(ctx, lease)
+	}
+	began := time.Now()
+	err := r.deps.Store.Renew(ctx, *lease)
+	var gone *store.LeaseGoneError
+	if errors.As(err, &gone) {
+		level.Warn(r.logger).Log("event", "lease_lapsed", "lease", *lease)
+		r.lapsed()
+		*lease = 0
+		return r.register(ctx, lease)
+	}
+	r.observe(began, err)
+	return err
+}
+
+// register grants a lease and writes the record under it. A lease whose
+// write failed is left to end by itself.
+func (r *Registry) register(ctx context.Context, lease *store.LeaseID) error {
+	began := time.Now()
+	granted, err := r.deps.Store.Grant(ctx, LeaseTTL)
+	if err != nil {
+		return err
+	}
+	if err := r.writeRecord(ctx, granted); err != nil {
+		return err
+	}
+	*lease = granted
+	r.observe(began, nil)
+	level.Info(r.logger).Log("event", "registered", "lease", granted, "incarnation", r.deps.Self.Incarnation)
+	return nil
+}
+
+func (r *Registry) writeRecord(ctx context.Context, lease store.LeaseID) error {
+	key := hostPrefix + string(r.deps.Self.ID)
+	expect, err := r.predecessor(ctx, key)
+	if err != nil {
+		return err
+	}
+	value, err := json.Marshal(r.deps.Self)
+	if err != nil {
+		return eris.Wrap(err, "host record")
+	}
+	_, err = r.deps.Store.CompareAndSwap(ctx, key, expect, value, lease)
+	return err
+}
+
+// predecessor returns the revision of the record that the new one replaces.
+func (r *Registry) predecessor(ctx context.Context, key string) (store.Revision, error) {
+	entry, err := r.deps.Store.Get(ctx, key)
+	var missing *store.NotFoundError
+	if errors.As(err, &missing) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	var old Host
+	if json.Unmarshal(entry.Value, &old) == nil && old.Incarnation > r.deps.Self.Incarnation {
+		return 0, eris.Wrap(&SupersededError{Host: old.ID, By: old.Incarnation}, "member")
+	}
+	return entry.Revision, nil
+}
+
+// observe notes whether the store answered a call begun at began.
+func (r *Registry) observe(began time.Time, err error) {
+	if err != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.steady.answered(began, time.Now())
+}
+
+func (r *Registry) lapsed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.steady.lapsed()
+}
+
+func (r *Registry) revoke(lease store.LeaseID) {
+	if lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
+	defer cancel()
+	if err := r.deps.Store.Revoke(ctx, lease); err != nil {
+		level.Warn(r.logger).Log("event", "lease_not_revoked", "err", err)
+	}
+}
+
+// SupersededError reports that a later process runs under this host's ID.
+type SupersededError struct {
+	Host fleet.HostID
+	By   fleet.Incarnation
+}
+
+func (e *SupersededError) Error() string {
+	return "member: host " + string(e.Host) + " runs in a later process"
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/peer/peertest/peertest.go
@@ -0,0 +1,205 @@
+// Package peertest is a network of entry hosts in one process, for tests. It
+// can cut, delay and lose.
+package peertest
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/peer"
+)
+
+// CutError is the cause of calls that the network did not deliver.
+type CutError struct{}
+
+func (*CutError) Error() string { return "peertest: cut" }
+
+// ReplyLostError is the cause of calls whose reply the network lost.
+type ReplyLostError struct{}
+
+func (*ReplyLostError) Error() string { return "peertest: reply lost" }
+
+// route is one direction between two hosts.
+type route struct{ from, to fleet.HostID }
+
+// Network connects hosts. Safe for concurrent use.
+type Network struct {
+	mu          sync.Mutex
+	hosts       map[fleet.HostID]*Host
+	cut         map[route]bool
+	delay       time.Duration
+	loseReplies map[route]int
+	bytes       map[fleet.HostID]int // sent and received
+}
+
+// NewNetwork returns a network without faults.
+func NewNetwork() *Network {
+	return &Network{
+		hosts:       make(map[fleet.HostID]*Host),
+		cut:         make(map[route]bool),
+		loseReplies: make(map[route]int),
+		bytes:       make(map[fleet.HostID]int),
+	}
+}
+
+// Host returns the host with an ID and adds it if need be.
+func (n *Network) Host(id fleet.HostID) *Host {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h, ok := n.hosts[id]
+	if !ok {
+		h = &Host{network: n, id: id, handlers: make(map[string]peer.Handler)}
+		n.hosts[id] = h
+	}
+	return h
+}
+
+// Cut stops or lets through calls in both directions between two hosts.
+func (n *Network) Cut(a, b fleet.HostID, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[route{a, b}] = cut
+	n.cut[route{b, a}] = cut
+}
+
+// Isolate stops or lets through every call from and to a host.
+func (n *Network) Isolate(id fleet.HostID, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for other := range n.hosts {
+		n.cut[route{id, other}] = cut
+		n.cut[route{other, id}] = cut
+	}
+}
+
+// Delay makes every call take d before it is delivered.
+func (n *Network) Delay(d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delay = d
+}
+
+// LoseReplies loses the replies of the next count calls between two hosts,
+// after the handler has run.
+func (n *Network) LoseReplies(from, to fleet.HostID, count int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loseReplies[route{from, to}] = count
+}
+
+// Bytes returns the bytes of requests and replies that a host has sent and
+// received.
+func (n *Network) Bytes(id fleet.HostID) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.bytes[id]
+}
+
+func (n *Network) count(r route, bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.bytes[r.from] += bytes
+	n.bytes[r.to] += bytes
+}
+
+// Host is a host on a Network.
+type Host struct {
+	network  *Network
+	id       fleet.HostID
+	handlers map[string]peer.Handler // guarded by network.mu
+}
+
+var (
+	_ peer.Caller   = (*Host)(nil)
+	_ peer.Registry = (*Host)(nil)
+)
+
+// Handle implements peer.Registry.
+func (h *Host) Handle(method string, handler peer.Handler) {
+	h.network.mu.Lock()
+	defer h.network.mu.Unlock()
+	h.handlers[method] = handler
+}
+
+// Call implements peer.Caller.
+func (h *Host) Call(ctx context.Context, to fleet.HostID, method string, request, response any) error {
+	r := route{h.id, to}
+	handler, delay, err := h.network.find(r, method)
+	if err != nil {
+		return err
+	}
+	params, err := json.Marshal(request)
+	if err != nil {
+		return &peer.UnreachableError{Host: to, Cause: err}
+	}
+	if err := wait(ctx, delay); err != nil {
+		return &peer.UnreachableError{Host: to, Cause: err}
+	}
+	h.network.count(r, len(params))
+	result, err := handler(ctx, h.id, params)
+	if h.network.losesReply(r) {
+		return &peer.UnknownError{Host: to, Method: method, Cause: &ReplyLostError{}}
+	}
+	if err != nil {
+		return remote(err)
+	}
+	data, err := json.Marshal(result)
+	if err != nil {
+		return remote(err)
+	}
+	h.network.count(r, len(data))
+	if response == nil {
+		return nil
+	}
+	return json.Unmarshal(data, response)
+}
+
+func (n *Network) find(r route, method string) (peer.Handler, time.Duration, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	host, ok := n.hosts[r.to]
+	if !ok || n.cut[r] {
+		return nil, 0, &peer.UnreachableError{Host: r.to, Cause: &CutError{}}
+	}
+	handler, ok := host.handlers[method]
+	if !ok {
+		return nil, 0, &peer.RemoteError{Kind: peer.KindBadRequest, Reason: "no_such_method", Message: method}
+	}
+	return handler, n.delay, nil
+}
+
+func (n *Network) losesReply(r route) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.loseReplies[r] == 0 {
+		return false
+	}
+	n.loseReplies[r]--
+	return true
+}
+
+func remote(err error) error {
+	var r *peer.RemoteError
+	if errors.As(err, &r) {
+		return r
+	}
+	return &peer.RemoteError{Kind: peer.KindInternal, Message: err.Error()}
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,280 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+)
+
+const (
+	// maxConcurrentCalls bounds the handlers that run at once in a server.
+	maxConcurrentCalls = 1024
+	// maxHandlerTime bounds a handler whose caller gave no deadline.
+	maxHandlerTime = 30 * time.Second
+	// serverReadTimeout closes a connection on which nothing arrives. It is
+	// longer than a client keeps an idle connection.
+	serverReadTimeout = 3 * DefaultIdleTimeout
+	// shutdownGrace is how long handlers in progress may take when the
+	// server ends.
+	shutdownGrace = 3 * time.Second
+	helloTimeout  = 2 * time.Second
+	acceptRetry   = 50 * time.Millisecond
+)
+
+// ServerOptions configure a Server.
+type ServerOptions struct {
+	Address string      // host:port to listen on; used by Serve only
+	TLS     *tls.Config // nil for plain TCP; else callers must present a certificate with their host ID
+}
+
+// Server answers calls of other entry hosts. Handlers run concurrently, a
+// bounded number at once; a call beyond the bound is answered with
+// KindUnavailable. A handler that panics fails its own call only.
+type Server struct {
+	self   fleet.HostID
+	opts   ServerOptions
+	logger log.Logger
+	slots  chan struct{}
+
+	mu       sync.RWMutex
+	handlers map[string]Handler
+
+	draining atomic.Bool
+	calls    sync.WaitGroup
+}
+
+var _ Registry = (*Server)(nil)
+
+// NewServer returns a server of host self.
+func NewServer(self fleet.HostID, opts ServerOptions, logger log.Logger) *Server {
+	return &Server{
+		self:     self,
+		opts:     opts,
+		logger:   log.With(logger, "component", "peer_server"),
+		slots:    make(chan struct{}, maxConcurrentCalls),
+		handlers: make(map[string]Handler),
+	}
+}
+
+// Handle implements Registry.
+func (s *Server) Handle(method string, h Handler) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handlers[method] = h
+}
+
+// Serve listens on the configured address until ctx ends. It returns an
+// error if it can't listen.
+func (s *Server) Serve(ctx context.Context) error {
+	ln, err := new(net.ListenConfig).Listen(ctx, "tcp", s.opts.Address)
+	if err != nil {
+		return eris.Wrap(err, "peer server")
+	}
+	return s.ServeListener(ctx, ln)
+}
+
+// ServeListener accepts connections from ln until ctx ends, lets calls in
+// progress finish for a bounded time, and closes ln and every connection.
+func (s *Server) ServeListener(ctx context.Context, ln net.Listener) error {
+	s.draining.Store(false)
+	connCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() {
+		s.draining.Store(true)
+		ln.Close()
+	})
+	defer stop()
+	defer ln.Close()
+	s.accept(ctx, connCtx, ln)
+	s.drain()
+	return ctx.Err()
+}
+
+func (s *Server) accept(ctx, connCtx context.Context, ln net.Listener) {
+	for ctx.Err() == nil {
+		conn, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			level.Warn(s.logger).Log("event", "accept_failed", "err", err)
+			time.Sleep(acceptRetry)
+			continue
+		}
+		go s.serveConn(connCtx, conn)
+	}
+}
+
+func (s *Server) drain() {
+	done := make(chan struct{})
+	go func() {
+		s.calls.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(shutdownGrace):
+		level.Warn(s.logger).Log("event", "shutdown_grace_over")
+	}
+}
+
+// session is one connection from a caller.
+type session struct {
+	server *Server
+	from   atomic.Pointer[fleet.HostID] // nil before hello
+	conn   net.Conn
+}
+
+func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	if s.opts.TLS != nil {
+		conn = tls.Server(conn, s.opts.TLS)
+	}
+	sess := &session{server: s, conn: conn}
+	st := newStream(conn, serverReadTimeout)
+	rpc := jsonrpc2.NewConn(ctx, st, sess, jsonrpc2.SetLogger(rpcLogger{s.logger}))
+	timer := time.AfterFunc(helloTimeout, func() {
+		if sess.from.Load() == nil {
+			rpc.Close()
+		}
+	})
+	<-rpc.DisconnectNotify()
+	timer.Stop()
+}
+
+// Handle implements jsonrpc2.Handler. It does not block the connection.
+func (s *session) Handle(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if req.Method == methodHello {
+		s.reply(ctx, rpc, req.ID)(s.hello(ctx, req))
+		return
+	}
+	from := s.from.Load()
+	reply := s.reply(ctx, rpc, req.ID)
+	switch {
+	case from == nil:
+		go reply(nil, &RemoteError{Kind: KindBadRequest, Message: "call before hello"})
+	case req.Method == methodPing:
+		go reply(struct{}{}, nil)
+	case s.server.draining.Load():
+		go reply(nil, &RemoteError{Kind: KindUnavailable, Reason: "draining", Message: "host is shutting down"})
+	default:
+		s.admit(ctx, *from, req, reply)
+	}
+}
+
+// admit runs the handler in its own goroutine if a slot is free.
+func (s *session) admit(ctx context.Context, from fleet.HostID, req *jsonrpc2.Request, reply func(any, error)) {
+	select {
+	case s.server.slots <- struct{}{}:
+	default:
+		go reply(nil, &RemoteError{Kind: KindUnavailable, Reason: "overloaded", Message: "too many calls in progress"})
+		return
+	}
+	s.server.calls.Add(1)
+	go func() {
+		defer s.server.calls.Done()
+		defer func() { <-s.server.slots }()
+		ctx, cancel := context.WithTimeout(ctx, timeout(req))
+		defer cancel()
+		reply(s.server.handle(ctx, from, req))
+	}()
+}
+
+func timeout(req *jsonrpc2.Request) time.Duration {
+	var meta callMeta
+	if req.Meta == nil || json.Unmarshal(*req.Meta, &meta) != nil || meta.TimeoutMS <= 0 {
+		return maxHandlerTime
+	}
+	return time.Duration(meta.TimeoutMS) * time.Millisecond
+}
+
+// handle runs the handler of a request. A panic becomes an error.
+func (s *Server) handle(ctx context.Context, from fleet.HostID, req *jsonrpc2.Request) (response any, err error) {
+	s.mu.RLock()
+	h, ok := s.handlers[req.Method]
+	s.mu.RUnlock()
+	if !ok {
+		return nil, &RemoteError{Kind: KindBadRequest, Reason: "no_such_method", Message: req.Method}
+	}
+	defer func() {
+		if p := recover(); p != nil {
+			level.Error(s.logger).Log("event", "handler_panic", "method", req.Method, "from", from, "panic", fmt.Sprint(p))
+			err = &RemoteError{Kind: KindInternal, Reason: "panic", Message: "handler of " + req.Method + " panicked"}
+		}
+	}()
+	params := []byte("null")
+	if req.Params != nil {
+		params = *req.Params
+	}
+	return h(ctx, from, params)
+}
+
+// hello admits a caller that names this host and, with TLS, proves its own
+// name.
+func (s *session) hello(ctx context.Context, req *jsonrpc2.Request) (any, error) {
+	var h hello
+	if req.Params == nil || json.Unmarshal(*req.Params, &h) != nil || h.From == "" {
+		return nil, &RemoteError{Kind: KindBadRequest, Message: "malformed hello"}
+	}
+	if h.To != s.server.self {
+		return nil, &RemoteError{Kind: KindRefused, Reason: "identity", Message: "this is host " + string(s.server.self)}
+	}
+	if err := verifyCaller(ctx, s.conn, h.From); err != nil {
+		level.Warn(s.server.logger).Log("event", "caller_refused", "from", h.From, "err", err)
+		return nil, &RemoteError{Kind: KindRefused, Reason: "certificate", Message: err.Error()}
+	}
+	s.from.Store(&h.From)
+	return helloReply{Host: s.server.self}, nil
+}
+
+func verifyCaller(ctx context.Context, conn net.Conn, from fleet.HostID) error {
+	secured, ok := conn.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	if err := secured.HandshakeContext(ctx); err != nil {
+		return err
+	}
+	state := secured.ConnectionState()
+	if len(state.VerifiedChains) == 0 {
+		return &CertificateError{Host: from}
+	}
+	if err := state.PeerCertificates[0].VerifyHostname(string(from)); err != nil {
+		return &CertificateError{Host: from}
+	}
+	return nil
+}
+
+// reply returns a function that sends the answer to request id.
+func (s *session) reply(ctx context.Context, rpc *jsonrpc2.Conn, id jsonrpc2.ID) func(any, error) {
+	return func(response any, err error) {
+		resp := &jsonrpc2.Response{ID: id}
+		if err == nil {
+			err = resp.SetResult(response)
+		}
+		if err != nil {
+			resp.Error = encodeError(err)
+		}
+		sendErr := rpc.SendResponse(ctx, resp)
+		var large *TooLargeError
+		if errors.As(sendErr, &large) {
+			resp = &jsonrpc2.Response{ID: id, Error: encodeError(large)}
+			sendErr = rpc.SendResponse(ctx, resp)
+		}
+		if sendErr != nil {
+			level.Debug(s.server.logger).Log("event", "reply_not_sent", "err", sendErr)
+		}
+	}
+}
--- /dev/null
+++ b/shard/assign.go
@@ -0,0 +1,127 @@
+package shard
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/member"
+)
+
+// loadFactor is how far above the mean a host's number of shards of one kind
+// may go, as a fraction.
+const (
+	loadFactorNum = 5
+	loadFactorDen = 4
+)
+
+// assign returns the wanted owner of each shard: rendezvous hashing with
+// bounded load over hosts. Cells and fronts go to hosts of their own data
+// centre if there are any. A cell and the front of the same number have the
+// same wanted owner. The result depends only on the sets of shards and hosts,
+// not on their order.
+func assign(shards []ID, hosts []member.Host) map[ID]fleet.HostID {
+	wanted := make(map[ID]fleet.HostID, len(shards))
+	if len(hosts) == 0 {
+		return wanted
+	}
+	groups := make(map[groupKey][]ID)
+	local := make(map[fleet.DataCentre][]fleet.HostID)
+	var all []fleet.HostID
+	for _, h := range hosts {
+		all = append(all, h.ID)
+		local[h.DataCentre] = append(local[h.DataCentre], h.ID)
+	}
+	for _, id := range shards {
+		key := groupKey{kind: id.Kind(), place: place(id)}
+		if len(local[key.place]) == 0 {
+			key.place = ""
+		}
+		groups[key] = append(groups[key], id)
+	}
+	for key, ids := range groups {
+		candidates := all
+		if key.place != "" {
+			candidates = local[key.place]
+		}
+		spread(ids, candidates, wanted)
+	}
+	return wanted
+}
+
+// groupKey names shards that are spread over the same hosts.
+type groupKey struct {
+	kind  Kind
+	place fleet.DataCentre // "" for all hosts
+}
+
+// place returns the data centre that a shard belongs to, "" for none.
+func place(id ID) fleet.DataCentre {
+	if id.Kind() == KindQueue {
+		return ""
+	}
+	parts := strings.Split(string(id), "/")
+	if len(parts) != 3 {
+		return ""
+	}
+	return fleet.DataCentre(parts[1])
+}
+
+// spread gives each shard, in order of ID, to the host with the highest score
+// that is not full.
+func spread(ids []ID, hosts []fleet.HostID, wanted map[ID]fleet.HostID) {
+	slices.Sort(ids)
+	limit := loadLimit(len(ids), len(hosts))
+	load := make(map[fleet.HostID]int, len(hosts))
+	for _, id := range ids {
+		host := best(id, hosts, func(h fleet.HostID) bool { return load[h] < limit })
+		load[host]++
+		wanted[id] = host
+	}
+}
+
+// loadLimit returns the most shards that one host may have. Together the hosts
+// can always hold all shards.
+func loadLimit(shards, hosts int) int {
+	num := shards * loadFactorNum
+	den := hosts * loadFactorDen
+	return (num + den - 1) / den
+}
+
+func best(id ID, hosts []fleet.HostID, hasRoom func(fleet.HostID) bool) fleet.HostID {
+	key := hashKey(id)
+	var found fleet.HostID
+	var high uint64
+	for _, h := range hosts {
+		if !hasRoom(h) {
+			continue
+		}
+		score := score(key, h)
+		if order := cmp.Compare(score, high); found == "" || order > 0 || order == 0 && h < found {
+			found, high = h, score
+		}
+	}
+	return found
+}
+
+// hashKey is the part of an ID that decides its owner. It is the same for a
+// cell and its front.
+func hashKey(id ID) string {
+	if id.Kind() == KindQueue {
+		return string(id)
+	}
+	_, scope, _ := strings.Cut(string(id), "/")
+	return scope
+}
+
+func score(key string, host fleet.HostID) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(string(host))
+	return d.Sum64()
+}
--- /dev/null
+++ b/shard/timing.go
@@ -0,0 +1,85 @@
+package shard
+
+import (
+	"context"
+	"time"
+)
+
+// Timing holds the times of a Manager. Zero values mean the defaults.
+type Timing struct {
+	Tick          time.Duration // between decisions without a cause
+	Settle        time.Duration // between the first listing of claims and the first claim
+	HandOverAfter time.Duration // for which another host must be the wanted owner
+
+	// FrontBound is the time after the last renewal that the store saw at
+	// which a front may be taken from an owner of whom nothing is known. The
+	// owner stops FrontMargin earlier. The margin covers the drift of clocks
+	// over the bound.
+	FrontBound    time.Duration
+	FrontMargin   time.Duration
+	RenewInterval time.Duration // between renewals of a host that holds fronts
+
+	// PauseThreshold is the gap between two beats of a process that counts as
+	// a pause.
+	PauseThreshold time.Duration
+}
+
+// Defaults of Timing.
+const (
+	DefaultTick           = 250 * time.Millisecond
+	DefaultSettle         = 2 * time.Second
+	DefaultHandOverAfter  = 30 * time.Second
+	DefaultFrontBound     = 6 * time.Hour
+	DefaultFrontMargin    = 5 * time.Minute
+	DefaultRenewInterval  = time.Minute
+	DefaultPauseThreshold = 3 * time.Second
+	DefaultLongestRequest = time.Minute
+)
+
+const (
+	// concurrentCalls bounds the calls to the store for claims in progress.
+	concurrentCalls = 8
+	operationRetry  = time.Second
+	resolveInterval = 200 * time.Millisecond
+	// hostListLag bounds how old the platform's host list may be.
+	hostListLag = time.Minute
+	// releaseTimeout bounds the releases of a host that shuts down.
+	releaseTimeout = 5 * time.Second
+	// claimsRelist is the time between listings of the claims, in case their
+	// watch has gone silent.
+	claimsRelist = 30 * time.Second
+	watchRetry   = time.Second
+	// runBackoff is the time before a runner that failed runs again. It
+	// doubles up to runBackoffMax.
+	runBackoff    = time.Second
+	runBackoffMax = 16 * time.Second
+)
+
+func (t Timing) withDefaults() Timing {
+	t.Tick = orDefault(t.Tick, DefaultTick)
+	t.Settle = orDefault(t.Settle, DefaultSettle)
+	t.HandOverAfter = orDefault(t.HandOverAfter, DefaultHandOverAfter)
+	t.FrontBound = orDefault(t.FrontBound, DefaultFrontBound)
+	t.FrontMargin = orDefault(t.FrontMargin, DefaultFrontMargin)
+	t.RenewInterval = orDefault(t.RenewInterval, DefaultRenewInterval)
+	t.PauseThreshold = orDefault(t.PauseThreshold, DefaultPauseThreshold)
+	return t
+}
+
+func orDefault(d, fallback time.Duration) time.Duration {
+	if d == 0 {
+		return fallback
+	}
+	return d
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
