--- /dev/null
+++ b/shard/cluster_test.go
@@ -0,0 +1,285 @@
+package shard_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/member"
+	"github.com/fuchsiahill/fuchsiahill/peer/peertest"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/shard"
+)
+
+const (
+	longestRequest = 20 * time.Second
+	sampleInterval = 250 * time.Millisecond
+	frontBound     = 10 * time.Minute
+	frontMargin    = time.Minute
+)
+
+var someShards = []shard.ID{"cell/sofia-1/0", "cell/sofia-1/1", "front/sofia-1/0", "front/sofia-1/1", "queue/a/0", "queue/b/0"}
+
+// process is one run of an entry host.
+type process struct {
+	self     member.Host
+	link     *storeLink
+	manager  *shard.Manager
+	cancel   context.CancelFunc
+	done     chan struct{}
+	draining bool
+	dead     bool // killed; requests that it began may go on
+}
+
+// cluster is a set of processes over one stand-in store. It watches all of
+// them for breaches of what must hold.
+type cluster struct {
+	t       *testing.T
+	store   *standin.Store
+	net     *peertest.Network
+	shards  []shard.ID
+	timing  shard.Timing
+	running map[fleet.HostID]*process // used by the test's goroutine only
+
+	mu       sync.Mutex
+	all      []*process
+	list     platform.HostList
+	runs     map[shard.ID]map[shard.Owner]bool
+	starts   int
+	lastSend map[shard.ID]map[*process]time.Time // of processes that have not drained
+	failRuns int                                 // the next n runs panic
+	breaches []string
+}
+
+func newCluster(t *testing.T, shards ...shard.ID) *cluster {
+	c := &cluster{
+		t:        t,
+		store:    standin.NewStore(),
+		net:      peertest.NewNetwork(),
+		shards:   shards,
+		timing:   shard.Timing{FrontBound: frontBound, FrontMargin: frontMargin},
+		running:  make(map[fleet.HostID]*process),
+		runs:     make(map[shard.ID]map[shard.Owner]bool),
+		lastSend: make(map[shard.ID]map[*process]time.Time),
+	}
+	return c
+}
+
+// Hosts implements platform.View.
+func (c *cluster) Hosts() *platform.HostList {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.list
+	return &list
+}
+
+// Changed implements platform.View.
+func (*cluster) Changed() <-chan struct{} { return nil }
+
+// report makes the platform report a process as gone.
+func (c *cluster) report(p *process) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.list.EntryHosts = append(slices.Clone(c.list.EntryHosts), platform.EntryHost{ID: p.self.ID, Incarnation: p.self.Incarnation, State: platform.StateGone})
+}
+
+func (c *cluster) start(id fleet.HostID) *process {
+	p := &process{
+		self: member.Host{ID: id, Incarnation: fleet.Incarnation(time.Now().UnixNano()), Region: "sofia", DataCentre: "sofia-1"},
+		link: &storeLink{Store: c.store},
+		done: make(chan struct{}),
+	}
+	peers := c.net.Host(id)
+	registry := member.NewRegistry(member.Deps{Self: p.self, Store: p.link, Caller: peers, Peers: peers, Logger: log.NewNopLogger(), SeedPeer: 1})
+	registry.SetLocal(func() member.Summary {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return member.Summary{Draining: p.draining}
+	})
+	runner := runner{cluster: c, process: p}
+	p.manager = shard.NewManager(shard.Deps{
+		Self:             p.self,
+		Store:            p.link,
+		Members:          registry,
+		StoreSteadySince: registry.StoreSteadySince,
+		Shards:           func() []shard.ID { return c.shards },
+		Runners:          map[shard.Kind]shard.Runner{shard.KindQueue: runner, shard.KindCell: runner, shard.KindFront: runner},
+		Platform:         c,
+		LongestRequest:   func() time.Duration { return longestRequest },
+		Draining: func() bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return p.draining
+		},
+		Timing: c.timing,
+		Logger: log.NewNopLogger(),
+	})
+	ctx, cancel := context.WithCancel(c.t.Context())
+	p.cancel = cancel
+	go func() {
+		defer close(p.done)
+		var both sync.WaitGroup
+		both.Go(func() { _ = registry.Serve(ctx) })
+		both.Go(func() { _ = p.manager.Serve(ctx) })
+		both.Wait()
+	}()
+	c.running[id] = p
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.all = append(c.all, p)
+	return p
+}
+
+// stop shuts a process down in order.
+func (c *cluster) stop(id fleet.HostID) {
+	p := c.running[id]
+	delete(c.running, id)
+	p.cancel()
+	<-p.done
+}
+
+// kill ends a process without a word to anyone.
+func (c *cluster) kill(id fleet.HostID) *process {
+	p := c.running[id]
+	delete(c.running, id)
+	c.mu.Lock()
+	p.dead = true
+	c.mu.Unlock()
+	p.link.set(func(l *storeLink) { l.down = true })
+	p.cancel()
+	<-p.done
+	return p
+}
+
+func (c *cluster) stopAll() {
+	for _, id := range slices.Collect(maps.Keys(c.running)) {
+		c.stop(id)
+	}
+	for _, b := range c.breaches {
+		c.t.Error(b)
+	}
+}
+
+// run lets time pass and looks for breaches.
+func (c *cluster) run(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(sampleInterval) {
+		c.sample()
+	}
+}
+
+// sample notes which processes may send, and a breach if another one may have
+// requests in progress at the same front.
+func (c *cluster) sample() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for _, id := range c.shards {
+		for _, p := range c.all {
+			if p.dead || !p.manager.MaySend(id) {
+				continue
+			}
+			for other, last := range c.lastSend[id] {
+				if other != p && now.Sub(last) < longestRequest {
+					c.breach("%s: host %s may send %s after host %s", id, p.self.ID, now.Sub(last), other.self.ID)
+				}
+			}
+			if c.lastSend[id] == nil {
+				c.lastSend[id] = make(map[*process]time.Time)
+			}
+			c.lastSend[id][p] = now
+		}
+	}
+}
+
+func (c *cluster) breach(format string, args ...any) {
+	c.breaches = append(c.breaches, fmt.Sprintf(format, args...))
+}
+
+// senders returns the hosts that may send for a front.
+func (c *cluster) senders(id shard.ID) []fleet.HostID {
+	var found []fleet.HostID
+	for host, p := range c.running {
+		if p.manager.MaySend(id) {
+			found = append(found, host)
+		}
+	}
+	return found
+}
+
+// owners returns the owners of all shards by the claims in the store.
+func (c *cluster) owners() map[shard.ID]shard.Owner {
+	owners := make(map[shard.ID]shard.Owner)
+	for _, id := range c.shards {
+		for _, p := range c.running {
+			if o, ok := p.manager.Owner(id); ok && o.Epoch >= owners[id].Epoch {
+				owners[id] = o
+			}
+		}
+	}
+	return owners
+}
+
+// ownedBy returns the shards of one host.
+func (c *cluster) ownedBy(host fleet.HostID) []shard.ID {
+	var ids []shard.ID
+	for id, o := range c.owners() {
+		if o.Host == host {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func (c *cluster) startCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.starts
+}
+
+// runner records what runs where.
+type runner struct {
+	cluster *cluster
+	process *process
+}
+
+// Run implements shard.Runner. It returns half a second after it was told to.
+func (r runner) Run(ctx context.Context, id shard.ID, owner shard.Owner) error {
+	c := r.cluster
+	c.mu.Lock()
+	if c.runs[id] == nil {
+		c.runs[id] = make(map[shard.Owner]bool)
+	}
+	for other := range c.runs[id] {
+		if other.Epoch == owner.Epoch {
+			c.breach("%s runs twice at epoch %d", id, owner.Epoch)
+		}
+	}
+	c.runs[id][owner] = true
+	c.starts++
+	fail := c.failRuns > 0
+	if fail {
+		c.failRuns--
+		delete(c.runs[id], owner)
+	}
+	c.mu.Unlock()
+	if fail {
+		panic("runner failed")
+	}
+	<-ctx.Done()
+	time.Sleep(500 * time.Millisecond)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.runs[id], owner)
+	if !r.process.dead {
+		delete(c.lastSend[id], r.process)
+	}
+	return ctx.Err()
+}
--- a/shard/manager.go
+++ b/shard/manager.go
@@ -283,7 +283,7 @@
 		handOverWait: m.timing.HandOverAfter,
 	}
 	if m.plan.draining {
-		s.handOverWait = 0
+		s.handOverWait = min(s.handOverWait, drainWait)
 	}
 	if !claimed || rec.Released || rec.Host == m.deps.Self.ID {
 		return s
--- a/shard/manager_test.go
+++ b/shard/manager_test.go
@@ -1,214 +1,361 @@
 package shard_test
 
 import (
-	"context"
-	"fmt"
-	"sync"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/go-kit/log"
-
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
 	"github.com/fuchsiahill/fuchsiahill/member"
-	"github.com/fuchsiahill/fuchsiahill/peer/peertest"
 	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 )
 
-const longestRequest = 20 * time.Second
+// inCluster runs a test with three hosts that have settled. Every breach of
+// exclusive sending or running fails it.
+func inCluster(t *testing.T, test func(t *testing.T, c *cluster)) {
+	inClusterTimed(t, shard.Timing{FrontBound: frontBound, FrontMargin: frontMargin}, test)
+}
 
-// cluster is a set of entry hosts with a registry and a manager each, over
-// one stand-in store.
-type cluster struct {
-	t      *testing.T
-	store  *standin.Store
-	net    *peertest.Network
-	list   *list
-	shards []shard.ID
-	hosts  map[fleet.HostID]*host
-	runs   runs
+func inClusterTimed(t *testing.T, timing shard.Timing, test func(t *testing.T, c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, someShards...)
+		c.timing = timing
+		for _, id := range []fleet.HostID{"h1", "h2", "h3"} {
+			c.start(id)
+		}
+		c.run(member.LeaseTTL + 5*time.Second)
+		for _, id := range someShards {
+			if _, ok := c.owners()[id]; !ok {
+				t.Errorf("%s has no owner", id)
+			}
+		}
+		test(t, c)
+		c.stopAll()
+	})
 }
 
-// host is one process.
-type host struct {
-	manager *shard.Manager
-	cancel  context.CancelFunc
-	done    chan struct{}
+func (c *cluster) frontOwner(t *testing.T) (shard.ID, fleet.HostID) {
+	t.Helper()
+	front := shard.ID("front/sofia-1/0")
+	owner := c.owners()[front].Host
+	if got := c.senders(front); !slices.Equal(got, []fleet.HostID{owner}) {
+		t.Fatalf("%s: owner %s, senders %v", front, owner, got)
+	}
+	return front, owner
 }
 
-// list is a platform.View that tests change.
-type list struct {
-	mu   sync.Mutex
-	list platform.HostList
+func TestShutdownHandsOverAtOnce(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		front, owner := c.frontOwner(t)
+		c.stop(owner)
+		c.run(2 * time.Second)
+		if got := c.senders(front); len(got) != 1 {
+			t.Errorf("senders %v after a clean release", got)
+		}
+		if left := c.ownedBy(owner); left != nil {
+			t.Errorf("%v still belong to %s", left, owner)
+		}
+	})
 }
 
-func (l *list) Hosts() *platform.HostList {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return &l.list
+func TestTakeoverAfterDeath(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		front, owner := c.frontOwner(t)
+		c.kill(owner)
+		c.run(member.LeaseTTL + 10*time.Second)
+		for _, id := range c.ownedBy(owner) {
+			if id.Kind() != shard.KindFront {
+				t.Errorf("%s still belongs to %s", id, owner)
+			}
+		}
+		if c.owners()[front].Host != owner {
+			t.Errorf("%s passed without proof that %s has ended", front, owner)
+		}
+	})
 }
 
-func (*list) Changed() <-chan struct{} { return nil }
+func TestTakeoverWithDeafWatches(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		_, owner := c.frontOwner(t)
+		for _, p := range c.running {
+			p.link.set(func(l *storeLink) { l.deaf = true })
+		}
+		c.kill(owner)
+		c.run(member.LeaseTTL + 10*time.Second)
+		for _, id := range c.ownedBy(owner) {
+			if id.Kind() != shard.KindFront {
+				t.Errorf("%s still belongs to %s", id, owner)
+			}
+		}
+	})
+}
 
-func (l *list) set(hosts ...platform.EntryHost) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.list = platform.HostList{EntryHosts: hosts}
+func TestPlatformReportIsProof(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		front, owner := c.frontOwner(t)
+		c.report(c.kill(owner))
+		c.run(2 * time.Second)
+		if left := c.ownedBy(owner); left != nil {
+			t.Errorf("%v still belong to %s", left, owner)
+		}
+		if got := c.senders(front); got != nil {
+			t.Errorf("%v may send while requests of %s may be in progress", got, owner)
+		}
+		c.run(longestRequest)
+		if got := c.senders(front); len(got) != 1 {
+			t.Errorf("senders %v after the longest request", got)
+		}
+	})
 }
 
-// runs is a Runner that records who runs what.
-type runs struct {
-	mu      sync.Mutex
-	now     map[shard.ID]map[shard.Owner]bool
-	seen    map[shard.ID]map[shard.Owner]bool
-	started int
-	broken  []string
+func TestRestartedHostTakesItsOwnShards(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		front, owner := c.frontOwner(t)
+		before := c.owners()[front]
+		c.kill(owner)
+		c.run(time.Second)
+		c.start(owner)
+		c.run(5 * time.Second)
+		after := c.owners()[front]
+		if after.Host != owner || after.Incarnation == before.Incarnation || after.Epoch <= before.Epoch {
+			t.Errorf("owner %+v after %+v", after, before)
+		}
+		if got := c.senders(front); got != nil {
+			t.Errorf("%v may send while requests of the predecessor may be in progress", got)
+		}
+		c.run(longestRequest)
+		if got := c.senders(front); !slices.Equal(got, []fleet.HostID{owner}) {
+			t.Errorf("senders %v", got)
+		}
+	})
 }
 
-func (r *runs) Run(ctx context.Context, id shard.ID, owner shard.Owner) error {
-	r.mu.Lock()
-	if r.now[id] == nil {
-		r.now[id] = make(map[shard.Owner]bool)
-		r.seen[id] = make(map[shard.Owner]bool)
-	}
-	for other := range r.now[id] {
-		if other.Epoch == owner.Epoch {
-			r.broken = append(r.broken, fmt.Sprintf("%s runs twice at epoch %d", id, owner.Epoch))
+func TestNewHostGetsItsShareByPlan(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		before := c.owners()
+		c.start("h4")
+		c.start("h5")
+		c.run(shard.DefaultHandOverAfter - 5*time.Second)
+		if got := c.owners(); !equalOwners(got, before) {
+			t.Errorf("owners %v, before %v", got, before)
 		}
-	}
-	r.now[id][owner] = true
-	r.seen[id][owner] = true
-	r.started++
-	r.mu.Unlock()
-	<-ctx.Done()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.now[id], owner)
-	return ctx.Err()
-}
-
-func (r *runs) starts() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.started
-}
-
-func newCluster(t *testing.T, shards ...shard.ID) *cluster {
-	return &cluster{
-		t:      t,
-		store:  standin.NewStore(),
-		net:    peertest.NewNetwork(),
-		list:   new(list),
-		shards: shards,
-		hosts:  make(map[fleet.HostID]*host),
-		runs:   runs{now: make(map[shard.ID]map[shard.Owner]bool), seen: make(map[shard.ID]map[shard.Owner]bool)},
-	}
+		c.run(15 * time.Second)
+		if len(c.ownedBy("h4"))+len(c.ownedBy("h5")) == 0 {
+			t.Error("nothing was handed over")
+		}
+		for _, id := range someShards {
+			if id.Kind() == shard.KindFront && len(c.senders(id)) != 1 {
+				t.Errorf("senders of %s: %v", id, c.senders(id))
+			}
+		}
+	})
 }
 
-// start runs a process of a host.
-func (c *cluster) start(id fleet.HostID) *host {
-	self := member.Host{ID: id, Incarnation: fleet.Incarnation(time.Now().UnixNano()), Region: "sofia", DataCentre: "sofia-1"}
-	peers := c.net.Host(id)
-	logger := log.NewNopLogger()
-	registry := member.NewRegistry(member.Deps{Self: self, Store: c.store, Caller: peers, Peers: peers, Logger: logger, SeedPeer: 1})
-	manager := shard.NewManager(shard.Deps{
-		Self:             self,
-		Store:            c.store,
-		Members:          registry,
-		StoreSteadySince: registry.StoreSteadySince,
-		Shards:           func() []shard.ID { return c.shards },
-		Runners:          map[shard.Kind]shard.Runner{shard.KindQueue: &c.runs, shard.KindCell: &c.runs, shard.KindFront: &c.runs},
-		Platform:         c.list,
-		LongestRequest:   func() time.Duration { return longestRequest },
-		Logger:           logger,
-	})
-	ctx, cancel := context.WithCancel(c.t.Context())
-	h := &host{manager: manager, cancel: cancel, done: make(chan struct{})}
-	c.hosts[id] = h
-	go func() {
-		defer close(h.done)
-		var both sync.WaitGroup
-		both.Go(func() { registry.Serve(ctx) })
-		both.Go(func() { manager.Serve(ctx) })
-		both.Wait()
-	}()
-	return h
-}
-
-// stop shuts a process down in order.
-func (c *cluster) stop(id fleet.HostID) {
-	c.hosts[id].cancel()
-	<-c.hosts[id].done
-	delete(c.hosts, id)
-}
-
-func (c *cluster) stopAll() {
-	for id := range c.hosts {
-		c.hosts[id].cancel()
-	}
-	for id := range c.hosts {
-		<-c.hosts[id].done
+func equalOwners(a, b map[shard.ID]shard.Owner) bool {
+	for id, o := range a {
+		if b[id] != o {
+			return false
+		}
 	}
+	return len(a) == len(b)
 }
 
-func (c *cluster) owners() map[shard.ID]shard.Owner {
-	owners := make(map[shard.ID]shard.Owner)
-	for _, h := range c.hosts {
-		for _, id := range c.shards {
-			if o, ok := h.manager.Owner(id); ok {
-				owners[id] = o
+func TestNothingMovesAfterAnOutage(t *testing.T) {
+	inClusterTimed(t, shard.Timing{Tick: time.Second}, func(t *testing.T, c *cluster) {
+		before := c.owners()
+		starts := c.startCount()
+		c.store.SetFaults(standin.StoreFaults{Down: true})
+		for range 60 {
+			time.Sleep(time.Minute)
+			front, _ := c.frontOwner(t)
+			if c.owners()[front] != before[front] {
+				t.Fatalf("%s moved in the outage", front)
 			}
 		}
-		break
-	}
-	return owners
+		c.store.ExpireAllLeases()
+		c.store.SetFaults(standin.StoreFaults{})
+		c.run(2 * time.Minute)
+		if got := c.owners(); !equalOwners(got, before) {
+			t.Errorf("owners %v, before %v", got, before)
+		}
+		if got := c.startCount(); got != starts {
+			t.Errorf("%d runs, before %d", got, starts)
+		}
+	})
 }
 
-// senders returns the hosts that may send for a front.
-func (c *cluster) senders(id shard.ID) []fleet.HostID {
-	var found []fleet.HostID
-	for host, h := range c.hosts {
-		if h.manager.MaySend(id) {
-			found = append(found, host)
+func TestFrontOfSilentOwnerPassesAfterTheBound(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		front, owner := c.frontOwner(t)
+		cut := c.running[owner]
+		cut.link.set(func(l *storeLink) { l.down = true })
+		c.run(time.Minute)
+		if !cut.manager.MaySend(front) {
+			t.Fatal("the owner lost its front to a cut link")
 		}
-	}
-	return found
+		time.Sleep(frontBound - frontMargin - 2*time.Minute)
+		c.run(2 * time.Minute)
+		if got := c.senders(front); got != nil {
+			t.Errorf("%v may send after the owner's bound", got)
+		}
+		c.run(frontMargin + 2*time.Minute)
+		if got := c.senders(front); len(got) != 1 || got[0] == owner {
+			t.Errorf("senders %v after the bound", got)
+		}
+		cut.link.set(func(l *storeLink) { l.down = false })
+		c.run(2 * time.Minute)
+		if got := c.senders(front); len(got) != 1 {
+			t.Errorf("senders %v after the old owner's return", got)
+		}
+	})
 }
 
-var someShards = []shard.ID{"cell/sofia-1/0", "cell/sofia-1/1", "front/sofia-1/0", "front/sofia-1/1", "queue/a/0", "queue/b/0"}
+func TestOwnerResumesAfterTheBound(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		front, owner := c.frontOwner(t)
+		c.store.SetFaults(standin.StoreFaults{Down: true})
+		time.Sleep(frontBound)
+		if got := c.senders(front); got != nil {
+			t.Fatalf("%v may send after the bound", got)
+		}
+		c.store.SetFaults(standin.StoreFaults{})
+		c.run(time.Minute)
+		if got := c.senders(front); !slices.Equal(got, []fleet.HostID{owner}) {
+			t.Errorf("senders %v", got)
+		}
+	})
+}
 
-func TestShardsAreClaimedAndReleased(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, someShards...)
-		for _, id := range []fleet.HostID{"h1", "h2", "h3"} {
-			c.start(id)
+func TestLostRepliesAreResolved(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		front, owner := c.frontOwner(t)
+		for _, p := range c.running {
+			p.link.set(func(l *storeLink) { l.loseReply = 4 })
+		}
+		c.stop(owner)
+		c.run(5 * time.Second)
+		if got := c.senders(front); len(got) != 1 {
+			t.Errorf("senders %v", got)
+		}
+	})
+}
+
+// A release whose outcome is unknown may take effect late. Until it is known
+// not to, the front must not run on.
+func TestLateReleaseIsFenced(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		for _, p := range c.running {
+			p.link.set(func(l *storeLink) { l.late = 3 * time.Second })
 		}
-		time.Sleep(10 * time.Second)
+		c.start("h4")
+		c.start("h5")
+		c.run(time.Minute)
+		for _, p := range c.running {
+			p.link.set(func(l *storeLink) { l.late = 0 })
+		}
+		c.run(time.Minute)
 		for _, id := range someShards {
-			owner, ok := c.owners()[id]
-			if !ok {
-				t.Errorf("%s has no owner", id)
-			}
-			if id.Kind() == shard.KindFront && (len(c.senders(id)) != 1 || c.senders(id)[0] != owner.Host) {
+			if id.Kind() == shard.KindFront && len(c.senders(id)) != 1 {
 				t.Errorf("senders of %s: %v", id, c.senders(id))
 			}
 		}
+	})
+}
+
+func TestFailedRunnersRunAgain(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
 		c.stop("h1")
-		time.Sleep(5 * time.Second)
-		for id, owner := range c.owners() {
-			if owner.Host == "h1" {
-				t.Errorf("%s still belongs to h1", id)
+		before := c.owners()
+		c.mu.Lock()
+		c.failRuns = 100
+		c.mu.Unlock()
+		c.stop("h2")
+		c.run(20 * time.Second)
+		c.mu.Lock()
+		c.failRuns = 0
+		c.mu.Unlock()
+		c.run(30 * time.Second)
+		if failures := c.notWhole(); failures != nil {
+			t.Error(failures)
+		}
+		for id, o := range c.owners() {
+			if before[id].Host == "h3" {
+				continue
 			}
-			if id.Kind() == shard.KindFront && len(c.senders(id)) != 1 {
-				t.Errorf("senders of %s: %v", id, c.senders(id))
+			if id.Kind() == shard.KindFront && o.Epoch != before[id].Epoch+1 {
+				t.Errorf("%s at epoch %d after %d: a front needs no new epoch to run again", id, o.Epoch, before[id].Epoch)
+			}
+			if id.Kind() != shard.KindFront && o.Epoch < before[id].Epoch+2 {
+				t.Errorf("%s at epoch %d after %d: each run needs its own", id, o.Epoch, before[id].Epoch)
 			}
 		}
-		c.stopAll()
-		if len(c.runs.broken) > 0 {
-			t.Error(c.runs.broken)
+	})
+}
+
+func TestDrainingHostHandsOver(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		front, owner := c.frontOwner(t)
+		c.mu.Lock()
+		c.running[owner].draining = true
+		c.mu.Unlock()
+		c.run(5 * time.Second)
+		if left := c.ownedBy(owner); left != nil {
+			t.Errorf("%v still belong to %s", left, owner)
+		}
+		if got := c.senders(front); len(got) != 1 {
+			t.Errorf("senders %v", got)
+		}
+	})
+}
+
+func TestLeavingHostHandsOver(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		_, owner := c.frontOwner(t)
+		c.mu.Lock()
+		c.list.EntryHosts = []platform.EntryHost{{ID: owner, Incarnation: c.running[owner].self.Incarnation, State: platform.StateLeaving}}
+		c.mu.Unlock()
+		c.run(shard.DefaultHandOverAfter + 5*time.Second)
+		if left := c.ownedBy(owner); left != nil {
+			t.Errorf("%v still belong to %s", left, owner)
+		}
+	})
+}
+
+// An entry without an incarnation may be older than the process that now runs
+// under the name.
+func TestOldReportIsNoProof(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		front, owner := c.frontOwner(t)
+		c.mu.Lock()
+		c.list.EntryHosts = []platform.EntryHost{{ID: owner, State: platform.StateGone}}
+		c.mu.Unlock()
+		c.run(5 * time.Second)
+		if got := c.senders(front); !slices.Equal(got, []fleet.HostID{owner}) {
+			t.Errorf("senders %v", got)
+		}
+	})
+}
+
+// A deleted claim can only be an operator's doing. The epoch must go on all
+// the same, since workers compare it.
+func TestDeletedClaimKeepsItsEpoch(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		id := someShards[0]
+		before := c.owners()[id]
+		entry, err := c.store.Get(t.Context(), "claims/"+string(id))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := c.store.Delete(t.Context(), entry.Key, entry.Revision); err != nil {
+			t.Fatal(err)
+		}
+		c.run(5 * time.Second)
+		if after := c.owners()[id]; after.Epoch <= before.Epoch {
+			t.Errorf("epoch %d after %d", after.Epoch, before.Epoch)
 		}
 	})
 }
--- a/shard/rights.go
+++ b/shard/rights.go
@@ -9,8 +9,9 @@
 	"time"
 )
 
-// beatInterval is how often a process checks that it was not paused.
-const beatInterval = 100 * time.Millisecond
+// beatsPerPause is how often within the threshold of a pause a process checks
+// that it was not paused.
+const beatsPerPause = 10
 
 // rights holds which fronts this process may send for.
 //
@@ -69,7 +70,7 @@
 
 // beat looks for pauses until ctx ends.
 func (r *rights) beat(ctx context.Context) {
-	ticker := time.NewTicker(beatInterval)
+	ticker := time.NewTicker(r.pause / beatsPerPause)
 	defer ticker.Stop()
 	for {
 		select {
--- a/shard/timing.go
+++ b/shard/timing.go
@@ -40,6 +40,9 @@
 	// concurrentCalls bounds the calls to the store for claims in progress.
 	concurrentCalls = 8
 	operationRetry  = time.Second
+	// drainWait lets the peers of a host that drains hear of it before it
+	// releases its shards, so that they claim them at once.
+	drainWait       = 3 * time.Second
 	resolveInterval = 200 * time.Millisecond
 	// hostListLag bounds how old the platform's host list may be.
 	hostListLag = time.Minute
