Prove ownership of shards under faults

Cause: the manager of shards had a smoke test only. Every sample checks that no two hosts may have requests at one front, that a sender holds the claim in the store and that no two runners share an epoch. Ruled out: reading the claim after a pause in place of writing it; a taker that had decided before could then still succeed.

--- a/peer/client.go
+++ b/peer/client.go
@@ -95,7 +95,7 @@
 	c.closed = true
 	for _, l := range c.links {
 		if conn := l.current(); conn != nil {
-			conn.rpc.Close()
+			_ = conn.rpc.Close()
 		}
 	}
 	c.mu.Unlock()
--- a/peer/link.go
+++ b/peer/link.go
@@ -58,7 +58,7 @@
 	l.conn = conn
 	l.mu.Unlock()
 	if !l.client.monitor(l, conn) {
-		conn.rpc.Close()
+		_ = conn.rpc.Close()
 		return nil, &ClosedError{}
 	}
 	return conn, nil
@@ -116,7 +116,7 @@
 		err = &IdentityError{Want: l.host, Got: reply.Host}
 	}
 	if err != nil {
-		rpc.Close()
+		_ = rpc.Close()
 		return nil, err
 	}
 	conn := &connection{rpc: rpc, stream: st}
@@ -164,7 +164,7 @@
 		}
 		if conn.pending.Load() > 0 && conn.stream.silentSince(time.Now().Add(-opts.KeepAlive)) && !conn.ping(opts.KeepAlive) {
 			l.retire(conn)
-			conn.rpc.Close()
+			_ = conn.rpc.Close()
 		}
 	}
 }
@@ -187,7 +187,7 @@
 	if l.conn == conn {
 		l.conn = nil
 	}
-	conn.rpc.Close()
+	_ = conn.rpc.Close()
 }
 
 func (c *connection) ping(timeout time.Duration) bool {
--- a/peer/server.go
+++ b/peer/server.go
@@ -94,10 +94,10 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() {
 		s.draining.Store(true)
-		ln.Close()
+		_ = ln.Close()
 	})
 	defer stop()
-	defer ln.Close()
+	defer func() { _ = ln.Close() }()
 	s.accept(ctx, connCtx, ln)
 	s.drain()
 	return ctx.Err()
@@ -147,7 +147,7 @@
 	rpc := jsonrpc2.NewConn(ctx, st, sess, jsonrpc2.SetLogger(rpcLogger{s.logger}))
 	timer := time.AfterFunc(helloTimeout, func() {
 		if sess.from.Load() == nil {
-			rpc.Close()
+			_ = rpc.Close()
 		}
 	})
 	<-rpc.DisconnectNotify()
--- a/shard/cluster_test.go
+++ b/shard/cluster_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -26,7 +28,10 @@
 	frontMargin    = time.Minute
 )
 
-var someShards = []shard.ID{"cell/sofia-1/0", "cell/sofia-1/1", "front/sofia-1/0", "front/sofia-1/1", "queue/a/0", "queue/b/0"}
+var (
+	someShards = []shard.ID{"cell/sofia-1/0", "cell/sofia-1/1", "front/sofia-1/0", "front/sofia-1/1", "queue/a/0", "queue/b/0"}
+	manyFronts = []shard.ID{"front/sofia-1/0", "front/sofia-1/1", "front/sofia-1/2", "front/sofia-1/3", "front/sofia-1/4", "front/sofia-1/5"}
+)
 
 // process is one run of an entry host.
 type process struct {
@@ -175,9 +180,42 @@
 	}
 }
 
-// sample notes which processes may send, and a breach if another one may have
-// requests in progress at the same front.
+// claimsInStore returns the claims as they are, unless the store is down.
+func (c *cluster) claimsInStore() map[shard.ID]shard.Claim {
+	entries, _, err := c.store.List(c.t.Context(), "claims/")
+	if err != nil {
+		return nil
+	}
+	claims := make(map[shard.ID]shard.Claim)
+	for _, e := range entries {
+		var claim shard.Claim
+		if err := json.Unmarshal(e.Value, &claim); err != nil {
+			c.t.Error(err)
+		}
+		claims[shard.ID(strings.TrimPrefix(e.Key, "claims/"))] = claim
+	}
+	return claims
+}
+
+// sending returns a process that may send for each front.
+func (c *cluster) sending() map[shard.ID]*process {
+	found := make(map[shard.ID]*process)
+	for _, id := range c.shards {
+		for _, p := range c.running {
+			if p.manager.MaySend(id) {
+				found[id] = p
+			}
+		}
+	}
+	return found
+}
+
+// sample notes which processes may send. It is a breach if another one may
+// have requests in progress at the same front, or if the claim in the store
+// is not the sender's.
 func (c *cluster) sample() {
+	before := c.sending()
+	claims := c.claimsInStore()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -186,6 +224,11 @@
 			if p.dead || !p.manager.MaySend(id) {
 				continue
 			}
+			// Who may send before and after the claims were read has not let
+			// go in between.
+			if claim := claims[id]; claims != nil && before[id] == p && (claim.Released || claim.Host != p.self.ID || claim.Incarnation != p.self.Incarnation) {
+				c.breach("%s: host %s may send and the claim is %+v", id, p.self.ID, claim)
+			}
 			for other, last := range c.lastSend[id] {
 				if other != p && now.Sub(last) < longestRequest {
 					c.breach("%s: host %s may send %s after host %s", id, p.self.ID, now.Sub(last), other.self.ID)
--- a/shard/faulty_test.go
+++ b/shard/faulty_test.go
@@ -88,7 +88,7 @@
 	l.mu.Unlock()
 	time.Sleep(delay)
 	if late > 0 {
-		time.AfterFunc(late, func() { l.Store.CompareAndSwap(context.Background(), key, expect, value, lease) })
+		time.AfterFunc(late, func() { _, _ = l.Store.CompareAndSwap(context.Background(), key, expect, value, lease) })
 		return 0, unknown
 	}
 	revision, err := l.Store.CompareAndSwap(ctx, key, expect, value, lease)
--- a/shard/frozen_test.go
+++ b/shard/frozen_test.go
@@ -1,10 +1,8 @@
 package shard_test
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -51,47 +49,70 @@
 		_ = child.Process.Kill()
 		_ = child.Wait()
 	}()
-	lines := make(chan string, 100)
+	lines := make(chan line, 100)
 	go func() {
-		for scanner := bufio.NewScanner(out); scanner.Scan(); {
-			lines <- scanner.Text()
+		var next line
+		for decoder := json.NewDecoder(out); decoder.Decode(&next) == nil; {
+			lines <- next
 		}
 	}()
-	expect(t, lines, "sending true")
-	freeze(t, child, func() {})
-	expect(t, lines, "sending false")
-	expect(t, lines, "sending true")
-	freeze(t, child, func() { passOn(t, kv) })
-	expect(t, lines, "sending false")
-	select {
-	case line := <-lines:
-		t.Errorf("%q after the front had passed on", line)
-	case <-time.After(time.Second):
+	begun := time.Now()
+	await(t, lines, begun, true)
+	begun = freeze(t, child, func() {})
+	await(t, lines, begun, false)
+	await(t, lines, begun, true)
+	begun = freeze(t, child, func() { passOn(t, kv) })
+	await(t, lines, begun, false)
+	for end := time.After(frozenPause * 2); ; {
+		select {
+		case line := <-lines:
+			if line.Sending {
+				t.Fatal("sending after the front had passed on")
+			}
+		case <-end:
+			return
+		}
 	}
 }
 
-func expect(t *testing.T, lines <-chan string, want string) {
+// line is what the frozen process prints.
+type line struct {
+	At         time.Time
+	Sending    bool // the new answer of MaySend
+	AfterPause bool // it was true at the first question after a pause
+}
+
+// await waits for an answer of MaySend after a time.
+func await(t *testing.T, lines <-chan line, after time.Time, want bool) {
 	t.Helper()
-	select {
-	case line := <-lines:
-		if line != want {
-			t.Fatalf("got %q, want %q", line, want)
+	for end := time.After(10 * time.Second); ; {
+		select {
+		case line := <-lines:
+			if line.AfterPause {
+				t.Fatal("sending right after a pause")
+			}
+			if line.At.After(after) && line.Sending == want {
+				return
+			}
+		case <-end:
+			t.Fatalf("MaySend did not turn %v", want)
 		}
-	case <-time.After(10 * time.Second):
-		t.Fatalf("no %q", want)
 	}
 }
 
-func freeze(t *testing.T, child *exec.Cmd, meanwhile func()) {
+// freeze stops the process for a while and returns when it lets it go on.
+func freeze(t *testing.T, child *exec.Cmd, meanwhile func()) time.Time {
 	t.Helper()
 	if err := child.Process.Signal(syscall.SIGSTOP); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(2 * frozenPause)
 	meanwhile()
+	resumed := time.Now()
 	if err := child.Process.Signal(syscall.SIGCONT); err != nil {
 		t.Fatal(err)
 	}
+	return resumed
 }
 
 // passOn gives the front to another host, as one with proof would.
@@ -139,14 +160,13 @@
 	go func() { _ = registry.Serve(t.Context()) }()
 	go func() { _ = manager.Serve(t.Context()) }()
 	var may bool
+	out := json.NewEncoder(os.Stdout)
 	for last := time.Now(); ; time.Sleep(100 * time.Microsecond) {
 		before := time.Now()
 		next := manager.MaySend(frozenFront)
-		if next && before.Sub(last) > frozenPause {
-			fmt.Println("sending after a pause")
-		}
-		if next != may {
-			fmt.Println("sending", next)
+		leak := next && before.Sub(last) > frozenPause
+		if leak || next != may {
+			_ = out.Encode(line{At: time.Now(), Sending: next, AfterPause: leak})
 		}
 		may, last = next, before
 	}
--- a/shard/manager_test.go
+++ b/shard/manager_test.go
@@ -16,22 +16,20 @@
 // inCluster runs a test with three hosts that have settled. Every breach of
 // exclusive sending or running fails it.
 func inCluster(t *testing.T, test func(t *testing.T, c *cluster)) {
-	inClusterTimed(t, shard.Timing{FrontBound: frontBound, FrontMargin: frontMargin}, test)
+	inClusterOf(t, someShards, shard.Timing{FrontBound: frontBound, FrontMargin: frontMargin}, test)
 }
 
-func inClusterTimed(t *testing.T, timing shard.Timing, test func(t *testing.T, c *cluster)) {
+func inClusterOf(t *testing.T, shards []shard.ID, timing shard.Timing, test func(t *testing.T, c *cluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, someShards...)
+		c := newCluster(t, shards...)
 		c.timing = timing
 		for _, id := range []fleet.HostID{"h1", "h2", "h3"} {
 			c.start(id)
 		}
 		c.run(member.LeaseTTL + 5*time.Second)
-		for _, id := range someShards {
-			if _, ok := c.owners()[id]; !ok {
-				t.Errorf("%s has no owner", id)
-			}
+		if failures := c.notWhole(); failures != nil {
+			t.Error(failures)
 		}
 		test(t, c)
 		c.stopAll()
@@ -112,6 +110,25 @@
 	})
 }
 
+// The host that waits out the requests of a dead owner may itself let go
+// before they have surely ended.
+func TestWaitOutlivesAHandOver(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		front, owner := c.frontOwner(t)
+		c.report(c.kill(owner))
+		c.run(2 * time.Second)
+		second := c.owners()[front].Host
+		c.stop(second)
+		c.run(2 * time.Second)
+		if third := c.owners()[front].Host; third == owner || third == second {
+			t.Fatalf("%s belongs to %s", front, third)
+		}
+		if got := c.senders(front); got != nil {
+			t.Errorf("%v may send while requests of %s may be in progress", got, owner)
+		}
+	})
+}
+
 func TestRestartedHostTakesItsOwnShards(t *testing.T) {
 	inCluster(t, func(t *testing.T, c *cluster) {
 		front, owner := c.frontOwner(t)
@@ -165,7 +182,7 @@
 }
 
 func TestNothingMovesAfterAnOutage(t *testing.T) {
-	inClusterTimed(t, shard.Timing{Tick: time.Second}, func(t *testing.T, c *cluster) {
+	inClusterOf(t, someShards, shard.Timing{Tick: time.Second}, func(t *testing.T, c *cluster) {
 		before := c.owners()
 		starts := c.startCount()
 		c.store.SetFaults(standin.StoreFaults{Down: true})
@@ -198,11 +215,11 @@
 			t.Fatal("the owner lost its front to a cut link")
 		}
 		time.Sleep(frontBound - frontMargin - 2*time.Minute)
-		c.run(2 * time.Minute)
+		c.run(time.Minute + 5*time.Second)
 		if got := c.senders(front); got != nil {
 			t.Errorf("%v may send after the owner's bound", got)
 		}
-		c.run(frontMargin + 2*time.Minute)
+		c.run(frontMargin + 3*time.Minute)
 		if got := c.senders(front); len(got) != 1 || got[0] == owner {
 			t.Errorf("senders %v after the bound", got)
 		}
@@ -244,10 +261,36 @@
 	})
 }
 
+// The wanted owner may be this host again while a release is on its way to
+// the store.
+func TestLateReleaseAndChangeOfPlan(t *testing.T) {
+	inClusterOf(t, manyFronts, shard.Timing{}, func(t *testing.T, c *cluster) {
+		for _, p := range c.running {
+			p.link.set(func(l *storeLink) { l.late = 5 * time.Second })
+		}
+		c.start("h4")
+		c.start("h5")
+		c.run(shard.DefaultHandOverAfter + time.Second)
+		for _, p := range c.running {
+			p.link.set(func(l *storeLink) { l.deaf = true })
+		}
+		c.report(c.kill("h4"))
+		c.report(c.kill("h5"))
+		c.run(10 * time.Second)
+		for _, p := range c.running {
+			p.link.set(func(l *storeLink) { l.late, l.deaf = 0, false })
+		}
+		c.run(time.Minute)
+		if failures := c.notWhole(); failures != nil {
+			t.Error(failures)
+		}
+	})
+}
+
 // A release whose outcome is unknown may take effect late. Until it is known
 // not to, the front must not run on.
 func TestLateReleaseIsFenced(t *testing.T) {
-	inCluster(t, func(t *testing.T, c *cluster) {
+	inClusterOf(t, manyFronts, shard.Timing{}, func(t *testing.T, c *cluster) {
 		for _, p := range c.running {
 			p.link.set(func(l *storeLink) { l.late = 3 * time.Second })
 		}
@@ -258,10 +301,11 @@
 			p.link.set(func(l *storeLink) { l.late = 0 })
 		}
 		c.run(time.Minute)
-		for _, id := range someShards {
-			if id.Kind() == shard.KindFront && len(c.senders(id)) != 1 {
-				t.Errorf("senders of %s: %v", id, c.senders(id))
-			}
+		if moved := len(c.ownedBy("h4")) + len(c.ownedBy("h5")); moved == 0 {
+			t.Error("nothing was handed over")
+		}
+		if failures := c.notWhole(); failures != nil {
+			t.Error(failures)
 		}
 	})
 }
@@ -269,6 +313,7 @@
 func TestFailedRunnersRunAgain(t *testing.T) {
 	inCluster(t, func(t *testing.T, c *cluster) {
 		c.stop("h1")
+		c.run(5 * time.Second)
 		before := c.owners()
 		c.mu.Lock()
 		c.failRuns = 100
--- a/shard/rights_test.go
+++ b/shard/rights_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -79,3 +80,12 @@
 		r.maySend(testFront)
 	}
 }
+
+// idleRunner has nothing to do.
+type idleRunner struct{}
+
+// Run implements Runner.
+func (idleRunner) Run(ctx context.Context, _ ID, _ Owner) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
