--- /dev/null
+++ b/journal/recover.go
@@ -0,0 +1,187 @@
+package journal
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/fuchsiahill/fuchsiahill/store"
+)
+
+// reading is one consistent reading of a journal.
+type reading struct {
+	header    header
+	headerRev store.Revision
+	snapshot  []byte
+	entries   []entry          // those after the snapshot, in order
+	revisions []store.Revision // of each slot
+}
+
+// last returns the sequence of the newest entry.
+func (r *reading) last() Sequence {
+	return r.header.Sequence + Sequence(len(r.entries))
+}
+
+// newestOwner returns the highest owner epoch that the reading shows.
+func (r *reading) newestOwner() Owner {
+	if n := len(r.entries); n > 0 {
+		return r.entries[n-1].Owner
+	}
+	return r.header.Owner
+}
+
+// read reads the snapshot and then the slots. The order matters: entries that
+// a later snapshot made superfluous may vanish between the reads, which shows
+// as a gap; entries that are added show or make the next append collide. On a
+// gap it starts over.
+func (c *client) read(ctx context.Context, shard string, ring int) (*reading, error) {
+	retry := newRetry()
+	for {
+		r, err := c.readOnce(ctx, shard, ring)
+		var gap *gapError
+		if !errors.As(err, &gap) {
+			return r, err
+		}
+		c.restart()
+		if err := sleep(ctx, retry.NextBackOff()); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (c *client) readOnce(ctx context.Context, shard string, ring int) (*reading, error) {
+	r := &reading{revisions: make([]store.Revision, ring)}
+	if err := c.readHeader(ctx, shard, r); err != nil {
+		return nil, err
+	}
+	if err := c.readSnapshot(ctx, shard, r); err != nil {
+		return nil, err
+	}
+	if err := c.readSlots(ctx, shard, ring, r); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+func (c *client) readHeader(ctx context.Context, shard string, r *reading) error {
+	key := headerKey(shard)
+	e, err := c.get(ctx, key)
+	if err != nil || e.Revision == 0 {
+		return err
+	}
+	r.headerRev = e.Revision
+	r.header, err = decodeHeader(e.Value)
+	if err != nil {
+		return eris.Wrap(&DecodeError{Key: key, Cause: err}, "recovery")
+	}
+	return nil
+}
+
+func (c *client) readSnapshot(ctx context.Context, shard string, r *reading) error {
+	if r.header.Parts == 0 {
+		r.snapshot = r.header.Inline
+		return c.verifySnapshot(shard, r)
+	}
+	var whole bytes.Buffer
+	for i := range r.header.Parts {
+		key := partKey(shard, r.header.Generation, i)
+		e, err := c.get(ctx, key)
+		if err != nil {
+			return err
+		}
+		if e.Revision == 0 {
+			return &gapError{after: r.header.Sequence}
+		}
+		p, err := decodePart(e.Value)
+		if err != nil {
+			return eris.Wrap(&DecodeError{Key: key, Cause: err}, "recovery")
+		}
+		if p.Sequence != r.header.Sequence {
+			return &gapError{after: r.header.Sequence}
+		}
+		whole.Write(p.Data)
+	}
+	r.snapshot = whole.Bytes()
+	return c.verifySnapshot(shard, r)
+}
+
+// verifySnapshot compares the checksum. Parts may have been overwritten by the
+// snapshot after the next between two reads, which starts recovery over.
+func (c *client) verifySnapshot(shard string, r *reading) error {
+	if r.headerRev == 0 || xxhash.Sum64(r.snapshot) == r.header.Checksum {
+		return nil
+	}
+	if r.header.Parts > 0 {
+		return &gapError{after: r.header.Sequence}
+	}
+	return eris.Wrap(&DecodeError{Key: headerKey(shard), Cause: &ChecksumError{}}, "recovery")
+}
+
+// ChecksumError reports a snapshot whose bytes don't match its checksum.
+type ChecksumError struct{}
+
+func (*ChecksumError) Error() string { return "journal: checksum mismatch" }
+
+func (c *client) readSlots(ctx context.Context, shard string, ring int, r *reading) error {
+	slots, err := c.list(ctx, ringPrefix(shard))
+	if err != nil {
+		return err
+	}
+	bySequence := make(map[Sequence]entry)
+	highest := r.header.Sequence
+	for _, s := range slots {
+		e, slot, err := decodeSlot(shard, ring, s)
+		if err != nil {
+			return eris.Wrap(&DecodeError{Key: s.Key, Cause: err}, "recovery")
+		}
+		r.revisions[slot] = s.Revision
+		if e.Sequence > r.header.Sequence {
+			bySequence[e.Sequence] = e
+			highest = max(highest, e.Sequence)
+		}
+	}
+	for n := r.header.Sequence + 1; n <= highest; n++ {
+		e, ok := bySequence[n]
+		if !ok {
+			return &gapError{after: n - 1}
+		}
+		r.entries = append(r.entries, e)
+	}
+	return nil
+}
+
+func decodeSlot(shard string, ring int, s store.Entry) (entry, int, error) {
+	slot, err := strconv.Atoi(strings.TrimPrefix(s.Key, ringPrefix(shard)))
+	if err != nil {
+		return entry{}, 0, err
+	}
+	e, err := decodeEntry(s.Value)
+	if err != nil {
+		return entry{}, 0, err
+	}
+	if slot < 0 || slot >= ring || int(e.Sequence%Sequence(ring)) != slot {
+		return entry{}, 0, &MisplacedError{Sequence: e.Sequence, Slot: slot}
+	}
+	return e, slot, nil
+}
+
+// restore replays a reading into m.
+func (r *reading) restore(shard string, m Machine) error {
+	if err := m.Restore(r.snapshot); err != nil {
+		return eris.Wrap(&DecodeError{Key: headerKey(shard), Cause: err}, "restore")
+	}
+	for _, e := range r.entries {
+		for _, record := range e.Records {
+			if err := m.Apply(record); err != nil {
+				key := slotKey(shard, int(e.Sequence)%len(r.revisions))
+				return eris.Wrap(&DecodeError{Key: key, Cause: err}, "replay")
+			}
+		}
+	}
+	return nil
+}
