--- a/journal/shard.go
+++ b/journal/shard.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -46,6 +47,7 @@
 	done    chan struct{} // closed when Serve has ended
 	err     error         // why; set before done is closed
 	effects sync.WaitGroup
+	writing atomic.Int64 // when the outstanding write began, Unix nanoseconds; 0 for none
 
 	// The rest belongs to the goroutine of Serve.
 	pace      *pacer
@@ -72,9 +74,14 @@
 type call struct {
 	fn    func(Tx) error
 	view  bool
+	ran   chan struct{} // closed when fn has returned
 	reply chan error
 }
 
+func newCall(fn func(Tx) error, view bool) *call {
+	return &call{fn: fn, view: view, ran: make(chan struct{}), reply: make(chan error, 1)}
+}
+
 // result is the end of a write. done runs on the goroutine of Serve.
 type result struct {
 	err  error
@@ -114,9 +121,19 @@
 // Done returns a channel that is closed when Serve has ended.
 func (s *Shard) Done() <-chan struct{} { return s.done }
 
+// Stalled returns for how long the outstanding write has been under way; 0 if
+// there is none. Long times mean that the store does not answer.
+func (s *Shard) Stalled() time.Duration {
+	began := s.writing.Load()
+	if began == 0 {
+		return 0
+	}
+	return time.Since(time.Unix(0, began))
+}
+
 // Do implements Committer.
 func (s *Shard) Do(ctx context.Context, fn func(Tx) error) error {
-	return s.call(ctx, &call{fn: fn, reply: make(chan error, 1)})
+	return s.call(ctx, newCall(fn, false))
 }
 
 // View runs fn on the shard's goroutine, between transactions. The Machine
@@ -127,7 +144,7 @@
 		fn()
 		return nil
 	}
-	return s.call(ctx, &call{fn: run, view: true, reply: make(chan error, 1)})
+	return s.call(ctx, newCall(run, true))
 }
 
 func (s *Shard) call(ctx context.Context, c *call) error {
@@ -142,6 +159,8 @@
 	case err := <-c.reply:
 		return err
 	case <-ctx.Done():
+		// fn runs now; the caller must not return while it does.
+		<-c.ran
 		return ctx.Err()
 	}
 }
@@ -219,6 +238,7 @@
 
 func (s *Shard) run(c *call) {
 	err := c.fn(&tx{shard: s})
+	close(c.ran)
 	if s.failure != nil {
 		c.reply <- s.stopped(s.failure)
 		return
@@ -307,6 +327,7 @@
 
 func (s *Shard) write(now time.Time, run func() result) {
 	s.busy = true
+	s.writing.Store(now.UnixNano())
 	go func() {
 		r := run()
 		r.took = time.Since(now)
@@ -316,6 +337,7 @@
 
 func (s *Shard) finish(r result) error {
 	s.busy = false
+	s.writing.Store(0)
 	if r.err != nil {
 		return r.err
 	}
--- /dev/null
+++ b/queue/placement.go
@@ -0,0 +1,216 @@
+package queue
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/member"
+	"github.com/fuchsiahill/fuchsiahill/settings"
+	"github.com/fuchsiahill/fuchsiahill/shard"
+)
+
+const (
+	// maxWaiting is how many tasks may wait in a cell before it gets no more.
+	maxWaiting = 64
+	// sentMemory is how long a delegation is counted against a cell's
+	// summary, which lags.
+	sentMemory = 2 * time.Second
+	// avoidInitial and avoidMaximum bound how long a cell that refused a task
+	// gets none of that size or larger.
+	avoidInitial = 500 * time.Millisecond
+	avoidMaximum = 30 * time.Second
+)
+
+// cellView is what is known of one cell.
+type cellView struct {
+	id         shard.ID
+	dataCentre fleet.DataCentre
+	in         bool // operators let work in
+	known      bool // a summary was seen
+	load       member.CellLoad
+}
+
+// cellChooser picks cells by the power of two choices over load summaries.
+// It is used by one goroutine.
+type cellChooser struct {
+	cells []cellView
+	rand  *rand.Rand
+	sent  *recentlySent
+	now   time.Time
+}
+
+var _ Chooser = (*cellChooser)(nil)
+
+// viewCells joins the cells that the settings name with the newest load
+// summary of each.
+func viewCells(region fleet.Region, snapshot settings.Snapshot, summaries []member.Summary) []cellView {
+	loads := make(map[string]member.CellLoad)
+	for _, s := range summaries {
+		for id, load := range s.Cells {
+			loads[id] = load
+		}
+	}
+	var cells []cellView
+	for name, dc := range snapshot.DataCentres() {
+		if dc.Region != region {
+			continue
+		}
+		for n := range dc.Cells {
+			id := shard.NewID(shard.KindCell, string(name), n)
+			load, known := loads[string(id)]
+			cells = append(cells, cellView{
+				id:         id,
+				dataCentre: name,
+				in:         dc.State == settings.DataCentreIn,
+				known:      known,
+				load:       load,
+			})
+		}
+	}
+	slices.SortFunc(cells, func(a, b cellView) int { return compareIDs(a.id, b.id) })
+	return cells
+}
+
+func compareIDs(a, b shard.ID) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// Choose implements Chooser: of two random cells that have room, the one with
+// more of it.
+func (c *cellChooser) Choose(need fleet.Resources, allowed []fleet.DataCentre, urgent bool) (shard.ID, string) {
+	var fitting []*cellView
+	anyIn := false
+	for i := range c.cells {
+		cell := &c.cells[i]
+		if len(allowed) > 0 && !slices.Contains(allowed, cell.dataCentre) || !cell.in {
+			continue
+		}
+		anyIn = true
+		if c.hasRoom(cell, need, urgent) {
+			fitting = append(fitting, cell)
+		}
+	}
+	switch {
+	case !anyIn:
+		return "", waitOut
+	case len(fitting) == 0:
+		return "", waitRoom
+	}
+	best := c.better(fitting, need)
+	c.sent.add(best.id, need, c.now)
+	return best.id, ""
+}
+
+func (c *cellChooser) hasRoom(cell *cellView, need fleet.Resources, urgent bool) bool {
+	if !cell.known || c.sent.avoids(cell.id, need, c.now) {
+		return false
+	}
+	if urgent {
+		// A cell makes room for urgent work, so what counts is its size.
+		return need.Fits(cell.load.Capacity)
+	}
+	return cell.load.Waiting < maxWaiting && need.Fits(cell.load.LargestFit) && need.Fits(c.free(cell))
+}
+
+// free returns what the cell's summary shows as free, less what was sent
+// since.
+func (c *cellChooser) free(cell *cellView) fleet.Resources {
+	return cell.load.Free.Sub(c.sent.since(cell.id, c.now))
+}
+
+func (c *cellChooser) better(fitting []*cellView, need fleet.Resources) *cellView {
+	a := fitting[c.rand.IntN(len(fitting))]
+	b := fitting[c.rand.IntN(len(fitting))]
+	if c.tightness(b, need) < c.tightness(a, need) {
+		return b
+	}
+	return a
+}
+
+// tightness is the largest share of its capacity that the cell would use.
+func (c *cellChooser) tightness(cell *cellView, need fleet.Resources) float64 {
+	left := c.free(cell).Sub(need)
+	var most float64
+	for _, d := range dimensions {
+		if capacity := d.of(cell.load.Capacity); capacity > 0 && d.of(need) > 0 {
+			most = max(most, 1-float64(d.of(left))/float64(capacity))
+		}
+	}
+	return most
+}
+
+// recentlySent remembers what was delegated to each cell lately and which
+// sizes it refused. It is used by one goroutine.
+type recentlySent struct {
+	sent    map[shard.ID][]sentTask
+	refused map[shard.ID]refusal
+}
+
+type sentTask struct {
+	at   time.Time
+	size fleet.Resources
+}
+
+type refusal struct {
+	size  fleet.Resources
+	until time.Time
+	pause time.Duration
+}
+
+func newRecentlySent() *recentlySent {
+	return &recentlySent{
+		sent:    make(map[shard.ID][]sentTask),
+		refused: make(map[shard.ID]refusal),
+	}
+}
+
+func (r *recentlySent) add(cell shard.ID, size fleet.Resources, now time.Time) {
+	r.sent[cell] = append(r.sent[cell], sentTask{at: now, size: size})
+}
+
+// since returns the sum of what was sent within sentMemory.
+func (r *recentlySent) since(cell shard.ID, now time.Time) fleet.Resources {
+	tasks := r.sent[cell]
+	old := 0
+	for old < len(tasks) && now.Sub(tasks[old].at) > sentMemory {
+		old++
+	}
+	r.sent[cell] = tasks[old:]
+	var sum fleet.Resources
+	for _, t := range tasks[old:] {
+		sum = sum.Add(t.size)
+	}
+	return sum
+}
+
+// refuse notes that a cell has refused a task of a size.
+func (r *recentlySent) refuse(cell shard.ID, size fleet.Resources, now time.Time) {
+	old := r.refused[cell]
+	if now.Before(old.until) && !old.size.Fits(size) {
+		r.refused[cell] = refusal{size: size, until: old.until, pause: old.pause}
+		return
+	}
+	pause := avoidInitial
+	if now.Sub(old.until) < avoidMaximum && old.pause > 0 {
+		pause = min(2*old.pause, avoidMaximum)
+	}
+	r.refused[cell] = refusal{size: size, until: now.Add(pause), pause: pause}
+}
+
+// accept forgets the refusals of a cell that has accepted a task.
+func (r *recentlySent) accept(cell shard.ID) { delete(r.refused, cell) }
+
+// avoids reports whether the cell lately refused a task that needs no more.
+func (r *recentlySent) avoids(cell shard.ID, size fleet.Resources, now time.Time) bool {
+	last, ok := r.refused[cell]
+	return ok && now.Before(last.until) && last.size.Fits(size)
+}
--- /dev/null
+++ b/queue/record.go
@@ -0,0 +1,121 @@
+package queue
+
+import (
+	"fmt"
+
+	"github.com/fuchsiahill/fuchsiahill/delegation"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/journal"
+	"github.com/fuchsiahill/fuchsiahill/shard"
+)
+
+const formatVersion = 1
+
+// record is one journal record. Exactly one of the pointers is set.
+type record struct {
+	Version   uint       `cbor:"1,keyasint"`
+	Submitted *submitted `cbor:"2,keyasint,omitempty"`
+	Delegated *delegated `cbor:"3,keyasint,omitempty"`
+	Returned  *returned  `cbor:"4,keyasint,omitempty"`
+	Cancelled *cancelled `cbor:"5,keyasint,omitempty"`
+	Expired   *expired   `cbor:"6,keyasint,omitempty"`
+}
+
+// submitted admits a job.
+type submitted struct {
+	ID           fleet.JobID        `cbor:"1,keyasint"`
+	Organisation fleet.Organisation `cbor:"2,keyasint"`
+	Team         fleet.Team         `cbor:"3,keyasint"`
+	Class        fleet.JobClass     `cbor:"4,keyasint"`
+	Tasks        int                `cbor:"5,keyasint"`
+	Resources    fleet.Resources    `cbor:"6,keyasint"`
+	Command      string             `cbor:"7,keyasint,omitempty"`
+	Declared     *int               `cbor:"8,keyasint,omitempty"` // priority in the submission
+	DataCentres  []fleet.DataCentre `cbor:"9,keyasint,omitempty"`
+	Priority     int                `cbor:"10,keyasint"`           // in force
+	Aging        float64            `cbor:"11,keyasint,omitempty"` // priority gained per minute
+	At           int64              `cbor:"12,keyasint"`           // Unix time in milliseconds
+}
+
+// delegated gives queued tasks to cells. It starts their next attempt.
+type delegated struct {
+	Runs []delegatedRun `cbor:"1,keyasint"`
+}
+
+// delegatedRun is Count tasks of a job from index From.
+type delegatedRun struct {
+	Job   fleet.JobID `cbor:"1,keyasint"`
+	From  int         `cbor:"2,keyasint,omitempty"`
+	Count int         `cbor:"3,keyasint"`
+	Cell  shard.ID    `cbor:"4,keyasint"`
+}
+
+// returned ends attempts that a cell gave back.
+type returned struct {
+	At   int64         `cbor:"1,keyasint"` // Unix time in milliseconds
+	Runs []returnedRun `cbor:"2,keyasint"`
+}
+
+// returnedRun is Count tasks of a job from index From whose attempts of the
+// same number ended alike.
+type returnedRun struct {
+	Job        fleet.JobID    `cbor:"1,keyasint"`
+	From       int            `cbor:"2,keyasint,omitempty"`
+	Count      int            `cbor:"3,keyasint"`
+	Attempt    fleet.Attempt  `cbor:"4,keyasint"`
+	End        delegation.End `cbor:"5,keyasint"`
+	Final      bool           `cbor:"6,keyasint,omitempty"` // no further attempt
+	Checkpoint string         `cbor:"7,keyasint,omitempty"`
+	Progress   float64        `cbor:"8,keyasint,omitempty"` // at the checkpoint
+	Error      string         `cbor:"9,keyasint,omitempty"`
+}
+
+// cancelled cancels jobs.
+type cancelled struct {
+	At   int64         `cbor:"1,keyasint"` // Unix time in milliseconds
+	Jobs []fleet.JobID `cbor:"2,keyasint"`
+}
+
+// expired forgets the jobs that ended before a time.
+type expired struct {
+	Before int64 `cbor:"1,keyasint"` // Unix time in milliseconds
+}
+
+// VersionError reports a record or snapshot of a format that this release
+// does not know.
+type VersionError struct{ Version uint }
+
+func (e *VersionError) Error() string {
+	return fmt.Sprintf("queue: format version %d is not known", e.Version)
+}
+
+// ContradictionError reports a record that can't follow from the state.
+type ContradictionError struct {
+	Job    fleet.JobID
+	Index  int
+	Reason string
+}
+
+func (e *ContradictionError) Error() string {
+	return fmt.Sprintf("queue: record contradicts job %s task %d: %s", e.Job, e.Index, e.Reason)
+}
+
+func (r record) encode() []byte {
+	r.Version = formatVersion
+	data, err := journal.Encode(r)
+	if err != nil {
+		panic(err) // a record holds only encodable types
+	}
+	return data
+}
+
+func decodeRecord(data []byte) (record, error) {
+	var r record
+	if err := journal.Decode(data, &r); err != nil {
+		return record{}, err
+	}
+	if r.Version != formatVersion {
+		return record{}, &VersionError{Version: r.Version}
+	}
+	return r, nil
+}
--- /dev/null
+++ b/queue/rig_test.go
@@ -0,0 +1,434 @@
+package queue
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/fuchsiahill/fuchsiahill/delegation"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/job"
+	"github.com/fuchsiahill/fuchsiahill/member"
+	"github.com/fuchsiahill/fuchsiahill/peer"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/settings"
+	"github.com/fuchsiahill/fuchsiahill/shard"
+	"github.com/fuchsiahill/fuchsiahill/store"
+)
+
+const (
+	testHost  = fleet.HostID("h1")
+	testTeam  = fleet.Team("claims")
+	testOrg   = fleet.Organisation("balkantrans")
+	testShard = shard.ID("queue/claims/0")
+)
+
+var (
+	small = fleet.Resources{MilliCores: 1000, MemoryMB: 1024}
+	big   = fleet.Resources{MilliCores: 16000, MemoryMB: 64000}
+)
+
+// network delivers calls between hosts in this process, over JSON as the real
+// one does. lose, if set, may drop a call (before) or its reply (after).
+type network struct {
+	mu       sync.Mutex
+	handlers map[string]peer.Handler
+	lose     func(method string) (before, after bool)
+}
+
+type lostError struct{}
+
+func (*lostError) Error() string { return "lost" }
+
+func newNetwork() *network { return &network{handlers: make(map[string]peer.Handler)} }
+
+func (n *network) Handle(method string, h peer.Handler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handlers[method] = h
+}
+
+func (n *network) Call(ctx context.Context, host fleet.HostID, method string, request, response any) error {
+	n.mu.Lock()
+	h, lose := n.handlers[method], n.lose
+	n.mu.Unlock()
+	var before, after bool
+	if lose != nil {
+		before, after = lose(method)
+	}
+	unknown := &peer.UnknownError{Host: host, Method: method, Cause: &lostError{}}
+	if before || h == nil {
+		return unknown
+	}
+	params, err := json.Marshal(request)
+	if err != nil {
+		return err
+	}
+	reply, err := h(ctx, testHost, params)
+	if after || ctx.Err() != nil {
+		return unknown
+	}
+	if err != nil {
+		return remote(err)
+	}
+	data, err := json.Marshal(reply)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, response)
+}
+
+func remote(err error) error {
+	var e *peer.RemoteError
+	if errors.As(err, &e) {
+		return e
+	}
+	return &peer.RemoteError{Kind: peer.KindInternal, Message: err.Error()}
+}
+
+// world is what the platform and the operators say. It implements the views
+// and directories that a Server reads.
+type world struct {
+	mu     sync.Mutex
+	dcs    map[fleet.DataCentre]settings.DataCentre
+	teams  map[fleet.Team]settings.Team
+	values settings.Resolved
+	hosts  platform.HostList
+	cells  map[string]member.CellLoad
+	stale  bool
+}
+
+func newWorld() *world {
+	load := member.CellLoad{Capacity: big, Free: big, LargestFit: big}
+	return &world{
+		dcs: map[fleet.DataCentre]settings.DataCentre{
+			"sofia": {Region: "bg", State: settings.DataCentreIn, Cells: 1},
+			"ruse":  {Region: "bg", State: settings.DataCentreIn, Cells: 1},
+		},
+		teams: map[fleet.Team]settings.Team{
+			testTeam: {Organisation: testOrg, Quota: big, Shards: 1},
+		},
+		values: settings.Resolved{Priority: 50, MaxAttempts: 3, Aging: 1},
+		hosts: platform.HostList{Version: 1, Workers: []platform.Worker{
+			{ID: "w1", DataCentre: "sofia", Capacity: big, State: platform.StateLive},
+			{ID: "w2", DataCentre: "ruse", Capacity: big, State: platform.StateLive},
+		}},
+		cells: map[string]member.CellLoad{"cell/sofia/0": load, "cell/ruse/0": load},
+	}
+}
+
+func (w *world) update(change func(*world)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change(w)
+}
+
+// frozen is an immutable settings.Snapshot.
+type frozen struct {
+	dcs    map[fleet.DataCentre]settings.DataCentre
+	teams  map[fleet.Team]settings.Team
+	values settings.Resolved
+}
+
+func (f frozen) Revision() store.Revision                              { return 1 }
+func (f frozen) DataCentres() map[fleet.DataCentre]settings.DataCentre { return f.dcs }
+func (f frozen) Teams() map[fleet.Team]settings.Team                   { return f.teams }
+func (f frozen) Service(fleet.Organisation, fleet.DataCentre, fleet.Service) settings.Resolved {
+	return f.values
+}
+func (f frozen) JobClass(fleet.Organisation, fleet.DataCentre, fleet.JobClass) settings.Resolved {
+	return f.values
+}
+
+func (w *world) Current() settings.Snapshot {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f := frozen{
+		dcs:    make(map[fleet.DataCentre]settings.DataCentre),
+		teams:  make(map[fleet.Team]settings.Team),
+		values: w.values,
+	}
+	for k, v := range w.dcs {
+		f.dcs[k] = v
+	}
+	for k, v := range w.teams {
+		f.teams[k] = v
+	}
+	return f
+}
+
+func (w *world) ConfirmedAt() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stale {
+		return time.Now().Add(-time.Minute)
+	}
+	return time.Now()
+}
+
+// platformView makes a world a platform.View.
+type platformView struct{ *world }
+
+func (p platformView) Hosts() *platform.HostList {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.hosts
+	return &list
+}
+
+func (platformView) Changed() <-chan struct{} { return nil }
+
+func (w *world) Hosts() []member.Host { return []member.Host{{ID: testHost}} }
+
+func (w *world) Host(id fleet.HostID) (member.Host, bool) { return member.Host{ID: id}, true }
+
+func (w *world) Summary(fleet.HostID) (member.Summary, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	cells := make(map[string]member.CellLoad)
+	for k, v := range w.cells {
+		cells[k] = v
+	}
+	return member.Summary{Cells: cells}, true
+}
+
+func (w *world) Owner(shard.ID) (shard.Owner, bool) { return shard.Owner{Host: testHost}, true }
+
+// rig runs a queue shard and cells over one store and network.
+type rig struct {
+	t      *testing.T
+	store  *standin.Store
+	net    *network
+	world  *world
+	cells  *fakeCells
+	client *Client
+	epoch  fleet.Epoch
+	stop   func()
+	server *Server
+}
+
+func newRig(t *testing.T) *rig {
+	r := &rig{
+		t:     t,
+		store: standin.NewStore(),
+		net:   newNetwork(),
+		world: newWorld(),
+	}
+	r.cells = newFakeCells(r.net)
+	r.client = NewClient(ClientDeps{Peers: r.net, Shards: r.world, Settings: r.world})
+	return r
+}
+
+// start runs the shard under the next epoch, after stopping the last owner
+// without notice.
+func (r *rig) start() {
+	r.epoch++
+	r.server = NewServer(Deps{
+		Region:   "bg",
+		Store:    r.store,
+		Peers:    r.net,
+		Registry: r.net,
+		Members:  r.world,
+		Shards:   r.world,
+		Settings: r.world,
+		Platform: platformView{r.world},
+		Logger:   log.NewNopLogger(),
+	})
+	ctx, cancel := context.WithCancel(r.t.Context())
+	owner := shard.Owner{Host: testHost, Incarnation: 1, Epoch: r.epoch}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = r.server.Run(ctx, testShard, owner)
+	}()
+	r.stop = func() {
+		cancel()
+		<-ended
+	}
+}
+
+func (r *rig) submit(id fleet.JobID, tasks int, change ...func(*job.Spec)) (job.Status, error) {
+	s := spec(id, tasks)
+	for _, c := range change {
+		c(&s)
+	}
+	return r.client.Submit(r.t.Context(), s)
+}
+
+func spec(id fleet.JobID, tasks int) job.Spec {
+	return job.Spec{ID: id, Organisation: testOrg, Team: testTeam, Class: "check", Tasks: tasks, Resources: small}
+}
+
+// mustEnd waits until a job has ended and returns its status.
+func (r *rig) mustEnd(id fleet.JobID) job.Status {
+	r.t.Helper()
+	for range 2000 {
+		status, err := r.client.Get(r.t.Context(), testTeam, id)
+		if err == nil && status.State.Final() {
+			return status
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	r.t.Fatalf("job %s has not ended", id)
+	return job.Status{}
+}
+
+// fakeCells keeps the cells' side of delegation: it recognises attempts,
+// remembers them durably, and returns each until the queue has acknowledged.
+// It judges what it saw.
+type fakeCells struct {
+	net *network
+
+	mu       sync.Mutex
+	attempts map[platform.AttemptRef]*fakeAttempt
+	running  map[fleet.TaskID]platform.AttemptRef
+	finished map[fleet.TaskID]int
+	doubled  []platform.AttemptRef // offered while another attempt was running or after the end
+	runtime  time.Duration
+	end      func(delegation.Task) delegation.Outcome // nil: finished
+	refuse   func(shard.ID, delegation.Task) string   // reason, "" to accept
+}
+
+type fakeAttempt struct {
+	cell   shard.ID
+	task   delegation.Task
+	out    *delegation.Outcome
+	acked  bool
+	reason string // refused
+}
+
+func newFakeCells(net *network) *fakeCells {
+	c := &fakeCells{
+		net:      net,
+		attempts: make(map[platform.AttemptRef]*fakeAttempt),
+		running:  make(map[fleet.TaskID]platform.AttemptRef),
+		finished: make(map[fleet.TaskID]int),
+		runtime:  time.Second,
+	}
+	net.Handle(delegation.MethodOffer, handler(c.offer))
+	net.Handle(delegation.MethodCancel, handler(c.cancel))
+	return c
+}
+
+func (c *fakeCells) offer(_ context.Context, o delegation.Offer) (delegation.OfferReply, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var reply delegation.OfferReply
+	for _, task := range o.Tasks {
+		a := c.attempts[task.AttemptRef]
+		if a == nil {
+			a = c.take(o.Cell, task)
+		}
+		if a.reason != "" {
+			reply.Refused = append(reply.Refused, delegation.Refusal{AttemptRef: task.AttemptRef, Reason: a.reason})
+		} else {
+			reply.Accepted = append(reply.Accepted, task.AttemptRef)
+		}
+	}
+	return reply, nil
+}
+
+func (c *fakeCells) take(cell shard.ID, task delegation.Task) *fakeAttempt {
+	a := &fakeAttempt{cell: cell, task: task}
+	c.attempts[task.AttemptRef] = a
+	if _, busy := c.running[task.Task]; busy || c.finished[task.Task] > 0 {
+		c.doubled = append(c.doubled, task.AttemptRef)
+	}
+	if c.refuse != nil {
+		a.reason = c.refuse(cell, task)
+	}
+	if a.reason == "" {
+		c.running[task.Task] = task.AttemptRef
+		time.AfterFunc(c.runtime, func() { c.finish(a) })
+	}
+	return a
+}
+
+func (c *fakeCells) finish(a *fakeAttempt) {
+	out := delegation.Outcome{AttemptRef: a.task.AttemptRef, End: delegation.EndFinished}
+	if c.end != nil {
+		out = c.end(a.task)
+		out.AttemptRef = a.task.AttemptRef
+	}
+	c.conclude(a, out)
+}
+
+func (c *fakeCells) conclude(a *fakeAttempt, out delegation.Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a.out != nil {
+		return
+	}
+	a.out = &out
+	delete(c.running, a.task.Task)
+	if out.End == delegation.EndFinished {
+		c.finished[a.task.Task]++
+	}
+	go c.giveBack(a)
+}
+
+// giveBack repeats the return until the queue has acknowledged it.
+func (c *fakeCells) giveBack(a *fakeAttempt) {
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		req := delegation.Return{Queue: a.task.Queue, Cell: a.cell, Outcomes: []delegation.Outcome{*a.out}}
+		err := c.net.Call(ctx, testHost, delegation.MethodReturn, req, &delegation.ReturnReply{})
+		cancel()
+		if err == nil {
+			c.mu.Lock()
+			a.acked = true
+			c.mu.Unlock()
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+func (c *fakeCells) cancel(_ context.Context, req delegation.Cancel) (delegation.CancelReply, error) {
+	c.mu.Lock()
+	var stop []*fakeAttempt
+	for _, ref := range req.Tasks {
+		if a := c.attempts[ref]; a != nil && a.out == nil {
+			stop = append(stop, a)
+		}
+	}
+	c.mu.Unlock()
+	for _, a := range stop {
+		c.conclude(a, delegation.Outcome{AttemptRef: a.task.AttemptRef, End: delegation.EndStopped})
+	}
+	return delegation.CancelReply{}, nil
+}
+
+// check fails the test if a task ran twice at once or finished twice.
+func (c *fakeCells) check(t *testing.T) {
+	t.Helper()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.doubled) > 0 {
+		t.Errorf("offered twice: %v", c.doubled)
+	}
+	for task, n := range c.finished {
+		if n > 1 {
+			t.Errorf("%s finished %d times", task, n)
+		}
+	}
+}
+
+// runs returns the tasks that have finished, sorted.
+func (c *fakeCells) runs() []fleet.TaskID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var ids []fleet.TaskID
+	for id := range c.finished {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/queue/shard.go
@@ -0,0 +1,352 @@
+package queue
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fuchsiahill/fuchsiahill/delegation"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/job"
+	"github.com/fuchsiahill/fuchsiahill/journal"
+	"github.com/fuchsiahill/fuchsiahill/member"
+	"github.com/fuchsiahill/fuchsiahill/peer"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/settings"
+	"github.com/fuchsiahill/fuchsiahill/shard"
+)
+
+const (
+	// releaseInterval is the longest time between two looks at the queue.
+	releaseInterval = 250 * time.Millisecond
+	// confirmedFor is how long after its confirmation the settings view lets
+	// tasks be given out.
+	confirmedFor = 2 * time.Second
+	// RetainFor is how long ended jobs are kept, and their IDs recognised.
+	RetainFor = 24 * time.Hour
+	// MaxJobs bounds the jobs of one shard, ended ones included.
+	MaxJobs = 20_000
+
+	expireInterval  = time.Minute
+	commitTimeout   = 10 * time.Second
+	stallTolerance  = 2 * time.Second
+	defaultAttempts = 3
+	lossesPerTry    = 4 // attempts lost with their worker, for each failure allowed
+	maxPage         = 1000
+)
+
+// ownedShard is a queue shard that this host owns. Its methods are safe for
+// concurrent use.
+type ownedShard struct {
+	id      shard.ID
+	team    fleet.Team
+	number  int
+	server  *Server
+	logger  log.Logger
+	journal *journal.Shard
+	sender  *sender
+
+	// Used on the journal's goroutine only.
+	machine *Machine
+	sent    *recentlySent
+	rand    *rand.Rand
+
+	kicked chan struct{} // asks for a release
+}
+
+func newOwnedShard(s *Server, id shard.ID, team fleet.Team, n int, j *journal.Shard, m *Machine) *ownedShard {
+	q := &ownedShard{
+		id:      id,
+		team:    team,
+		number:  n,
+		server:  s,
+		logger:  log.With(s.deps.Logger, "shard", id),
+		journal: j,
+		machine: m,
+		sent:    newRecentlySent(),
+		rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		kicked:  make(chan struct{}, 1),
+	}
+	q.sender = newSender(q)
+	return q
+}
+
+// run runs the shard until ctx ends or the shard is lost.
+func (q *ownedShard) run(ctx context.Context) error {
+	group, inner := errgroup.WithContext(ctx)
+	group.Go(func() error { return q.journal.Serve(inner) })
+	group.Go(func() error { return q.releaseLoop(inner) })
+	group.Go(func() error { return q.sender.loop(inner) })
+	err := group.Wait()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+func kick(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default: // one is waiting already
+	}
+}
+
+// releaseLoop releases tasks and forgets old jobs.
+func (q *ownedShard) releaseLoop(ctx context.Context) error {
+	release := time.NewTicker(releaseInterval)
+	defer release.Stop()
+	expire := time.NewTicker(expireInterval)
+	defer expire.Stop()
+	for {
+		var err error
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-release.C:
+			err = q.journal.Do(ctx, q.release)
+		case <-q.kicked:
+			err = q.journal.Do(ctx, q.release)
+		case <-expire.C:
+			err = q.journal.Do(ctx, q.expire)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// release gives out what quota, settings and cells allow now.
+func (q *ownedShard) release(tx journal.Tx) error {
+	if len(q.machine.order.lanes) == 0 {
+		return nil
+	}
+	now := time.Now()
+	view := q.server.deps.Settings
+	// The confirmation is read before the settings that it vouches for.
+	confirmed := view.ConfirmedAt()
+	snapshot := view.Current()
+	if now.Sub(confirmed) > confirmedFor {
+		q.machine.setWaiting(waitSettings)
+		return nil
+	}
+	plan := q.machine.releasePlan(now, q.quota(snapshot), q.chooser(snapshot, now))
+	if plan == nil {
+		return nil
+	}
+	tx.Append(record{Delegated: plan}.encode())
+	tx.OnDurable(q.sender.kick)
+	for _, run := range plan.Runs {
+		q.server.vars.Add(varReleased, int64(run.Count))
+	}
+	return nil
+}
+
+func (q *ownedShard) quota(snapshot settings.Snapshot) fleet.Resources {
+	team := snapshot.Teams()[q.team]
+	return quotaShare(team.Quota, team.Shards, q.number)
+}
+
+func (q *ownedShard) chooser(snapshot settings.Snapshot, now time.Time) *cellChooser {
+	deps := q.server.deps
+	var summaries []member.Summary
+	for _, h := range deps.Members.Hosts() {
+		if s, ok := deps.Members.Summary(h.ID); ok {
+			summaries = append(summaries, s)
+		}
+	}
+	return &cellChooser{
+		cells: viewCells(deps.Region, snapshot, summaries),
+		rand:  q.rand,
+		sent:  q.sent,
+		now:   now,
+	}
+}
+
+func (q *ownedShard) expire(tx journal.Tx) error {
+	before := time.Now().Add(-RetainFor).UnixMilli()
+	if q.machine.expirable(before) {
+		tx.Append(record{Expired: &expired{Before: before}}.encode())
+	}
+	return nil
+}
+
+// commit runs a transaction for a caller and classifies its errors.
+func (q *ownedShard) commit(ctx context.Context, fn func(journal.Tx) error) error {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	began := false
+	err := q.journal.Do(ctx, func(tx journal.Tx) error {
+		began = true
+		return fn(tx)
+	})
+	if err == nil {
+		return nil
+	}
+	return commitError(err, began)
+}
+
+// submit admits a job. It returns once the job is durable.
+func (q *ownedShard) submit(ctx context.Context, spec job.Spec) (job.Status, error) {
+	var status job.Status
+	err := q.commit(ctx, func(tx journal.Tx) error {
+		known := q.machine.jobs[spec.ID]
+		if known != nil && !known.same(spec) {
+			return eris.Wrap(&job.ConflictError{ID: spec.ID}, "submit")
+		}
+		if known == nil {
+			if err := q.admit(tx, spec); err != nil {
+				return err
+			}
+		}
+		status, _ = q.machine.Status(spec.ID)
+		return nil
+	})
+	return status, err
+}
+
+// admit journals a new job. An urgent one is given out with the same commit.
+func (q *ownedShard) admit(tx journal.Tx, spec job.Spec) error {
+	deps := q.server.deps
+	snapshot := deps.Settings.Current()
+	if err := checkSpec(spec, deps.Region, snapshot, deps.Platform.Hosts()); err != nil {
+		return err
+	}
+	if len(q.machine.jobs) >= MaxJobs {
+		return eris.Wrap(&job.UnavailableError{Reason: "the queue is full", RetryAfter: expireInterval}, "submit")
+	}
+	if q.journal.Stalled() > stallTolerance {
+		return eris.Wrap(&job.UnavailableError{Reason: "the store does not answer", RetryAfter: retryAfter}, "submit")
+	}
+	values := snapshot.JobClass(spec.Organisation, "", spec.Class)
+	s := newSubmitted(spec, values, time.Now())
+	tx.Append(record{Submitted: &s}.encode())
+	q.server.vars.Add(varSubmitted, 1)
+	if s.Priority >= job.UrgentPriority {
+		return q.release(tx)
+	}
+	kick(q.kicked)
+	return nil
+}
+
+func newSubmitted(spec job.Spec, values settings.Resolved, now time.Time) submitted {
+	s := submitted{
+		ID:           spec.ID,
+		Organisation: spec.Organisation,
+		Team:         spec.Team,
+		Class:        spec.Class,
+		Tasks:        spec.Tasks,
+		Resources:    spec.Resources,
+		Command:      spec.Command,
+		Declared:     spec.Priority,
+		DataCentres:  spec.DataCentres,
+		Priority:     values.Priority,
+		Aging:        values.Aging,
+		At:           now.UnixMilli(),
+	}
+	if spec.Priority != nil {
+		s.Priority = *spec.Priority
+	}
+	return s
+}
+
+// get returns the status of a job, all of it durable.
+func (q *ownedShard) get(ctx context.Context, id fleet.JobID) (job.Status, error) {
+	var status job.Status
+	err := q.commit(ctx, func(journal.Tx) error {
+		known := false
+		status, known = q.machine.Status(id)
+		if !known {
+			return eris.Wrap(&job.NotFoundError{ID: id}, "get")
+		}
+		return nil
+	})
+	return status, readError(err)
+}
+
+func (q *ownedShard) list(ctx context.Context, after fleet.JobID, limit int) (job.Page, error) {
+	var page job.Page
+	err := q.commit(ctx, func(journal.Tx) error {
+		page = q.machine.List(after, min(max(limit, 1), maxPage))
+		return nil
+	})
+	return page, readError(err)
+}
+
+// readError turns the unknown outcome of a read into its plain failure.
+func readError(err error) error {
+	var unknown *job.UnknownError
+	if errors.As(err, &unknown) {
+		return eris.Wrap(&job.UnavailableError{Reason: "the store does not answer", RetryAfter: retryAfter}, "read")
+	}
+	return err
+}
+
+// cancel cancels a job. It returns once that is durable.
+func (q *ownedShard) cancel(ctx context.Context, id fleet.JobID) (job.Status, error) {
+	var status job.Status
+	err := q.commit(ctx, func(tx journal.Tx) error {
+		j := q.machine.jobs[id]
+		if j == nil {
+			return eris.Wrap(&job.NotFoundError{ID: id}, "cancel")
+		}
+		if !j.cancelled && !j.final() {
+			c := &cancelled{At: time.Now().UnixMilli(), Jobs: []fleet.JobID{id}}
+			tx.Append(record{Cancelled: c}.encode())
+			tx.OnDurable(q.sender.kick)
+			q.server.vars.Add(varCancelled, 1)
+		}
+		status = j.status()
+		return nil
+	})
+	return status, err
+}
+
+// takeBack ends the attempts that a cell gave back. It returns once that is
+// durable, so the cell may forget them.
+func (q *ownedShard) takeBack(ctx context.Context, cell shard.ID, outcomes []delegation.Outcome) error {
+	err := q.commit(ctx, func(tx journal.Tx) error {
+		q.end(tx, cell, outcomes)
+		return nil
+	})
+	var unknown *job.UnknownError
+	var unavailable *job.UnavailableError
+	if errors.As(err, &unknown) || errors.As(err, &unavailable) {
+		return eris.Wrap(&peer.RemoteError{Kind: peer.KindUnavailable, Message: err.Error()}, "return")
+	}
+	return err
+}
+
+func (q *ownedShard) end(tx journal.Tx, cell shard.ID, outcomes []delegation.Outcome) {
+	r := q.machine.returns(cell, outcomes, q.limits, time.Now())
+	if r == nil {
+		return
+	}
+	tx.Append(record{Returned: r}.encode())
+	for _, run := range r.Runs {
+		q.server.vars.Add(varReturned, int64(run.Count))
+	}
+	kick(q.kicked)
+}
+
+func (q *ownedShard) limits(j *jobState) attemptLimit {
+	values := q.server.deps.Settings.Current().JobClass(j.Organisation, "", j.Class)
+	attempts := values.MaxAttempts
+	if attempts < 1 {
+		attempts = defaultAttempts
+	}
+	return attemptLimit{failures: attempts, losses: lossesPerTry * attempts}
+}
+
+// started notes attempts that run, for status only.
+func (q *ownedShard) started(ctx context.Context, refs []platform.AttemptRef) error {
+	err := q.journal.View(ctx, func() { q.machine.markRunning(refs) })
+	if err != nil {
+		return notOwner()
+	}
+	return nil
+}
--- /dev/null
+++ b/queue/status.go
@@ -0,0 +1,123 @@
+package queue
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/job"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+)
+
+const reasonCancelling = "cancelling"
+
+func (j *jobState) urgent() bool { return j.Priority >= job.UrgentPriority }
+
+func (j *jobState) spec() job.Spec {
+	return job.Spec{
+		ID:           j.ID,
+		Organisation: j.Organisation,
+		Team:         j.Team,
+		Class:        j.Class,
+		Tasks:        j.Tasks,
+		Resources:    j.Resources,
+		Command:      j.Command,
+		Priority:     j.Declared,
+		DataCentres:  j.DataCentres,
+	}
+}
+
+func (j *jobState) status() job.Status {
+	s := job.Status{
+		Spec:      j.spec(),
+		State:     j.state(),
+		Reason:    j.reason(),
+		Submitted: time.UnixMilli(j.At).UTC(),
+		Queued:    j.counts[taskQueued],
+		Delegated: j.counts[taskDelegated] - j.running,
+		Running:   j.running,
+		Finished:  j.counts[taskFinished],
+		Failed:    j.counts[taskFailed],
+		Cancelled: j.counts[taskCancelled],
+		Evictions: j.evictions,
+		LastError: j.lastError,
+	}
+	if j.ended != 0 {
+		s.Ended = time.UnixMilli(j.ended).UTC()
+	}
+	return s
+}
+
+func (j *jobState) state() job.State {
+	switch {
+	case j.running > 0:
+		return job.StateRunning
+	case j.counts[taskDelegated] > 0:
+		return job.StateDelegated
+	case j.counts[taskQueued] > 0:
+		return job.StateQueued
+	case j.counts[taskFailed] > 0:
+		return job.StateFailed
+	case j.counts[taskCancelled] > 0:
+		return job.StateCancelled
+	default:
+		return job.StateFinished
+	}
+}
+
+func (j *jobState) reason() string {
+	switch {
+	case j.cancelled && !j.final():
+		return reasonCancelling
+	case j.counts[taskQueued] > 0 && j.waiting != "":
+		return j.waiting
+	case j.counts[taskQueued] > 0:
+		return waitTurn
+	case j.ended != 0 && j.counts[taskFailed] > 0:
+		return j.lastError
+	default:
+		return ""
+	}
+}
+
+// Status returns the status of a job.
+func (m *Machine) Status(id fleet.JobID) (job.Status, bool) {
+	j := m.jobs[id]
+	if j == nil {
+		return job.Status{}, false
+	}
+	return j.status(), true
+}
+
+// List returns up to limit jobs in order of ID, after the given one.
+func (m *Machine) List(after fleet.JobID, limit int) job.Page {
+	at, found := slices.BinarySearch(m.ids, after)
+	if found {
+		at++
+	}
+	end := min(at+limit, len(m.ids))
+	page := job.Page{Jobs: make([]job.Status, 0, end-at)}
+	for _, id := range m.ids[at:end] {
+		page.Jobs = append(page.Jobs, m.jobs[id].status())
+	}
+	if end < len(m.ids) {
+		page.Next = string(m.ids[end-1])
+	}
+	return page
+}
+
+// markRunning notes attempts that a worker was seen running.
+func (m *Machine) markRunning(refs []platform.AttemptRef) {
+	for _, ref := range refs {
+		name, index, ok := parseTaskID(ref.Task)
+		j := m.jobs[name]
+		if !ok || j == nil || index >= len(j.tasks) || j.tasks[index].attempts() != ref.Attempt {
+			continue
+		}
+		d := m.delegations[taskKey{job: j, index: index}]
+		if d != nil && !d.running {
+			d.running = true
+			j.running++
+		}
+	}
+}
