--- /dev/null
+++ b/internal/dev/callers.go
@@ -0,0 +1,156 @@
+package dev
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+)
+
+const (
+	callerTimeout    = 5 * time.Second
+	callInterval     = 5 * time.Millisecond
+	nonIdempotentPct = 30
+	headerOutcome    = "Fuchsiahill-Outcome"
+	headerRequestID  = "Fuchsiahill-Request-Id"
+	headerIdempotent = "Fuchsiahill-Idempotent"
+	outcomeAnswered  = "answered"
+	outcomeNotRun    = "not-run"
+)
+
+// addresses tells where callers may send to, as the platform's balancer does:
+// the entry hosts whose readiness probe answers.
+type addresses func() []string
+
+// call is one request as its caller saw it.
+type call struct {
+	id         string
+	idempotent bool
+	outcome    string // of the header, "" without an answer
+	whole      bool   // the body answers this request
+	latency    time.Duration
+}
+
+// tally collects calls. Safe for concurrent use.
+type tally struct {
+	mu    sync.Mutex
+	calls []call
+}
+
+func (t *tally) add(c call) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.calls = append(t.calls, c)
+}
+
+// result counts the calls; runs tells how often servers ran each request.
+func (t *tally) result(runs map[string]int) (Requests, Latency) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := Requests{Sent: len(t.calls)}
+	var latencies []time.Duration
+	for _, c := range t.calls {
+		switch c.outcome {
+		case outcomeAnswered:
+			r.Answered++
+			latencies = append(latencies, c.latency)
+		case outcomeNotRun:
+			r.Refused++
+		default:
+			r.Unknown++
+		}
+		if c.wrong(runs[c.id]) {
+			r.Wrong++
+		}
+	}
+	return r, quantiles(latencies)
+}
+
+func (c call) wrong(runs int) bool {
+	switch {
+	case c.outcome == outcomeAnswered && !c.whole:
+		return true
+	case c.outcome == outcomeNotRun && runs > 0:
+		return true
+	default:
+		return !c.idempotent && runs > 1
+	}
+}
+
+// caller sends requests one after the other until ctx ends.
+type caller struct {
+	service   fleet.Service
+	addresses addresses
+	client    *http.Client
+	random    *rand.Rand
+	tally     *tally
+}
+
+func newCaller(service fleet.Service, a addresses, t *tally, seed uint64) *caller {
+	return &caller{
+		service:   service,
+		addresses: a,
+		client:    &http.Client{Timeout: callerTimeout, Transport: &http.Transport{}},
+		random:    rand.New(rand.NewPCG(seed, seed)),
+		tally:     t,
+	}
+}
+
+func (c *caller) run(ctx context.Context) {
+	ticker := time.NewTicker(callInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			c.client.CloseIdleConnections()
+			return
+		case <-ticker.C:
+			if known := c.addresses(); len(known) > 0 {
+				c.tally.add(c.send(known[c.random.IntN(len(known))]))
+			}
+		}
+	}
+}
+
+// send makes one request. It is not cut short when the load ends, so that
+// the run judges only finished exchanges.
+func (c *caller) send(address string) call {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return call{}
+	}
+	result := call{id: id.String(), idempotent: c.random.IntN(100) >= nonIdempotentPct}
+	body := fmt.Sprintf("invoice %s", id)
+	url := fmt.Sprintf("http://%s/svc/%s/check", address, c.service)
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return result
+	}
+	req.GetBody = nil // the transport must not send it again
+	req.Header.Set(headerRequestID, result.id)
+	req.Header.Set(headerIdempotent, fmt.Sprint(result.idempotent))
+	start := time.Now()
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return result
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return result
+	}
+	result.latency = time.Since(start)
+	result.outcome = resp.Header.Get(headerOutcome)
+	want := fmt.Sprintf(" request=%s body=%s\n", result.id, body)
+	result.whole = strings.HasPrefix(string(text), "server=") && strings.HasSuffix(string(text), want)
+	return result
+}
--- /dev/null
+++ b/internal/dev/jobs.go
@@ -0,0 +1,111 @@
+package dev
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/job"
+)
+
+const (
+	submitInterval = 400 * time.Millisecond
+	tasksPerJob    = 3
+	pollInterval   = 200 * time.Millisecond
+)
+
+// submissions submits jobs and remembers the acknowledged ones. Safe for
+// concurrent use.
+type submissions struct {
+	service func() job.Service // of any entry host that is up
+	org     fleet.Organisation
+	team    fleet.Team
+
+	mu    sync.Mutex
+	acked []fleet.JobID
+}
+
+// run submits a job every submitInterval until ctx ends, and repeats a
+// submission whose outcome is unknown under the same ID.
+func (s *submissions) run(ctx context.Context) {
+	ticker := time.NewTicker(submitInterval)
+	defer ticker.Stop()
+	for n := 1; ; n++ {
+		s.submit(ctx, fleet.JobID(fmt.Sprintf("claims-%d", n)))
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *submissions) submit(ctx context.Context, id fleet.JobID) {
+	spec := job.Spec{
+		ID:           id,
+		Organisation: s.org,
+		Team:         s.team,
+		Class:        "invoice-check",
+		Tasks:        tasksPerJob,
+		Resources:    fleet.Resources{MilliCores: 2_000, MemoryMB: 2_000},
+		Command:      "check-invoices",
+	}
+	for ctx.Err() == nil {
+		_, err := s.service().Submit(ctx, spec)
+		if err == nil {
+			s.mu.Lock()
+			s.acked = append(s.acked, id)
+			s.mu.Unlock()
+			return
+		}
+		var invalid *job.InvalidError
+		if errors.As(err, &invalid) {
+			return
+		}
+		pause(ctx, pollInterval)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (s *submissions) ids() []fleet.JobID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]fleet.JobID(nil), s.acked...)
+}
+
+// tasks returns the IDs of all tasks of acknowledged jobs.
+func (s *submissions) tasks() []fleet.TaskID {
+	var tasks []fleet.TaskID
+	for _, id := range s.ids() {
+		for i := range tasksPerJob {
+			tasks = append(tasks, fleet.TaskID(fmt.Sprintf("%s/%d", id, i)))
+		}
+	}
+	return tasks
+}
+
+// drain waits until every acknowledged job is in a final state, or ctx ends.
+// It reports whether all are.
+func (s *submissions) drain(ctx context.Context) bool {
+	left := s.ids()
+	for ctx.Err() == nil && len(left) > 0 {
+		status, err := s.service().Get(ctx, s.team, left[0])
+		if err == nil && status.State.Final() {
+			left = left[1:]
+			continue
+		}
+		pause(ctx, pollInterval)
+	}
+	return len(left) == 0
+}
--- /dev/null
+++ b/internal/dev/report.go
@@ -0,0 +1,141 @@
+package dev
+
+import (
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+)
+
+// Report is the verdict on a run.
+type Report struct {
+	Requests               Requests `json:"requests"`
+	LatencyMS              Latency  `json:"latency_ms"`
+	Tasks                  Tasks    `json:"tasks"`
+	OverCapacity           int      `json:"over_capacity"`
+	StartsInDataCentreOut  int      `json:"starts_in_data_centre_out"`
+	Faults                 []string `json:"faults,omitempty"`
+	DrainedWithinBound     bool     `json:"drained_within_bound"`
+	UnfinishedAfterDrainMS int64    `json:"drain_ms"`
+}
+
+// Requests counts requests by outcome as the callers saw it. Wrong counts
+// answers that were not the whole answer to the caller's own request,
+// refusals called "not run" that a server ran, and requests marked
+// non-idempotent that ran more than once.
+type Requests struct {
+	Sent     int `json:"sent"`
+	Answered int `json:"answered"`
+	Refused  int `json:"refused"`
+	Unknown  int `json:"unknown"`
+	Wrong    int `json:"wrong"`
+}
+
+// Latency holds quantiles of answered requests in milliseconds.
+type Latency struct {
+	P50 float64 `json:"p50"`
+	P99 float64 `json:"p99"`
+}
+
+// Tasks counts tasks. Lost tasks were acknowledged and had not finished when
+// the run had drained. Doubled ones finished or started again after they had
+// finished; overlapping ones ran in two places at once.
+type Tasks struct {
+	Submitted   int `json:"submitted"`
+	Finished    int `json:"finished"`
+	Lost        int `json:"lost"`
+	Doubled     int `json:"doubled"`
+	Overlapping int `json:"overlapping"`
+}
+
+// OK reports whether every promise held.
+func (r Report) OK() bool {
+	return r.Requests.Wrong == 0 &&
+		r.Tasks.Lost == 0 &&
+		r.Tasks.Doubled == 0 &&
+		r.Tasks.Overlapping == 0 &&
+		r.OverCapacity == 0 &&
+		r.StartsInDataCentreOut == 0
+}
+
+// BrokenPromiseError reports a run in which a promise did not hold.
+type BrokenPromiseError struct{ Report Report }
+
+func (e *BrokenPromiseError) Error() string { return "dev: a promise was broken during the run" }
+
+// judge builds the verdict from the callers' tally and the stand-ins'
+// records.
+func judge(site *standin.Site, calls *tally, jobs *submissions) Report {
+	violations := site.Records.Violations()
+	requests, latency := calls.result(runsByRequest(site.Backends))
+	return Report{
+		Requests:              requests,
+		LatencyMS:             latency,
+		Tasks:                 judgeTasks(site.Records.Runs(), violations, jobs.tasks()),
+		OverCapacity:          len(violations.OverCapacity) + overfullBackends(site.Backends),
+		StartsInDataCentreOut: len(violations.StartedOut),
+	}
+}
+
+func judgeTasks(runs []standin.Record, v standin.Violations, submitted []fleet.TaskID) Tasks {
+	finished := make(map[fleet.TaskID]int)
+	for _, r := range runs {
+		if r.State == platform.TaskFinished {
+			finished[r.Task]++
+		}
+	}
+	t := Tasks{Submitted: len(submitted), Doubled: len(v.Doubled), Overlapping: len(v.Overlapping)}
+	for _, id := range submitted {
+		switch n := finished[id]; {
+		case n == 0:
+			t.Lost++
+		case n > 1:
+			t.Doubled++
+			t.Finished++
+		default:
+			t.Finished++
+		}
+	}
+	return t
+}
+
+func overfullBackends(backends []*standin.Backend) int {
+	over := 0
+	for _, b := range backends {
+		stats := b.Stats()
+		if stats.MaxRequests > b.Info().Slots || stats.MaxConnections > b.Info().Connections {
+			over++
+		}
+	}
+	return over
+}
+
+func runsByRequest(backends []*standin.Backend) map[string]int {
+	runs := make(map[string]int)
+	for _, b := range backends {
+		for _, r := range b.Stats().Requests {
+			runs[r.ID]++
+		}
+	}
+	return runs
+}
+
+func quantiles(latencies []time.Duration) Latency {
+	h := hdrhistogram.New(1, time.Minute.Microseconds(), 3)
+	for _, d := range latencies {
+		_ = h.RecordValue(min(d, time.Minute).Microseconds()) // cannot exceed the range
+	}
+	ms := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return Latency{P50: ms(50), P99: ms(99)}
+}
+
+// sortedFaults returns a copy in order, for stable output.
+func sortedFaults(faults []string) []string {
+	sorted := slices.Clone(faults)
+	slices.Sort(sorted)
+	return sorted
+}
