--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,232 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/rotisserie/eris"
+	"reflect"
+
+	"github.com/fuchsiahill/fuchsiahill/auth"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/strictjson"
+)
+
+// Defaults.
+const (
+	DefaultHTTPAddress      = "127.0.0.1:7400"
+	DefaultPeerAddress      = "127.0.0.1:7401"
+	DefaultOperatorsAddress = "127.0.0.1:7402"
+	DefaultDrainTimeout     = 30 * time.Second
+)
+
+// Host is the configuration of one entry host. Addresses are IP:port.
+type Host struct {
+	ID         fleet.HostID     `json:"id" validate:"required,max=63"`
+	Region     fleet.Region     `json:"region" validate:"required,max=63"`
+	DataCentre fleet.DataCentre `json:"data_centre" validate:"required,max=63"`
+
+	HTTPAddress      string `json:"http_address" validate:"hostport"`      // listens for callers and job callers
+	PeerAddress      string `json:"peer_address" validate:"hostport"`      // listens for other entry hosts
+	OperatorsAddress string `json:"operators_address" validate:"hostport"` // listens for operators, health and metrics
+
+	AdvertiseHTTP string `json:"advertise_http,omitempty" validate:"omitempty,hostport"` // told to others; empty: HTTPAddress
+	AdvertisePeer string `json:"advertise_peer,omitempty" validate:"omitempty,hostport"` // empty: PeerAddress
+
+	StoreURL    string `json:"store_url" validate:"required,http_url"`
+	HostListURL string `json:"host_list_url" validate:"required,http_url"`
+
+	Tokens []auth.Token `json:"tokens,omitempty" validate:"max=1000,dive"`
+	TLS    TLS          `json:"tls,omitzero"`
+
+	DrainTimeoutMS int64 `json:"drain_timeout_ms,omitempty" validate:"gte=0,lte=600000"` // 0: DefaultDrainTimeout
+}
+
+// DrainTimeout bounds a graceful shutdown.
+func (h *Host) DrainTimeout() time.Duration {
+	if h.DrainTimeoutMS == 0 {
+		return DefaultDrainTimeout
+	}
+	return time.Duration(h.DrainTimeoutMS) * time.Millisecond
+}
+
+// AdvertisedHTTP returns the address for callers and operators that other
+// hosts learn.
+func (h *Host) AdvertisedHTTP() string { return firstOf(h.AdvertiseHTTP, h.HTTPAddress) }
+
+// AdvertisedPeer returns the address for peers that other hosts learn.
+func (h *Host) AdvertisedPeer() string { return firstOf(h.AdvertisePeer, h.PeerAddress) }
+
+func firstOf(a, b string) string {
+	if a != "" {
+		return a
+	}
+	return b
+}
+
+// FileError reports a file that can't be read.
+type FileError struct {
+	Path  string
+	Cause error
+}
+
+func (e *FileError) Error() string { return fmt.Sprintf("config: file %s: %v", e.Path, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *FileError) Unwrap() error { return e.Cause }
+
+// InvalidError reports a value that can't be used.
+type InvalidError struct {
+	Path   string // name of the value in the file
+	Reason string
+}
+
+func (e *InvalidError) Error() string {
+	if e.Path == "" {
+		return "config: " + e.Reason
+	}
+	return fmt.Sprintf("config: %s: %s", e.Path, e.Reason)
+}
+
+// ExposedError reports an address beyond loopback although no token is
+// configured.
+type ExposedError struct {
+	Path    string
+	Address string
+}
+
+func (e *ExposedError) Error() string {
+	return fmt.Sprintf("config: %s: %s is not a loopback address, which needs tokens", e.Path, e.Address)
+}
+
+func invalid(path, reason string) error {
+	return eris.Wrap(&InvalidError{Path: path, Reason: reason}, "config")
+}
+
+// Default returns the values that a file, the environment and flags override.
+func Default() *Host {
+	return &Host{
+		HTTPAddress:      DefaultHTTPAddress,
+		PeerAddress:      DefaultPeerAddress,
+		OperatorsAddress: DefaultOperatorsAddress,
+	}
+}
+
+// Decode decodes a file over the defaults. It does not validate. Errors are
+// *InvalidError.
+func Decode(data []byte) (*Host, error) {
+	h := Default()
+	if err := strictjson.Decode(data, h); err != nil {
+		var value *strictjson.ValueError
+		if errors.As(err, &value) {
+			return nil, invalid(value.Path, value.Reason)
+		}
+		return nil, invalid("", eris.Cause(err).Error())
+	}
+	return h, nil
+}
+
+// ReadFile is Decode of a file.
+func ReadFile(path string) (*Host, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(&FileError{Path: path, Cause: err}, "config")
+	}
+	return Decode(data)
+}
+
+// Validate checks the whole configuration. Errors are *InvalidError,
+// *ExposedError or *auth.InvalidTokenError.
+func (h *Host) Validate() error {
+	if err := newValidator().Struct(h); err != nil {
+		return validationError(err)
+	}
+	if _, err := auth.NewTokens(h.Tokens); err != nil {
+		return err
+	}
+	if err := h.TLS.validate(); err != nil {
+		return err
+	}
+	return h.checkExposure()
+}
+
+func (h *Host) checkExposure() error {
+	if len(h.Tokens) > 0 {
+		return nil
+	}
+	addresses := []struct{ path, address string }{
+		{"http_address", h.HTTPAddress},
+		{"operators_address", h.OperatorsAddress},
+		{"peer_address", h.PeerAddress},
+	}
+	for _, a := range addresses {
+		if !isLoopback(a.address) {
+			return eris.Wrap(&ExposedError{Path: a.path, Address: a.address}, "config")
+		}
+	}
+	return nil
+}
+
+func isLoopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return false
+	}
+	ip, err := netip.ParseAddr(host)
+	return err == nil && ip.IsLoopback()
+}
+
+func newValidator() *validator.Validate {
+	v := validator.New()
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		name, _ := strictjson.FieldName(f)
+		return name
+	})
+	// Registration fails only for an empty tag or function.
+	_ = v.RegisterValidation("hostport", func(fl validator.FieldLevel) bool {
+		_, err := netip.ParseAddrPort(fl.Field().String())
+		return err == nil
+	})
+	return v
+}
+
+func validationError(err error) error {
+	var fields validator.ValidationErrors
+	if !errors.As(err, &fields) || len(fields) == 0 {
+		return invalid("", err.Error())
+	}
+	return invalid(pathOf(fields[0].Namespace()), reasonOf(fields[0]))
+}
+
+func pathOf(namespace string) string {
+	for i, c := range namespace {
+		if c == '.' {
+			return namespace[i+1:]
+		}
+	}
+	return namespace
+}
+
+func reasonOf(f validator.FieldError) string {
+	switch f.Tag() {
+	case "required", "required_if":
+		return "missing"
+	case "hostport":
+		return fmt.Sprintf("%q is not IP:port", f.Value())
+	case "http_url":
+		return fmt.Sprintf("%q is not an http or https URL", f.Value())
+	case "oneof":
+		return fmt.Sprintf("%v is not one of: %s", f.Value(), f.Param())
+	case "max", "lte":
+		return "above the limit of " + f.Param()
+	case "gte":
+		return "below " + f.Param()
+	default:
+		return "not valid (" + f.Tag() + " " + f.Param() + ")"
+	}
+}
--- /dev/null
+++ b/settings/change.go
@@ -0,0 +1,181 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/fuchsiahill/fuchsiahill/store"
+)
+
+// Change is one change of the tree.
+type Change struct {
+	ID     string          // unique to this change; a UUIDv7, so that it is recognised however old
+	Who    string          // for the audit trail
+	Path   string          // names joined by dots
+	Value  json.RawMessage // nil unsets the path
+	Expect store.Revision  // the change is made against this revision; 0: the newest
+}
+
+const (
+	maxIDLength   = 64
+	maxWhoLength  = 128
+	maxPathLength = 512
+)
+
+func (c Change) check() error {
+	switch {
+	case c.ID == "" || len(c.ID) > maxIDLength || strings.ContainsAny(c.ID, "/ \n"):
+		return invalidChange("change ID", fmt.Sprintf("must be 1 to %d characters without slash or space", maxIDLength))
+	case c.Who == "" || len(c.Who) > maxWhoLength:
+		return invalidChange("who", fmt.Sprintf("must be 1 to %d characters", maxWhoLength))
+	case c.Path == "" || len(c.Path) > maxPathLength:
+		return invalidChange("path", fmt.Sprintf("must be 1 to %d characters", maxPathLength))
+	case len(c.Value) > MaxChangeBytes:
+		return invalidChange(c.Path, fmt.Sprintf("value has %d bytes, the limit is %d", len(c.Value), MaxChangeBytes))
+	}
+	return nil
+}
+
+func invalidChange(path, reason string) error {
+	return eris.Wrap(&InvalidError{Path: path, Reason: reason}, "change")
+}
+
+// same reports whether a record is that of c, so that c was applied before.
+func (c Change) same(r Record) bool {
+	return r.Path == c.Path && compact(r.New) == compact(c.Value)
+}
+
+func compact(value json.RawMessage) string {
+	var v any
+	if json.Unmarshal(value, &v) != nil {
+		return string(value)
+	}
+	data, err := json.Marshal(v)
+	if err != nil {
+		return string(value)
+	}
+	return string(data)
+}
+
+// apply returns the tree after c, and the audit record.
+func (c Change) apply(t *Tree, predecessor store.Revision, now time.Time) (*Tree, Record, error) {
+	root, err := generic(t)
+	if err != nil {
+		return nil, Record{}, err
+	}
+	old, err := replace(root, c.Path, c.Value)
+	if err != nil {
+		return nil, Record{}, err
+	}
+	data, err := json.Marshal(root)
+	if err != nil {
+		return nil, Record{}, invalidChange(c.Path, err.Error())
+	}
+	next, err := Decode(data)
+	if err != nil {
+		return nil, Record{}, err
+	}
+	if err := checkImmutable(t, next); err != nil {
+		return nil, Record{}, err
+	}
+	rec := Record{ID: c.ID, Who: c.Who, When: now.UTC(), Path: c.Path, Old: old, New: c.Value, Predecessor: predecessor}
+	return next, rec, nil
+}
+
+// node is a JSON object whose members are not decoded further.
+type node map[string]json.RawMessage
+
+func generic(t *Tree) (node, error) {
+	data, err := t.Encode()
+	if err != nil {
+		return nil, err
+	}
+	var n node
+	if err := json.Unmarshal(data, &n); err != nil {
+		return nil, invalidChange("", err.Error())
+	}
+	return n, nil
+}
+
+// replace sets the value at path below n, or removes it if value is nil, and
+// returns what was there. It creates the levels on the way to a new value.
+func replace(n node, path string, value json.RawMessage) (json.RawMessage, error) {
+	name, rest, deeper := strings.Cut(path, ".")
+	if name == "" {
+		return nil, invalidChange(path, "empty name in path")
+	}
+	old, had := n[name]
+	if !had && value == nil {
+		return nil, eris.Wrap(&NotFoundError{Path: path}, "change")
+	}
+	if !deeper {
+		return old, replaceMember(n, name, value, old)
+	}
+	child := node{}
+	if had && json.Unmarshal(old, &child) != nil {
+		return nil, invalidChange(path, "goes below a value")
+	}
+	below, err := replace(child, rest, value)
+	if err != nil {
+		return nil, err
+	}
+	data, err := json.Marshal(child)
+	if err != nil {
+		return nil, invalidChange(path, err.Error())
+	}
+	n[name] = data
+	return below, nil
+}
+
+func replaceMember(n node, name string, value, old json.RawMessage) error {
+	if len(old) > MaxChangeBytes {
+		return invalidChange(name, fmt.Sprintf("replaces %d bytes, the limit is %d; change a smaller part", len(old), MaxChangeBytes))
+	}
+	if value == nil {
+		delete(n, name)
+		return nil
+	}
+	if !json.Valid(value) {
+		return invalidChange(name, "value is not valid JSON")
+	}
+	n[name] = value
+	return nil
+}
+
+// checkImmutable refuses to change or remove what shards are named after:
+// their journals and the work in them would be stranded.
+func checkImmutable(old, next *Tree) error {
+	for name, was := range old.DataCentres {
+		path := "data_centres." + string(name)
+		is := next.DataCentres[name]
+		switch {
+		case is == nil:
+			return immutable(path)
+		case is.Cells != was.Cells:
+			return immutable(path + ".cells")
+		case is.Region != was.Region:
+			return immutable(path + ".region")
+		}
+	}
+	for name, was := range old.Teams {
+		path := "teams." + string(name)
+		is := next.Teams[name]
+		switch {
+		case is == nil:
+			return immutable(path)
+		case is.Shards != was.Shards:
+			return immutable(path + ".shards")
+		case is.Organisation != was.Organisation:
+			return immutable(path + ".organisation")
+		}
+	}
+	return nil
+}
+
+func immutable(path string) error {
+	return eris.Wrap(&ImmutableError{Path: path}, "change")
+}
--- /dev/null
+++ b/settings/editor.go
@@ -0,0 +1,218 @@
+package settings
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/rotisserie/eris"
+
+	"github.com/fuchsiahill/fuchsiahill/store"
+)
+
+const (
+	// resolveTimeout bounds how long Apply asks for the result of a write
+	// whose reply was lost.
+	resolveTimeout     = 5 * time.Second
+	resolveRetryFirst  = 20 * time.Millisecond
+	resolveRetryLimit  = 500 * time.Millisecond
+	maxResolveAttempts = 1000
+)
+
+// Editor changes the tree in the store. It is safe for concurrent use; any
+// number of editors may run at once.
+type Editor struct {
+	store   store.Store
+	now     func() time.Time
+	applied func(value []byte, revision store.Revision)
+}
+
+// NewEditor returns an Editor that takes the time of audit records from now.
+func NewEditor(s store.Store, now func() time.Time) *Editor {
+	return &Editor{store: s, now: now, applied: func([]byte, store.Revision) {}}
+}
+
+// OnApplied makes the editor report the stored value of each change that it
+// has applied, for example to a Tracker. Call it before the first Apply.
+func (e *Editor) OnApplied(f func(value []byte, revision store.Revision)) { e.applied = f }
+
+// state is the tree's document at one revision.
+type state struct {
+	doc      *document
+	revision store.Revision
+}
+
+// Apply makes a change and returns its audit record. A change whose ID was
+// applied before has no effect and gets the record of the first time. Errors
+// are *InvalidError, *ImmutableError, *NotFoundError, *ConflictError,
+// *ReusedIDError, *UnavailableError, *UnknownOutcomeError, *CorruptError or
+// *store.TooLargeError; only after an *UnknownOutcomeError may the change
+// have been applied.
+func (e *Editor) Apply(ctx context.Context, c Change) (Record, error) {
+	if err := c.check(); err != nil {
+		return Record{}, err
+	}
+	cur, err := e.load(ctx, 0)
+	if err != nil {
+		return Record{}, err
+	}
+	if rec, done, err := e.recognise(ctx, cur, c); done || err != nil {
+		return rec, err
+	}
+	if c.Expect != 0 && c.Expect != cur.revision {
+		return Record{}, conflict(c.Expect, cur)
+	}
+	tree, rec, err := c.apply(cur.doc.Tree, cur.revision, e.now())
+	if err != nil {
+		return Record{}, err
+	}
+	next, err := e.roll(ctx, cur, rec)
+	if err != nil {
+		return Record{}, err
+	}
+	next.Tree = tree
+	value, err := next.encode()
+	if err != nil {
+		return Record{}, err
+	}
+	return e.write(ctx, c, cur.revision, value, rec)
+}
+
+func conflict(expect store.Revision, cur state) error {
+	return eris.Wrap(&ConflictError{Expect: expect, Actual: cur.revision, Winner: cur.doc.newest()}, "apply")
+}
+
+// load reads the document at a revision of at least floor. A read below it
+// is stale and tried again.
+func (e *Editor) load(ctx context.Context, floor store.Revision) (state, error) {
+	retry := newRetry()
+	for range maxResolveAttempts {
+		cur, err := e.read(ctx)
+		if err != nil || cur.revision >= floor {
+			return cur, err
+		}
+		if err := pause(ctx, retry.NextBackOff()); err != nil {
+			return state{}, unavailable(err)
+		}
+	}
+	return state{}, unavailable(&store.ConflictError{Key: TreeKey, Expect: floor})
+}
+
+func (e *Editor) read(ctx context.Context) (state, error) {
+	entry, err := e.store.Get(ctx, TreeKey)
+	var missing *store.NotFoundError
+	switch {
+	case errors.As(err, &missing):
+		return state{doc: &document{Tree: Default()}}, nil
+	case err != nil:
+		return state{}, unavailable(err)
+	}
+	doc, err := decodeDocument(entry.Value, entry.Revision)
+	if err != nil {
+		return state{}, err
+	}
+	return state{doc: doc, revision: entry.Revision}, nil
+}
+
+func unavailable(err error) error {
+	return eris.Wrap(&UnavailableError{Cause: err}, "settings")
+}
+
+func newRetry() *backoff.ExponentialBackOff {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval = resolveRetryFirst
+	retry.MaxInterval = resolveRetryLimit
+	return retry
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// write swaps the document and resolves a lost reply to the true result.
+//
+// The same bytes are written against the same revision each time, so of the
+// first write, should it be delayed, and its repetitions at most one is
+// applied.
+func (e *Editor) write(ctx context.Context, c Change, expect store.Revision, value []byte, rec Record) (Record, error) {
+	revision, err := e.store.CompareAndSwap(ctx, TreeKey, expect, value, 0)
+	if isUnknown(err) {
+		revision, err = e.resolve(ctx, c, expect, value, err)
+	}
+	if err == nil {
+		rec.Revision = revision
+		e.applied(value, revision)
+		return rec, nil
+	}
+	return e.lost(ctx, c, expect, err)
+}
+
+// isUnknown reports whether a write that ended with err may have been
+// applied.
+func isUnknown(err error) bool {
+	var (
+		conflict    *store.ConflictError
+		unavailable *store.UnavailableError
+		tooLarge    *store.TooLargeError
+		bad         *store.BadRequestError
+	)
+	switch {
+	case err == nil, errors.As(err, &conflict), errors.As(err, &unavailable):
+		return false
+	case errors.As(err, &tooLarge), errors.As(err, &bad):
+		return false
+	}
+	return true
+}
+
+// resolve repeats a write with an unknown outcome until the store tells the
+// result or the time is over.
+func (e *Editor) resolve(ctx context.Context, c Change, expect store.Revision, value []byte, cause error) (store.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
+	defer cancel()
+	retry := newRetry()
+	for pause(ctx, retry.NextBackOff()) == nil {
+		cur, err := e.read(ctx)
+		if err != nil {
+			continue
+		}
+		if rec, ok := cur.doc.find(c.ID); ok {
+			return rec.Revision, nil
+		}
+		revision, err := e.store.CompareAndSwap(ctx, TreeKey, expect, value, 0)
+		var lost *store.ConflictError
+		if err == nil || errors.As(err, &lost) {
+			return revision, err
+		}
+	}
+	return 0, eris.Wrap(&UnknownOutcomeError{ID: c.ID, Cause: cause}, "apply")
+}
+
+// lost explains a write that was not applied, or that conflicts with an
+// earlier delivery of itself.
+func (e *Editor) lost(ctx context.Context, c Change, expect store.Revision, err error) (Record, error) {
+	var raced *store.ConflictError
+	var down *store.UnavailableError
+	switch {
+	case errors.As(err, &down):
+		return Record{}, unavailable(err)
+	case !errors.As(err, &raced):
+		return Record{}, err
+	}
+	cur, loadErr := e.load(ctx, raced.Actual)
+	if loadErr != nil {
+		return Record{}, eris.Wrap(&UnknownOutcomeError{ID: c.ID, Cause: loadErr}, "apply")
+	}
+	if rec, done, err := e.recognise(ctx, cur, c); done || err != nil {
+		return rec, err
+	}
+	return Record{}, conflict(expect, cur)
+}
--- /dev/null
+++ b/settings/errors.go
@@ -0,0 +1,115 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/fuchsiahill/fuchsiahill/internal/strictjson"
+	"github.com/fuchsiahill/fuchsiahill/store"
+)
+
+// InvalidError reports a tree or change that can't be accepted.
+type InvalidError struct {
+	Path    string // names joined by dots; "" is the whole tree
+	Reason  string
+	Allowed string // range or form of the value, if it has one
+}
+
+func (e *InvalidError) Error() string {
+	text := "settings: "
+	if e.Path != "" {
+		text += e.Path + ": "
+	}
+	text += e.Reason
+	if e.Allowed != "" {
+		text += ", allowed: " + e.Allowed
+	}
+	return text
+}
+
+// ImmutableError reports a change of something that is fixed when it is
+// created, because shards of work depend on it.
+type ImmutableError struct{ Path string }
+
+func (e *ImmutableError) Error() string {
+	return fmt.Sprintf("settings: %s cannot change after its creation", e.Path)
+}
+
+// NotFoundError reports a path that is not set.
+type NotFoundError struct{ Path string }
+
+func (e *NotFoundError) Error() string { return fmt.Sprintf("settings: %s is not set", e.Path) }
+
+// ConflictError reports that another change was accepted first. Nothing was
+// applied.
+type ConflictError struct {
+	Expect store.Revision
+	Actual store.Revision
+	Winner Record // the newest accepted change
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("settings: tree is at revision %d, not %d: %s changed %s to %s",
+		e.Actual, e.Expect, e.Winner.Who, e.Winner.Path, shown(e.Winner.New))
+}
+
+// ReusedIDError reports a change ID that belongs to another change.
+type ReusedIDError struct{ First Record }
+
+func (e *ReusedIDError) Error() string {
+	return fmt.Sprintf("settings: change ID %s belongs to the change of %s by %s", e.First.ID, e.First.Path, e.First.Who)
+}
+
+// UnavailableError reports that the store can't be reached; nothing was
+// applied.
+type UnavailableError struct{ Cause error }
+
+func (e *UnavailableError) Error() string {
+	return "settings: not applied, store unavailable: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// UnknownOutcomeError reports that a change may or may not have been applied
+// and that the store could not be asked. Applying the change again under the
+// same ID tells.
+type UnknownOutcomeError struct {
+	ID    string
+	Cause error
+}
+
+func (e *UnknownOutcomeError) Error() string {
+	return fmt.Sprintf("settings: outcome of change %s unknown, repeat it under the same ID: %v", e.ID, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownOutcomeError) Unwrap() error { return e.Cause }
+
+// CorruptError reports a value in the store that can't be decoded.
+type CorruptError struct {
+	Key      string
+	Revision store.Revision
+	Cause    error
+}
+
+func (e *CorruptError) Error() string {
+	return fmt.Sprintf("settings: %s at revision %d: %v", e.Key, e.Revision, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *CorruptError) Unwrap() error { return e.Cause }
+
+func decodeError(err error) error {
+	var value *strictjson.ValueError
+	if !errors.As(err, &value) {
+		return eris.Wrap(&InvalidError{Reason: rootMessage(err)}, "decode")
+	}
+	return eris.Wrap(&InvalidError{Path: value.Path, Reason: value.Reason, Allowed: allowedAt(value.Path)}, "decode")
+}
+
+func rootMessage(err error) string {
+	return eris.Cause(err).Error()
+}
--- /dev/null
+++ b/settings/explain.go
@@ -0,0 +1,125 @@
+package settings
+
+import (
+	"fmt"
+	"reflect"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/strictjson"
+)
+
+// field is one value by its index in Values and Resolved.
+type field struct {
+	name     string
+	values   int
+	resolved int
+}
+
+var fields = pairFields()
+
+func pairFields() []field {
+	resolved := make(map[string]int)
+	for _, f := range reflect.VisibleFields(reflect.TypeFor[Resolved]()) {
+		name, _ := strictjson.FieldName(f)
+		resolved[name] = f.Index[0]
+	}
+	var paired []field
+	for _, f := range reflect.VisibleFields(reflect.TypeFor[Values]()) {
+		name, _ := strictjson.FieldName(f)
+		paired = append(paired, field{name: name, values: f.Index[0], resolved: resolved[name]})
+	}
+	return paired
+}
+
+// over returns above with the values that v sets.
+func (v *Values) over(above Resolved) Resolved {
+	from := reflect.ValueOf(v).Elem()
+	to := reflect.ValueOf(&above).Elem()
+	for _, f := range fields {
+		if p := from.Field(f.values); !p.IsNil() {
+			to.Field(f.resolved).Set(p.Elem())
+		}
+	}
+	return above
+}
+
+// Level is a level of the tree.
+type Level string
+
+// Levels, from the least to the most specific.
+const (
+	LevelDefault      Level = "default" // no level of the tree sets the value
+	LevelRoot         Level = "root"
+	LevelOrganisation Level = "organisation"
+	LevelDataCentre   Level = "data_centre"
+	LevelService      Level = "service"
+	LevelJobClass     Level = "job_class"
+)
+
+// Leaf names a leaf of the tree. Service or JobClass is empty.
+type Leaf struct {
+	Organisation fleet.Organisation `json:"organisation"`
+	DataCentre   fleet.DataCentre   `json:"data_centre"`
+	Service      fleet.Service      `json:"service,omitempty"`
+	JobClass     fleet.JobClass     `json:"job_class,omitempty"`
+}
+
+// Origin tells which level a value in force comes from.
+type Origin struct {
+	Name  string `json:"name"`
+	Value any    `json:"value"` // number
+	Level Level  `json:"level"`
+	Path  string `json:"path,omitempty"` // of the value; empty for a default
+}
+
+type step struct {
+	level  Level
+	path   string
+	values *Values
+}
+
+// Explain returns every value in force at leaf with the level it comes from,
+// in the order of the fields of Resolved.
+func (t *Tree) Explain(leaf Leaf) []Origin {
+	steps := t.steps(leaf)
+	defaults := Defaults()
+	origins := make([]Origin, 0, len(fields))
+	for _, f := range fields {
+		o := Origin{Name: f.name, Level: LevelDefault}
+		o.Value = reflect.ValueOf(defaults).Field(f.resolved).Interface()
+		for _, s := range steps {
+			p := reflect.ValueOf(s.values).Elem().Field(f.values)
+			if p.IsNil() {
+				continue
+			}
+			o.Value, o.Level = p.Elem().Interface(), s.level
+			o.Path = strictjson.Join(s.path, f.name)
+		}
+		origins = append(origins, o)
+	}
+	return origins
+}
+
+// steps returns the levels above and at leaf that the tree has.
+func (t *Tree) steps(leaf Leaf) []step {
+	steps := []step{{LevelRoot, "values", &t.Values}}
+	org := t.Organisations[leaf.Organisation]
+	if org == nil {
+		return steps
+	}
+	path := "organisations." + string(leaf.Organisation)
+	steps = append(steps, step{LevelOrganisation, path + ".values", &org.Values})
+	location := org.DataCentres[leaf.DataCentre]
+	if location == nil {
+		return steps
+	}
+	path += ".data_centres." + string(leaf.DataCentre)
+	steps = append(steps, step{LevelDataCentre, path + ".values", &location.Values})
+	if v := location.Services[leaf.Service]; v != nil {
+		steps = append(steps, step{LevelService, fmt.Sprintf("%s.services.%s", path, leaf.Service), v})
+	}
+	if v := location.JobClasses[leaf.JobClass]; v != nil {
+		steps = append(steps, step{LevelJobClass, fmt.Sprintf("%s.job_classes.%s", path, leaf.JobClass), v})
+	}
+	return steps
+}
--- /dev/null
+++ b/settings/snapshot.go
@@ -0,0 +1,131 @@
+package settings
+
+import (
+	"maps"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/store"
+)
+
+type locationKey struct {
+	organisation fleet.Organisation
+	dataCentre   fleet.DataCentre
+}
+
+type serviceKey struct {
+	locationKey
+	service fleet.Service
+}
+
+type jobClassKey struct {
+	locationKey
+	class fleet.JobClass
+}
+
+// snapshot holds the resolved values of every level that the tree names, so
+// that a lookup costs at most a few map reads. It is never changed after
+// NewSnapshot.
+type snapshot struct {
+	revision      store.Revision
+	tree          *Tree
+	dataCentres   map[fleet.DataCentre]DataCentre
+	teams         map[fleet.Team]Team
+	root          Resolved
+	organisations map[fleet.Organisation]*Resolved
+	locations     map[locationKey]*Resolved
+	services      map[serviceKey]*Resolved
+	jobClasses    map[jobClassKey]*Resolved
+}
+
+// NewSnapshot resolves every level of a valid tree. The tree must not change
+// afterwards.
+func NewSnapshot(t *Tree, revision store.Revision) Snapshot {
+	s := &snapshot{
+		revision:      revision,
+		tree:          t,
+		dataCentres:   make(map[fleet.DataCentre]DataCentre, len(t.DataCentres)),
+		teams:         make(map[fleet.Team]Team, len(t.Teams)),
+		root:          t.Values.over(Defaults()),
+		organisations: make(map[fleet.Organisation]*Resolved, len(t.Organisations)),
+		locations:     make(map[locationKey]*Resolved),
+		services:      make(map[serviceKey]*Resolved),
+		jobClasses:    make(map[jobClassKey]*Resolved),
+	}
+	for name, dc := range t.DataCentres {
+		s.dataCentres[name] = *dc
+	}
+	for name, team := range t.Teams {
+		s.teams[name] = *team
+	}
+	for name, org := range t.Organisations {
+		s.addOrganisation(name, org)
+	}
+	return s
+}
+
+func (s *snapshot) addOrganisation(name fleet.Organisation, org *Organisation) {
+	values := org.Values.over(s.root)
+	s.organisations[name] = &values
+	for dc, location := range org.DataCentres {
+		s.addLocation(locationKey{name, dc}, location, values)
+	}
+}
+
+func (s *snapshot) addLocation(key locationKey, location *Location, above Resolved) {
+	values := location.Values.over(above)
+	s.locations[key] = &values
+	for name, leaf := range location.Services {
+		resolved := leaf.over(values)
+		s.services[serviceKey{key, name}] = &resolved
+	}
+	for name, leaf := range location.JobClasses {
+		resolved := leaf.over(values)
+		s.jobClasses[jobClassKey{key, name}] = &resolved
+	}
+}
+
+// Revision implements Snapshot.
+func (s *snapshot) Revision() store.Revision { return s.revision }
+
+// DataCentres implements Snapshot. The caller gets a copy.
+func (s *snapshot) DataCentres() map[fleet.DataCentre]DataCentre { return maps.Clone(s.dataCentres) }
+
+// Teams implements Snapshot. The caller gets a copy.
+func (s *snapshot) Teams() map[fleet.Team]Team { return maps.Clone(s.teams) }
+
+// Service implements Snapshot.
+func (s *snapshot) Service(org fleet.Organisation, dc fleet.DataCentre, service fleet.Service) Resolved {
+	key := locationKey{org, dc}
+	if r, ok := s.services[serviceKey{key, service}]; ok {
+		return *r
+	}
+	return s.location(key)
+}
+
+// JobClass implements Snapshot.
+func (s *snapshot) JobClass(org fleet.Organisation, dc fleet.DataCentre, class fleet.JobClass) Resolved {
+	key := locationKey{org, dc}
+	if r, ok := s.jobClasses[jobClassKey{key, class}]; ok {
+		return *r
+	}
+	return s.location(key)
+}
+
+func (s *snapshot) location(key locationKey) Resolved {
+	if r, ok := s.locations[key]; ok {
+		return *r
+	}
+	if r, ok := s.organisations[key.organisation]; ok {
+		return *r
+	}
+	return s.root
+}
+
+// TreeOf returns the tree that a snapshot of NewSnapshot was made from, or
+// an empty one. The caller must not change it.
+func TreeOf(s Snapshot) *Tree {
+	if own, ok := s.(*snapshot); ok {
+		return own.tree
+	}
+	return Default()
+}
--- /dev/null
+++ b/settings/tracker.go
@@ -0,0 +1,330 @@
+package settings
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fuchsiahill/fuchsiahill/store"
+)
+
+const (
+	// DefaultConfirmInterval is the time between two reads that confirm the
+	// snapshot in force.
+	DefaultConfirmInterval = time.Second
+	// confirmTimeout bounds one such read. A later answer confirms nothing
+	// that is still of use.
+	confirmTimeout = 2 * time.Second
+	watchRetry     = time.Second
+)
+
+// TrackerOptions configure a Tracker.
+type TrackerOptions struct {
+	Logger          log.Logger    // nil: no logs
+	ConfirmInterval time.Duration // 0: DefaultConfirmInterval
+}
+
+// Tracker keeps the snapshot in force on this host. It learns newer ones
+// from a watch, from a conditional read in every interval and from peers, and
+// never goes back to an older one. It is safe for concurrent use.
+type Tracker struct {
+	store    store.Store
+	log      log.Logger
+	interval time.Duration
+	vars     trackerVars
+
+	// Invariants: current's revision never decreases; value is what current
+	// was decoded from; confirmedAt never decreases, and every change that
+	// the store accepted before confirmedAt is in current.
+	mu          sync.Mutex
+	current     Snapshot
+	value       []byte
+	confirmedAt time.Time
+	changed     chan struct{}
+	corrupt     *CorruptError // newest value that can't be decoded, nil if current is newer
+}
+
+var _ View = (*Tracker)(nil)
+
+type trackerVars struct {
+	all         *expvar.Map
+	revision    *expvar.Int
+	corrupt     *expvar.Int
+	confirmed   *expvar.Int
+	unconfirmed *expvar.Int
+	stale       *expvar.Int
+}
+
+func newTrackerVars() trackerVars {
+	v := trackerVars{
+		all:         new(expvar.Map).Init(),
+		revision:    new(expvar.Int),
+		corrupt:     new(expvar.Int),
+		confirmed:   new(expvar.Int),
+		unconfirmed: new(expvar.Int),
+		stale:       new(expvar.Int),
+	}
+	v.all.Set("revision", v.revision)
+	v.all.Set("corrupt_revision", v.corrupt)
+	v.all.Set("reads_confirmed", v.confirmed)
+	v.all.Set("reads_unconfirmed", v.unconfirmed)
+	v.all.Set("stale", v.stale)
+	return v
+}
+
+// NewTracker returns a Tracker with the default tree at revision 0. Serve
+// makes it follow the store.
+func NewTracker(s store.Store, opts TrackerOptions) *Tracker {
+	t := &Tracker{
+		store:    s,
+		log:      opts.Logger,
+		interval: opts.ConfirmInterval,
+		vars:     newTrackerVars(),
+		current:  NewSnapshot(Default(), 0),
+		changed:  make(chan struct{}),
+	}
+	if t.log == nil {
+		t.log = log.NewNopLogger()
+	}
+	if t.interval == 0 {
+		t.interval = DefaultConfirmInterval
+	}
+	return t
+}
+
+// Current implements View.
+func (t *Tracker) Current() Snapshot {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.current
+}
+
+// ConfirmedAt implements View. It is the time before the confirming read was
+// sent, and zero before the first one.
+func (t *Tracker) ConfirmedAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.confirmedAt
+}
+
+// Ready reports whether the store has confirmed a snapshot to this process.
+func (t *Tracker) Ready() bool { return !t.ConfirmedAt().IsZero() }
+
+// Changed returns a channel that is closed at the next change of Current.
+func (t *Tracker) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changed
+}
+
+// Stored returns what the store holds of Current, for Offer at a peer.
+func (t *Tracker) Stored() ([]byte, store.Revision) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.value, t.current.Revision()
+}
+
+// Corrupt returns the error of a newer value in the store that can't be
+// decoded, or nil.
+func (t *Tracker) Corrupt() *CorruptError {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.corrupt
+}
+
+// Vars returns the tracker's metrics.
+func (t *Tracker) Vars() *expvar.Map { return t.vars.all }
+
+// Offer gives the tracker a stored value that was learned elsewhere, for
+// example from a peer. A revision that is not above the current one has no
+// effect. It confirms nothing. The error is a *CorruptError.
+func (t *Tracker) Offer(value []byte, revision store.Revision) error {
+	if revision <= t.Current().Revision() {
+		return nil
+	}
+	doc, err := decodeDocument(value, revision)
+	if err != nil {
+		t.noteCorrupt(err)
+		return err
+	}
+	t.advance(NewSnapshot(doc.Tree, revision), value)
+	return nil
+}
+
+func (t *Tracker) advance(next Snapshot, value []byte) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	// Another goroutine may have advanced since the caller looked.
+	if next.Revision() <= t.current.Revision() {
+		return
+	}
+	t.log.Log("event", "settings_in_force", "revision", next.Revision(), "previous", t.current.Revision())
+	t.current, t.value = next, value
+	t.vars.revision.Set(int64(next.Revision()))
+	if t.corrupt != nil && t.corrupt.Revision <= next.Revision() {
+		t.corrupt = nil
+		t.vars.corrupt.Set(0)
+	}
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+func (t *Tracker) noteCorrupt(err error) {
+	var corrupt *CorruptError
+	if !errors.As(err, &corrupt) {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.corrupt != nil && t.corrupt.Revision >= corrupt.Revision {
+		return
+	}
+	t.corrupt = corrupt
+	t.vars.corrupt.Set(int64(corrupt.Revision))
+	t.log.Log("event", "settings_corrupt", "revision", corrupt.Revision, "in_force", t.current.Revision(), "err", corrupt.Cause)
+}
+
+// Serve follows the store until ctx ends.
+func (t *Tracker) Serve(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return t.confirmLoop(ctx) })
+	group.Go(func() error { return t.watchLoop(ctx) })
+	return group.Wait()
+}
+
+func (t *Tracker) confirmLoop(ctx context.Context) error {
+	ticker := time.NewTicker(t.interval)
+	defer ticker.Stop()
+	for {
+		t.confirm(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// confirm makes one read that is conditional on the newest revision seen.
+func (t *Tracker) confirm(ctx context.Context) {
+	known := t.newestSeen()
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	sent := time.Now()
+	entry, newer, err := t.store.GetNewer(ctx, TreeKey, known)
+	if !t.Ready() {
+		err = t.crossCheck(ctx, entry, err)
+	}
+	var missing *store.NotFoundError
+	switch {
+	case errors.As(err, &missing):
+		// No tree was ever accepted. The key is never deleted, so after a
+		// tree was seen the answer is stale.
+		t.confirmEqual(0, sent)
+	case err != nil:
+		t.vars.unconfirmed.Add(1)
+	case !newer:
+		t.confirmEqual(known, sent)
+	default:
+		t.confirmRead(entry, sent)
+	}
+}
+
+// crossCheck makes a second read of another kind. A process that has just
+// started knows no revision that would give a stale answer away, so it takes
+// its first one only if both reads agree. It returns err, or else the reason
+// not to use entry.
+func (t *Tracker) crossCheck(ctx context.Context, entry store.Entry, err error) error {
+	listed, _, listErr := t.store.List(ctx, TreeKey)
+	if listErr != nil {
+		return listErr
+	}
+	for _, other := range listed {
+		if other.Key == TreeKey && other.Revision != entry.Revision {
+			return &StaleReadError{Revision: entry.Revision, Newer: other.Revision}
+		}
+	}
+	return err
+}
+
+// StaleReadError reports two reads of the tree that disagree.
+type StaleReadError struct {
+	Revision store.Revision
+	Newer    store.Revision
+}
+
+func (e *StaleReadError) Error() string {
+	return fmt.Sprintf("settings: reads of the tree disagree: revisions %d and %d", e.Revision, e.Newer)
+}
+
+// newestSeen returns the highest revision that needs no transfer: the one in
+// force, or a higher one that can't be decoded.
+func (t *Tracker) newestSeen() store.Revision {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.corrupt != nil {
+		return max(t.corrupt.Revision, t.current.Revision())
+	}
+	return t.current.Revision()
+}
+
+func (t *Tracker) confirmRead(entry store.Entry, sent time.Time) {
+	if err := t.Offer(entry.Value, entry.Revision); err != nil {
+		t.vars.unconfirmed.Add(1)
+		return
+	}
+	t.confirmEqual(entry.Revision, sent)
+}
+
+// confirmEqual notes that revision was the newest one in the store at some
+// moment after sent.
+//
+// A revision below the current one may stem from before the current one was
+// accepted or from a stale read, which can't be told apart, and confirms
+// nothing. One above it could not be decoded.
+func (t *Tracker) confirmEqual(revision store.Revision, sent time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch current := t.current.Revision(); {
+	case revision < current:
+		t.vars.stale.Add(1)
+		t.vars.unconfirmed.Add(1)
+	case revision > current:
+		t.vars.unconfirmed.Add(1)
+	default:
+		t.vars.confirmed.Add(1)
+		if sent.After(t.confirmedAt) {
+			t.confirmedAt = sent
+		}
+	}
+}
+
+// watchLoop makes changes known at once. What it misses, confirmLoop finds.
+func (t *Tracker) watchLoop(ctx context.Context) error {
+	for ctx.Err() == nil {
+		events, err := t.store.Watch(ctx, TreeKey, t.newestSeen())
+		if err == nil {
+			t.follow(events)
+		}
+		if pause(ctx, watchRetry) != nil {
+			break
+		}
+	}
+	return ctx.Err()
+}
+
+func (t *Tracker) follow(events <-chan store.Event) {
+	for ev := range events {
+		if ev.Key != TreeKey || ev.Deleted {
+			continue
+		}
+		// An error is noted, and the confirming read keeps failing visibly.
+		_ = t.Offer(ev.Value, ev.Revision)
+	}
+}
--- /dev/null
+++ b/settings/tree.go
@@ -0,0 +1,105 @@
+package settings
+
+import (
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/strictjson"
+)
+
+// Values is one level's share of the values. A nil value inherits from the
+// level above. The fields mirror those of Resolved; the validate tags are the
+// allowed ranges.
+type Values struct {
+	// Requests.
+	RequestTimeoutMS   *int64   `json:"request_timeout_ms,omitempty" validate:"omitempty,gte=10,lte=600000"`
+	ObjectiveMS        *int64   `json:"objective_ms,omitempty" validate:"omitempty,gte=1,lte=600000"`
+	Concurrency        *int     `json:"concurrency,omitempty" validate:"omitempty,gte=1,lte=100000"`
+	QueueLength        *int     `json:"queue_length,omitempty" validate:"omitempty,gte=0,lte=100000"`
+	RetryBudgetPercent *float64 `json:"retry_budget_percent,omitempty" validate:"omitempty,gte=0,lte=100"`
+	FirstByteTimeoutMS *int64   `json:"first_byte_timeout_ms,omitempty" validate:"omitempty,gte=10,lte=600000"`
+	IdleTimeoutMS      *int64   `json:"idle_timeout_ms,omitempty" validate:"omitempty,gte=10,lte=600000"`
+	DialTimeoutMS      *int64   `json:"dial_timeout_ms,omitempty" validate:"omitempty,gte=10,lte=60000"`
+	BufferBytes        *int64   `json:"buffer_bytes,omitempty" validate:"omitempty,gte=0,lte=16777216"`
+
+	// Batch.
+	Priority        *int     `json:"priority,omitempty" validate:"omitempty,gte=0,lte=100"`
+	MaxAttempts     *int     `json:"max_attempts,omitempty" validate:"omitempty,gte=1,lte=1000"`
+	GraceMS         *int64   `json:"grace_ms,omitempty" validate:"omitempty,gte=0,lte=600000"`
+	WorkerLeaseMS   *int64   `json:"worker_lease_ms,omitempty" validate:"omitempty,gte=2000,lte=600000"`
+	EvictionsMinute *int     `json:"evictions_minute,omitempty" validate:"omitempty,gte=0,lte=10000"`
+	ThrottleFloor   *float64 `json:"throttle_floor,omitempty" validate:"omitempty,gte=0.01,lte=1"`
+	Aging           *float64 `json:"aging_per_minute,omitempty" validate:"omitempty,gte=0,lte=100"`
+}
+
+// Tree is the whole tree of settings. Its JSON is what operators see; paths
+// join the JSON names by dots.
+type Tree struct {
+	Values        Values                               `json:"values,omitzero"`
+	Organisations map[fleet.Organisation]*Organisation `json:"organisations,omitempty" validate:"max=64,dive,keys,name,endkeys,required"`
+	DataCentres   map[fleet.DataCentre]*DataCentre     `json:"data_centres,omitempty" validate:"max=64,dive,keys,name,endkeys,required"`
+	Teams         map[fleet.Team]*Team                 `json:"teams,omitempty" validate:"max=1000,dive,keys,name,endkeys,required"`
+}
+
+// Organisation is an organisation's level of the tree.
+type Organisation struct {
+	Values      Values                         `json:"values,omitzero"`
+	DataCentres map[fleet.DataCentre]*Location `json:"data_centres,omitempty" validate:"max=64,dive,keys,name,endkeys,required"`
+}
+
+// Location is an organisation's level for one data centre, with the services
+// and job classes as its leaves.
+type Location struct {
+	Values     Values                     `json:"values,omitzero"`
+	Services   map[fleet.Service]*Values  `json:"services,omitempty" validate:"max=1000,dive,keys,name,endkeys,required"`
+	JobClasses map[fleet.JobClass]*Values `json:"job_classes,omitempty" validate:"max=1000,dive,keys,name,endkeys,required"`
+}
+
+// Default returns the tree that is in force when the store holds none: no
+// organisations, data centres or teams, and the default of every value.
+func Default() *Tree { return &Tree{} }
+
+// Defaults returns the values that are in force where no level sets them.
+func Defaults() Resolved {
+	return Resolved{
+		RequestTimeoutMS:   10_000,
+		ObjectiveMS:        100,
+		Concurrency:        256,
+		QueueLength:        256,
+		RetryBudgetPercent: 10,
+		FirstByteTimeoutMS: 5_000,
+		IdleTimeoutMS:      5_000,
+		DialTimeoutMS:      500,
+		BufferBytes:        64 << 10,
+		Priority:           50,
+		MaxAttempts:        5,
+		GraceMS:            2_000,
+		WorkerLeaseMS:      10_000,
+		EvictionsMinute:    30,
+		ThrottleFloor:      0.1,
+		Aging:              1,
+	}
+}
+
+// Decode decodes and validates a tree. Errors are *InvalidError.
+func Decode(data []byte) (*Tree, error) {
+	t := &Tree{}
+	if err := strictjson.Decode(data, t); err != nil {
+		return nil, decodeError(err)
+	}
+	if err := t.Validate(); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+// Encode returns the JSON of the tree.
+func (t *Tree) Encode() ([]byte, error) {
+	data, err := json.Marshal(t)
+	if err != nil {
+		return nil, eris.Wrap(&InvalidError{Reason: err.Error()}, "encode")
+	}
+	return data, nil
+}
--- /dev/null
+++ b/settings/validate.go
@@ -0,0 +1,143 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"regexp"
+	"strings"
+	"sync"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/rotisserie/eris"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/strictjson"
+)
+
+// namePattern is the form of every name in the tree. It has no dot, which
+// separates the names of a path.
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]{0,62}$`)
+
+const nameForm = "1 to 63 of a-z, 0-9, - and _, beginning with a letter or digit"
+
+var newValidator = sync.OnceValue(func() *validator.Validate {
+	v := validator.New()
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		name, _ := strictjson.FieldName(f)
+		return name
+	})
+	// Registration fails only for an empty tag or function.
+	_ = v.RegisterValidation("name", func(fl validator.FieldLevel) bool {
+		return namePattern.MatchString(fl.Field().String())
+	})
+	return v
+})
+
+// allowed holds the text of the allowed range by JSON name.
+var allowed = sync.OnceValue(func() map[string]string {
+	texts := make(map[string]string)
+	types := []reflect.Type{
+		reflect.TypeFor[Values](), reflect.TypeFor[DataCentre](),
+		reflect.TypeFor[Team](), reflect.TypeFor[fleet.Resources](),
+	}
+	for _, t := range types {
+		for _, f := range reflect.VisibleFields(t) {
+			name, _ := strictjson.FieldName(f)
+			texts[name] = rangeText(f.Tag.Get("validate"))
+		}
+	}
+	return texts
+})
+
+func rangeText(tag string) string {
+	var least, most string
+	for rule := range strings.SplitSeq(tag, ",") {
+		key, param, _ := strings.Cut(rule, "=")
+		switch key {
+		case "gte":
+			least = param
+		case "lte":
+			most = param
+		case "oneof":
+			return strings.Join(strings.Fields(param), " or ")
+		case "name":
+			return nameForm
+		}
+	}
+	switch {
+	case least != "" && most != "":
+		return least + " to " + most
+	case least != "":
+		return "from " + least
+	default:
+		return ""
+	}
+}
+
+// allowedAt returns the allowed range of the value at path, or "".
+func allowedAt(path string) string {
+	return allowed()[path[strings.LastIndexByte(path, '.')+1:]]
+}
+
+// Validate checks every value, name and reference of the tree. Errors are
+// *InvalidError.
+func (t *Tree) Validate() error {
+	if err := newValidator().Struct(t); err != nil {
+		return validationError(err)
+	}
+	return t.checkReferences()
+}
+
+func validationError(err error) error {
+	var fields validator.ValidationErrors
+	if !errors.As(err, &fields) || len(fields) == 0 {
+		return eris.Wrap(&InvalidError{Reason: err.Error()}, "validate")
+	}
+	field := fields[0]
+	path := pathOf(field.Namespace())
+	e := &InvalidError{Path: path, Allowed: allowedAt(path)}
+	switch field.Tag() {
+	case "required":
+		e.Reason = "missing"
+	case "max":
+		e.Reason = "more than " + field.Param() + " entries"
+	case "name":
+		e.Reason = fmt.Sprintf("%q is not a name", field.Value())
+		e.Allowed = nameForm
+	default:
+		e.Reason = fmt.Sprintf("%v is out of range", field.Value())
+	}
+	return eris.Wrap(e, "validate")
+}
+
+// pathOf turns a validator's namespace, "Tree.teams[fuel].shards", into a
+// path, "teams.fuel.shards".
+func pathOf(namespace string) string {
+	_, path, _ := strings.Cut(namespace, ".")
+	path = strings.ReplaceAll(path, "[", ".")
+	return strings.ReplaceAll(path, "]", "")
+}
+
+// checkReferences refuses names that nothing defines: a misspelt one would
+// never be in force.
+func (t *Tree) checkReferences() error {
+	for org, o := range t.Organisations {
+		for dc := range o.DataCentres {
+			if t.DataCentres[dc] != nil {
+				continue
+			}
+			path := fmt.Sprintf("organisations.%s.data_centres.%s", org, dc)
+			return eris.Wrap(&InvalidError{Path: path, Reason: "no such data centre in data_centres"}, "validate")
+		}
+	}
+	for name, team := range t.Teams {
+		if t.Organisations[team.Organisation] != nil {
+			continue
+		}
+		path := fmt.Sprintf("teams.%s.organisation", name)
+		reason := fmt.Sprintf("no organisation %q in organisations", team.Organisation)
+		return eris.Wrap(&InvalidError{Path: path, Reason: reason}, "validate")
+	}
+	return nil
+}
