--- /dev/null
+++ b/api/handler.go
@@ -0,0 +1,251 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+
+	"github.com/fuchsiahill/fuchsiahill/auth"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/strictjson"
+	"github.com/fuchsiahill/fuchsiahill/job"
+	"github.com/fuchsiahill/fuchsiahill/member"
+	"github.com/fuchsiahill/fuchsiahill/settings"
+	"github.com/fuchsiahill/fuchsiahill/store"
+)
+
+const (
+	// maxBodyBytes limits the body of every call but the validation of a tree.
+	maxBodyBytes = 64 << 10
+	maxTreeBytes = store.MaxValueBytes
+	// callTimeout bounds a call that has no time of its own.
+	callTimeout = 10 * time.Second
+
+	maxHeaderBytes    = 16 << 10
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 30 * time.Second
+	idleTimeout       = 2 * time.Minute
+
+	requestIDHeader    = "X-Request-Id"
+	maxRequestIDLength = 64
+)
+
+// ShardLister lists the shards that the settings in force ask for, each with
+// its owner as this host knows it.
+type ShardLister interface {
+	Shards() []Shard
+}
+
+// Health tells the state of this process. Each method returns nil or the
+// reason.
+type Health interface {
+	Live() error
+	Ready() error
+}
+
+// Deps is what the handler acts on. All fields but Logger are needed.
+type Deps struct {
+	Self    fleet.HostID
+	Jobs    job.Service
+	Editor  *settings.Editor
+	View    settings.View
+	Members member.Directory
+	Shards  ShardLister
+	Health  Health
+	Tokens  *auth.Tokens
+	Logger  log.Logger // nil: no logs
+}
+
+type handler struct{ Deps }
+
+// NewHandler returns the handler of the operators' and job callers'
+// interface. It is safe for concurrent use.
+func NewHandler(d Deps) http.Handler {
+	if d.Logger == nil {
+		d.Logger = log.NewNopLogger()
+	}
+	h := &handler{d}
+	root := mux.NewRouter().UseEncodedPath()
+	root.NotFoundHandler = h.wrap(noSuchResource)
+	root.MethodNotAllowedHandler = h.wrap(methodNotAllowed)
+	root.HandleFunc("/livez", h.live).Methods(http.MethodGet)
+	root.HandleFunc("/readyz", h.ready).Methods(http.MethodGet)
+	v1 := root.PathPrefix("/v1").Subrouter()
+	v1.Use(d.Tokens.Middleware(h.fail))
+	h.routeSettings(v1)
+	h.routeFleet(v1)
+	h.routeJobs(v1)
+	return withRequestID(root)
+}
+
+// NewServer returns a server for h with limits on headers and times. The
+// caller sets the address and TLS, and serves.
+func NewServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+}
+
+// action answers one call with a value to encode or an error.
+type action func(r *http.Request) (any, error)
+
+// wrap makes an action an http.Handler: body limit, time limit, encoding,
+// log.
+func (h *handler) wrap(a action) http.HandlerFunc {
+	return h.limited(maxBodyBytes, callTimeout, a)
+}
+
+func (h *handler) limited(bytes int64, timeout time.Duration, a action) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), timeout)
+		defer cancel()
+		r = r.WithContext(ctx)
+		r.Body = http.MaxBytesReader(w, r.Body, bytes)
+		value, err := a(r)
+		if err != nil {
+			h.fail(w, r, err)
+			return
+		}
+		h.logCall(r, http.StatusOK, nil)
+		writeJSON(w, http.StatusOK, value)
+	}
+}
+
+// fail answers with an error.
+func (h *handler) fail(w http.ResponseWriter, r *http.Request, err error) {
+	e := *describe(err)
+	e.RequestID = w.Header().Get(requestIDHeader)
+	h.logCall(r, e.Status, err)
+	switch e.Status {
+	case http.StatusUnauthorized:
+		w.Header().Set("WWW-Authenticate", "Bearer")
+	case http.StatusServiceUnavailable:
+		w.Header().Set("Retry-After", e.retryAfterSeconds())
+	}
+	writeJSON(w, e.Status, &e)
+}
+
+// logCall writes the line of a call. Reads that succeed have none.
+func (h *handler) logCall(r *http.Request, status int, err error) {
+	if err == nil && r.Method == http.MethodGet {
+		return
+	}
+	fields := []any{
+		"event", "api_call", "request", requestID(r), "who", auth.FromContext(r.Context()).Name,
+		"method", r.Method, "path", r.URL.Path, "status", status,
+	}
+	if err != nil {
+		fields = append(fields, "err", err)
+	}
+	h.Logger.Log(fields...)
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		status = http.StatusInternalServerError
+		data = []byte(`{"code":"internal","message":"answer can't be encoded"}`)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	w.Write(append(data, '\n'))
+}
+
+// decodeBody decodes the JSON body of a call strictly.
+func decodeBody(r *http.Request, target any) error {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		return readError(err)
+	}
+	return strictjson.Decode(data, target)
+}
+
+func readError(err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return err
+	}
+	return invalidRequest("body", "not received whole")
+}
+
+// number returns a query parameter that must be a whole number within
+// limits, or its default if it is absent.
+func number(r *http.Request, name string, least, most, otherwise int64) (int64, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return otherwise, nil
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < least || n > most {
+		e := invalidRequest(name, "not a whole number in range")
+		e.Allowed = strconv.FormatInt(least, 10) + " to " + strconv.FormatInt(most, 10)
+		return 0, e
+	}
+	return n, nil
+}
+
+type requestIDKey struct{}
+
+func requestID(r *http.Request) string {
+	id, _ := r.Context().Value(requestIDKey{}).(string)
+	return id
+}
+
+// withRequestID gives each call an ID, the caller's if it is a sane one, and
+// returns it in the answer.
+func withRequestID(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get(requestIDHeader)
+		if !isRequestID(id) {
+			id = uuid.NewString()
+		}
+		w.Header().Set(requestIDHeader, id)
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), requestIDKey{}, id)))
+	})
+}
+
+func isRequestID(id string) bool {
+	if id == "" || len(id) > maxRequestIDLength {
+		return false
+	}
+	for _, c := range id {
+		if c <= ' ' || c > '~' || c == '"' || c == '=' {
+			return false
+		}
+	}
+	return true
+}
+
+func noSuchResource(r *http.Request) (any, error) {
+	return nil, &Error{Status: http.StatusNotFound, Code: CodeNotFound, Message: "no resource " + r.URL.Path}
+}
+
+func methodNotAllowed(r *http.Request) (any, error) {
+	message := r.Method + " is not allowed on " + r.URL.Path
+	return nil, &Error{Status: http.StatusMethodNotAllowed, Code: CodeInvalid, Message: message}
+}
+
+func (h *handler) live(w http.ResponseWriter, _ *http.Request)  { writeHealth(w, h.Health.Live()) }
+func (h *handler) ready(w http.ResponseWriter, _ *http.Request) { writeHealth(w, h.Health.Ready()) }
+
+func writeHealth(w http.ResponseWriter, err error) {
+	if err != nil {
+		writeJSON(w, http.StatusServiceUnavailable, &Error{Code: CodeUnavailable, Message: err.Error()})
+		return
+	}
+	writeJSON(w, http.StatusOK, struct {
+		OK bool `json:"ok"`
+	}{true})
+}
--- /dev/null
+++ b/api/settings.go
@@ -0,0 +1,180 @@
+package api
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/gorilla/mux"
+
+	"github.com/fuchsiahill/fuchsiahill/auth"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/settings"
+	"github.com/fuchsiahill/fuchsiahill/store"
+)
+
+const (
+	defaultHistory = 20
+	maxHistory     = 1000
+	maxRevision    = 1<<63 - 1
+)
+
+func (h *handler) routeSettings(r *mux.Router) {
+	r.HandleFunc("/settings", h.wrap(h.getSettings)).Methods(http.MethodGet)
+	r.HandleFunc("/settings", h.wrap(h.setSettings)).Methods(http.MethodPut)
+	r.HandleFunc("/settings/unset", h.wrap(h.unsetSettings)).Methods(http.MethodPost)
+	r.HandleFunc("/settings/explain", h.wrap(h.explainSettings)).Methods(http.MethodGet)
+	r.HandleFunc("/settings/validate", h.limited(maxTreeBytes, callTimeout, h.validateSettings)).Methods(http.MethodPost)
+	r.HandleFunc("/settings/history", h.wrap(h.settingsHistory)).Methods(http.MethodGet)
+	r.HandleFunc("/settings/wait", h.limited(maxBodyBytes, maxWait+callTimeout, h.wait)).Methods(http.MethodGet)
+	r.HandleFunc("/data_centres", h.wrap(h.listDataCentres)).Methods(http.MethodGet)
+	r.HandleFunc("/data_centres/{name}/state", h.wrap(h.setState)).Methods(http.MethodPut)
+}
+
+func mayRead(r *http.Request) error {
+	if auth.FromContext(r.Context()).MayRead() {
+		return nil
+	}
+	return &auth.ForbiddenError{Action: "read the state of the system"}
+}
+
+func mayWrite(r *http.Request) error {
+	if auth.FromContext(r.Context()).MayWrite() {
+		return nil
+	}
+	return &auth.ForbiddenError{Action: "change settings"}
+}
+
+func (h *handler) getSettings(r *http.Request) (any, error) {
+	if err := mayRead(r); err != nil {
+		return nil, err
+	}
+	// The time is read first: it then belongs to this snapshot or an older one.
+	confirmed := h.View.ConfirmedAt()
+	current := h.View.Current()
+	path := r.URL.Query().Get("path")
+	value, err := settings.TreeOf(current).Get(path)
+	if err != nil {
+		return nil, err
+	}
+	return SettingsValue{Revision: current.Revision(), ConfirmedAt: confirmed, Path: path, Value: value}, nil
+}
+
+func (h *handler) setSettings(r *http.Request) (any, error) {
+	var req SetRequest
+	if err := decodeBody(r, &req); err != nil {
+		return nil, err
+	}
+	if len(req.Value) == 0 {
+		return nil, invalidRequest("value", "missing")
+	}
+	return h.apply(r, settings.Change{ID: req.ID, Path: req.Path, Value: req.Value, Expect: req.Expect})
+}
+
+func (h *handler) unsetSettings(r *http.Request) (any, error) {
+	var req UnsetRequest
+	if err := decodeBody(r, &req); err != nil {
+		return nil, err
+	}
+	return h.apply(r, settings.Change{ID: req.ID, Path: req.Path, Expect: req.Expect})
+}
+
+func (h *handler) apply(r *http.Request, c settings.Change) (any, error) {
+	if err := mayWrite(r); err != nil {
+		return nil, err
+	}
+	c.Who = auth.FromContext(r.Context()).Name
+	rec, err := h.Editor.Apply(r.Context(), c)
+	if err != nil {
+		return nil, err
+	}
+	h.Logger.Log("event", "settings_changed", "request", requestID(r), "change", rec.ID, "who", rec.Who,
+		"path", rec.Path, "revision", rec.Revision)
+	return rec, nil
+}
+
+func (h *handler) explainSettings(r *http.Request) (any, error) {
+	if err := mayRead(r); err != nil {
+		return nil, err
+	}
+	q := r.URL.Query()
+	leaf := settings.Leaf{
+		Organisation: fleet.Organisation(q.Get("organisation")),
+		DataCentre:   fleet.DataCentre(q.Get("data_centre")),
+		Service:      fleet.Service(q.Get("service")),
+		JobClass:     fleet.JobClass(q.Get("job_class")),
+	}
+	if leaf.Service != "" && leaf.JobClass != "" {
+		return nil, invalidRequest("job_class", "give a service or a job class, not both")
+	}
+	current := h.View.Current()
+	origins := settings.TreeOf(current).Explain(leaf)
+	return Explanation{Revision: current.Revision(), Leaf: leaf, Values: origins}, nil
+}
+
+func (h *handler) validateSettings(r *http.Request) (any, error) {
+	if err := mayRead(r); err != nil {
+		return nil, err
+	}
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, readError(err)
+	}
+	if _, err := settings.Decode(data); err != nil {
+		return nil, err
+	}
+	return Validation{Valid: true}, nil
+}
+
+func (h *handler) settingsHistory(r *http.Request) (any, error) {
+	if err := mayRead(r); err != nil {
+		return nil, err
+	}
+	before, err := number(r, "before", 0, maxRevision, 0)
+	if err != nil {
+		return nil, err
+	}
+	limit, err := number(r, "limit", 1, maxHistory, defaultHistory)
+	if err != nil {
+		return nil, err
+	}
+	// One more than asked for tells whether there is a next page.
+	records, err := h.Editor.History(r.Context(), store.Revision(before), int(limit)+1)
+	if err != nil {
+		return nil, err
+	}
+	page := History{Records: records}
+	if len(records) > int(limit) {
+		page.Records = records[:limit]
+		page.Next = page.Records[limit-1].Revision
+	}
+	return page, nil
+}
+
+func (h *handler) listDataCentres(r *http.Request) (any, error) {
+	if err := mayRead(r); err != nil {
+		return nil, err
+	}
+	current := h.View.Current()
+	return DataCentres{Revision: current.Revision(), DataCentres: dataCentres(current)}, nil
+}
+
+func (h *handler) setState(r *http.Request) (any, error) {
+	var req StateRequest
+	if err := decodeBody(r, &req); err != nil {
+		return nil, err
+	}
+	path := "data_centres." + mux.Vars(r)["name"]
+	value, err := json.Marshal(req.State)
+	if err != nil {
+		return nil, err
+	}
+	rec, err := h.apply(r, settings.Change{ID: req.ID, Path: path + ".state", Value: value, Expect: req.Expect})
+	var invalid *settings.InvalidError
+	if errors.As(err, &invalid) && invalid.Path == path+".region" {
+		// The change would have created the data centre.
+		return nil, &settings.NotFoundError{Path: path}
+	}
+	return rec, err
+}
--- /dev/null
+++ b/command/settings.go
@@ -0,0 +1,294 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"regexp"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/fuchsiahill/fuchsiahill/api"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/settings"
+	"github.com/fuchsiahill/fuchsiahill/store"
+)
+
+const (
+	changeIDFlag = "change-id"
+	expectFlag   = "expect"
+	waitFlag     = "wait"
+	fileFlag     = "file"
+	timeoutFlag  = "timeout"
+	revisionFlag = "revision"
+
+	defaultTimeout = 10 * time.Second
+	defaultRecords = 20
+)
+
+func settingsCommand() *cli.Command {
+	return group("settings", "read and change the tree of settings",
+		settingsGet(), settingsSet(), settingsUnset(), settingsExplain(),
+		settingsValidate(), settingsHistory(), settingsWait())
+}
+
+// changeFlags are the flags of every change of settings.
+func changeFlags(own ...cli.Flag) []cli.Flag {
+	return readFlags(append(own,
+		&cli.StringFlag{Name: changeIDFlag, Usage: "`ID` of the change; give the same one to repeat it", DefaultText: "a new one"},
+		&cli.Int64Flag{Name: expectFlag, Usage: "refuse if the tree is not at this `REVISION`"},
+		&cli.DurationFlag{Name: waitFlag, Usage: "wait up to this `TIME` until it is in force on all hosts"},
+	)...)
+}
+
+func settingsGet() *cli.Command {
+	return &cli.Command{
+		Name:      "get",
+		Usage:     "print the tree in force, or a part of it",
+		ArgsUsage: "[PATH]",
+		UsageText: "fuchsiahill settings get\n" +
+			"fuchsiahill settings get values.objective_ms\n" +
+			"fuchsiahill settings get organisations.balkantrans --json",
+		Flags: readFlags(),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			if cmd.Args().Len() > 1 {
+				return &UsageError{Command: cmd.FullName(), Reason: "takes at most one path"}
+			}
+			c, err := client(cmd)
+			if err != nil {
+				return err
+			}
+			v, err := c.Settings(ctx, cmd.Args().First())
+			if err != nil {
+				return err
+			}
+			return print(cmd, v, func(w io.Writer) { fmt.Fprintln(w, indented(v.Value)) })
+		},
+	}
+}
+
+func indented(value json.RawMessage) string {
+	var v any
+	if json.Unmarshal(value, &v) != nil {
+		return string(value)
+	}
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return string(value)
+	}
+	return string(data)
+}
+
+func settingsSet() *cli.Command {
+	return &cli.Command{
+		Name:      "set",
+		Usage:     "set a path to a JSON value or a word",
+		ArgsUsage: "PATH VALUE",
+		UsageText: "fuchsiahill settings set values.objective_ms 80\n" +
+			"fuchsiahill settings set organisations.balkantrans.data_centres.sofia-1.services.reclaim.objective_ms 40 --wait 5s\n" +
+			"fuchsiahill settings set teams.fuel --file fuel.json",
+		Flags: changeFlags(&cli.StringFlag{Name: fileFlag, Usage: "take the value from `FILE`, - for standard input"}),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			path, value, err := setArguments(cmd)
+			if err != nil {
+				return err
+			}
+			return change(ctx, cmd, func(c *api.Client, id string, expect store.Revision) (settings.Record, error) {
+				return c.Set(ctx, api.SetRequest{ID: id, Path: path, Value: value, Expect: expect})
+			})
+		},
+	}
+}
+
+func setArguments(cmd *cli.Command) (string, json.RawMessage, error) {
+	file := cmd.String(fileFlag)
+	if file == "" {
+		args, err := arguments(cmd, "PATH", "VALUE")
+		if err != nil {
+			return "", nil, err
+		}
+		value, err := parseValue(cmd, args[1])
+		return args[0], value, err
+	}
+	args, err := arguments(cmd, "PATH")
+	if err != nil {
+		return "", nil, err
+	}
+	data, err := readFile(cmd, file)
+	if err != nil {
+		return "", nil, err
+	}
+	if !json.Valid(data) {
+		return "", nil, &FileError{Path: file, Cause: &ContentError{Reason: "not valid JSON"}}
+	}
+	return args[0], data, nil
+}
+
+var word = regexp.MustCompile(`^[A-Za-z][A-Za-z0-9_-]*$`)
+
+// parseValue takes JSON, or a word as a string without quotes.
+func parseValue(cmd *cli.Command, text string) (json.RawMessage, error) {
+	switch {
+	case json.Valid([]byte(text)):
+		return json.RawMessage(text), nil
+	case word.MatchString(text):
+		return json.Marshal(text)
+	}
+	return nil, &UsageError{Command: cmd.FullName(), Reason: fmt.Sprintf("VALUE %q is neither JSON nor a word", text)}
+}
+
+func settingsUnset() *cli.Command {
+	return &cli.Command{
+		Name:      "unset",
+		Usage:     "remove a path, so that it inherits from the level above",
+		ArgsUsage: "PATH",
+		UsageText: "fuchsiahill settings unset organisations.balkantrans.values.priority",
+		Flags:     changeFlags(),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			args, err := arguments(cmd, "PATH")
+			if err != nil {
+				return err
+			}
+			return change(ctx, cmd, func(c *api.Client, id string, expect store.Revision) (settings.Record, error) {
+				return c.Unset(ctx, api.UnsetRequest{ID: id, Path: args[0], Expect: expect})
+			})
+		},
+	}
+}
+
+// change makes a change, prints its record and waits if that is asked for.
+func change(ctx context.Context, cmd *cli.Command, apply func(*api.Client, string, store.Revision) (settings.Record, error)) error {
+	c, err := client(cmd)
+	if err != nil {
+		return err
+	}
+	id, err := newID(cmd.String(changeIDFlag))
+	if err != nil {
+		return err
+	}
+	rec, err := apply(c, id, store.Revision(cmd.Int64(expectFlag)))
+	if err != nil {
+		return withChangeID(err, id)
+	}
+	if err := print(cmd, rec, func(w io.Writer) { fmt.Fprintln(w, describeRecord(rec)) }); err != nil {
+		return err
+	}
+	if !cmd.IsSet(waitFlag) {
+		return nil
+	}
+	return waitFor(ctx, c, rec.Revision, cmd.Duration(waitFlag))
+}
+
+// withChangeID tells the ID under which a change of unknown outcome can be
+// repeated.
+func withChangeID(err error, id string) error {
+	if ExitCode(err) != ExitUnknown {
+		return err
+	}
+	return &UnknownChangeError{ID: id, Cause: err}
+}
+
+// UnknownChangeError reports a change that may or may not have been applied.
+type UnknownChangeError struct {
+	ID    string
+	Cause error
+}
+
+func (e *UnknownChangeError) Error() string {
+	return fmt.Sprintf("%s; repeat it with --change-id %s", message(e.Cause), e.ID)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownChangeError) Unwrap() error { return e.Cause }
+
+func describeRecord(r settings.Record) string {
+	return fmt.Sprintf("revision %d: %s: %s -> %s (change %s)", r.Revision, r.Path, valueText(r.Old), valueText(r.New), r.ID)
+}
+
+func valueText(value json.RawMessage) string {
+	if len(value) == 0 {
+		return "unset"
+	}
+	return string(value)
+}
+
+func waitFor(ctx context.Context, c *api.Client, revision store.Revision, timeout time.Duration) error {
+	w, err := c.Wait(ctx, revision, timeout)
+	if err != nil {
+		return err
+	}
+	if !w.InForce {
+		return &LaggingError{Revision: w.Revision, Laggards: w.Laggards}
+	}
+	return nil
+}
+
+func settingsExplain() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "tell which level each value in force at a leaf comes from",
+		UsageText: "fuchsiahill settings explain --organisation balkantrans --data-centre sofia-1 --service reclaim",
+		Flags: readFlags(
+			&cli.StringFlag{Name: "organisation", Usage: "`NAME`"},
+			&cli.StringFlag{Name: "data-centre", Usage: "`NAME`"},
+			&cli.StringFlag{Name: "service", Usage: "`NAME`"},
+			&cli.StringFlag{Name: "job-class", Usage: "`NAME`"},
+		),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			if _, err := arguments(cmd); err != nil {
+				return err
+			}
+			c, err := client(cmd)
+			if err != nil {
+				return err
+			}
+			e, err := c.Explain(ctx, settings.Leaf{
+				Organisation: fleet.Organisation(cmd.String("organisation")),
+				DataCentre:   fleet.DataCentre(cmd.String("data-centre")),
+				Service:      fleet.Service(cmd.String("service")),
+				JobClass:     fleet.JobClass(cmd.String("job-class")),
+			})
+			if err != nil {
+				return err
+			}
+			return print(cmd, e, func(w io.Writer) { explainText(w, e) })
+		},
+	}
+}
+
+func explainText(w io.Writer, e api.Explanation) {
+	fmt.Fprintf(w, "VALUE\tIN FORCE\tLEVEL\tPATH\n")
+	for _, o := range e.Values {
+		path := o.Path
+		if path == "" {
+			path = "-"
+		}
+		fmt.Fprintf(w, "%s\t%v\t%s\t%s\n", o.Name, o.Value, o.Level, path)
+	}
+}
+
+func settingsValidate() *cli.Command {
+	return &cli.Command{
+		Name:      "validate",
+		Usage:     "check a file with a whole tree, without a host",
+		ArgsUsage: "FILE",
+		UsageText: "fuchsiahill settings validate tree.json",
+		Flags:     readFlags(),
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			args, err := arguments(cmd, "FILE")
+			if err != nil {
+				return err
+			}
+			data, err := readFile(cmd, args[0])
+			if err != nil {
+				return err
+			}
+			if _, err := settings.Decode(data); err != nil {
+				return err
+			}
+			return print(cmd, api.Validation{Valid: true}, func(w io.Writer) { fmt.Fprintln(w, "valid") })
+		},
+	}
+}
--- a/settings/change.go
+++ b/settings/change.go
@@ -101,6 +101,27 @@
 	return n, nil
 }
 
+// Get returns the JSON at a path of the tree, the whole tree for "". Errors
+// are *InvalidError or *NotFoundError.
+func (t *Tree) Get(path string) (json.RawMessage, error) {
+	value, err := t.Encode()
+	if err != nil || path == "" {
+		return value, err
+	}
+	for name := range strings.SplitSeq(path, ".") {
+		var n node
+		if json.Unmarshal(value, &n) != nil {
+			return nil, eris.Wrap(&NotFoundError{Path: path}, "get")
+		}
+		below, ok := n[name]
+		if !ok {
+			return nil, eris.Wrap(&NotFoundError{Path: path}, "get")
+		}
+		value = below
+	}
+	return value, nil
+}
+
 // replace sets the value at path below n, or removes it if value is nil, and
 // returns what was there. It creates the levels on the way to a new value.
 func replace(n node, path string, value json.RawMessage) (json.RawMessage, error) {
