Give a team a region

Cause: the queue shards of a team had no region, so with one store for two regions the hosts of both would have claimed them in turn. A team now names the region whose hosts own its queue shards; it can't change, and some data centre must be in it.

--- a/settings/change.go
+++ b/settings/change.go
@@ -192,6 +192,8 @@
 			return immutable(path + ".shards")
 		case is.Organisation != was.Organisation:
 			return immutable(path + ".organisation")
+		case is.Region != was.Region:
+			return immutable(path + ".region")
 		}
 	}
 	return nil
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -132,12 +132,25 @@
 		}
 	}
 	for name, team := range t.Teams {
-		if t.Organisations[team.Organisation] != nil {
-			continue
+		if t.Organisations[team.Organisation] == nil {
+			path := fmt.Sprintf("teams.%s.organisation", name)
+			reason := fmt.Sprintf("no organisation %q in organisations", team.Organisation)
+			return eris.Wrap(&InvalidError{Path: path, Reason: reason}, "validate")
+		}
+		if !t.hasRegion(team.Region) {
+			path := fmt.Sprintf("teams.%s.region", name)
+			reason := fmt.Sprintf("no data centre of region %q in data_centres", team.Region)
+			return eris.Wrap(&InvalidError{Path: path, Reason: reason}, "validate")
 		}
-		path := fmt.Sprintf("teams.%s.organisation", name)
-		reason := fmt.Sprintf("no organisation %q in organisations", team.Organisation)
-		return eris.Wrap(&InvalidError{Path: path, Reason: reason}, "validate")
 	}
 	return nil
 }
+
+func (t *Tree) hasRegion(region fleet.Region) bool {
+	for _, dc := range t.DataCentres {
+		if dc.Region == region {
+			return true
+		}
+	}
+	return false
+}
--- a/settings/values.go
+++ b/settings/values.go
@@ -53,6 +53,7 @@
 // Team is the entry of one team: its home and quota.
 type Team struct {
 	Organisation fleet.Organisation `json:"organisation" validate:"required"`
+	Region       fleet.Region       `json:"region" validate:"required"` // whose hosts own the team's queue shards
 	Quota        fleet.Resources    `json:"quota"`
 	Shards       int                `json:"shards" validate:"gte=1,lte=16"` // queue shards that share the quota
 }
