Carry callers' requests to backend servers

The home of an ID is a front instead of a member: ownership of a front is exclusive by shard.Rights, while two hosts that see different members would pick two homes by a hash over members.

--- /dev/null
+++ b/backend/response.go
@@ -0,0 +1,219 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+)
+
+// streamChunk is the size in bytes of a part of a streamed answer. A stream
+// holds at most two of them.
+const streamChunk = 32 << 10
+
+// Response is an answer. Body holds all of it if Whole; else it is the
+// beginning, Next gives the rest, and Close must be called.
+type Response struct {
+	Status int
+	Header http.Header
+	Length int64 // announced, -1 for chunked
+	Body   []byte
+	Whole  bool
+
+	x *exchange
+}
+
+// readBody delivers the body and finishes the exchange. A whole answer frees
+// the slot before the caller learns of it.
+func (x *exchange) readBody(c *conn, sent <-chan error, head *http.Response) {
+	resp := &Response{Status: head.StatusCode, Header: head.Header, Length: head.ContentLength, x: x}
+	data, whole, err := wholeBody(head.Body, head.ContentLength, x.req.Buffer)
+	if whole {
+		err = x.checkEnd(c, head)
+	}
+	if err != nil {
+		x.head <- headResult{err: x.unknown(c, bodyReason(c, err), err)}
+		x.endBody(c, sent, err)
+		return
+	}
+	resp.Body = data
+	resp.Whole = whole
+	if whole {
+		x.finish(c, sent, !head.Close)
+		x.head <- headResult{resp: resp}
+		return
+	}
+	x.chunks = make(chan chunk)
+	x.head <- headResult{resp: resp}
+	x.stream(c, sent, head)
+}
+
+// endBody ends an exchange whose body was not acceptable. After an overlong
+// body the server has answered and is done.
+func (x *exchange) endBody(c *conn, sent <-chan error, err error) {
+	var overlong *OverlongError
+	if errors.As(err, &overlong) {
+		x.finish(c, sent, false)
+		return
+	}
+	x.settle(c, err)
+}
+
+// OverlongError is the cause of an UnknownError for an answer that is
+// followed by further bytes.
+type OverlongError struct{ Bytes int }
+
+func (e *OverlongError) Error() string { return "backend: bytes follow the answer" }
+
+// checkEnd consumes what ends the body (the last chunk, trailers) and checks
+// that nothing follows.
+func (x *exchange) checkEnd(c *conn, head *http.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(head.Body, 1))
+	if err != nil {
+		return err
+	}
+	if n+int64(c.br.Buffered()) > 0 {
+		return &OverlongError{Bytes: c.br.Buffered()}
+	}
+	return nil
+}
+
+func bodyReason(c *conn, err error) Reason {
+	var overlong *OverlongError
+	switch {
+	case errors.As(err, &overlong):
+		return ReasonOverlong
+	case c.sawEOF:
+		return ReasonCut
+	case broken(err):
+		return ReasonClosed
+	default:
+		return ReasonProtocol
+	}
+}
+
+// stream hands the rest of the body to the caller in parts, and discards it
+// once the caller has left.
+func (x *exchange) stream(c *conn, sent <-chan error, head *http.Response) {
+	var buffers [2][]byte
+	for i := 0; ; i ^= 1 {
+		if buffers[i] == nil {
+			buffers[i] = make([]byte, streamChunk)
+		}
+		n, err := head.Body.Read(buffers[i])
+		if errors.Is(err, io.EOF) {
+			x.endStream(c, sent, head, buffers[i][:n])
+			return
+		}
+		if err != nil {
+			x.deliver(chunk{err: x.unknown(c, bodyReason(c, err), err)})
+			x.settle(c, err)
+			return
+		}
+		x.deliver(chunk{data: buffers[i][:n]})
+	}
+}
+
+// endStream checks the end before the last bytes are handed over, so that an
+// answer that is not acceptable never looks whole.
+func (x *exchange) endStream(c *conn, sent <-chan error, head *http.Response, last []byte) {
+	err := x.checkEnd(c, head)
+	if err != nil {
+		x.endBody(c, sent, err)
+		x.deliver(chunk{err: x.unknown(c, bodyReason(c, err), err)})
+		return
+	}
+	select {
+	case <-x.quit:
+		x.finish(c, sent, false)
+		return
+	default:
+		x.finish(c, sent, !head.Close)
+	}
+	x.deliver(chunk{data: last})
+	x.deliver(chunk{err: io.EOF})
+}
+
+func (x *exchange) deliver(k chunk) {
+	select {
+	case x.chunks <- k:
+	case <-x.quit:
+	}
+}
+
+// Next returns the next part of a streamed answer, valid until the next call,
+// and io.EOF after the last. Other errors are *UnknownError.
+func (r *Response) Next(ctx context.Context) ([]byte, error) {
+	if r.Whole {
+		return nil, io.EOF
+	}
+	c := r.x.conn.Load()
+	timer := time.NewTimer(r.x.req.Timeouts.Idle)
+	defer timer.Stop()
+	select {
+	case k := <-r.x.chunks:
+		return k.data, k.err
+	case <-ctx.Done():
+		return nil, r.x.unknown(c, cancelReason(ctx), ctx.Err())
+	case <-timer.C:
+		return nil, r.x.unknown(c, ReasonIdle, nil)
+	}
+}
+
+// Close lets go of the answer. What is left of a stream is discarded.
+func (r *Response) Close() {
+	if !r.Whole {
+		close(r.x.quit)
+	}
+}
+
+// await waits for the exchange's header on behalf of the caller.
+func (x *exchange) await(ctx context.Context) (*Response, error) {
+	t := x.req.Timeouts
+	timer := time.NewTimer(min(t.Dial, t.FirstByte))
+	defer timer.Stop()
+	for {
+		select {
+		case h := <-x.head:
+			return h.resp, h.err
+		case <-ctx.Done():
+			return nil, x.abandon(cancelReason(ctx), ctx.Err())
+		case <-timer.C:
+			left, reason := x.patience(time.Now())
+			if left <= 0 {
+				return nil, x.abandon(reason, nil)
+			}
+			timer.Reset(left)
+		}
+	}
+}
+
+// patience returns how much longer to wait for the server, and what it failed
+// to do if that is not above 0.
+func (x *exchange) patience(now time.Time) (time.Duration, Reason) {
+	sent := x.sentAt.Load()
+	if sent == 0 {
+		return x.started.Add(x.req.Timeouts.Dial).Sub(now), ReasonDial
+	}
+	if read := x.conn.Load().readAt.Load(); read != 0 {
+		return time.Unix(0, read).Add(x.req.Timeouts.Idle).Sub(now), ReasonIdle
+	}
+	return time.Unix(0, sent).Add(x.req.Timeouts.FirstByte).Sub(now), ReasonFirstByte
+}
+
+// abandon gives the exchange up for the caller.
+func (x *exchange) abandon(reason Reason, cause error) error {
+	close(x.quit)
+	if x.stage.CompareAndSwap(stagePending, stageAbandoned) {
+		return &NotRunError{Address: x.pool.address, Reason: reason, Cause: cause}
+	}
+	return x.unknown(x.conn.Load(), reason, cause)
+}
+
+func cancelReason(ctx context.Context) Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return ReasonDeadline
+	}
+	return ReasonCancelled
+}
--- /dev/null
+++ b/dedupe/claimer.go
@@ -0,0 +1,282 @@
+package dedupe
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/peer"
+	"github.com/fuchsiahill/fuchsiahill/shard"
+)
+
+const (
+	methodClaim   = "dedupe.claim"
+	methodRelease = "dedupe.release"
+
+	claimTimeout = 500 * time.Millisecond
+	claimTries   = 2 // the same token makes a second try harmless
+
+	// mappingLag is the longest time after which all hosts see a change of
+	// the region's fronts.
+	mappingLag = 10 * time.Second
+)
+
+// HomeUnavailableError reports that the home of an ID could not be asked:
+// the request may have run under an earlier send.
+type HomeUnavailableError struct {
+	Front shard.ID
+	Cause error // may be nil
+}
+
+func (e *HomeUnavailableError) Error() string {
+	return fmt.Sprintf("dedupe: home %s unavailable: %v", e.Front, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *HomeUnavailableError) Unwrap() error { return e.Cause }
+
+// NotHomeError reports that this host is not the home of an ID.
+type NotHomeError struct{ Front shard.ID }
+
+func (e *NotHomeError) Error() string { return fmt.Sprintf("dedupe: not the home %s", e.Front) }
+
+// Deps is what a Claimer needs.
+type Deps struct {
+	Self      fleet.HostID
+	Rights    shard.Rights
+	Directory shard.Directory
+	Caller    peer.Caller
+	Registry  peer.Registry
+}
+
+// Claimer claims IDs at their homes and is the home of those whose front this
+// host owns. It is safe for concurrent use.
+type Claimer struct {
+	deps Deps
+
+	mu       sync.Mutex
+	fronts   []shard.ID // of the region, ordered
+	hash     *rendezvous.Rendezvous
+	changed  time.Time // of fronts
+	memories map[shard.ID]*Home
+}
+
+type message struct {
+	Front shard.ID  `json:"front"`
+	ID    uuid.UUID `json:"id"`
+	Token Token     `json:"token"`
+}
+
+type verdict struct {
+	Duplicate bool            `json:"duplicate,omitempty"`
+	Unvouched UnvouchedReason `json:"unvouched,omitempty"`
+}
+
+// NewClaimer returns a claimer and registers its peer methods.
+func NewClaimer(d Deps) *Claimer {
+	c := &Claimer{deps: d, memories: make(map[shard.ID]*Home)}
+	d.Registry.Handle(methodClaim, c.handleClaim)
+	d.Registry.Handle(methodRelease, c.handleRelease)
+	return c
+}
+
+// SetFronts sets the fronts of the region. Call it whenever the settings
+// change.
+func (c *Claimer) SetFronts(now time.Time, fronts []shard.ID) {
+	sorted := slices.Sorted(slices.Values(fronts))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if slices.Equal(sorted, c.fronts) {
+		return
+	}
+	removed := slices.ContainsFunc(c.fronts, func(f shard.ID) bool { return !slices.Contains(sorted, f) })
+	names := make([]string, len(sorted))
+	for i, f := range sorted {
+		names[i] = string(f)
+	}
+	c.fronts = sorted
+	c.hash = rendezvous.New(names, xxhash.Sum64String)
+	c.changed = now
+	if !removed {
+		return
+	}
+	// IDs of the removed fronts move to these memories.
+	for _, h := range c.memories {
+		h.Restart(now.Add(mappingLag))
+	}
+}
+
+// Open begins the memory of a front that this host has come to own.
+func (c *Claimer) Open(now time.Time, front shard.ID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	start := now
+	if settled := c.changed.Add(mappingLag); settled.After(now) {
+		start = settled
+	}
+	c.memories[front] = NewHome(start, MaxIDs)
+}
+
+// Close ends the memory of a front that this host no longer owns.
+func (c *Claimer) Close(front shard.ID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.memories, front)
+}
+
+// Claim is a successful claim of an ID.
+type Claim struct {
+	claimer *Claimer
+	msg     message
+}
+
+// Claim claims an ID for one send. Errors are *DuplicateError,
+// *UnvouchedError and *HomeUnavailableError; with each the request must not
+// be run.
+func (c *Claimer) Claim(ctx context.Context, id uuid.UUID) (*Claim, error) {
+	front, ok := c.home(id)
+	if !ok {
+		return nil, &HomeUnavailableError{}
+	}
+	msg := message{Front: front, ID: id, Token: Token(rand.Uint64())}
+	v, err := c.ask(ctx, msg)
+	switch {
+	case err != nil:
+		return nil, &HomeUnavailableError{Front: front, Cause: err}
+	case v.Duplicate:
+		return nil, &DuplicateError{ID: id}
+	case v.Unvouched != "":
+		return nil, &UnvouchedError{ID: id, Reason: v.Unvouched}
+	}
+	return &Claim{claimer: c, msg: msg}, nil
+}
+
+// Release gives up a claim whose request was surely not run. It is best
+// effort: if it fails the ID stays claimed.
+func (k *Claim) Release(ctx context.Context) {
+	c := k.claimer
+	owner, ok := c.deps.Directory.Owner(k.msg.Front)
+	if !ok {
+		return
+	}
+	if owner.Host == c.deps.Self {
+		c.release(k.msg)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	var done struct{}
+	_ = c.deps.Caller.Call(ctx, owner.Host, methodRelease, k.msg, &done) // best effort
+}
+
+func (c *Claimer) home(id uuid.UUID) (shard.ID, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.homeLocked(id)
+}
+
+func (c *Claimer) homeLocked(id uuid.UUID) (shard.ID, bool) {
+	if len(c.fronts) == 0 {
+		return "", false
+	}
+	return shard.ID(c.hash.Lookup(string(id[:]))), true
+}
+
+// ask brings the claim to its home. An answer that was lost is asked for
+// again with the same token.
+func (c *Claimer) ask(ctx context.Context, msg message) (verdict, error) {
+	var last error
+	for range claimTries {
+		owner, ok := c.deps.Directory.Owner(msg.Front)
+		if !ok {
+			return verdict{}, &NotHomeError{Front: msg.Front}
+		}
+		if owner.Host == c.deps.Self {
+			return c.claim(time.Now(), msg)
+		}
+		v, err := c.askPeer(ctx, owner.Host, msg)
+		if err == nil {
+			return v, nil
+		}
+		last = err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return verdict{}, last
+}
+
+func (c *Claimer) askPeer(ctx context.Context, host fleet.HostID, msg message) (verdict, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	var v verdict
+	err := c.deps.Caller.Call(ctx, host, methodClaim, msg, &v)
+	return v, err
+}
+
+func (c *Claimer) handleClaim(_ context.Context, _ fleet.HostID, params []byte) (any, error) {
+	var msg message
+	if err := json.Unmarshal(params, &msg); err != nil {
+		return nil, &peer.RemoteError{Kind: peer.KindBadRequest, Message: eris.Wrap(err, "decode claim").Error()}
+	}
+	v, err := c.claim(time.Now(), msg)
+	var notHome *NotHomeError
+	if errors.As(err, &notHome) {
+		return nil, &peer.RemoteError{Kind: peer.KindNotOwner, Message: err.Error()}
+	}
+	return v, err
+}
+
+func (c *Claimer) handleRelease(_ context.Context, _ fleet.HostID, params []byte) (any, error) {
+	var msg message
+	if err := json.Unmarshal(params, &msg); err != nil {
+		return nil, &peer.RemoteError{Kind: peer.KindBadRequest, Message: eris.Wrap(err, "decode release").Error()}
+	}
+	c.release(msg)
+	return struct{}{}, nil
+}
+
+// claim decides a claim as its home. The rights are asked after the claim was
+// recorded: a claim that is accepted was recorded while no other host could
+// be the home.
+func (c *Claimer) claim(now time.Time, msg message) (verdict, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	home, ok := c.memories[msg.Front]
+	mapped, known := c.homeLocked(msg.ID)
+	if !ok || !known || mapped != msg.Front {
+		return verdict{}, &NotHomeError{Front: msg.Front}
+	}
+	err := home.Claim(now, msg.ID, msg.Token)
+	if !c.deps.Rights.MaySend(msg.Front) {
+		return verdict{}, &NotHomeError{Front: msg.Front}
+	}
+	var duplicate *DuplicateError
+	var unvouched *UnvouchedError
+	switch {
+	case errors.As(err, &duplicate):
+		return verdict{Duplicate: true}, nil
+	case errors.As(err, &unvouched):
+		return verdict{Unvouched: unvouched.Reason}, nil
+	}
+	return verdict{}, err
+}
+
+func (c *Claimer) release(msg message) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if home, ok := c.memories[msg.Front]; ok {
+		home.Release(msg.ID, msg.Token)
+	}
+}
--- a/dedupe/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package dedupe recognises a non-idempotent request that a caller sends again.
-package dedupe
--- /dev/null
+++ b/gateway/forward.go
@@ -0,0 +1,158 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/backend"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/member"
+)
+
+const (
+	peerSlots = 256 // requests at once that are forwarded to one peer
+	// hopTime is kept from the deadline for the way back.
+	hopTime = 5 * time.Millisecond
+)
+
+// peerKey names one process of a peer.
+type peerKey struct {
+	host        fleet.HostID
+	incarnation fleet.Incarnation
+	address     string
+}
+
+type peerPool struct {
+	pool *backend.Pool
+}
+
+// sendElsewhere forwards a request that finds the own servers full, at most
+// one hop. It returns false if there is no peer to ask.
+func (g *Gateway) sendElsewhere(ctx context.Context, q *request) (*backend.Response, error, bool) {
+	if q.forwarded {
+		// The first host chose this one for its free slots. They are gone, and
+		// it can queue the request best.
+		return nil, q.service.refusal(), true
+	}
+	host, ok := g.choosePeer(q.service.name)
+	if !ok {
+		return nil, nil, false
+	}
+	slot, ok := g.peer(host).pool.TryAcquire(nil)
+	if !ok {
+		return nil, nil, false
+	}
+	g.metrics.forwarded.Add(1)
+	resp, err := slot.Do(ctx, g.forwarded(q, host))
+	if err != nil {
+		return nil, err, true
+	}
+	if err := peerFailure(resp); err != nil {
+		resp.Close()
+		return nil, err, true
+	}
+	return resp, nil, true
+}
+
+// forwarded builds the request to a peer.
+func (g *Gateway) forwarded(q *request, host member.Host) backend.Request {
+	left := time.Until(q.deadline) - hopTime
+	out := q.outgoing(host.HTTPAddress)
+	out.URL = &url.URL{
+		Scheme:   "http",
+		Host:     host.HTTPAddress,
+		Path:     q.in.URL.Path,
+		RawPath:  q.in.URL.RawPath,
+		RawQuery: q.in.URL.RawQuery,
+	}
+	out.Header = q.header.Clone()
+	out.Header.Set(HeaderHop, "1")
+	out.Header.Set(HeaderTimeout, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	out.Header.Set(HeaderIdempotent, strconv.FormatBool(q.idempotent))
+	t := timeouts(&q.values)
+	t.FirstByte = max(left, t.FirstByte) // the peer's own limits apply to its server
+	return backend.Request{HTTP: out, Streamed: q.streamed(), Buffer: q.values.BufferBytes, Timeouts: t}
+}
+
+// peerFailure returns a peer's answer as an error unless it is an answer of a
+// backend server.
+func peerFailure(resp *backend.Response) error {
+	outcome := backend.Outcome(resp.Header.Get(HeaderOutcome))
+	switch outcome {
+	case backend.Answered:
+		return nil
+	case backend.NotRun, backend.Unknown:
+		ms, _ := strconv.ParseInt(resp.Header.Get(HeaderRetryAfterMS), 10, 64) // 0 if absent
+		return &PeerError{
+			Status:     resp.Status,
+			Outcome:    outcome,
+			Reason:     resp.Header.Get(HeaderReason),
+			RetryAfter: time.Duration(ms) * time.Millisecond,
+		}
+	default:
+		return &PeerError{Status: http.StatusBadGateway, Outcome: backend.Unknown, Reason: reasonPeer}
+	}
+}
+
+// choosePeer returns the one with more free slots of two random members of
+// the region that have some.
+func (g *Gateway) choosePeer(name fleet.Service) (member.Host, bool) {
+	hosts := g.deps.Members.Hosts()
+	var best member.Host
+	most := 0
+	for range 2 {
+		host, free := g.randomPeer(hosts, name)
+		if free > most {
+			most = free
+			best = host
+		}
+	}
+	return best, most > 0
+}
+
+// randomPeer returns the first host with free slots from a random place on.
+func (g *Gateway) randomPeer(hosts []member.Host, name fleet.Service) (member.Host, int) {
+	if len(hosts) == 0 {
+		return member.Host{}, 0
+	}
+	start := randomIndex(len(hosts))
+	for i := range hosts {
+		host := hosts[(start+i)%len(hosts)]
+		if host.ID == g.deps.Self.ID || host.Region != g.deps.Self.Region {
+			continue
+		}
+		sum, ok := g.deps.Members.Summary(host.ID)
+		if ok && !sum.Draining && sum.Incarnation == host.Incarnation && sum.Services[name].Free > 0 {
+			return host, sum.Services[name].Free
+		}
+	}
+	return member.Host{}, 0
+}
+
+func (g *Gateway) peer(host member.Host) *peerPool {
+	key := peerKey{host.ID, host.Incarnation, host.HTTPAddress}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p, ok := g.peers[key]
+	if !ok {
+		limits := backend.Limits{Slots: peerSlots, Connections: 2 * peerSlots}
+		p = &peerPool{pool: backend.NewPool(host.HTTPAddress, limits, nil)}
+		g.peers[key] = p
+	}
+	return p
+}
+
+// sweepPeers closes unused connections to peers and forgets peers without
+// any.
+func (g *Gateway) sweepPeers(now time.Time) {
+	for key, p := range g.peers {
+		p.pool.CloseIdle(now.Add(-backend.MaxIdle))
+		if u := p.pool.Usage(); u.Slots == 0 && u.Connections == 0 {
+			p.pool.Close()
+			delete(g.peers, key)
+		}
+	}
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,229 @@
+// Package gateway serves callers' requests to backend servers.
+//
+// A Gateway is an http.Handler for /svc/{service}/... and the shard.Runner of
+// fronts. It sends only to backend servers whose front this host owns, so
+// their slots and connections are counted in one place. docs/REQUESTS.md
+// describes headers and outcomes.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/fuchsiahill/fuchsiahill/dedupe"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/member"
+	"github.com/fuchsiahill/fuchsiahill/peer"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/settings"
+	"github.com/fuchsiahill/fuchsiahill/shard"
+)
+
+const (
+	tickInterval   = 20 * time.Millisecond
+	windowInterval = 2 * time.Second // of the latency histograms
+	sweepInterval  = 5 * time.Second // of idle connections
+)
+
+// Deps is what a Gateway needs.
+type Deps struct {
+	Self     member.Host
+	Platform platform.View
+	Settings settings.View
+	Rights   shard.Rights
+	Shards   shard.Directory
+	Members  member.Directory
+	Caller   peer.Caller
+	Registry peer.Registry
+	Logger   log.Logger
+}
+
+// Gateway serves requests. It is safe for concurrent use.
+type Gateway struct {
+	deps    Deps
+	claimer *dedupe.Claimer
+	metrics metrics
+
+	version  atomic.Int64 // of the host list that is applied, -1 for none
+	revision atomic.Int64 // of the settings that are applied, -1 for none
+
+	mu       sync.RWMutex
+	fronts   map[shard.ID]*front
+	services map[fleet.Service]*service
+	numbers  map[fleet.WorkerID]int // cell number, which never changes
+	peers    map[peerKey]*peerPool
+
+	flight inFlight
+}
+
+// New returns a gateway and registers its peer methods. Run its Serve for as
+// long as it is used.
+func New(d Deps) *Gateway {
+	g := &Gateway{
+		deps: d,
+		claimer: dedupe.NewClaimer(dedupe.Deps{
+			Self:      d.Self.ID,
+			Rights:    d.Rights,
+			Directory: d.Shards,
+			Caller:    d.Caller,
+			Registry:  d.Registry,
+		}),
+		fronts:   make(map[shard.ID]*front),
+		services: make(map[fleet.Service]*service),
+		numbers:  make(map[fleet.WorkerID]int),
+		peers:    make(map[peerKey]*peerPool),
+	}
+	g.version.Store(-1)
+	g.revision.Store(-1)
+	g.metrics.init()
+	g.refresh(time.Now())
+	return g
+}
+
+// Serve keeps the gateway current until ctx ends: it applies changes of the
+// host list and settings, refuses what has waited too long, and closes idle
+// connections.
+func (g *Gateway) Serve(ctx context.Context) error {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	var rotated, swept time.Time
+	for {
+		changed := g.deps.Platform.Changed()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		case <-tick.C:
+		}
+		now := time.Now()
+		g.refreshIfStale(now)
+		g.expire(now)
+		if now.Sub(rotated) >= windowInterval {
+			rotated = now
+			g.rotate()
+		}
+		if now.Sub(swept) >= sweepInterval {
+			swept = now
+			g.sweep(now)
+		}
+	}
+}
+
+func (g *Gateway) expire(now time.Time) {
+	for _, s := range g.allServices() {
+		s.expire(now)
+	}
+}
+
+func (g *Gateway) rotate() {
+	for _, s := range g.allServices() {
+		s.rotate()
+	}
+}
+
+func (g *Gateway) allServices() []*service {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	all := make([]*service, 0, len(g.services))
+	for _, s := range g.services {
+		all = append(all, s)
+	}
+	return all
+}
+
+// Summary returns the load of this host's own servers for its peers.
+func (g *Gateway) Summary() map[fleet.Service]member.ServiceLoad {
+	loads := make(map[fleet.Service]member.ServiceLoad)
+	for _, s := range g.allServices() {
+		if load := s.load(); load.Slots > 0 {
+			loads[s.name] = load
+		}
+	}
+	return loads
+}
+
+// Latency is what callers of a service saw lately at this host.
+type Latency struct {
+	P50     time.Duration
+	P99     time.Duration
+	Samples int64
+}
+
+// Latency returns the latency of whole answers of a service over the last few
+// seconds.
+func (g *Gateway) Latency(name fleet.Service) Latency {
+	s, ok := g.service(name)
+	if !ok {
+		return Latency{}
+	}
+	return s.latency()
+}
+
+func (g *Gateway) service(name fleet.Service) (*service, bool) {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	s, ok := g.services[name]
+	return s, ok
+}
+
+// Drain refuses new requests as not run and waits until those in progress
+// have their answers, or ctx ends.
+func (g *Gateway) Drain(ctx context.Context) error {
+	select {
+	case <-g.flight.drain():
+		return nil
+	case <-ctx.Done():
+		return &DrainError{Cause: ctx.Err()}
+	}
+}
+
+// inFlight counts requests in progress.
+type inFlight struct {
+	mu       sync.Mutex
+	n        int
+	draining bool
+	done     chan struct{} // closed when draining and n is 0; set by drain
+}
+
+// enter counts a request, unless the gateway is draining.
+func (f *inFlight) enter() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.draining {
+		return false
+	}
+	f.n++
+	return true
+}
+
+func (f *inFlight) leave() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.n--
+	if f.draining && f.n == 0 {
+		close(f.done)
+	}
+}
+
+func (f *inFlight) drain() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.draining {
+		return f.done
+	}
+	f.draining = true
+	f.done = make(chan struct{})
+	if f.n == 0 {
+		close(f.done)
+	}
+	return f.done
+}
+
+func randomIndex(n int) int { return rand.IntN(n) }
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- /dev/null
+++ b/gateway/headers.go
@@ -0,0 +1,139 @@
+package gateway
+
+import (
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/fuchsiahill/fuchsiahill/backend"
+	"github.com/fuchsiahill/fuchsiahill/route"
+)
+
+// Headers of requests.
+const (
+	HeaderTimeout    = "Fuchsiahill-Timeout-Ms" // from now to the whole answer
+	HeaderIdempotent = "Fuchsiahill-Idempotent" // "true" or "false"; default by method
+	HeaderRequestID  = "Fuchsiahill-Request-Id" // UUIDv7 of a non-idempotent request
+	HeaderCaller     = "Fuchsiahill-Caller"     // class of callers that share fairly with others
+	HeaderHop        = "Fuchsiahill-Hop"        // set between entry hosts
+)
+
+// Headers of answers.
+const (
+	HeaderOutcome      = "Fuchsiahill-Outcome"
+	HeaderReason       = "Fuchsiahill-Reason"
+	HeaderRetryAfter   = "Retry-After" // seconds, rounded up
+	HeaderRetryAfterMS = "Fuchsiahill-Retry-After-Ms"
+)
+
+const (
+	maxTimeoutMS   = int64(time.Hour / time.Millisecond)
+	maxCallerBytes = 64
+)
+
+// hopByHop are the headers that belong to one connection.
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// options is what a caller says of its request in headers.
+type options struct {
+	timeout    time.Duration // 0 for the service's
+	idempotent bool
+	id         uuid.UUID // uuid.Nil for none
+	caller     route.Class
+	forwarded  bool
+	requestID  string // X-Request-Id
+}
+
+func parseOptions(r *http.Request) (options, error) {
+	o := options{
+		idempotent: idempotentMethod(r.Method),
+		caller:     route.Class(r.Header.Get(HeaderCaller)),
+		forwarded:  r.Header.Get(HeaderHop) != "",
+		requestID:  r.Header.Get(backend.RequestIDHeader),
+	}
+	if len(o.caller) > maxCallerBytes {
+		return o, &BadRequestError{Header: HeaderCaller, Value: string(o.caller[:maxCallerBytes])}
+	}
+	if v := r.Header.Get(HeaderTimeout); v != "" {
+		ms, err := strconv.ParseInt(v, 10, 64)
+		if err != nil || ms <= 0 || ms > maxTimeoutMS {
+			return o, &BadRequestError{Header: HeaderTimeout, Value: v}
+		}
+		o.timeout = time.Duration(ms) * time.Millisecond
+	}
+	switch v := r.Header.Get(HeaderIdempotent); v {
+	case "":
+	case "true":
+		o.idempotent = true
+	case "false":
+		o.idempotent = false
+	default:
+		return o, &BadRequestError{Header: HeaderIdempotent, Value: v}
+	}
+	return o, o.parseID(r.Header.Get(HeaderRequestID))
+}
+
+// parseID reads the request ID, and makes one up for the exchange if the
+// caller gave none at all.
+func (o *options) parseID(v string) error {
+	if v != "" {
+		id, err := uuid.Parse(v)
+		if err != nil || id.Version() != 7 {
+			return &BadRequestError{Header: HeaderRequestID, Value: v}
+		}
+		o.id = id
+		o.requestID = v
+	}
+	if o.requestID == "" {
+		o.requestID = uuid.NewString()
+	}
+	return nil
+}
+
+func idempotentMethod(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodPut, http.MethodDelete, http.MethodOptions:
+		return true
+	}
+	return false
+}
+
+// endToEnd returns a copy of the header without what belongs to one
+// connection.
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	if out == nil {
+		out = make(http.Header)
+	}
+	for _, v := range h["Connection"] {
+		for name := range strings.SplitSeq(v, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(out, name)
+	}
+	return out
+}
+
+// setFailure describes a failure in the headers of its answer.
+func (f failure) setHeaders(h http.Header) {
+	h.Set(HeaderOutcome, string(f.outcome))
+	h.Set(HeaderReason, f.reason)
+	if f.retryAfter > 0 {
+		h.Set(HeaderRetryAfter, strconv.Itoa(int(math.Ceil(f.retryAfter.Seconds()))))
+		h.Set(HeaderRetryAfterMS, strconv.FormatInt(max(f.retryAfter.Milliseconds(), 1), 10))
+	}
+}
+
+func (f failure) body() string {
+	return fmt.Sprintf("{\"outcome\":%q,\"reason\":%q}\n", f.outcome, f.reason)
+}
--- /dev/null
+++ b/gateway/service.go
@@ -0,0 +1,290 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	hdrhistogram "github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/fuchsiahill/fuchsiahill/backend"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/member"
+	"github.com/fuchsiahill/fuchsiahill/route"
+	"github.com/fuchsiahill/fuchsiahill/settings"
+)
+
+const (
+	latencyWindows = 4
+	latencyMin     = 10       // µs
+	latencyMax     = 60 * 1e6 // µs
+	latencyDigits  = 2        // significant
+)
+
+// service is the state of one service on this host.
+//
+// Invariant: a running ticket of the limiter belongs to a request that is
+// about to pick a server, or to one taken slot of a pool.
+type service struct {
+	name fleet.Service
+
+	mu      sync.Mutex
+	values  settings.Resolved // for this host's data centre
+	picker  *route.Picker
+	limiter *route.Limiter
+	budget  route.RetryBudget
+	servers map[fleet.ServerID]*server // those in the choice
+	window  *hdrhistogram.WindowedHistogram
+}
+
+func newService(name fleet.Service, now time.Time) *service {
+	return &service{
+		name:    name,
+		picker:  route.NewPicker(newRand()),
+		limiter: route.NewLimiter(now, route.Limits{}),
+		servers: make(map[fleet.ServerID]*server),
+		window:  hdrhistogram.NewWindowed(latencyWindows, latencyMin, latencyMax, latencyDigits),
+	}
+}
+
+// update replaces the servers and values.
+func (s *service) update(now time.Time, values settings.Resolved, servers map[fleet.ServerID]*server, own fleet.DataCentre) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.values = values
+	s.servers = servers
+	candidates := make([]route.Candidate, 0, len(servers))
+	for id, srv := range servers {
+		candidates = append(candidates, route.Candidate{
+			ID:    id,
+			Local: srv.info.DataCentre == own,
+			Slots: srv.info.Slots,
+		})
+	}
+	s.picker.Update(now, candidates)
+	s.syncLimits(now)
+}
+
+// syncLimits lets as many requests run as the servers in the choice have
+// slots, besides those that still hold slots of other servers.
+func (s *service) syncLimits(now time.Time) {
+	slots := 0
+	if s.picker.Capacity() > 0 {
+		slots = s.picker.Capacity() + s.picker.Stranded()
+	}
+	s.limiter.SetLimits(now, route.Limits{
+		Concurrency: min(s.values.Concurrency, slots),
+		Queue:       s.values.QueueLength,
+	})
+}
+
+func (s *service) expire(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.syncLimits(now)
+	s.limiter.Expire(now)
+}
+
+func (s *service) rotate() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.window.Rotate()
+}
+
+func (s *service) load() member.ServiceLoad {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return member.ServiceLoad{
+		Slots:   s.picker.Capacity(),
+		Free:    s.limiter.Free(),
+		Waiting: s.limiter.Waiting(),
+	}
+}
+
+func (s *service) latency() Latency {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.window.Merge()
+	return Latency{
+		P50:     time.Duration(h.ValueAtQuantile(50)) * time.Microsecond,
+		P99:     time.Duration(h.ValueAtQuantile(99)) * time.Microsecond,
+		Samples: h.TotalCount(),
+	}
+}
+
+func (s *service) observe(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := min(max(d.Microseconds(), latencyMin), latencyMax)
+	_ = s.window.Current.RecordValue(v) // in range
+}
+
+func (s *service) settings() settings.Resolved {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.values
+}
+
+// tryAdmit lets a request run if it need not wait.
+func (s *service) tryAdmit(class route.Class) (*route.Ticket, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limiter.TryAdmit(time.Now(), class)
+}
+
+// refusal returns the refusal of a request that found no room.
+func (s *service) refusal() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &route.RefusedError{Reason: route.RefusedQueueFull, RetryAfter: s.limiter.RetryAfter(time.Now())}
+}
+
+// admit waits until a request may run. Errors are *route.RefusedError.
+func (s *service) admit(ctx context.Context, class route.Class, deadline time.Time) (*route.Ticket, error) {
+	s.mu.Lock()
+	t := s.limiter.Admit(time.Now(), class, deadline)
+	s.mu.Unlock()
+	select {
+	case <-t.Decided():
+	case <-ctx.Done():
+		return nil, s.giveUp(t)
+	}
+	if refusal := t.Refusal(); refusal != nil {
+		return nil, refusal
+	}
+	return t, nil
+}
+
+// giveUp ends the wait of a caller that left or whose deadline passed.
+func (s *service) giveUp(t *route.Ticket) error {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limiter.Cancel(now, t)
+	return &route.RefusedError{Reason: route.RefusedDeadline, RetryAfter: s.limiter.RetryAfter(now)}
+}
+
+// attempt is one use of a slot.
+type attempt struct {
+	service *service
+	target  *route.Server
+	server  *server
+	ticket  *route.Ticket
+	slot    *backend.Slot
+}
+
+// pick turns a running ticket into a slot of a server other than avoid.
+func (s *service) pick(t *route.Ticket, avoid fleet.ServerID) (*attempt, error) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	target, ok := s.picker.Pick(now, avoid)
+	if !ok {
+		s.limiter.Cancel(now, t)
+		return nil, &NoServerError{Service: s.name}
+	}
+	a := &attempt{service: s, target: target, server: s.servers[target.ID()], ticket: t}
+	slot, ok := a.server.pool.TryAcquire(a.free)
+	if !ok {
+		s.picker.Release(target)
+		s.limiter.Cancel(now, t)
+		return nil, &NoServerError{Service: s.name}
+	}
+	a.slot = slot
+	return a, nil
+}
+
+// free is called by the pool once the slot is free.
+func (a *attempt) free() {
+	now := time.Now()
+	s := a.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.picker.Release(a.target)
+	s.limiter.Release(now, a.ticket)
+	s.syncLimits(now)
+}
+
+// report tells the picker how the exchange went.
+func (a *attempt) report(latency time.Duration, resp *backend.Response, err error) {
+	now := time.Now()
+	s := a.service
+	verdict := judge(err, latency, s.settings())
+	if resp != nil && resp.Status >= failedStatus {
+		verdict = verdictFailed
+	}
+	if verdict == verdictConnection {
+		// The way to the server may be lost, not the server: the next exchange
+		// uses a new connection, and only its failure counts.
+		a.server.pool.CloseIdle(now)
+		return
+	}
+	if verdict == verdictNone {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.picker.Report(now, a.target, latency, verdict == verdictFailed)
+	s.syncLimits(now)
+}
+
+// failedStatus and above is a failure of the server.
+const failedStatus = 500
+
+type verdict int
+
+const (
+	verdictOK         verdict = iota
+	verdictFailed             // the server failed
+	verdictConnection         // a connection that was used before failed
+	verdictNone               // says nothing of the server
+)
+
+// judge tells what an exchange says of its server.
+func judge(err error, latency time.Duration, v settings.Resolved) verdict {
+	var notRun *backend.NotRunError
+	var unknown *backend.UnknownError
+	switch {
+	case err == nil:
+		return verdictOK
+	case errors.As(err, &notRun):
+		if notRun.Reason == backend.ReasonDial {
+			return verdictFailed
+		}
+		return verdictNone
+	case errors.As(err, &unknown):
+		return judgeUnknown(unknown, latency, v)
+	}
+	return verdictNone
+}
+
+func judgeUnknown(err *backend.UnknownError, latency time.Duration, v settings.Resolved) verdict {
+	switch err.Reason {
+	case backend.ReasonCancelled, backend.ReasonRequestBody:
+		return verdictNone
+	case backend.ReasonDeadline:
+		// A caller with little patience says nothing of the server.
+		if latency < time.Duration(v.ObjectiveMS)*time.Millisecond {
+			return verdictNone
+		}
+	}
+	if err.Reused && (err.Timeout() || err.Reason == backend.ReasonClosed) {
+		return verdictConnection
+	}
+	return verdictFailed
+}
+
+// retry asks for a retry within the budget.
+func (s *service) retry() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.TryRetry(time.Now(), s.values.RetryBudgetPercent)
+}
+
+// begin counts a caller's request.
+func (s *service) begin() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.Request(time.Now())
+}
