--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -47,6 +47,7 @@
 	started  time.Time
 	stage    atomic.Int32
 	conn     atomic.Pointer[conn] // set before stageWriting
+	reused   bool                 // set before conn
 	sentAt   atomic.Int64         // Unix nanoseconds
 	head     chan headResult      // one value
 	chunks   chan chunk           // of a body above Buffer
@@ -95,6 +96,7 @@
 		x.finishUnsent(&NotRunError{Address: x.pool.address, Reason: ReasonNotAllowed})
 		return
 	}
+	x.reused = c.reused
 	x.conn.Store(c)
 	now := time.Now()
 	x.deadline = now.Add(x.req.Timeouts.Longest)
@@ -194,7 +196,7 @@
 // fail reports an exchange without an answer and waits until the server has
 // surely stopped.
 func (x *exchange) fail(c *conn, sent <-chan error, err error) {
-	x.head <- headResult{err: x.unknown(c, headReason(c, sent, err), err)}
+	x.head <- headResult{err: x.unknown(headReason(c, sent, err), err)}
 	x.settle(c, err)
 }
 
@@ -223,8 +225,8 @@
 	}
 }
 
-func (x *exchange) unknown(c *conn, reason Reason, cause error) *UnknownError {
-	return &UnknownError{Address: x.pool.address, Reason: reason, Reused: c.reused, Cause: cause}
+func (x *exchange) unknown(reason Reason, cause error) *UnknownError {
+	return &UnknownError{Address: x.pool.address, Reason: reason, Reused: x.reused, Cause: cause}
 }
 
 // settle ends a failed exchange: the slot becomes free once the server closed
@@ -234,8 +236,9 @@
 	if !c.sawEOF && !broken(err) {
 		err = c.discard()
 	}
+	closed := c.sawEOF
 	go x.pool.retire(c)
-	if c.sawEOF {
+	if closed {
 		x.slot.Release()
 		return
 	}
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -36,7 +36,7 @@
 // Pool holds the slots and connections of one backend server. It is safe for
 // concurrent use.
 //
-// Invariants: taken <= limits.Slots; conns <= limits.Connections; every
+// Invariants: taken <= limits.Slots; open + lost <= limits.Connections; every
 // exchange holds one slot from before its first byte until it is over or the
 // server has surely stopped working on it.
 type Pool struct {
@@ -46,10 +46,11 @@
 
 	mu      sync.Mutex
 	taken   int     // slots
-	conns   int     // open, or closed without the server's confirmation
+	open    int     // connections
+	lost    int     // connections closed lately without the server's confirmation
 	idle    []*conn // most recently used last
 	closed  bool
-	drained chan struct{} // closed once closed, taken == 0 and conns == 0
+	drained chan struct{} // closed once closed, taken == 0 and open == 0
 }
 
 // NewPool returns a pool for the server at address. A nil dial opens TCP
@@ -106,11 +107,14 @@
 }
 
 // Drained returns a channel that is closed once the pool is closed, all its
-// slots are free and no connection of it can be open at the server.
+// slots are free and all its connections are closed at this end. The server
+// may not have noticed the close of some that were lost on the way: a pool
+// should use at most half of the server's connections, so that they and those
+// of the next owner fit together.
 func (p *Pool) Drained() <-chan struct{} { return p.drained }
 
 func (p *Pool) checkDrained() {
-	if !p.closed || p.taken > 0 || p.conns > 0 {
+	if !p.closed || p.taken > 0 || p.open > 0 {
 		return
 	}
 	select {
@@ -138,7 +142,7 @@
 func (p *Pool) Usage() Usage {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return Usage{Slots: p.taken, Connections: p.conns, Idle: len(p.idle)}
+	return Usage{Slots: p.taken, Connections: p.open + p.lost, Idle: len(p.idle)}
 }
 
 // CloseIdle closes connections unused since before, and those the server has
@@ -168,7 +172,7 @@
 			if !room {
 				return nil, &NotRunError{Address: p.address, Reason: ReasonConnections}
 			}
-			return p.open(ctx, timeout)
+			return p.connect(ctx, timeout)
 		}
 		if time.Since(c.usedAt) < MaxIdle && c.quiet() {
 			c.reused = true
@@ -187,14 +191,14 @@
 		p.idle = p.idle[:n-1]
 		return c, true
 	}
-	if p.conns >= p.limits.Connections {
+	if p.open+p.lost >= p.limits.Connections {
 		return nil, false
 	}
-	p.conns++
+	p.open++
 	return nil, true
 }
 
-func (p *Pool) open(ctx context.Context, timeout time.Duration) (*conn, *NotRunError) {
+func (p *Pool) connect(ctx context.Context, timeout time.Duration) (*conn, *NotRunError) {
 	dialCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	nc, err := p.dial(dialCtx, p.address)
@@ -205,13 +209,29 @@
 	return newConn(nc), nil
 }
 
+// uncount ends the count of a connection that is closed at both ends.
 func (p *Pool) uncount() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.conns--
+	p.open--
 	p.checkDrained()
 }
 
+// lose counts a connection whose close the server may not have noticed, for
+// as long as that may be.
+func (p *Pool) lose() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+	p.lost++
+	p.checkDrained()
+	time.AfterFunc(lostConnection, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.lost--
+	})
+}
+
 // put returns a connection after a whole exchange.
 func (p *Pool) put(c *conn) {
 	c.usedAt = time.Now()
@@ -232,5 +252,5 @@
 		p.uncount()
 		return
 	}
-	time.AfterFunc(lostConnection, p.uncount)
+	p.lose()
 }
--- /dev/null
+++ b/backend/pool_test.go
@@ -0,0 +1,365 @@
+package backend_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/fuchsiahill/fuchsiahill/backend"
+	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	slots       = 8
+	connections = 64
+)
+
+func shortTimeouts() backend.Timeouts {
+	return backend.Timeouts{
+		Dial:      300 * time.Millisecond,
+		FirstByte: 80 * time.Millisecond,
+		Idle:      80 * time.Millisecond,
+		Longest:   300 * time.Millisecond,
+	}
+}
+
+func start(t *testing.T, work func() time.Duration) *standin.Backend {
+	t.Helper()
+	b, err := standin.StartBackend(platform.Server{ID: "s1", Address: "127.0.0.1:0", Slots: slots, Connections: connections}, work)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { b.Close() })
+	return b
+}
+
+func instant() time.Duration { return 0 }
+
+func newPool(t *testing.T, b *standin.Backend) *backend.Pool {
+	t.Helper()
+	p := backend.NewPool(b.Info().Address, backend.Limits{Slots: slots, Connections: connections}, nil)
+	t.Cleanup(func() {
+		p.Close()
+		b.Close()
+		select {
+		case <-p.Drained():
+		case <-time.After(3 * time.Second):
+			t.Errorf("pool is not drained: %+v", p.Usage())
+		}
+	})
+	return p
+}
+
+func newRequest(method, id, body string) *http.Request {
+	r := &http.Request{
+		Method: method,
+		URL:    &url.URL{Scheme: "http", Host: "backend", Path: "/x"},
+		Header: http.Header{"X-Request-Id": {id}},
+	}
+	if body != "" {
+		r.Body = io.NopCloser(strings.NewReader(body))
+		r.ContentLength = int64(len(body))
+	}
+	return r
+}
+
+func do(ctx context.Context, p *backend.Pool, req backend.Request) (*backend.Response, error) {
+	slot, ok := p.TryAcquire(nil)
+	if !ok {
+		return nil, &backend.NotRunError{Reason: "no slot"}
+	}
+	return slot.Do(ctx, req)
+}
+
+func eventually(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(2 * time.Second); !cond(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not reached: %s", what)
+		}
+	}
+}
+
+// outcome returns the outcome and reason of an exchange.
+func outcome(err error) (backend.Outcome, backend.Reason) {
+	var notRun *backend.NotRunError
+	var unknown *backend.UnknownError
+	switch {
+	case err == nil:
+		return backend.Answered, ""
+	case errors.As(err, &notRun):
+		return backend.NotRun, notRun.Reason
+	case errors.As(err, &unknown):
+		return backend.Unknown, unknown.Reason
+	}
+	return "", ""
+}
+
+// TestFaults checks the outcome of each fault, what the server saw, that the
+// slot is held for as long as the server may work, and that the next exchange
+// is whole.
+func TestFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults standin.BackendFaults
+		want   backend.Outcome
+		reason backend.Reason
+		runs   int
+		held   bool // slot right after the outcome
+	}{
+		{"none", standin.BackendFaults{}, backend.Answered, "", 1, false},
+		{"status 500", standin.BackendFaults{Status: 500}, backend.Answered, "", 1, false},
+		{"closed at accept", standin.BackendFaults{RefuseDials: true}, backend.Unknown, backend.ReasonClosed, 0, false},
+		{"silent before head", standin.BackendFaults{Delay: 150 * time.Millisecond}, backend.Unknown, backend.ReasonFirstByte, 1, true},
+		{"closed before head", standin.BackendFaults{DropBefore: true}, backend.Unknown, backend.ReasonClosed, 1, false},
+		{"garbage", standin.BackendFaults{Garbage: true}, backend.Unknown, backend.ReasonProtocol, 1, false},
+		{"wrong ID", standin.BackendFaults{WrongID: true}, backend.Unknown, backend.ReasonWrongAnswer, 1, true},
+		{"cut body", standin.BackendFaults{CutBody: true}, backend.Unknown, backend.ReasonCut, 1, false},
+		{"silent in body", standin.BackendFaults{SilentAfterHead: true}, backend.Unknown, backend.ReasonIdle, 1, true},
+		{"overlong body", standin.BackendFaults{Overlong: true}, backend.Unknown, backend.ReasonOverlong, 1, false},
+		{"second answer", standin.BackendFaults{Leftover: true}, backend.Unknown, backend.ReasonOverlong, 1, false},
+		{"undelimited body", standin.BackendFaults{Undelimited: true}, backend.Unknown, backend.ReasonProtocol, 1, false},
+		{"closed after answer", standin.BackendFaults{CloseAfter: true}, backend.Answered, "", 1, false},
+	}
+	for _, c := range cases {
+		for _, buffer := range []int64{1 << 16, 8} {
+			name := c.name
+			if buffer == 8 {
+				name += " streamed"
+			}
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				b := start(t, instant)
+				p := newPool(t, b)
+				b.SetFaults(c.faults)
+				err := exchange(t, p, b, "r1", buffer)
+				got, reason := outcome(err)
+				if got != c.want || reason != c.reason {
+					t.Errorf("outcome %s (%s), want %s (%s): %v", got, reason, c.want, c.reason, err)
+				}
+				if c.held && p.Usage().Slots != 1 {
+					t.Error("the slot was freed while the server may work")
+				}
+				if n := len(b.Stats().Requests); n != c.runs {
+					t.Errorf("the server ran %d requests, want %d", n, c.runs)
+				}
+				b.SetFaults(standin.BackendFaults{})
+				if err := exchange(t, p, b, "r2", buffer); err != nil {
+					t.Errorf("next exchange: %v", err)
+				}
+				eventually(t, "all slots free", func() bool { return p.Usage().Slots == 0 })
+			})
+		}
+	}
+}
+
+// exchange runs one request and checks that an answer is the whole own one.
+func exchange(t *testing.T, p *backend.Pool, b *standin.Backend, id string, buffer int64) error {
+	t.Helper()
+	resp, err := do(t.Context(), p, backend.Request{HTTP: newRequest("POST", id, "data"), Buffer: buffer, Timeouts: shortTimeouts()})
+	if err != nil {
+		return err
+	}
+	defer resp.Close()
+	body := string(resp.Body)
+	for {
+		part, err := resp.Next(t.Context())
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return err
+		}
+		body += string(part)
+	}
+	if want := standin.Answer(b.Info(), id, []byte("data")); body != want {
+		t.Errorf("answer %q, want %q", body, want)
+	}
+	return nil
+}
+
+func TestNotRunIsExact(t *testing.T) {
+	t.Run("refused dial", func(t *testing.T) {
+		b := start(t, instant)
+		p := newPool(t, b)
+		if err := exchange(t, p, b, "r0", 1<<16); err != nil {
+			t.Fatal(err)
+		}
+		b.Close()
+		p.CloseIdle(time.Now())
+		_, err := do(t.Context(), p, backend.Request{HTTP: newRequest("POST", "r1", "x"), Timeouts: shortTimeouts()})
+		if got, reason := outcome(err); got != backend.NotRun || reason != backend.ReasonDial {
+			t.Errorf("got %v", err)
+		}
+	})
+	t.Run("right lost", func(t *testing.T) {
+		b := start(t, instant)
+		p := newPool(t, b)
+		req := backend.Request{HTTP: newRequest("POST", "r1", "x"), Timeouts: shortTimeouts(), Allow: func() bool { return false }}
+		_, err := do(t.Context(), p, req)
+		if got, reason := outcome(err); got != backend.NotRun || reason != backend.ReasonNotAllowed {
+			t.Errorf("got %v", err)
+		}
+		if n := len(b.Stats().Requests); n != 0 {
+			t.Errorf("the server saw %d requests", n)
+		}
+	})
+	t.Run("cancelled before the first byte", func(t *testing.T) {
+		b := start(t, instant)
+		p := newPool(t, b)
+		ctx, cancel := context.WithCancel(t.Context())
+		asked, goOn := make(chan bool), make(chan bool)
+		req := backend.Request{HTTP: newRequest("POST", "r1", "x"), Timeouts: shortTimeouts(), Allow: func() bool {
+			close(asked)
+			<-goOn
+			return true
+		}}
+		done := make(chan error)
+		go func() {
+			_, err := do(ctx, p, req)
+			done <- err
+		}()
+		<-asked
+		cancel()
+		err := <-done
+		close(goOn)
+		if got, reason := outcome(err); got != backend.NotRun || reason != backend.ReasonCancelled {
+			t.Errorf("got %v", err)
+		}
+		eventually(t, "slot free", func() bool { return p.Usage().Slots == 0 })
+		if n := len(b.Stats().Requests); n != 0 {
+			t.Errorf("the server saw %d requests", n)
+		}
+	})
+}
+
+// TestSilentConnections checks that connections that are lost between the two
+// ends cost the server nothing on new ones.
+func TestSilentConnections(t *testing.T) {
+	b := start(t, instant)
+	p := newPool(t, b)
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() { _ = exchange(t, p, b, "warm", 1<<16) })
+	}
+	wg.Wait()
+	b.SetFaults(standin.BackendFaults{GoSilent: true})
+	err := exchange(t, p, b, "r1", 1<<16)
+	var unknown *backend.UnknownError
+	if !errors.As(err, &unknown) || !unknown.Reused || !unknown.Timeout() {
+		t.Fatalf("got %v", err)
+	}
+	p.CloseIdle(time.Now())
+	for range 3 {
+		if err := exchange(t, p, b, "r2", 1<<16); err != nil {
+			t.Errorf("on a new connection: %v", err)
+		}
+	}
+}
+
+// TestClosedIdleConnection checks that a connection that the server closed
+// while it was idle is not written to.
+func TestClosedIdleConnection(t *testing.T) {
+	b := start(t, instant)
+	p := newPool(t, b)
+	for range 20 {
+		b.SetFaults(standin.BackendFaults{CloseAfter: true})
+		if err := exchange(t, p, b, "r1", 1<<16); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Millisecond) // lets the close arrive
+	}
+}
+
+// TestSharesUnderCancellation cancels and times out many requests at random
+// and checks that the server never saw more than its share.
+func TestSharesUnderCancellation(t *testing.T) {
+	var n atomic.Int64
+	b := start(t, func() time.Duration { return time.Duration(n.Add(1)%7) * 3 * time.Millisecond })
+	p := newPool(t, b)
+	var wg sync.WaitGroup
+	for w := range 3 * slots {
+		wg.Go(func() {
+			for i := range 30 {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(1+(w+i)%20)*time.Millisecond)
+				if resp, err := do(ctx, p, backend.Request{HTTP: newRequest("GET", "r", ""), Buffer: 1 << 10, Timeouts: shortTimeouts()}); err == nil {
+					resp.Close()
+				}
+				cancel()
+			}
+		})
+	}
+	wg.Wait()
+	stats := b.Stats()
+	if stats.MaxRequests > slots || stats.MaxConnections > connections {
+		t.Errorf("server saw %d requests and %d connections at once", stats.MaxRequests, stats.MaxConnections)
+	}
+	if stats.MaxRequests < slots {
+		t.Errorf("only %d slots were in use", stats.MaxRequests)
+	}
+}
+
+// TestStreamedRequestBody checks a body sent while it is read, and one that
+// fails half-way.
+func TestStreamedRequestBody(t *testing.T) {
+	b := start(t, instant)
+	p := newPool(t, b)
+	r := newRequest("POST", "r1", "")
+	r.Body = io.NopCloser(io.MultiReader(strings.NewReader("da"), strings.NewReader("ta")))
+	r.ContentLength = -1
+	resp, err := do(t.Context(), p, backend.Request{HTTP: r, Streamed: true, Buffer: 1 << 10, Timeouts: shortTimeouts()})
+	if err != nil || string(resp.Body) != standin.Answer(b.Info(), "r1", []byte("data")) {
+		t.Fatalf("got %v, %v", resp, err)
+	}
+	r = newRequest("POST", "r2", "")
+	r.Body = io.NopCloser(io.MultiReader(strings.NewReader("da"), failingReader{}))
+	r.ContentLength = 1000
+	_, err = do(t.Context(), p, backend.Request{HTTP: r, Streamed: true, Buffer: 1 << 10, Timeouts: shortTimeouts()})
+	if got, _ := outcome(err); got != backend.Unknown {
+		t.Errorf("got %v", err)
+	}
+}
+
+type failingReader struct{}
+
+func (failingReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// TestLargeAnswer checks that an answer above the buffer arrives whole in
+// parts.
+func TestLargeAnswer(t *testing.T) {
+	b := start(t, instant)
+	p := newPool(t, b)
+	r := newRequest("GET", "r1", "")
+	r.Header.Set("X-Answer-Bytes", "900000")
+	resp, err := do(t.Context(), p, backend.Request{HTTP: r, Buffer: 1 << 10, Timeouts: shortTimeouts()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Close()
+	total := len(resp.Body)
+	for {
+		part, err := resp.Next(t.Context())
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		total += len(part)
+	}
+	if resp.Whole || total != 900000 {
+		t.Errorf("whole %v, %d bytes", resp.Whole, total)
+	}
+}
--- a/backend/response.go
+++ b/backend/response.go
@@ -33,7 +33,7 @@
 		err = x.checkEnd(c, head)
 	}
 	if err != nil {
-		x.head <- headResult{err: x.unknown(c, bodyReason(c, err), err)}
+		x.head <- headResult{err: x.unknown(bodyReason(c, err), err)}
 		x.endBody(c, sent, err)
 		return
 	}
@@ -107,7 +107,7 @@
 			return
 		}
 		if err != nil {
-			x.deliver(chunk{err: x.unknown(c, bodyReason(c, err), err)})
+			x.deliver(chunk{err: x.unknown(bodyReason(c, err), err)})
 			x.settle(c, err)
 			return
 		}
@@ -121,7 +121,7 @@
 	err := x.checkEnd(c, head)
 	if err != nil {
 		x.endBody(c, sent, err)
-		x.deliver(chunk{err: x.unknown(c, bodyReason(c, err), err)})
+		x.deliver(chunk{err: x.unknown(bodyReason(c, err), err)})
 		return
 	}
 	select {
@@ -148,16 +148,15 @@
 	if r.Whole {
 		return nil, io.EOF
 	}
-	c := r.x.conn.Load()
 	timer := time.NewTimer(r.x.req.Timeouts.Idle)
 	defer timer.Stop()
 	select {
 	case k := <-r.x.chunks:
 		return k.data, k.err
 	case <-ctx.Done():
-		return nil, r.x.unknown(c, cancelReason(ctx), ctx.Err())
+		return nil, r.x.unknown(cancelReason(ctx), ctx.Err())
 	case <-timer.C:
-		return nil, r.x.unknown(c, ReasonIdle, nil)
+		return nil, r.x.unknown(ReasonIdle, nil)
 	}
 }
 
@@ -208,7 +207,7 @@
 	if x.stage.CompareAndSwap(stagePending, stageAbandoned) {
 		return &NotRunError{Address: x.pool.address, Reason: reason, Cause: cause}
 	}
-	return x.unknown(x.conn.Load(), reason, cause)
+	return x.unknown(reason, cause)
 }
 
 func cancelReason(ctx context.Context) Reason {
--- a/gateway/fronts.go
+++ b/gateway/fronts.go
@@ -162,7 +162,7 @@
 	if f == nil || !f.active {
 		return nil
 	}
-	limits := backend.Limits{Slots: info.Slots, Connections: info.Connections}
+	limits := backend.Limits{Slots: info.Slots, Connections: max(info.Connections/2, 1)}
 	key := serverKey{info.ID, info.Address}
 	s, ok := f.servers[key]
 	if !ok {
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -21,6 +22,19 @@
 	DropBefore  bool          // close the connection before the answer
 	GoSilent    bool          // connections open now never answer again; new ones work
 	RefuseDials bool          // close new connections at once
+
+	Garbage         bool // answer with bytes that are not HTTP
+	WrongID         bool // answer names another request
+	Overlong        bool // more body than announced
+	Leftover        bool // a second answer follows the first
+	SilentAfterHead bool // announce the whole body, send half and nothing more
+	CloseAfter      bool // close after the answer without saying so
+	Undelimited     bool // body without length that ends with the connection
+}
+
+// raw reports whether the answer is not one that net/http would write.
+func (f BackendFaults) raw() bool {
+	return f.Garbage || f.Overlong || f.Leftover || f.SilentAfterHead || f.CloseAfter || f.Undelimited
 }
 
 // RequestRecord is one request that a Backend ran.
@@ -101,7 +115,7 @@
 		if b.faults.RefuseDials {
 			c.Close()
 		}
-	case http.StateClosed, http.StateHijacked:
+	case http.StateClosed:
 		delete(b.conns, c)
 	}
 }
@@ -150,7 +164,16 @@
 	if n, err := strconv.Atoi(r.Header.Get("X-Answer-Bytes")); err == nil && n > len(text) {
 		text += fmt.Sprintf("%*s", n-len(text), "")
 	}
+	if f.raw() {
+		b.answerRaw(w, f, text)
+		return
+	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	if f.WrongID {
+		text = strings.Replace(text, "request=", "request=other-", 1)
+		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+		r.Header.Set("X-Request-Id", "other")
+	}
 	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	if f.Status != 0 {
 		w.WriteHeader(f.Status)
@@ -163,6 +186,38 @@
 	io.WriteString(w, text)
 }
 
+// answerRaw writes a faulty answer past net/http and closes the connection.
+func (b *Backend) answerRaw(w http.ResponseWriter, f BackendFaults, text string) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer b.forget(conn)
+	defer conn.Close()
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(text))
+	switch {
+	case f.Garbage:
+		io.WriteString(conn, "\x16\x03\x01 not an answer\r\n\r\n")
+	case f.Overlong:
+		io.WriteString(conn, head+text+"and more")
+	case f.Leftover:
+		io.WriteString(conn, head+text+head+text)
+	case f.SilentAfterHead:
+		io.WriteString(conn, head+text[:len(text)/2])
+		_, _ = io.Copy(io.Discard, conn) // until the client closes
+	case f.Undelimited:
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+text)
+	case f.CloseAfter:
+		io.WriteString(conn, head+text)
+	}
+}
+
+func (b *Backend) forget(conn net.Conn) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.conns, conn)
+}
+
 // Answer is the body that a Backend answers with.
 func Answer(info platform.Server, id string, body []byte) string {
 	return fmt.Sprintf("server=%s request=%s body=%s\n", info.ID, id, body)
