--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -1,2 +1,7 @@
-// Package scheduler decides where tasks run: a pure function from a snapshot of a cell to a plan.
+// Package scheduler decides where tasks run: a pure function from a snapshot
+// of a cell to a plan.
+//
+// Plan takes the tasks in order of priority. For each it filters the workers
+// that may take it and gives it to the one with the highest score. Equal
+// snapshots give equal plans.
 package scheduler
--- /dev/null
+++ b/scheduler/plan.go
@@ -0,0 +1,127 @@
+package scheduler
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+)
+
+// planner holds the state of one Plan call.
+type planner struct {
+	workers []Worker // copies; Used and Tasks grow with the plan
+	spread  map[RackLoad]int
+	filters []Filter
+	scorers []WeightedScorer
+	budget  *fleet.Resources
+}
+
+// Plan places as many tasks as fit, the most important first. It never gives
+// a worker more than its Capacity: what is placed counts at once.
+func Plan(s Snapshot) Result {
+	tasks := slices.Clone(s.Tasks)
+	slices.SortFunc(tasks, compareTasks)
+	if !s.Open {
+		return closed(tasks)
+	}
+	p := newPlanner(s)
+	var result Result
+	for i := range tasks {
+		placement, reason, ok := p.place(&tasks[i])
+		if !ok {
+			result.Unplaced = append(result.Unplaced, Unplaced{Task: tasks[i].AttemptRef, Reason: reason})
+			continue
+		}
+		result.Placements = append(result.Placements, placement)
+	}
+	return result
+}
+
+func newPlanner(s Snapshot) *planner {
+	p := &planner{
+		workers: slices.Clone(s.Workers),
+		spread:  maps.Clone(s.Spread),
+		filters: Filters(),
+		scorers: Scorers(s.Cost),
+	}
+	if p.spread == nil {
+		p.spread = make(map[RackLoad]int)
+	}
+	if s.Budget != nil {
+		budget := *s.Budget
+		p.budget = &budget
+	}
+	slices.SortFunc(p.workers, func(a, b Worker) int { return cmp.Compare(a.ID, b.ID) })
+	return p
+}
+
+func compareTasks(a, b Task) int {
+	return cmp.Or(
+		cmp.Compare(b.Priority, a.Priority),
+		cmp.Compare(a.Order, b.Order),
+		cmp.Compare(a.AttemptRef.Task, b.AttemptRef.Task),
+		cmp.Compare(a.Attempt, b.Attempt),
+	)
+}
+
+func closed(tasks []Task) Result {
+	var result Result
+	for i := range tasks {
+		result.Unplaced = append(result.Unplaced, Unplaced{Task: tasks[i].AttemptRef, Reason: ReasonClosed})
+	}
+	return result
+}
+
+// place gives t to the feasible worker with the highest score; of equal ones
+// to the first by ID.
+func (p *planner) place(t *Task) (Placement, Reason, bool) {
+	if p.budget != nil && !t.Declared.Fits(*p.budget) {
+		return Placement{}, ReasonBudget, false
+	}
+	best, reason := -1, ReasonNoWorkers
+	bestScore := 0.0
+	for i := range p.workers {
+		w := &p.workers[i]
+		size := Size(t.Declared, t.Observed, w.Capacity)
+		if r, ok := p.feasible(w, size); !ok {
+			reason = r
+			continue
+		}
+		if score := p.score(t, w, size); best < 0 || score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	if best < 0 {
+		return Placement{}, reason, false
+	}
+	return p.take(t, &p.workers[best]), "", true
+}
+
+func (p *planner) feasible(w *Worker, size fleet.Resources) (Reason, bool) {
+	for _, f := range p.filters {
+		if !f.Feasible(w, size) {
+			return f.Reason(), false
+		}
+	}
+	return "", true
+}
+
+func (p *planner) score(t *Task, w *Worker, size fleet.Resources) float64 {
+	sum := 0.0
+	for _, s := range p.scorers {
+		sum += s.Weight * s.Score(t, w, size, p.spread)
+	}
+	return sum
+}
+
+func (p *planner) take(t *Task, w *Worker) Placement {
+	size := Size(t.Declared, t.Observed, w.Capacity)
+	w.Used = w.Used.Add(size)
+	w.Tasks++
+	p.spread[RackLoad{Job: t.Job, Rack: w.Rack}]++
+	if p.budget != nil {
+		*p.budget = p.budget.Sub(t.Declared)
+	}
+	return Placement{Task: t.AttemptRef, Worker: w.ID, Size: size}
+}
