--- /dev/null
+++ b/member/bytes_test.go
@@ -0,0 +1,96 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/peer/peertest"
+)
+
+// region returns the registries of count hosts that know one another.
+func region(count int) ([]*Registry, *peertest.Network) {
+	net := peertest.NewNetwork()
+	registries := make([]*Registry, count)
+	var hosts []Host
+	for i := range count {
+		id := fleet.HostID(fmt.Sprintf("entry-%03d", i))
+		hosts = append(hosts, Host{ID: id, Incarnation: 1764806400000000000 + fleet.Incarnation(i), Region: "sofia", DataCentre: "sofia-1"})
+		peers := net.Host(id)
+		registries[i] = NewRegistry(Deps{Self: hosts[i], Store: standin.NewStore(), Caller: peers, Peers: peers, Logger: log.NewNopLogger(), SeedPeer: 1})
+	}
+	for _, r := range registries {
+		for _, h := range hosts {
+			r.hosts[h.ID] = record{host: h}
+			r.summary.admit(h)
+		}
+	}
+	return registries, net
+}
+
+// busySummary is that of a host with one cell and two services, all of whose
+// loads differ from second to second.
+func busySummary(host, second int) Summary {
+	cell := fmt.Sprintf("cell/sofia-1/%d", host)
+	free := fleet.Resources{MilliCores: int64(100000 + host*1000 + second*10), MemoryMB: int64(400000 + second*100)}
+	return Summary{
+		Settings: 123456,
+		Services: map[fleet.Service]ServiceLoad{
+			"reclaim-engine": {Slots: 160, Free: (host + second) % 160, Waiting: second % 7},
+			"cutting-lists":  {Slots: 80, Free: (host + 2*second) % 80},
+		},
+		Cells:   map[string]CellLoad{cell: {DataCentre: "sofia-1", Capacity: fleet.Resources{MilliCores: 320000, MemoryMB: 1280000}, Free: free, LargestFit: fleet.Resources{MilliCores: 16000, MemoryMB: free.MemoryMB / 10}, Waiting: second % 11}},
+		StoreOK: true,
+	}
+}
+
+func BenchmarkSummaryBytes(b *testing.B) {
+	for _, count := range []int{14, 70, 140} {
+		b.Run(fmt.Sprintf("hosts=%d", count), func(b *testing.B) {
+			registries, net := region(count)
+			second := 0
+			for i, r := range registries {
+				r.published = time.Unix(int64(-i%14), 0)
+				r.now = func() time.Time { return time.Unix(int64(second), 0) }
+				r.SetLocal(func() Summary { return busySummary(i, second) })
+			}
+			start := 0
+			const warmUp, measured = 28, 28
+			for second = range warmUp + measured {
+				if second == warmUp {
+					start = net.Bytes(registries[0].deps.Self.ID)
+				}
+				for _, r := range registries {
+					r.refreshLocal(r.now())
+				}
+				for _, r := range registries {
+					for _, id := range r.pickPeers() {
+						r.exchangeWith(b.Context(), id)
+					}
+				}
+			}
+			var age, worst, pairs int
+			for i, r := range registries {
+				for j := range registries {
+					sum, ok := r.Summary(registries[j].deps.Self.ID)
+					if i == j || !ok {
+						continue
+					}
+					behind := second - (int(sum.Cells[fmt.Sprintf("cell/sofia-1/%d", j)].Free.MilliCores)-100000-1000*j)/10
+					age += behind
+					worst = max(worst, behind)
+					pairs++
+				}
+			}
+			b.ReportMetric(float64(net.Bytes(registries[0].deps.Self.ID)-start)/measured, "bytes/s")
+			b.ReportMetric(float64(age)/float64(pairs), "s-old")
+			b.ReportMetric(float64(worst), "s-oldest")
+			b.ReportMetric(float64(len(registries)*(len(registries)-1)-pairs), "pairs-unknown")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
--- a/member/exchange.go
+++ b/member/exchange.go
@@ -20,6 +20,12 @@
 	peersPerRound    = 2
 	// batchLimit bounds the summaries in one message.
 	batchLimit = 32
+	// A host publishes changes of its load no more often than this, and less
+	// often the more hosts there are, which keeps the bytes per host constant.
+	publishInterval = time.Second
+	publishPerHost  = 100 * time.Millisecond
+	// quietRounds is for how many times that long a change is news.
+	quietRounds = 2
 )
 
 // exchangeMessage carries changed summaries to a peer, as request and as
@@ -27,8 +33,8 @@
 type exchangeMessage struct {
 	Incarnation fleet.Incarnation `json:"incarnation"` // of the sender
 	ID          uint64            `json:"id,omitempty"`
-	Ack         uint64            `json:"ack,omitempty"` // of the last reply received
-	Summaries   []Summary         `json:"summaries,omitempty"`
+	Ack         uint64            `json:"ack,omitempty"`       // of the last reply received
+	Summaries   []byte            `json:"summaries,omitempty"` // compressed
 }
 
 // exchangeSummaries calls random peers of the region until ctx ends.
@@ -36,7 +42,7 @@
 	ticker := time.NewTicker(exchangeInterval)
 	defer ticker.Stop()
 	for {
-		r.refreshLocal()
+		r.refreshLocal(r.now())
 		for _, id := range r.pickPeers() {
 			go r.exchangeWith(ctx, id)
 		}
@@ -48,8 +54,9 @@
 	}
 }
 
-// refreshLocal takes this host's summary and numbers it if it has changed.
-func (r *Registry) refreshLocal() {
+// refreshLocal takes this host's summary and numbers it if it is to be
+// published.
+func (r *Registry) refreshLocal(now time.Time) {
 	r.mu.Lock()
 	source := r.local
 	r.mu.Unlock()
@@ -59,15 +66,28 @@
 	next := source()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	old := r.summary.newest[r.deps.Self.ID]
+	old := r.summary.newest[r.deps.Self.ID].Summary
 	next.Host = r.deps.Self.ID
 	next.Incarnation = r.deps.Self.Incarnation
 	next.Sequence = old.Sequence
-	if old.Sequence > 0 && reflect.DeepEqual(old, next) {
+	due := now.Sub(r.published) >= r.publishAfter()
+	if !urgent(old, next) && (!due || reflect.DeepEqual(old, next)) {
 		return
 	}
 	next.Sequence++
-	r.summary.newest[r.deps.Self.ID] = next
+	r.published = now
+	r.summary.newest[r.deps.Self.ID] = entry{Summary: next, learned: now}
+}
+
+// publishAfter returns the time between two changes of load that a host
+// publishes. The mutex is held.
+func (r *Registry) publishAfter() time.Duration {
+	return max(publishInterval, time.Duration(len(r.hosts))*publishPerHost)
+}
+
+// urgent reports whether a change is more than one of load.
+func urgent(old, next Summary) bool {
+	return old.Sequence == 0 || old.Settings != next.Settings || old.StoreOK != next.StoreOK || old.Draining != next.Draining
 }
 
 // pickPeers returns different random hosts of the region.
@@ -83,54 +103,69 @@
 }
 
 func (r *Registry) exchangeWith(ctx context.Context, id fleet.HostID) {
+	now := r.now()
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	request := r.request(id)
+	batch, request, err := r.request(now, id)
+	if err != nil {
+		level.Error(r.logger).Log("event", "summaries_not_encoded", "err", err)
+		return
+	}
 	var reply exchangeMessage
 	if err := r.deps.Caller.Call(ctx, id, methodExchange, request, &reply); err != nil {
 		level.Debug(r.logger).Log("event", "exchange_failed", "peer", id, "err", err)
 		return
 	}
+	answer, err := decodeBatch(reply.Summaries)
+	if err != nil {
+		level.Warn(r.logger).Log("event", "exchange_failed", "peer", id, "err", err)
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.summary.peer(id, reply.Incarnation)
-	p.received(request.Summaries)
-	r.take(p, reply)
+	p.received(batch)
+	r.summary.take(now, p, answer)
 	p.lastReply = reply.ID
 }
 
-func (r *Registry) request(id fleet.HostID) exchangeMessage {
+// request returns what to send to a peer.
+func (r *Registry) request(now time.Time, id fleet.HostID) ([]Summary, exchangeMessage, error) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	p := r.summary.peer(id, r.hosts[id].host.Incarnation)
-	return exchangeMessage{
-		Incarnation: r.deps.Self.Incarnation,
-		Ack:         p.lastReply,
-		Summaries:   r.summary.changes(id, p, batchLimit),
-	}
+	batch := r.summary.changes(now, id, p, batchLimit, quietRounds*r.publishAfter())
+	msg := exchangeMessage{Incarnation: r.deps.Self.Incarnation, Ack: p.lastReply}
+	r.mu.Unlock()
+	data, err := r.batches.encode(batch)
+	msg.Summaries = data
+	return batch, msg, err
 }
 
 // handleExchange answers a peer's summaries with those that it lacks.
 func (r *Registry) handleExchange(_ context.Context, from fleet.HostID, req exchangeMessage) (exchangeMessage, error) {
+	news, err := decodeBatch(req.Summaries)
+	if err != nil {
+		return exchangeMessage{}, &peer.RemoteError{Kind: peer.KindBadRequest, Message: err.Error()}
+	}
+	batch, id, err := r.answer(r.now(), from, req, news)
+	if err != nil {
+		return exchangeMessage{}, err
+	}
+	data, err := r.batches.encode(batch)
+	return exchangeMessage{Incarnation: r.deps.Self.Incarnation, ID: id, Summaries: data}, err
+}
+
+// answer takes a peer's news and returns what it lacks, with the number of
+// the reply.
+func (r *Registry) answer(now time.Time, from fleet.HostID, req exchangeMessage, news []Summary) ([]Summary, uint64, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if _, known := r.hosts[from]; !known {
-		return exchangeMessage{}, &peer.RemoteError{Kind: peer.KindUnavailable, Reason: "unknown_host", Message: "host record not seen yet"}
+		return nil, 0, &peer.RemoteError{Kind: peer.KindUnavailable, Reason: "unknown_host", Message: "host record not seen yet"}
 	}
 	p := r.summary.peer(from, req.Incarnation)
 	p.acknowledge(req.Ack)
-	r.take(p, req)
-	batch := r.summary.changes(from, p, batchLimit)
-	r.summary.replies++
-	p.replyID = r.summary.replies
-	p.reply = versionsOf(batch)
-	return exchangeMessage{Incarnation: r.deps.Self.Incarnation, ID: p.replyID, Summaries: batch}, nil
-}
-
-// take merges a peer's message. The mutex is held.
-func (r *Registry) take(p *peerState, msg exchangeMessage) {
-	p.received(msg.Summaries)
-	for _, sum := range msg.Summaries {
-		r.summary.merge(sum)
-	}
+	r.summary.take(now, p, news)
+	batch := r.summary.changes(now, from, p, batchLimit, quietRounds*r.publishAfter())
+	return batch, r.summary.replied(p, batch), nil
 }
--- a/member/registry.go
+++ b/member/registry.go
@@ -45,6 +45,7 @@
 	deps   Deps
 	logger log.Logger
 	rng    *rand.Rand // used by the exchange loop only
+	now    func() time.Time
 
 	mu      sync.Mutex
 	hosts   map[fleet.HostID]record
@@ -52,6 +53,9 @@
 	steady  steadiness
 	summary summaries
 	local   func() Summary
+	// published is when the own summary was last numbered.
+	published time.Time
+	batches   compressor
 }
 
 // record is a host record as last seen in the store.
@@ -75,6 +79,7 @@
 		deps:    deps,
 		logger:  log.With(deps.Logger, "component", "member"),
 		rng:     rand.New(rand.NewPCG(seed, uint64(deps.Self.Incarnation))),
+		now:     time.Now,
 		hosts:   make(map[fleet.HostID]record),
 		changed: make(chan struct{}),
 		summary: newSummaries(deps.Self.ID),
--- /dev/null
+++ b/member/registry_test.go
@@ -0,0 +1,169 @@
+package member_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/member"
+	"github.com/fuchsiahill/fuchsiahill/peer/peertest"
+)
+
+type running struct {
+	*member.Registry
+	stop func() error
+}
+
+// world is a store and a network.
+type world struct {
+	t     *testing.T
+	store *standin.Store
+	net   *peertest.Network
+}
+
+// start runs the registry of a host; free is what its summary says.
+func (w world) start(id fleet.HostID, incarnation fleet.Incarnation, free func() int) running {
+	peers := w.net.Host(id)
+	r := member.NewRegistry(member.Deps{
+		Self:  member.Host{ID: id, Incarnation: incarnation, Region: "sofia", PeerAddress: string(id) + ":1"},
+		Store: w.store, Caller: peers, Peers: peers, Logger: log.NewNopLogger(), SeedPeer: 1,
+	})
+	r.SetLocal(func() member.Summary {
+		return member.Summary{StoreOK: true, Services: map[fleet.Service]member.ServiceLoad{"s": {Free: free()}}}
+	})
+	ctx, cancel := context.WithCancel(w.t.Context())
+	done := make(chan error, 1)
+	go func() { done <- r.Serve(ctx) }()
+	return running{Registry: r, stop: func() error { cancel(); return <-done }}
+}
+
+func inWorld(t *testing.T, test func(t *testing.T, w world)) {
+	synctest.Test(t, func(t *testing.T) {
+		test(t, world{t: t, store: standin.NewStore(), net: peertest.NewNetwork()})
+	})
+}
+
+func ids(r running) string {
+	var list []fleet.HostID
+	for _, h := range r.Hosts() {
+		list = append(list, h.ID)
+	}
+	return fmt.Sprint(list)
+}
+
+func constant(n int) func() int { return func() int { return n } }
+
+func TestHostsComeAndGo(t *testing.T) {
+	inWorld(t, func(t *testing.T, w world) {
+		a, b := w.start("a", 1, constant(1)), w.start("b", 1, constant(2))
+		time.Sleep(member.LeaseTTL + 5*time.Second)
+		if got := ids(a) + ids(b); got != "[a b][a b]" {
+			t.Errorf("hosts %s", got)
+		}
+		if address, ok := a.PeerAddress("b"); address != "b:1" || !ok {
+			t.Errorf("address %q", address)
+		}
+		if s, ok := a.Summary("b"); !ok || s.Services["s"].Free != 2 {
+			t.Errorf("summary %+v", s)
+		}
+		_ = b.stop()
+		time.Sleep(time.Second)
+		if got := ids(a); got != "[a]" {
+			t.Errorf("hosts %s after b's goodbye", got)
+		}
+		if _, ok := a.Summary("b"); ok {
+			t.Error("summary of a host that is gone")
+		}
+		_ = a.stop()
+	})
+}
+
+func TestRestartReplacesTheIncarnation(t *testing.T) {
+	inWorld(t, func(t *testing.T, w world) {
+		a, b := w.start("a", 1, constant(1)), w.start("b", 1, constant(2))
+		time.Sleep(5 * time.Second)
+		later := w.start("b", 2, constant(3))
+		time.Sleep(5 * time.Second)
+		if h, _ := a.Host("b"); h.Incarnation != 2 {
+			t.Errorf("host %+v", h)
+		}
+		if s, _ := a.Summary("b"); s.Incarnation != 2 || s.Services["s"].Free != 3 {
+			t.Errorf("summary %+v", s)
+		}
+		w.store.ExpireAllLeases()
+		time.Sleep(10 * time.Second)
+		var superseded *member.SupersededError
+		if err := b.stop(); !errors.As(err, &superseded) {
+			t.Errorf("the earlier process ended with %v", err)
+		}
+		_, _ = a.stop(), later.stop()
+	})
+}
+
+func TestLapsedLeaseIsGrantedAnew(t *testing.T) {
+	inWorld(t, func(t *testing.T, w world) {
+		a, b := w.start("a", 1, constant(1)), w.start("b", 1, constant(2))
+		time.Sleep(2 * member.LeaseTTL)
+		w.store.ExpireAllLeases()
+		if _, ok := a.StoreSteadySince(); !ok {
+			t.Error("store not steady before the lapse was noticed")
+		}
+		time.Sleep(6 * time.Second)
+		if got := ids(a) + ids(b); got != "[a b][a b]" {
+			t.Errorf("hosts %s", got)
+		}
+		if since, ok := a.StoreSteadySince(); !ok || time.Since(since) > 6*time.Second {
+			t.Errorf("steady since %v, %v: a lapse must start it anew", since, ok)
+		}
+		_, _ = a.stop(), b.stop()
+	})
+}
+
+func TestOutageKeepsTheHosts(t *testing.T) {
+	inWorld(t, func(t *testing.T, w world) {
+		a, b, c := w.start("a", 1, constant(1)), w.start("b", 1, constant(2)), w.start("c", 1, constant(3))
+		time.Sleep(2 * member.LeaseTTL)
+		w.store.SetFaults(standin.StoreFaults{Down: true})
+		time.Sleep(time.Hour)
+		if _, ok := a.StoreSteadySince(); ok {
+			t.Error("store counts as steady in an outage")
+		}
+		w.store.SetFaults(standin.StoreFaults{})
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			if got := ids(a); got != "[a b c]" {
+				t.Fatalf("hosts %s after the outage", got)
+			}
+		}
+		w.net.Isolate("c", true)
+		_ = c.stop()
+		time.Sleep(2 * member.LeaseTTL)
+		if got := ids(a); got != "[a b]" {
+			t.Errorf("hosts %s", got)
+		}
+		_, _ = a.stop(), b.stop()
+	})
+}
+
+func TestSummariesSurviveLostReplies(t *testing.T) {
+	inWorld(t, func(t *testing.T, w world) {
+		free := 0
+		a, b := w.start("a", 1, constant(1)), w.start("b", 1, func() int { return free })
+		time.Sleep(5 * time.Second)
+		w.net.LoseReplies("a", "b", 5)
+		w.net.LoseReplies("b", "a", 5)
+		free = 7
+		time.Sleep(10 * time.Second)
+		if s, _ := a.Summary("b"); s.Services["s"].Free != 7 {
+			t.Errorf("summary %+v", s)
+		}
+		_, _ = a.stop(), b.stop()
+	})
+}
--- a/member/summaries.go
+++ b/member/summaries.go
@@ -3,10 +3,14 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 )
 
+// rumourSends is how often a host passes on another host's change.
+const rumourSends = 2
+
 // version orders the summaries of one host.
 type version struct {
 	Incarnation fleet.Incarnation
@@ -32,12 +36,19 @@
 type summaries struct {
 	self   fleet.HostID
 	lowest map[fleet.HostID]fleet.Incarnation // by known host, from its record
-	newest map[fleet.HostID]Summary
+	newest map[fleet.HostID]entry
 	peers  map[fleet.HostID]*peerState
 	// replies numbers the replies to all peers, so that no ID comes twice.
 	replies uint64
 }
 
+// entry is the newest summary of a host.
+type entry struct {
+	Summary
+	learned time.Time
+	sends   int // to peers, of this version
+}
+
 // peerState is what a peer is known to have.
 type peerState struct {
 	incarnation fleet.Incarnation
@@ -54,14 +65,14 @@
 	return summaries{
 		self:   self,
 		lowest: make(map[fleet.HostID]fleet.Incarnation),
-		newest: make(map[fleet.HostID]Summary),
+		newest: make(map[fleet.HostID]entry),
 		peers:  make(map[fleet.HostID]*peerState),
 	}
 }
 
 func (s *summaries) get(id fleet.HostID) (Summary, bool) {
-	sum, ok := s.newest[id]
-	return sum, ok
+	e, ok := s.newest[id]
+	return e.Summary, ok
 }
 
 // admit takes notice of a host record. A summary of an earlier incarnation is
@@ -85,15 +96,15 @@
 
 // merge takes a summary if it is newer than the one held, of a known host
 // other than this one, and not of an incarnation that has ended.
-func (s *summaries) merge(sum Summary) {
+func (s *summaries) merge(now time.Time, sum Summary) {
 	lowest, known := s.lowest[sum.Host]
 	if !known || sum.Host == s.self || sum.Incarnation < lowest {
 		return
 	}
-	if old, ok := s.newest[sum.Host]; ok && !versionOf(sum).newer(versionOf(old)) {
+	if old, ok := s.newest[sum.Host]; ok && !versionOf(sum).newer(versionOf(old.Summary)) {
 		return
 	}
-	s.newest[sum.Host] = sum
+	s.newest[sum.Host] = entry{Summary: sum, learned: now}
 }
 
 // peer returns what is known of a peer's process. A later process of the same
@@ -131,40 +142,68 @@
 	p.reply = nil
 }
 
-// changes returns at most limit summaries that a peer lacks: the own one
-// first, then those of the hosts whose news is oldest at the peer.
-func (s *summaries) changes(to fleet.HostID, p *peerState, limit int) []Summary {
-	var batch []Summary
-	for id, sum := range s.newest {
-		if id != to && versionOf(sum).newer(p.has[id]) {
-			batch = append(batch, sum)
+// changes returns at most limit summaries that a peer may lack: the own one
+// first, then the latest news. quiet is the age from which on a summary no
+// longer counts as news.
+func (s *summaries) changes(now time.Time, to fleet.HostID, p *peerState, limit int, quiet time.Duration) []Summary {
+	var due []entry
+	for id, e := range s.newest {
+		if id != to && s.wanted(now, p, e, quiet) {
+			due = append(due, e)
 		}
 	}
-	slices.SortFunc(batch, func(a, b Summary) int {
-		if own := cmp.Compare(rank(a.Host, s.self), rank(b.Host, s.self)); own != 0 {
-			return own
-		}
+	slices.SortFunc(due, func(a, b entry) int {
 		return cmp.Or(
-			cmp.Compare(lag(b, p), lag(a, p)),
+			cmp.Compare(s.rank(a), s.rank(b)),
+			b.learned.Compare(a.learned),
 			cmp.Compare(a.Host, b.Host))
 	})
-	return batch[:min(limit, len(batch))]
+	due = due[:min(limit, len(due))]
+	batch := make([]Summary, len(due))
+	for i, e := range due {
+		batch[i] = e.Summary
+		e.sends++
+		s.newest[e.Host] = e
+	}
+	return batch
 }
 
-func rank(id, self fleet.HostID) int {
-	if id == self {
+// wanted reports whether a peer should be sent a summary. Most peers hear of
+// a change from others, so each host passes it on only rumourSends times. A
+// host that is new to the peer, or has been quiet since, is sent all the same,
+// so that nothing is missed for good.
+func (s *summaries) wanted(now time.Time, p *peerState, e entry, quiet time.Duration) bool {
+	has := p.has[e.Host]
+	if !versionOf(e.Summary).newer(has) {
+		return false
+	}
+	return e.Host == s.self ||
+		e.sends < rumourSends ||
+		has.Incarnation != e.Incarnation ||
+		now.Sub(e.learned) >= quiet
+}
+
+func (s *summaries) rank(e entry) int {
+	if e.Host == s.self {
 		return 0
 	}
 	return 1
 }
 
-// lag is by how many changes a peer's summary is behind.
-func lag(sum Summary, p *peerState) uint64 {
-	has := p.has[sum.Host]
-	if has.Incarnation != sum.Incarnation {
-		return sum.Sequence
+// take merges what a peer sent.
+func (s *summaries) take(now time.Time, p *peerState, batch []Summary) {
+	p.received(batch)
+	for _, sum := range batch {
+		s.merge(now, sum)
 	}
-	return sum.Sequence - has.Sequence
+}
+
+// replied notes a reply to a peer and returns its number.
+func (s *summaries) replied(p *peerState, batch []Summary) uint64 {
+	s.replies++
+	p.replyID = s.replies
+	p.reply = versionsOf(batch)
+	return p.replyID
 }
 
 // versionsOf returns the versions in a batch.
--- a/peer/peertest/peertest.go
+++ b/peer/peertest/peertest.go
@@ -91,8 +91,11 @@
 	n.loseReplies[route{from, to}] = count
 }
 
+// envelopeBytes is about what JSON-RPC and the frame add to each message.
+const envelopeBytes = 90
+
 // Bytes returns the bytes of requests and replies that a host has sent and
-// received.
+// received, with their envelopes.
 func (n *Network) Bytes(id fleet.HostID) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -102,8 +105,8 @@
 func (n *Network) count(r route, bytes int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.bytes[r.from] += bytes
-	n.bytes[r.to] += bytes
+	n.bytes[r.from] += bytes + envelopeBytes
+	n.bytes[r.to] += bytes + envelopeBytes
 }
 
 // Host is a host on a Network.
--- /dev/null
+++ b/peer/stream_test.go
@@ -0,0 +1,35 @@
+package peer
+
+import (
+	"encoding/json"
+	"net"
+	"testing"
+	"time"
+)
+
+// FuzzReadObject reads arbitrary bytes as messages: it must end, with bounded
+// memory, and never panic.
+func FuzzReadObject(f *testing.F) {
+	f.Add([]byte("\x00\x00\x00\x02{}"))
+	f.Add([]byte("\x00\x00\x00\x04null\x00\x00\x00\x09{\"id\":1}\n"))
+	f.Add([]byte("\xff\xff\xff\xff{}"))
+	f.Add([]byte("\x00\x3f\xff\xff{"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		near, far := net.Pipe()
+		go func() {
+			_, _ = far.Write(data)
+			far.Close()
+		}()
+		s := newStream(near, time.Second)
+		for {
+			var m json.RawMessage
+			if err := s.ReadObject(&m); err != nil {
+				break
+			}
+		}
+		near.Close()
+		if s.readBytes.Load() > int64(len(data)) {
+			t.Errorf("%d bytes read of %d", s.readBytes.Load(), len(data))
+		}
+	})
+}
