Add the thin version of sharing; end calls cut short as unknown

sharing: a Kalman filter per service over cores of each job class, throttle first, evict by least lost work, slow return. peer: a handler that its deadline cut short may have done its work, so the caller now gets UnknownError and not a RemoteError. Found by the race of both deadlines in TestDeadline. A server that starts to drain no longer races with calls that begin; found by the race detector.

--- a/member/bytes_test.go
+++ b/member/bytes_test.go
@@ -54,9 +54,10 @@
 			registries, net := region(count)
 			second := 0
 			for i, r := range registries {
-				r.published = time.Unix(int64(-i%14), 0)
 				r.now = func() time.Time { return time.Unix(int64(second), 0) }
 				r.SetLocal(func() Summary { return busySummary(i, second) })
+				r.refreshLocal(r.now())
+				r.published = r.published.Add(time.Duration(-i%15) * time.Second)
 			}
 			start := 0
 			const warmUp, measured = 28, 28
--- a/member/exchange.go
+++ b/member/exchange.go
@@ -23,7 +23,7 @@
 	// A host publishes changes of its load no more often than this, and less
 	// often the more hosts there are, which keeps the bytes per host constant.
 	publishInterval = time.Second
-	publishPerHost  = 100 * time.Millisecond
+	publishPerHost  = 110 * time.Millisecond
 	// quietRounds is for how many times that long a change is news.
 	quietRounds = 2
 )
--- a/member/registry_test.go
+++ b/member/registry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -154,12 +155,12 @@
 
 func TestSummariesSurviveLostReplies(t *testing.T) {
 	inWorld(t, func(t *testing.T, w world) {
-		free := 0
-		a, b := w.start("a", 1, constant(1)), w.start("b", 1, func() int { return free })
+		var free atomic.Int64
+		a, b := w.start("a", 1, constant(1)), w.start("b", 1, func() int { return int(free.Load()) })
 		time.Sleep(5 * time.Second)
 		w.net.LoseReplies("a", "b", 5)
 		w.net.LoseReplies("b", "a", 5)
-		free = 7
+		free.Store(7)
 		time.Sleep(10 * time.Second)
 		if s, _ := a.Summary("b"); s.Services["s"].Free != 7 {
 			t.Errorf("summary %+v", s)
--- a/peer/client.go
+++ b/peer/client.go
@@ -231,12 +231,20 @@
 	case err == nil:
 		return nil
 	case errors.As(err, &remote):
-		return decodeError(remote)
+		return l.remoteFailure(method, decodeError(remote))
 	default:
 		return &UnknownError{Host: l.host, Method: method, Cause: err}
 	}
 }
 
+// remoteFailure returns what a peer answered, or that the outcome is unknown.
+func (l *link) remoteFailure(method string, err *RemoteError) error {
+	if err.Kind == KindInternal && err.Reason == reasonTimeout {
+		return &UnknownError{Host: l.host, Method: method, Cause: err}
+	}
+	return err
+}
+
 func metaOf(ctx context.Context) callMeta {
 	deadline, ok := ctx.Deadline()
 	if !ok {
--- a/peer/link.go
+++ b/peer/link.go
@@ -111,7 +111,7 @@
 	logger := log.With(l.client.opts.Logger, "component", "peer_client", "peer", l.host)
 	rpc := jsonrpc2.NewConn(context.Background(), st, refuseCalls{}, jsonrpc2.SetLogger(rpcLogger{logger}))
 	var reply helloReply
-	err = rpc.Call(ctx, methodHello, hello{From: l.client.self, To: l.host}, &reply)
+	err = rpc.Call(ctx, methodHello, hello{From: l.client.self}, &reply)
 	if err == nil && reply.Host != l.host {
 		err = &IdentityError{Want: l.host, Got: reply.Host}
 	}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -111,10 +111,10 @@
 			if bad.Kind != peer.KindBadRequest {
 				t.Errorf("malformed request: %+v", bad)
 			}
-			as[*peer.UnreachableError](t, caller.Call(t.Context(), "nowhere", "echo", echo{}, nil))
+			_ = as[*peer.UnreachableError](t, caller.Call(t.Context(), "nowhere", "echo", echo{}, nil))
 			ended, cancel := context.WithCancel(t.Context())
 			cancel()
-			as[*peer.UnreachableError](t, caller.Call(ended, "b", "echo", echo{}, nil))
+			_ = as[*peer.UnreachableError](t, caller.Call(ended, "b", "echo", echo{}, nil))
 		})
 	}
 }
@@ -124,11 +124,11 @@
 	if err := as[*peer.RemoteError](t, caller.Call(t.Context(), "b", "panic", echo{}, nil)); err.Reason != "panic" {
 		t.Errorf("panic: %+v", err)
 	}
-	as[*peer.RemoteError](t, caller.Call(t.Context(), "b", "large", echo{}, nil))
+	_ = as[*peer.RemoteError](t, caller.Call(t.Context(), "b", "large", echo{}, nil))
 	large := echo{Text: string(bytes.Repeat([]byte("x"), peer.MaxMessageBytes))}
 	cause := as[*peer.UnreachableError](t, caller.Call(t.Context(), "b", "echo", large, nil))
-	as[*peer.TooLargeError](t, cause)
-	as[*peer.UnreachableError](t, caller.Call(t.Context(), "c", "echo", echo{}, nil)) // b answers there
+	_ = as[*peer.TooLargeError](t, cause)
+	_ = as[*peer.UnreachableError](t, caller.Call(t.Context(), "c", "echo", echo{}, nil)) // b answers there
 	if err := caller.Call(t.Context(), "b", "echo", echo{}, nil); err != nil {
 		t.Errorf("after the faults: %v", err)
 	}
@@ -139,7 +139,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
 	start := time.Now()
-	as[*peer.UnknownError](t, caller.Call(ctx, "b", "echo", echo{Wait: time.Minute}, nil))
+	_ = as[*peer.UnknownError](t, caller.Call(ctx, "b", "echo", echo{Wait: time.Minute}, nil))
 	if took := time.Since(start); took > time.Second {
 		t.Errorf("took %s", took)
 	}
@@ -160,7 +160,7 @@
 		t.Errorf("a call in progress at shutdown ended with %v", err)
 	}
 	time.Sleep(50 * time.Millisecond)
-	as[*peer.UnreachableError](t, call())
+	_ = as[*peer.UnreachableError](t, call())
 	serve(t, ln.Addr().String(), peer.ServerOptions{})
 	if err := call(); err != nil {
 		t.Errorf("after the restart: %v", err)
@@ -195,7 +195,7 @@
 		}
 	})
 	t.Cleanup(func() {
-		ln.Close()
+		_ = ln.Close()
 		p.mu.Lock()
 		for _, conn := range p.conns {
 			conn.Close()
@@ -269,7 +269,7 @@
 			}
 			p.silence()
 			start := time.Now()
-			as[*peer.UnknownError](t, call(test.deadline))
+			_ = as[*peer.UnknownError](t, call(test.deadline))
 			if took := time.Since(start); took > test.within {
 				t.Errorf("took %s", took)
 			}
--- a/peer/server.go
+++ b/peer/server.go
@@ -51,8 +51,9 @@
 
 	mu       sync.RWMutex
 	handlers map[string]Handler
-
-	draining atomic.Bool
+	// draining says that no call begins any more. Only while it is false may
+	// calls grow.
+	draining bool
 	calls    sync.WaitGroup
 }
 
@@ -89,11 +90,11 @@
 // ServeListener accepts connections from ln until ctx ends, lets calls in
 // progress finish for a bounded time, and closes ln and every connection.
 func (s *Server) ServeListener(ctx context.Context, ln net.Listener) error {
-	s.draining.Store(false)
+	s.setDraining(false)
 	connCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() {
-		s.draining.Store(true)
+		s.setDraining(true)
 		_ = ln.Close()
 	})
 	defer stop()
@@ -103,6 +104,22 @@
 	return ctx.Err()
 }
 
+func (s *Server) setDraining(draining bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = draining
+}
+
+// begin counts a call as in progress, unless the server is draining.
+func (s *Server) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.draining {
+		s.calls.Add(1)
+	}
+	return !s.draining
+}
+
 func (s *Server) accept(ctx, connCtx context.Context, ln net.Listener) {
 	for ctx.Err() == nil {
 		conn, err := ln.Accept()
@@ -167,8 +184,6 @@
 		go reply(nil, &RemoteError{Kind: KindBadRequest, Message: "call before hello"})
 	case req.Method == methodPing:
 		go reply(struct{}{}, nil)
-	case s.server.draining.Load():
-		go reply(nil, &RemoteError{Kind: KindUnavailable, Reason: "draining", Message: "host is shutting down"})
 	default:
 		s.admit(ctx, *from, req, reply)
 	}
@@ -182,7 +197,11 @@
 		go reply(nil, &RemoteError{Kind: KindUnavailable, Reason: "overloaded", Message: "too many calls in progress"})
 		return
 	}
-	s.server.calls.Add(1)
+	if !s.server.begin() {
+		<-s.server.slots
+		go reply(nil, &RemoteError{Kind: KindUnavailable, Reason: "draining", Message: "host is shutting down"})
+		return
+	}
 	go func() {
 		defer s.server.calls.Done()
 		defer func() { <-s.server.slots }()
@@ -221,16 +240,13 @@
 	return h(ctx, from, params)
 }
 
-// hello admits a caller that names this host and, with TLS, proves its own
-// name.
+// hello admits a caller that names itself and, with TLS, proves its name. It
+// is for the caller to check that it has reached the right host.
 func (s *session) hello(ctx context.Context, req *jsonrpc2.Request) (any, error) {
 	var h hello
 	if req.Params == nil || json.Unmarshal(*req.Params, &h) != nil || h.From == "" {
 		return nil, &RemoteError{Kind: KindBadRequest, Message: "malformed hello"}
 	}
-	if h.To != s.server.self {
-		return nil, &RemoteError{Kind: KindRefused, Reason: "identity", Message: "this is host " + string(s.server.self)}
-	}
 	if err := verifyCaller(ctx, s.conn, h.From); err != nil {
 		level.Warn(s.server.logger).Log("event", "caller_refused", "from", h.From, "err", err)
 		return nil, &RemoteError{Kind: KindRefused, Reason: "certificate", Message: err.Error()}
--- a/peer/tls_test.go
+++ b/peer/tls_test.go
@@ -92,7 +92,7 @@
 				t.Error(err)
 			}
 			if !test.ok {
-				as[*peer.UnreachableError](t, err)
+				_ = as[*peer.UnreachableError](t, err)
 			}
 		})
 	}
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 
@@ -17,10 +18,13 @@
 	methodPing  = "peer.ping"
 )
 
-// hello is the first request on a connection: who calls, and whom.
+// reasonTimeout is the Reason of a handler that its deadline has cut short. It
+// may have done its work or not.
+const reasonTimeout = "timeout"
+
+// hello is the first request on a connection: who calls.
 type hello struct {
 	From fleet.HostID `json:"from"`
-	To   fleet.HostID `json:"to"`
 }
 
 // helloReply names the host that answers.
@@ -37,7 +41,11 @@
 // RemoteError.
 func encodeError(err error) *jsonrpc2.Error {
 	var remote *RemoteError
-	if !errors.As(err, &remote) {
+	switch {
+	case errors.As(err, &remote):
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		remote = &RemoteError{Kind: KindInternal, Reason: reasonTimeout, Message: err.Error()}
+	default:
 		remote = &RemoteError{Kind: KindInternal, Message: err.Error()}
 	}
 	out := &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: remote.Message}
--- /dev/null
+++ b/sharing/model.go
@@ -0,0 +1,124 @@
+package sharing
+
+import (
+	"math"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+)
+
+const (
+	// usageHalfLife is how fast old usage reports of a class lose weight.
+	usageHalfLife = 10 * time.Minute
+	// maxPressure caps an observation, so that one outlier does not decide.
+	maxPressure = 3.0
+	// cautionDeviations is how many standard deviations above its mean a cost
+	// is taken to be where too low a guess would hurt a service.
+	cautionDeviations = 1.0
+)
+
+// Model is what a cell has learned: the cost of each job class to each
+// service, from request latency, which is fresh, and the use that each class
+// makes of the cores it was given, from usage reports, which lag.
+type Model struct {
+	services map[fleet.Service]*regression
+	usage    map[fleet.JobClass]*average
+}
+
+// NewModel returns a model that has seen nothing.
+func NewModel() *Model {
+	return &Model{services: make(map[fleet.Service]*regression), usage: make(map[fleet.JobClass]*average)}
+}
+
+// Cost is an estimate of by how much one core of a job class raises a
+// service's 99th percentile, as a multiple of its objective.
+type Cost struct {
+	Mean      float64 // never negative
+	Deviation float64 // standard deviation
+}
+
+// Cautious returns a cost that is rarely exceeded.
+func (c Cost) Cautious() float64 { return c.Mean + cautionDeviations*c.Deviation }
+
+// Cost returns the estimate for a pair. Of a pair never seen together it is a
+// wide guess.
+func (m *Model) Cost(service fleet.Service, class fleet.JobClass) Cost {
+	r, ok := m.services[service]
+	if !ok {
+		return Cost{Mean: priorCost, Deviation: priorCostDeviation}
+	}
+	return r.cost(class)
+}
+
+// Observe learns from the latencies measured on a worker at a moment.
+func (m *Model) Observe(now time.Time, w Worker) {
+	cores := m.cores(w.Tasks)
+	for _, s := range w.Services {
+		if s.P99 <= 0 || s.Objective <= 0 {
+			continue
+		}
+		r, ok := m.services[s.Name]
+		if !ok {
+			r = newRegression(now)
+			m.services[s.Name] = r
+		}
+		r.observe(now, s.Load, cores, min(s.pressure(), maxPressure))
+	}
+}
+
+// cores returns the cores that the tasks of each class are thought to use.
+func (m *Model) cores(tasks []Task) map[fleet.JobClass]float64 {
+	cores := make(map[fleet.JobClass]float64, len(tasks))
+	for _, t := range tasks {
+		cores[t.Class] += t.Cores * t.Share * m.Usage(t.Class)
+	}
+	return cores
+}
+
+// ObserveUsage learns from a usage report of a task: the cores that it used
+// of those it could.
+func (m *Model) ObserveUsage(now time.Time, class fleet.JobClass, given, used float64) {
+	if given <= 0 {
+		return
+	}
+	a, ok := m.usage[class]
+	if !ok {
+		a = &average{updated: now}
+		m.usage[class] = a
+	}
+	a.observe(now, used/given)
+}
+
+// Usage returns the share of its cores that a class uses, 1 if unknown.
+func (m *Model) Usage(class fleet.JobClass) float64 {
+	if a, ok := m.usage[class]; ok {
+		return a.value
+	}
+	return 1
+}
+
+// Pressure returns the expected pressure on the worst-off service of a worker
+// if a task of a class and size were added: the measured one plus its
+// cautious cost. Placement prefers low values.
+func (m *Model) Pressure(w Worker, class fleet.JobClass, cores float64) float64 {
+	worst := 0.0
+	for _, s := range w.Services {
+		added := m.Cost(s.Name, class).Cautious() * cores * m.Usage(class)
+		worst = max(worst, s.pressure()+added)
+	}
+	return worst
+}
+
+// average is a mean whose old observations lose weight.
+type average struct {
+	value   float64
+	weight  float64
+	updated time.Time
+}
+
+func (a *average) observe(now time.Time, value float64) {
+	a.weight *= math.Exp2(-now.Sub(a.updated).Seconds() / usageHalfLife.Seconds())
+	a.weight++
+	a.value += (value - a.value) / a.weight
+	a.updated = now
+}
--- /dev/null
+++ b/sharing/policy.go
@@ -0,0 +1,213 @@
+package sharing
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+)
+
+// Thresholds of pressure. Between highPressure and lowPressure nothing
+// changes: the hysteresis keeps tasks from being throttled and restored in
+// turn.
+const (
+	highPressure   = 0.90 // from here on tasks are throttled
+	targetPressure = 0.80 // that throttling and restoring aim at
+	lowPressure    = 0.70 // up to here processors are given back
+)
+
+const (
+	// settleTime is how long the effect of an action on a worker is awaited.
+	settleTime = 2 * time.Second
+	// evictAfter is how long a service must miss its objective in spite of
+	// throttling before a task is evicted.
+	evictAfter = 6 * time.Second
+	// restoreAfter is how long pressure must be low before processors are
+	// given back, and the time between two steps.
+	restoreAfter = 10 * time.Second
+	restoreStep  = 0.25 // of a task's processors
+	// shareStep is the least change of a share that is worth a call.
+	shareStep      = 0.05
+	evictionWindow = time.Minute
+)
+
+// Policy decides about the tasks of a cell. It remembers what it did to each
+// worker and when.
+type Policy struct {
+	model     *Model
+	workers   map[fleet.WorkerID]*history
+	evictions []time.Time // in the last evictionWindow, in order
+}
+
+// history is what a policy remembers of a worker.
+type history struct {
+	acted  time.Time // of the last action
+	missed time.Time // since when the objective is missed; zero if it is met
+	low    time.Time // since when pressure is low, or of the last step back; zero if it is not
+}
+
+// NewPolicy returns a policy that uses model.
+func NewPolicy(model *Model) *Policy {
+	return &Policy{model: model, workers: make(map[fleet.WorkerID]*history)}
+}
+
+// Decide returns what to do now. Workers that are no longer in the snapshot
+// are forgotten.
+func (p *Policy) Decide(now time.Time, s Snapshot) []Action {
+	p.evictions = slices.DeleteFunc(p.evictions, func(t time.Time) bool { return now.Sub(t) >= evictionWindow })
+	present := make(map[fleet.WorkerID]*history, len(s.Workers))
+	var actions []Action
+	for _, w := range s.Workers {
+		h, ok := p.workers[w.ID]
+		if !ok {
+			h = new(history)
+		}
+		present[w.ID] = h
+		actions = append(actions, p.decideWorker(now, w, h, s.EvictionsPerMinute)...)
+	}
+	p.workers = present
+	return actions
+}
+
+func (p *Policy) decideWorker(now time.Time, w Worker, h *history, evictionLimit int) []Action {
+	pressed, pressure := worstOff(w)
+	h.note(now, pressure)
+	if now.Sub(h.acted) < settleTime || len(w.Tasks) == 0 {
+		return nil
+	}
+	var actions []Action
+	switch {
+	case pressure >= highPressure:
+		actions = p.relieve(now, w, pressed, h, evictionLimit)
+	case !h.low.IsZero() && now.Sub(h.low) >= restoreAfter:
+		actions = p.restore(w, pressure)
+		h.low = now
+	}
+	if len(actions) > 0 {
+		h.acted = now
+	}
+	return actions
+}
+
+// worstOff returns the service under the greatest pressure.
+func worstOff(w Worker) (Service, float64) {
+	var worst Service
+	for _, s := range w.Services {
+		if s.pressure() > worst.pressure() {
+			worst = s
+		}
+	}
+	return worst, worst.pressure()
+}
+
+// note keeps the times since when pressure is too high or low.
+func (h *history) note(now time.Time, pressure float64) {
+	since(&h.missed, now, pressure >= 1)
+	since(&h.low, now, pressure <= lowPressure)
+}
+
+func since(t *time.Time, now time.Time, holds bool) {
+	switch {
+	case !holds:
+		*t = time.Time{}
+	case t.IsZero():
+		*t = now
+	}
+}
+
+// relieve throttles, or evicts one task once throttling has not been enough
+// for evictAfter.
+func (p *Policy) relieve(now time.Time, w Worker, pressed Service, h *history, evictionLimit int) []Action {
+	if actions := p.throttle(w, pressed); len(actions) > 0 {
+		return actions
+	}
+	if h.missed.IsZero() || now.Sub(h.missed) < evictAfter || len(p.evictions) >= evictionLimit {
+		return nil
+	}
+	victim, ok := p.victim(w, pressed)
+	if !ok {
+		return nil
+	}
+	p.evictions = append(p.evictions, now)
+	h.missed = now
+	return []Action{{Kind: Evict, Worker: w.ID, Ref: victim.Ref}}
+}
+
+// throttle lowers the shares of the tasks that cost the pressed service most,
+// until the expected relief is enough.
+func (p *Policy) throttle(w Worker, pressed Service) []Action {
+	excess := pressed.pressure() - targetPressure
+	tasks := slices.Clone(w.Tasks)
+	slices.SortStableFunc(tasks, func(a, b Task) int {
+		return cmp.Compare(p.perCore(pressed, b), p.perCore(pressed, a))
+	})
+	var actions []Action
+	for _, t := range tasks {
+		room := t.Share - t.Floor
+		if excess <= 0 || room < shareStep {
+			continue
+		}
+		full := p.perCore(pressed, t) * t.Cores * p.model.Usage(t.Class)
+		cut := room
+		if full > 0 {
+			cut = min(room, max(shareStep, excess/full))
+		}
+		excess -= cut * full
+		actions = append(actions, Action{Kind: Throttle, Worker: w.ID, Ref: t.Ref, Share: t.Share - cut})
+	}
+	return actions
+}
+
+// perCore is the cost of a task's class to a service. The mean is used here:
+// caution would throttle what is merely unknown.
+func (p *Policy) perCore(s Service, t Task) float64 { return p.model.Cost(s.Name, t.Class).Mean }
+
+// victim returns the task whose eviction loses least work, of those that are
+// thought to cost the pressed service anything.
+func (p *Policy) victim(w Worker, pressed Service) (Task, bool) {
+	var found Task
+	ok := false
+	for _, t := range w.Tasks {
+		if p.perCore(pressed, t) == 0 {
+			continue
+		}
+		if !ok || t.SinceCheckpoint < found.SinceCheckpoint {
+			found, ok = t, true
+		}
+	}
+	return found, ok
+}
+
+// restore gives one task a part of its processors back: the one that costs
+// the services least, and no more than the target allows.
+func (p *Policy) restore(w Worker, pressure float64) []Action {
+	var best Task
+	lowest := 0.0
+	for _, t := range w.Tasks {
+		cost := p.worstCost(w, t)
+		if t.Share < 1 && (best.Cores == 0 || cost < lowest) {
+			best, lowest = t, cost
+		}
+	}
+	if best.Cores == 0 {
+		return nil
+	}
+	step := min(restoreStep, 1-best.Share)
+	if full := lowest * best.Cores * p.model.Usage(best.Class); full > 0 {
+		step = min(step, (targetPressure-pressure)/full)
+	}
+	if step < min(shareStep, 1-best.Share) {
+		return nil
+	}
+	return []Action{{Kind: Restore, Worker: w.ID, Ref: best.Ref, Share: best.Share + step}}
+}
+
+// worstCost is the greatest cost of a task per core to a service beside it.
+func (p *Policy) worstCost(w Worker, t Task) float64 {
+	worst := 0.0
+	for _, s := range w.Services {
+		worst = max(worst, p.perCore(s, t))
+	}
+	return worst
+}
