--- /dev/null
+++ b/cell/control.go
@@ -0,0 +1,205 @@
+package cell
+
+import (
+	"context"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+)
+
+const shareInterval = time.Second // between two questions to Sharing
+
+// controlLoop decides at intervals what needs neither a report nor an offer:
+// which workers there are, which leases have lapsed and what is to be stopped.
+func (s *session) controlLoop(ctx context.Context) error {
+	ticker := time.NewTicker(controlInterval)
+	defer ticker.Stop()
+	for {
+		s.control(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *session) control(ctx context.Context, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	dc := s.deps.Settings.Current().DataCentres()[s.dc]
+	if s.gate.update(dc.State, now) {
+		s.logger.Log("event", "data_centre", "state", dc.State)
+	}
+	s.members.update(s.deps.Hosts.Hosts(), s.dc, s.number, dc.Cells)
+	s.updateWorkers(ctx, now)
+	placed := s.machine.inPhase(phasePlaced)
+	s.judgeUnreported(placed, now)
+	s.stopCancelled(placed, now)
+	s.evacuate(placed, now)
+	s.relieve(placed, now)
+	s.share(placed, now)
+}
+
+// updateWorkers starts an agent for every worker of the cell that has none,
+// and for every other worker that still has attempts of it.
+func (s *session) updateWorkers(ctx context.Context, now time.Time) {
+	for id, listed := range s.members.workers {
+		w := s.worker(id, now)
+		if w.address == "" {
+			s.calls.Go(func() { s.agent(ctx, w) })
+		}
+		w.address = listed.Address
+	}
+}
+
+// worker returns the knowledge of a worker, new if there is none.
+func (s *session) worker(id fleet.WorkerID, now time.Time) *worker {
+	w := s.workers[id]
+	if w == nil {
+		w = newWorker(id, now, s.others)
+		for _, a := range s.machine.inPhase(phaseEnded) {
+			if a.Placement.Worker == id {
+				w.forget[a.Task.AttemptRef] = true
+			}
+		}
+		s.workers[id] = w
+	}
+	return w
+}
+
+// judgeUnreported ends attempts on workers that are gone or silent for so
+// long that nothing can run there any more.
+func (s *session) judgeUnreported(placed []*attempt, now time.Time) {
+	for _, a := range placed {
+		r := s.runs[a.Task.AttemptRef]
+		if r == nil {
+			continue
+		}
+		if s.members.isGone(a.Placement.Worker) && (!r.own || r.sent) {
+			s.decide(lost(a, r, reasonWorkerGone))
+			continue
+		}
+		w := s.worker(a.Placement.Worker, now)
+		if o, ended := judgeSilent(a, r, &w.lease, now); ended {
+			s.decide(o)
+		}
+	}
+}
+
+// stopCancelled marks cancelled attempts for a stop. One that was never sent
+// needs none.
+func (s *session) stopCancelled(placed []*attempt, now time.Time) {
+	for _, a := range placed {
+		if a.Cancelled {
+			s.stop(a, now, reasonCancelled)
+		}
+	}
+}
+
+// stop decides to end an attempt, with a checkpoint if there is time.
+func (s *session) stop(a *attempt, now time.Time, reason string) {
+	r := s.runs[a.Task.AttemptRef]
+	if r == nil || r.stopping {
+		return
+	}
+	r.stopping = true
+	r.stopBy = now.Add(s.grace(a))
+	if r.own && !r.sent {
+		s.decide(notRun(a, r, reason))
+		return
+	}
+	s.wakeWorker(a.Placement.Worker)
+}
+
+// grace returns how long a task may take for its checkpoint.
+func (s *session) grace(a *attempt) time.Duration {
+	values := s.deps.Settings.Current().JobClass(a.Task.Organisation, s.dc, a.Task.Class)
+	return time.Duration(values.GraceMS) * time.Millisecond
+}
+
+// evacuate stops the tasks of a data centre that is out, spread evenly over
+// the grace, so that checkpoints and the cells that take the tasks are not
+// hit by all of them at once.
+func (s *session) evacuate(placed []*attempt, now time.Time) {
+	if s.gate.in {
+		return
+	}
+	var left []*attempt
+	grace := time.Duration(0)
+	for _, a := range placed {
+		r := s.runs[a.Task.AttemptRef]
+		if r == nil || r.stopping {
+			continue
+		}
+		left = append(left, a)
+		grace = max(grace, s.grace(a))
+	}
+	due := evictionsDue(now, s.gate.since, grace, controlInterval, len(left))
+	for _, a := range left[:due] {
+		s.stop(a, now, reasonOut)
+	}
+}
+
+// relieve evicts tasks from workers whose backend servers have come to
+// reserve more than was left.
+func (s *session) relieve(placed []*attempt, now time.Time) {
+	used := make(map[fleet.WorkerID]fleet.Resources)
+	for _, a := range placed {
+		used[a.Placement.Worker] = used[a.Placement.Worker].Add(a.Placement.Size)
+	}
+	for _, a := range placed {
+		id := a.Placement.Worker
+		if _, listed := s.members.workers[id]; !listed || used[id].Fits(s.members.capacity(id)) {
+			continue
+		}
+		used[id] = used[id].Sub(a.Placement.Size)
+		s.stop(a, now, reasonNoCapacity)
+	}
+}
+
+// share asks Sharing what to throttle and evict.
+func (s *session) share(placed []*attempt, now time.Time) {
+	if s.deps.Sharing == nil || now.Sub(s.sharedAt) < shareInterval {
+		return
+	}
+	s.sharedAt = now
+	for _, action := range s.deps.Sharing.Decide(now, s.sharedWorkers(placed)) {
+		a, r := s.machine.find(action.AttemptRef), s.runs[action.AttemptRef]
+		if a == nil || r == nil || a.Phase != phasePlaced {
+			continue
+		}
+		if action.Kind == ActionEvict {
+			s.stop(a, now, reasonEvicted)
+			continue
+		}
+		r.wantShare = action.Share
+		s.wakeWorker(a.Placement.Worker)
+	}
+}
+
+func (s *session) sharedWorkers(placed []*attempt) []SharedWorker {
+	tasks := make(map[fleet.WorkerID][]SharedTask)
+	for _, a := range placed {
+		r := s.runs[a.Task.AttemptRef]
+		if r == nil || r.seen.IsZero() || r.stopping {
+			continue
+		}
+		id := a.Placement.Worker
+		tasks[id] = append(tasks[id], SharedTask{
+			TaskStatus: r.status,
+			Class:      a.Task.Class,
+			Priority:   a.Task.Priority,
+			Size:       a.Placement.Size,
+		})
+	}
+	shared := make([]SharedWorker, 0, len(s.members.workers))
+	for id, listed := range s.members.workers {
+		w := SharedWorker{ID: id, Capacity: listed.Capacity, Servers: s.members.servers[id], Tasks: tasks[id]}
+		if known := s.workers[id]; known != nil {
+			w.Used = known.used
+		}
+		shared = append(shared, w)
+	}
+	return shared
+}
--- /dev/null
+++ b/cell/deps.go
@@ -0,0 +1,115 @@
+package cell
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/journal"
+	"github.com/fuchsiahill/fuchsiahill/member"
+	"github.com/fuchsiahill/fuchsiahill/peer"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/scheduler"
+	"github.com/fuchsiahill/fuchsiahill/settings"
+	"github.com/fuchsiahill/fuchsiahill/shard"
+)
+
+// Journal is the open journal of one cell.
+type Journal interface {
+	journal.Committer
+	// Serve runs the shard until ctx ends or the journal is lost to another
+	// owner; then it returns a *journal.StoppedError.
+	Serve(ctx context.Context) error
+}
+
+// OpenFunc opens a cell's journal for owner: it recovers the state into m and
+// appends the first entry, which fences every owner before.
+type OpenFunc func(ctx context.Context, id shard.ID, owner shard.Owner, m journal.Machine) (Journal, error)
+
+// Deps is what a Server works with. All fields but Sharing and Members are
+// required.
+type Deps struct {
+	Open      OpenFunc
+	Workers   platform.WorkerControl
+	Hosts     platform.View
+	Settings  settings.View
+	Directory shard.Directory
+	Members   member.Directory // nil: no process is known to have ended by its successor
+	Peers     peer.Caller
+	Registry  peer.Registry
+	Sharing   Sharing // nil: no task is throttled or evicted for a service
+	Logger    log.Logger
+}
+
+// Sharing decides on throttling and eviction for the services' sake. It is
+// safe for concurrent use.
+type Sharing interface {
+	scheduler.CostModel
+	// Decide returns what to do on the workers of a cell at now. It is asked
+	// once a second per cell.
+	Decide(now time.Time, workers []SharedWorker) []Action
+}
+
+// SharedWorker is a worker with the tasks and services that share it.
+type SharedWorker struct {
+	ID       fleet.WorkerID
+	Capacity fleet.Resources
+	Used     fleet.Resources // whole worker, as last reported; lags
+	Servers  []platform.Server
+	Tasks    []SharedTask
+}
+
+// SharedTask is a running task.
+type SharedTask struct {
+	platform.TaskStatus
+	Class    fleet.JobClass
+	Priority int
+	Size     fleet.Resources
+}
+
+// ActionKind is what to do with a task.
+type ActionKind string
+
+// Kinds of actions.
+const (
+	ActionThrottle ActionKind = "throttle"
+	ActionEvict    ActionKind = "evict"
+)
+
+// Action throttles or evicts one attempt.
+type Action struct {
+	platform.AttemptRef
+	Kind  ActionKind
+	Share float64 // for ActionThrottle: of its processors, 0 to 1
+}
+
+// FencedError reports that a worker has seen the token of a later owner of
+// the cell.
+type FencedError struct {
+	Worker fleet.WorkerID
+	Token  fleet.Epoch
+}
+
+func (e *FencedError) Error() string {
+	return fmt.Sprintf("cell: worker %s has token %d of a later owner", e.Worker, e.Token)
+}
+
+// ShardError reports a shard ID that does not name a cell.
+type ShardError struct{ ID shard.ID }
+
+func (e *ShardError) Error() string { return fmt.Sprintf("cell: %q is not a cell", string(e.ID)) }
+
+// LostError reports that the journal of a cell stopped.
+type LostError struct{ ID shard.ID }
+
+func (e *LostError) Error() string { return fmt.Sprintf("cell: journal of %s stopped", string(e.ID)) }
+
+// NoOwnerError reports that no host is known to own a queue.
+type NoOwnerError struct{ Queue shard.ID }
+
+func (e *NoOwnerError) Error() string {
+	return fmt.Sprintf("cell: nobody owns %s", string(e.Queue))
+}
--- /dev/null
+++ b/cell/fixture_test.go
@@ -0,0 +1,500 @@
+package cell
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/fuchsiahill/fuchsiahill/delegation"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/journal"
+	"github.com/fuchsiahill/fuchsiahill/peer"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/settings"
+	"github.com/fuchsiahill/fuchsiahill/shard"
+	"github.com/fuchsiahill/fuchsiahill/store"
+)
+
+const (
+	testCell  = shard.ID("cell/sofia-1/0")
+	testQueue = shard.ID("queue/refunds/0")
+	testDC    = fleet.DataCentre("sofia-1")
+)
+
+// sharedLog is the journal in the store: it outlives owners.
+type sharedLog struct {
+	mu      sync.Mutex
+	entries [][][]byte
+	holder  *memJournal
+	writes  int
+	delay   time.Duration
+	down    bool
+	hook    func(write int, after bool) // before and after each write
+}
+
+// memJournal is one owner's handle of a sharedLog.
+type memJournal struct {
+	log     *sharedLog
+	machine journal.Machine
+	epoch   fleet.Epoch
+	mu      sync.Mutex // the shard's goroutine
+	stopped chan struct{}
+	once    sync.Once
+}
+
+func (l *sharedLog) open(_ context.Context, _ shard.ID, owner shard.Owner, m journal.Machine) (Journal, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, entry := range l.entries {
+		for _, rec := range entry {
+			if err := m.Apply(rec); err != nil {
+				return nil, err
+			}
+		}
+	}
+	j := &memJournal{log: l, machine: m, epoch: owner.Epoch, stopped: make(chan struct{})}
+	l.holder = j // the first entry of a new owner fences the one before
+	return j, nil
+}
+
+func (j *memJournal) stop() { j.once.Do(func() { close(j.stopped) }) }
+
+func (j *memJournal) Serve(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-j.stopped:
+		return &journal.StoppedError{Shard: string(testCell), Cause: context.Canceled}
+	}
+}
+
+type memTx struct {
+	j       *memJournal
+	records [][]byte
+	effects []func()
+}
+
+func (t *memTx) Epoch() fleet.Epoch      { return t.j.epoch }
+func (t *memTx) OnDurable(effect func()) { t.effects = append(t.effects, effect) }
+func (t *memTx) Append(record []byte) {
+	if err := t.j.machine.Apply(record); err != nil {
+		panic(err)
+	}
+	t.records = append(t.records, record)
+}
+
+func (j *memJournal) Do(ctx context.Context, fn func(journal.Tx) error) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	tx := &memTx{j: j}
+	if err := fn(tx); err != nil {
+		return err
+	}
+	if len(tx.records) == 0 {
+		return nil
+	}
+	if err := j.write(ctx, tx.records); err != nil {
+		return err
+	}
+	for _, effect := range tx.effects {
+		go effect()
+	}
+	return nil
+}
+
+func (j *memJournal) write(ctx context.Context, records [][]byte) error {
+	l := j.log
+	for {
+		l.mu.Lock()
+		delay, down, hook := l.delay, l.down, l.hook
+		l.mu.Unlock()
+		time.Sleep(delay)
+		if !down {
+			l.mu.Lock()
+			l.writes++
+			write := l.writes
+			l.mu.Unlock()
+			if hook != nil {
+				hook(write, false)
+			}
+			err := j.put(records)
+			if hook != nil && err == nil {
+				hook(write, true)
+			}
+			select {
+			case <-j.stopped:
+				return &journal.StoppedError{Shard: string(testCell), Cause: context.Canceled}
+			default:
+				return err
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-j.stopped:
+			return &journal.StoppedError{Shard: string(testCell), Cause: context.Canceled}
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+func (j *memJournal) put(records [][]byte) error {
+	l := j.log
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case <-j.stopped:
+		return &journal.StoppedError{Shard: string(testCell), Cause: context.Canceled}
+	default:
+	}
+	if l.holder != j {
+		j.stop()
+		return &journal.StoppedError{Shard: string(testCell), Cause: context.Canceled}
+	}
+	l.entries = append(l.entries, records)
+	return nil
+}
+
+// fakeSettings is a settings.View and Snapshot.
+type fakeSettings struct {
+	mu        sync.Mutex
+	out       bool
+	frozen    time.Time // confirmation stands still here, if not zero
+	values    settings.Resolved
+	staleness bool // Current goes on showing the data centre as in
+}
+
+func (f *fakeSettings) Current() settings.Snapshot { return f }
+func (f *fakeSettings) ConfirmedAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.frozen.IsZero() {
+		return f.frozen
+	}
+	return time.Now()
+}
+func (f *fakeSettings) Revision() store.Revision            { return 1 }
+func (f *fakeSettings) Teams() map[fleet.Team]settings.Team { return nil }
+func (f *fakeSettings) DataCentres() map[fleet.DataCentre]settings.DataCentre {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	state := settings.DataCentreIn
+	if f.out && !f.staleness {
+		state = settings.DataCentreOut
+	}
+	return map[fleet.DataCentre]settings.DataCentre{testDC: {State: state, Cells: 1}}
+}
+func (f *fakeSettings) Service(fleet.Organisation, fleet.DataCentre, fleet.Service) settings.Resolved {
+	return f.values
+}
+func (f *fakeSettings) JobClass(fleet.Organisation, fleet.DataCentre, fleet.JobClass) settings.Resolved {
+	return f.values
+}
+func (f *fakeSettings) set(change func(*fakeSettings)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
+// staticView is a platform.View over the stand-in host list without a lag.
+type staticView struct{ list *standin.HostList }
+
+func (v staticView) Hosts() *platform.HostList {
+	list, _, _ := v.list.Hosts(context.Background(), -1)
+	return &list
+}
+func (v staticView) Changed() <-chan struct{} { return nil }
+
+// fakeQueue is the other end of the delegation: it offers each task until it
+// has ended for good, one attempt at a time, as a queue shard does.
+type fakeQueue struct {
+	mu       sync.Mutex
+	tasks    map[fleet.TaskID]*queued
+	problems []string
+	down     bool
+	lose     int // the next replies to returns are lost
+}
+
+type queued struct {
+	task     delegation.Task
+	accepted bool
+	outcomes []delegation.Outcome
+	done     bool
+}
+
+func newFakeQueue() *fakeQueue { return &fakeQueue{tasks: make(map[fleet.TaskID]*queued)} }
+
+func (q *fakeQueue) add(n int, size fleet.Resources) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for range n {
+		id := fleet.TaskID(fmt.Sprintf("job/%03d", len(q.tasks)))
+		task := delegation.Task{
+			AttemptRef: platform.AttemptRef{Task: id, Attempt: 1},
+			Queue:      testQueue,
+			Class:      "claims",
+			Resources:  size,
+		}
+		q.tasks[id] = &queued{task: task}
+	}
+}
+
+func (q *fakeQueue) pending() []delegation.Task {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var pending []delegation.Task
+	for _, id := range slices.Sorted(maps.Keys(q.tasks)) {
+		if t := q.tasks[id]; !t.done && !t.accepted {
+			pending = append(pending, t.task)
+		}
+	}
+	return pending
+}
+
+func (q *fakeQueue) reply(r delegation.OfferReply) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, ref := range r.Accepted {
+		if t := q.tasks[ref.Task]; t.task.Attempt == ref.Attempt {
+			t.accepted = true
+		}
+	}
+	for _, ref := range r.Refused {
+		q.next(ref.AttemptRef)
+	}
+}
+
+func (q *fakeQueue) next(ref platform.AttemptRef) {
+	t := q.tasks[ref.Task]
+	if t.task.Attempt == ref.Attempt && !t.done {
+		t.task.Attempt++
+		t.accepted = false
+	}
+}
+
+func (q *fakeQueue) take(o delegation.Outcome) {
+	t := q.tasks[o.Task]
+	for _, known := range t.outcomes {
+		if known.AttemptRef != o.AttemptRef {
+			continue
+		}
+		if known.End != o.End {
+			q.problems = append(q.problems, fmt.Sprintf("%v ended as %s and as %s", o.AttemptRef, known.End, o.End))
+		}
+		return
+	}
+	t.outcomes = append(t.outcomes, o)
+	switch o.End {
+	case delegation.EndFinished, delegation.EndStopped, delegation.EndFailed:
+		if t.done {
+			q.problems = append(q.problems, fmt.Sprintf("%v ended twice", o.Task))
+		}
+		t.done = true
+	default:
+		t.task.Checkpoint, t.task.CheckpointProgress = o.Checkpoint, o.CheckpointProgress
+		q.next(o.AttemptRef)
+	}
+}
+
+func (q *fakeQueue) isDone() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, t := range q.tasks {
+		if !t.done {
+			return false
+		}
+	}
+	return true
+}
+
+func (q *fakeQueue) outcomes(end delegation.End) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n := 0
+	for _, t := range q.tasks {
+		for _, o := range t.outcomes {
+			if o.End == end {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Call implements peer.Caller for calls of the cell.
+func (q *fakeQueue) Call(_ context.Context, host fleet.HostID, method string, request, _ any) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.down {
+		return &peer.UnreachableError{Host: host, Cause: context.DeadlineExceeded}
+	}
+	if method != delegation.MethodReturn {
+		return nil
+	}
+	for _, o := range request.(delegation.Return).Outcomes {
+		q.take(o)
+	}
+	if q.lose > 0 {
+		q.lose--
+		return &peer.UnknownError{Host: host, Method: method, Cause: context.DeadlineExceeded}
+	}
+	return nil
+}
+
+// Owner implements shard.Directory.
+func (q *fakeQueue) Owner(shard.ID) (shard.Owner, bool) { return shard.Owner{Host: "queue-host"}, true }
+
+type handlers map[string]peer.Handler
+
+func (h handlers) Handle(method string, handler peer.Handler) { h[method] = handler }
+
+// bench is a cell with stand-ins around it.
+type bench struct {
+	t        *testing.T
+	log      *sharedLog
+	settings *fakeSettings
+	hosts    *standin.HostList
+	records  *standin.Records
+	workers  []*standin.Worker
+	control  platform.WorkerControl
+	queue    *fakeQueue
+	sharing  Sharing
+	epoch    fleet.Epoch
+	logger   log.Logger
+}
+
+func newBench(t *testing.T, workers int, runTime time.Duration) *bench {
+	b := &bench{
+		t:       t,
+		log:     &sharedLog{delay: 20 * time.Millisecond},
+		hosts:   standin.NewHostList(0),
+		records: standin.NewRecords(),
+		queue:   newFakeQueue(),
+		logger:  log.NewNopLogger(),
+		settings: &fakeSettings{values: settings.Resolved{
+			WorkerLeaseMS: 6000, GraceMS: 10_000, ThrottleFloor: 0.1,
+		}},
+	}
+	for i := range workers {
+		info := platform.Worker{
+			ID:         fleet.WorkerID(fmt.Sprintf("w%02d", i)),
+			DataCentre: testDC,
+			Rack:       fleet.Rack(fmt.Sprintf("r%d", i%3)),
+			Address:    fmt.Sprintf("10.0.0.%d:1", i),
+			Capacity:   fleet.Resources{MilliCores: 4000, MemoryMB: 4000},
+			State:      platform.StateLive,
+		}
+		run := func(platform.StartRequest) time.Duration { return runTime }
+		b.workers = append(b.workers, standin.NewWorker(info, fleet.Resources{}, run, b.records))
+	}
+	b.control = standin.NewWorkers(b.workers...)
+	b.listWorkers()
+	return b
+}
+
+func (b *bench) listWorkers() {
+	b.hosts.Update(func(l *platform.HostList) {
+		l.Workers = nil
+		for _, w := range b.workers {
+			l.Workers = append(l.Workers, w.Info())
+		}
+	})
+}
+
+// owner is one term of ownership.
+type owner struct {
+	b        *bench
+	server   *Server
+	handlers handlers
+	cancel   context.CancelFunc
+	done     chan struct{}
+	err      error
+}
+
+// start begins the term of a new owner on host.
+func (b *bench) start(host fleet.HostID) *owner {
+	b.epoch++
+	h := make(handlers)
+	ctx, cancel := context.WithCancel(context.Background())
+	o := &owner{b: b, handlers: h, cancel: cancel, done: make(chan struct{})}
+	o.server = NewServer(Deps{
+		Open: b.log.open, Workers: b.control, Hosts: staticView{b.hosts}, Settings: b.settings,
+		Directory: b.queue, Peers: b.queue, Registry: h, Sharing: b.sharing, Logger: b.logger,
+	})
+	claim := shard.Owner{Host: host, Incarnation: 1, Epoch: b.epoch}
+	go func() {
+		defer close(o.done)
+		o.err = o.server.Run(ctx, testCell, claim)
+	}()
+	return o
+}
+
+// crash ends the owner's process: nothing that it journals or sends from now
+// on takes effect.
+func (o *owner) crash() {
+	o.b.log.mu.Lock()
+	holder := o.b.log.holder
+	o.b.log.mu.Unlock()
+	if holder != nil {
+		holder.stop()
+	}
+	o.cancel()
+}
+
+func (o *owner) stop() {
+	o.cancel()
+	<-o.done
+}
+
+// offer sends what the queue has to offer, as its pump would.
+func (o *owner) offer() {
+	tasks := o.b.queue.pending()
+	if len(tasks) == 0 {
+		return
+	}
+	params, err := json.Marshal(delegation.Offer{Cell: testCell, Tasks: tasks})
+	if err != nil {
+		o.b.t.Fatal(err)
+	}
+	reply, err := o.handlers[delegation.MethodOffer](context.Background(), "queue-host", params)
+	if err != nil {
+		return
+	}
+	o.b.queue.reply(reply.(delegation.OfferReply))
+}
+
+// finish pumps offers until every task is done or the time is over.
+func (o *owner) finish(limit time.Duration) bool {
+	end := time.Now().Add(limit)
+	for time.Now().Before(end) {
+		o.offer()
+		if o.b.queue.isDone() {
+			return true
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return false
+}
+
+// check fails the test if a promise was broken.
+func (b *bench) check() {
+	b.t.Helper()
+	if v := b.records.Violations(); !v.Empty() {
+		b.t.Errorf("violations: %+v", v)
+	}
+	b.queue.mu.Lock()
+	defer b.queue.mu.Unlock()
+	for _, p := range b.queue.problems {
+		b.t.Error(p)
+	}
+}
+
+var small = fleet.Resources{MilliCores: 1000, MemoryMB: 500}
--- /dev/null
+++ b/cell/gate.go
@@ -0,0 +1,79 @@
+package cell
+
+import (
+	"math"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/scheduler"
+	"github.com/fuchsiahill/fuchsiahill/settings"
+)
+
+const (
+	// refillTime is how long a data centre that was let in again takes to
+	// fill up.
+	refillTime = time.Minute
+	// refillStart is the share of the capacity that may be used at once.
+	refillStart = 0.1
+	// evacuationShare is the part of the grace over which tasks are stopped;
+	// the rest is left for the last checkpoints.
+	evacuationShare = 0.8
+)
+
+// gate follows the data centre's state as the settings give it.
+type gate struct {
+	known bool
+	in    bool
+	since time.Time // of the change seen; zero for the state at the start
+}
+
+// update takes the state seen at now.
+func (g *gate) update(state settings.DataCentreState, now time.Time) (changed bool) {
+	in := state == settings.DataCentreIn
+	if g.known && in == g.in {
+		return false
+	}
+	if g.known || !in {
+		g.since = now
+	}
+	g.known = true
+	g.in = in
+	return true
+}
+
+// refill returns the share of the cell's capacity that may be used at now.
+func (g *gate) refill(now time.Time) float64 {
+	if g.since.IsZero() {
+		return 1
+	}
+	progress := float64(now.Sub(g.since)) / float64(refillTime)
+	return min(1, refillStart+(1-refillStart)*progress)
+}
+
+// budget returns what may be placed besides what is used, or nil for no
+// limit.
+func (g *gate) budget(now time.Time, workers []scheduler.Worker) *fleet.Resources {
+	share := g.refill(now)
+	if share >= 1 {
+		return nil
+	}
+	var free fleet.Resources
+	for _, w := range workers {
+		free.MilliCores += int64(share*float64(w.Capacity.MilliCores)) - w.Used.MilliCores
+		free.MemoryMB += int64(share*float64(w.Capacity.MemoryMB)) - w.Used.MemoryMB
+		free.Accelerators += int64(math.Ceil(share*float64(w.Capacity.Accelerators))) - w.Used.Accelerators
+	}
+	return &free
+}
+
+// evictionsDue returns how many of the tasks left are to be stopped in the
+// step that begins at now, so that all are stopped evenly within the grace
+// that began at since.
+func evictionsDue(now, since time.Time, grace, step time.Duration, left int) int {
+	end := since.Add(time.Duration(evacuationShare * float64(grace)))
+	remaining := end.Sub(now)
+	if remaining <= step {
+		return left
+	}
+	return int(math.Ceil(float64(left) * float64(step) / float64(remaining)))
+}
--- /dev/null
+++ b/cell/journal.go
@@ -0,0 +1,53 @@
+package cell
+
+import (
+	"context"
+	"time"
+)
+
+// waitLimit is how long an accepted attempt waits for a worker before it goes
+// back to its queue, which may know a better cell.
+const waitLimit = 5 * time.Second
+
+// journalLoop makes decisions durable, one transaction at a time.
+func (s *session) journalLoop(ctx context.Context) error {
+	ticker := time.NewTicker(controlInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.wake:
+		case <-ticker.C:
+		}
+		if err := s.commit(ctx, s.endDecided, s.endWaiting, s.placeWaiting, s.hold); err != nil {
+			return err
+		}
+	}
+}
+
+// endDecided is a commit step: it journals the ends that were decided and the
+// returns that were acknowledged.
+func (s *session) endDecided() *record {
+	r := &record{Acked: s.acked}
+	s.acked = nil
+	for ref, o := range s.ends {
+		delete(s.ends, ref)
+		if a := s.machine.find(ref); a != nil && a.Phase != phaseEnded {
+			r.End = append(r.End, o)
+		}
+	}
+	if len(r.End)+len(r.Acked) == 0 {
+		return nil
+	}
+	return r
+}
+
+// hold is a commit step: it proves from time to time that this owner still
+// holds the cell, which allows it to go on renewing.
+func (s *session) hold() *record {
+	if time.Since(s.durableAt) < holdInterval {
+		return nil
+	}
+	return &record{}
+}
--- /dev/null
+++ b/cell/membership.go
@@ -0,0 +1,75 @@
+package cell
+
+import (
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/shard"
+)
+
+// membership is the host list, reduced to one cell.
+type membership struct {
+	version int64
+	cells   int
+	read    bool
+	workers map[fleet.WorkerID]platform.Worker
+	servers map[fleet.WorkerID][]platform.Server // not gone
+}
+
+// update takes the list if it differs from the one taken last. number is the
+// cell's number in the data centre.
+func (m *membership) update(list *platform.HostList, dc fleet.DataCentre, number, cells int) {
+	if m.read && list.Version == m.version && cells == m.cells {
+		return
+	}
+	m.read = true
+	m.version = list.Version
+	m.cells = cells
+	m.workers = make(map[fleet.WorkerID]platform.Worker)
+	m.servers = make(map[fleet.WorkerID][]platform.Server)
+	for _, w := range list.Workers {
+		if w.DataCentre == dc && shard.NumberOf(w.ID, cells) == number {
+			m.workers[w.ID] = w
+		}
+	}
+	for _, s := range list.Servers {
+		if _, ours := m.workers[s.Worker]; ours && s.State != platform.StateGone {
+			m.servers[s.Worker] = append(m.servers[s.Worker], s)
+		}
+	}
+}
+
+// capacity returns what a worker has beside its backend servers' share.
+func (m *membership) capacity(id fleet.WorkerID) fleet.Resources {
+	free := m.workers[id].Capacity
+	for _, s := range m.servers[id] {
+		free = free.Sub(s.Reserved)
+	}
+	return free
+}
+
+// isGone reports whether the platform says that the worker has ended.
+func (m *membership) isGone(id fleet.WorkerID) bool {
+	w, listed := m.workers[id]
+	return listed && w.State == platform.StateGone
+}
+
+// hasEnded reports whether the process of an owner has surely ended: its host
+// runs a later incarnation, the platform lists it as gone, or it is this very
+// process, whose earlier term of ownership returned before this one began.
+func (s *session) hasEnded(o ownerRecord) bool {
+	if o.Host == s.owner.Host && o.Incarnation <= s.owner.Incarnation {
+		return true
+	}
+	if s.deps.Members != nil {
+		if h, ok := s.deps.Members.Host(o.Host); ok && h.Incarnation > o.Incarnation {
+			return true
+		}
+	}
+	for _, h := range s.deps.Hosts.Hosts().EntryHosts {
+		ended := h.ID == o.Host && h.State == platform.StateGone
+		if ended && (h.Incarnation == 0 || h.Incarnation >= o.Incarnation) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/cell/offer.go
@@ -0,0 +1,143 @@
+package cell
+
+import (
+	"context"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/delegation"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+)
+
+// maxWaiting is how many accepted attempts may wait for a worker. A cell that
+// holds more than it can place soon keeps other cells from them.
+const maxWaiting = 200
+
+// offer decides on tasks and answers once the decision is durable. Tasks that
+// fit are placed in the same transaction.
+func (s *session) offer(ctx context.Context, tasks []delegation.Task) (delegation.OfferReply, error) {
+	var reply delegation.OfferReply
+	accept := func() *record {
+		var r *record
+		r, reply = s.decideOffer(tasks)
+		return r
+	}
+	if err := s.commit(ctx, accept, s.placeWaiting); err != nil {
+		return delegation.OfferReply{}, err
+	}
+	return reply, nil
+}
+
+// decideOffer returns the record and the reply for an offer. An attempt seen
+// before gets the same answer again.
+func (s *session) decideOffer(tasks []delegation.Task) (*record, delegation.OfferReply) {
+	var reply delegation.OfferReply
+	r := &record{}
+	waiting := len(s.machine.inPhase(phaseWaiting))
+	seen := make(map[platform.AttemptRef]bool, len(tasks))
+	for _, t := range tasks {
+		if seen[t.AttemptRef] {
+			continue
+		}
+		seen[t.AttemptRef] = true
+		if !s.machine.canAccept(t.AttemptRef) {
+			s.answerKnown(t.AttemptRef, &reply)
+			continue
+		}
+		if reason := s.refusal(&t, waiting); reason != "" {
+			refusal := delegation.Refusal{AttemptRef: t.AttemptRef, Reason: reason}
+			r.Refuse = append(r.Refuse, refusal)
+			reply.Refused = append(reply.Refused, refusal)
+			continue
+		}
+		waiting++
+		r.Accept = append(r.Accept, t)
+		reply.Accepted = append(reply.Accepted, t.AttemptRef)
+	}
+	if len(r.Accept)+len(r.Refuse) == 0 {
+		return nil, reply
+	}
+	return r, reply
+}
+
+// answerKnown answers for an attempt that was decided on before. An older
+// attempt than the known one needs no answer that matters: its outcome is
+// with the queue.
+func (s *session) answerKnown(ref platform.AttemptRef, reply *delegation.OfferReply) {
+	c, isClosed := s.machine.state.Closed[ref.Task]
+	if s.machine.find(ref) == nil && isClosed && c.Attempt == ref.Attempt && c.Refused != "" {
+		reply.Refused = append(reply.Refused, delegation.Refusal{AttemptRef: ref, Reason: c.Refused})
+		return
+	}
+	reply.Accepted = append(reply.Accepted, ref)
+}
+
+// refusal returns why a new task is refused, or "".
+func (s *session) refusal(t *delegation.Task, waiting int) string {
+	switch {
+	case !s.isIn():
+		return reasonOut
+	case waiting >= maxWaiting:
+		return reasonBacklog
+	case !s.couldHold(t):
+		return reasonTooLarge
+	default:
+		return ""
+	}
+}
+
+// couldHold reports whether some worker of the cell, empty, holds the task.
+func (s *session) couldHold(t *delegation.Task) bool {
+	for id := range s.members.workers {
+		if !s.members.isGone(id) && t.Resources.Fits(s.members.capacity(id)) {
+			return true
+		}
+	}
+	return false
+}
+
+// cancel journals that attempts are to stop. One that the cell does not hold
+// is refused from now on, in case its offer is still under way.
+func (s *session) cancel(ctx context.Context, refs []platform.AttemptRef) error {
+	return s.commit(ctx, func() *record {
+		r := &record{}
+		for _, ref := range refs {
+			switch {
+			case s.machine.find(ref) != nil:
+				r.Cancel = append(r.Cancel, ref)
+			case s.machine.canAccept(ref):
+				r.Refuse = append(r.Refuse, delegation.Refusal{AttemptRef: ref, Reason: reasonCancelled})
+			}
+		}
+		return r
+	}, s.endWaiting)
+}
+
+// endWaiting is a commit step: it ends attempts that need no worker to end.
+func (s *session) endWaiting() *record {
+	r := &record{}
+	now := time.Now()
+	for _, a := range s.machine.inPhase(phaseWaiting) {
+		if reason := s.waitOver(a, now); reason != "" {
+			r.End = append(r.End, notRun(a, &run{}, reason))
+		}
+	}
+	if len(r.End) == 0 {
+		return nil
+	}
+	return r
+}
+
+// waitOver returns why an attempt is not to wait for a worker any longer, or
+// "".
+func (s *session) waitOver(a *attempt, now time.Time) string {
+	switch {
+	case a.Cancelled:
+		return reasonCancelled
+	case !s.isIn():
+		return reasonOut
+	case now.UnixMilli()-a.AcceptedMS > waitLimit.Milliseconds():
+		return reasonNoCapacity
+	default:
+		return ""
+	}
+}
--- /dev/null
+++ b/cell/place.go
@@ -0,0 +1,129 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/scheduler"
+	"github.com/fuchsiahill/fuchsiahill/settings"
+)
+
+// isIn reports whether operators let work into the data centre, as far as
+// this host knows.
+func (s *session) isIn() bool {
+	return s.deps.Settings.Current().DataCentres()[s.dc].State == settings.DataCentreIn
+}
+
+// leaseTTL returns the lease of tasks on a worker: the longest that the
+// settings give for any of them.
+func (s *session) leaseTTL(placed []*attempt) time.Duration {
+	current := s.deps.Settings.Current()
+	if len(placed) == 0 {
+		return clampLease(current.JobClass("", s.dc, "").WorkerLeaseMS)
+	}
+	longest := time.Duration(0)
+	for _, a := range placed {
+		values := current.JobClass(a.Task.Organisation, s.dc, a.Task.Class)
+		longest = max(longest, clampLease(values.WorkerLeaseMS))
+	}
+	return longest
+}
+
+// schedulable returns the cell's workers as the scheduler sees them. What is
+// placed counts as used, whatever the lagging reports say.
+func (s *session) schedulable(now time.Time) []scheduler.Worker {
+	ttl := s.leaseTTL(nil)
+	workers := make([]scheduler.Worker, 0, len(s.members.workers))
+	index := make(map[fleet.WorkerID]int, len(s.members.workers))
+	for id, listed := range s.members.workers {
+		w := scheduler.Worker{ID: id, Rack: listed.Rack, Capacity: s.members.capacity(id)}
+		for _, server := range s.members.servers[id] {
+			w.Services = append(w.Services, server.Service)
+		}
+		w.Live = s.takesWork(id, now, ttl)
+		w.Quarantined, w.Probe = s.machine.quarantine(id, now)
+		index[id] = len(workers)
+		workers = append(workers, w)
+	}
+	for _, a := range s.machine.state.Attempts {
+		i, ours := index[a.Placement.Worker]
+		if a.Phase == phasePlaced && ours {
+			workers[i].Used = workers[i].Used.Add(a.Placement.Size)
+			workers[i].Tasks++
+		}
+	}
+	return workers
+}
+
+// takesWork reports whether tasks may be placed on a worker: the platform
+// lists it as live, it has answered lately, and it runs nothing that the
+// journal does not know.
+func (s *session) takesWork(id fleet.WorkerID, now time.Time, ttl time.Duration) bool {
+	w := s.workers[id]
+	if w == nil || s.members.workers[id].State != platform.StateLive {
+		return false
+	}
+	return w.lease.isReachable(now, ttl) && len(w.foreign) == 0
+}
+
+// planWaiting plans all waiting attempts.
+func (s *session) planWaiting(now time.Time) scheduler.Result {
+	waiting := s.machine.inPhase(phaseWaiting)
+	snapshot := scheduler.Snapshot{Open: s.isIn(), Spread: make(map[scheduler.RackLoad]int)}
+	for _, a := range waiting {
+		if _, decided := s.ends[a.Task.AttemptRef]; !decided && !a.Cancelled {
+			snapshot.Tasks = append(snapshot.Tasks, s.schedulableTask(a))
+		}
+	}
+	if len(snapshot.Tasks) == 0 {
+		return scheduler.Result{}
+	}
+	snapshot.Workers = s.schedulable(now)
+	snapshot.Budget = s.gate.budget(now, snapshot.Workers)
+	if s.deps.Sharing != nil {
+		snapshot.Cost = s.deps.Sharing
+	}
+	for _, a := range s.machine.state.Attempts {
+		if a.Phase == phasePlaced {
+			rack := s.members.workers[a.Placement.Worker].Rack
+			snapshot.Spread[scheduler.RackLoad{Job: jobOf(a.Task.Task), Rack: rack}]++
+		}
+	}
+	return scheduler.Plan(snapshot)
+}
+
+func (s *session) schedulableTask(a *attempt) scheduler.Task {
+	return scheduler.Task{
+		AttemptRef: a.Task.AttemptRef,
+		Job:        jobOf(a.Task.Task),
+		Class:      a.Task.Class,
+		Priority:   a.Task.Priority,
+		Declared:   a.Task.Resources,
+		Observed:   s.machine.observedSize(a.Task.Class),
+		Checkpoint: a.Task.Checkpoint != "",
+		LastWorker: s.machine.state.Closed[a.Task.Task].Worker,
+		Order:      a.Order,
+	}
+}
+
+// placeWaiting is a commit step: it places what fits.
+func (s *session) placeWaiting() *record {
+	now := time.Now()
+	plan := s.planWaiting(now)
+	if len(plan.Placements) == 0 {
+		return nil
+	}
+	r := &record{}
+	startBy := now.Add(placeWindow).UnixMilli()
+	for _, p := range plan.Placements {
+		r.Place = append(r.Place, placement{
+			AttemptRef: p.Task,
+			Worker:     p.Worker,
+			Size:       p.Size,
+			StartByMS:  startBy,
+		})
+		s.runs[p.Task] = &run{own: true}
+	}
+	return r
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -272,6 +272,9 @@
 	if err := w.fence(req.Cell, req.Token); err != nil {
 		return platform.WorkerReport{}, err
 	}
+	if req.DeadlineMS != 0 && time.Now().UnixMilli() > req.DeadlineMS {
+		return platform.WorkerReport{}, w.refuse(req.Cell, platform.RefusedLate)
+	}
 	for _, ref := range req.Forget {
 		if r, ok := w.runs[ref]; ok && r.state.Final() {
 			delete(w.runs, ref)
