Confirm settings that were learned elsewhere

Cause: a conditional read that answers "not newer" carries no entry, but the cross-check of a starting tracker compared the entry's revision (0) with the listed one. A host that learned the tree by watch or from a peer before its first read was never ready and claimed no shard; about every second start of three hosts hung. Ruled out: the shard plan and the claims' watch, whose state was right on the other hosts.

Change: compare the revision that the answer stands for. The stand-in returned the entry also when it was not newer, which hid the fault; the store contract now checks for an empty one.

--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -177,7 +177,10 @@
 	if err != nil {
 		return store.Entry{}, false, err
 	}
-	return e, e.Revision != known, nil
+	if e.Revision == known {
+		return store.Entry{}, false, nil
+	}
+	return e, true, nil
 }
 
 // List implements store.Store.
--- a/settings/tracker.go
+++ b/settings/tracker.go
@@ -218,10 +218,16 @@
 	defer cancel()
 	sent := time.Now()
 	entry, newer, err := t.store.GetNewer(ctx, TreeKey, known)
-	if !t.Ready() {
-		err = t.crossCheck(ctx, entry, err)
-	}
 	var missing *store.NotFoundError
+	answered := entry.Revision
+	if err == nil && !newer {
+		answered = known
+	}
+	if !t.Ready() && (err == nil || errors.As(err, &missing)) {
+		if disagree := t.crossCheck(ctx, answered); disagree != nil {
+			err = disagree
+		}
+	}
 	switch {
 	case errors.As(err, &missing):
 		// No tree was ever accepted. The key is never deleted, so after a
@@ -238,19 +244,19 @@
 
 // crossCheck makes a second read of another kind. A process that has just
 // started knows no revision that would give a stale answer away, so it takes
-// its first one only if both reads agree. It returns err, or else the reason
-// not to use entry.
-func (t *Tracker) crossCheck(ctx context.Context, entry store.Entry, err error) error {
-	listed, _, listErr := t.store.List(ctx, TreeKey)
-	if listErr != nil {
-		return listErr
+// its first one only if both reads agree. It returns nil or the reason not to
+// use the answer.
+func (t *Tracker) crossCheck(ctx context.Context, answered store.Revision) error {
+	listed, _, err := t.store.List(ctx, TreeKey)
+	if err != nil {
+		return err
 	}
 	for _, other := range listed {
-		if other.Key == TreeKey && other.Revision != entry.Revision {
-			return &StaleReadError{Revision: entry.Revision, Newer: other.Revision}
+		if other.Key == TreeKey && other.Revision != answered {
+			return &StaleReadError{Revision: answered, Newer: other.Revision}
 		}
 	}
-	return err
+	return nil
 }
 
 // StaleReadError reports two reads of the tree that disagree.
--- a/store/store.go
+++ b/store/store.go
@@ -43,8 +43,8 @@
 	Get(ctx context.Context, key string) (Entry, error)
 
 	// GetNewer returns the entry at key and true if its revision differs
-	// from known, and false otherwise. An answer of false costs no value
-	// transfer.
+	// from known, and else an empty entry and false, which costs no value
+	// transfer. Errors as for Get.
 	GetNewer(ctx context.Context, key string, known Revision) (Entry, bool, error)
 
 	// List returns the entries whose keys start with prefix, ordered by key,
--- a/store/storetest/storetest.go
+++ b/store/storetest/storetest.go
@@ -54,9 +54,9 @@
 	if err != nil || !newer || string(e.Value) != "2" || e.Revision != second {
 		t.Fatalf("got %+v %v %v", e, newer, err)
 	}
-	_, newer, err = s.GetNewer(t.Context(), "a", second)
-	if err != nil || newer {
-		t.Fatalf("newer %v, error %v", newer, err)
+	e, newer, err = s.GetNewer(t.Context(), "a", second)
+	if err != nil || newer || e.Revision != 0 || e.Value != nil {
+		t.Fatalf("got %+v, newer %v, error %v", e, newer, err)
 	}
 }
 
