Prove the gateway's outcomes by what backend servers saw

A table of faults at each point of the exchange, for idempotent and other requests; hand-over, drain, forwarding and resends. The stand-in's silent handler did not notice the end of a connection with an unread body.

--- a/backend/pool_test.go
+++ b/backend/pool_test.go
@@ -156,6 +156,10 @@
 					t.Errorf("the server ran %d requests, want %d", n, c.runs)
 				}
 				b.SetFaults(standin.BackendFaults{})
+				if c.faults.CloseAfter {
+					// A request that crosses the close on the way is unknown.
+					eventually(t, "close arrived", func() bool { p.CloseIdle(time.Time{}); return p.Usage().Idle == 0 })
+				}
 				if err := exchange(t, p, b, "r2", buffer); err != nil {
 					t.Errorf("next exchange: %v", err)
 				}
--- a/dedupe/claimer.go
+++ b/dedupe/claimer.go
@@ -26,10 +26,6 @@
 
 	claimTimeout = 500 * time.Millisecond
 	claimTries   = 2 // the same token makes a second try harmless
-
-	// mappingLag is the longest time after which all hosts see a change of
-	// the region's fronts.
-	mappingLag = 10 * time.Second
 )
 
 // HomeUnavailableError reports that the home of an ID could not be asked:
@@ -58,6 +54,7 @@
 	Directory shard.Directory
 	Caller    peer.Caller
 	Registry  peer.Registry
+	Margins   Margins // DefaultMargins if zero
 }
 
 // Claimer claims IDs at their homes and is the home of those whose front this
@@ -85,6 +82,9 @@
 
 // NewClaimer returns a claimer and registers its peer methods.
 func NewClaimer(d Deps) *Claimer {
+	if d.Margins == (Margins{}) {
+		d.Margins = DefaultMargins
+	}
 	c := &Claimer{deps: d, memories: make(map[shard.ID]*Home)}
 	d.Registry.Handle(methodClaim, c.handleClaim)
 	d.Registry.Handle(methodRelease, c.handleRelease)
@@ -113,7 +113,7 @@
 	}
 	// IDs of the removed fronts move to these memories.
 	for _, h := range c.memories {
-		h.Restart(now.Add(mappingLag))
+		h.Restart(now.Add(c.deps.Margins.Mapping))
 	}
 }
 
@@ -122,10 +122,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	start := now
-	if settled := c.changed.Add(mappingLag); settled.After(now) {
+	if settled := c.changed.Add(c.deps.Margins.Mapping); settled.After(now) {
 		start = settled
 	}
-	c.memories[front] = NewHome(start, MaxIDs)
+	c.memories[front] = NewHome(start, MaxIDs, c.deps.Margins)
 }
 
 // Close ends the memory of a front that this host no longer owns.
--- a/dedupe/home.go
+++ b/dedupe/home.go
@@ -9,14 +9,14 @@
 //   - A home accepts a claim only if it has the front's rights after it has
 //     recorded the claim, so every accepted claim precedes the next owner's
 //     memory.
-//   - An accepted ID was created at most futureMargin after the home's clock.
+//   - An accepted ID was created at most Margins.Future after the home's clock.
 //   - The next owner's memory begins when it became the owner, and it refuses
-//     IDs created before that plus clockMargin. So it refuses every ID that an
+//     IDs created before that plus Margins.Clock. So it refuses every ID that an
 //     earlier owner may have accepted.
 //
 // The hash is over the fronts of the region, which come from the settings.
 // While hosts may see different sets of fronts, new memories begin only after
-// mappingLag, and when fronts are removed all memories begin again.
+// Margins.Mapping, and when fronts are removed all memories begin again.
 package dedupe
 
 import (
@@ -33,11 +33,25 @@
 	// and with them the ability to vouch for IDs of their age.
 	MaxIDs = 50_000
 
-	bucketSpan   = 10 * time.Second
-	futureMargin = time.Second // an ID may be this much ahead of the home's clock
-	clockMargin  = 2 * time.Second
+	bucketSpan = 10 * time.Second
 )
 
+// Margins bound how far hosts may differ.
+type Margins struct {
+	// Future is how much the time in an ID may be ahead of its home's clock.
+	Future time.Duration
+	// Clock is how much later than the beginning of a memory an ID must have
+	// been created: Future plus the largest difference between the clocks of
+	// two homes.
+	Clock time.Duration
+	// Mapping is the longest time after which all hosts see a change of the
+	// region's fronts.
+	Mapping time.Duration
+}
+
+// DefaultMargins are the margins of a deployment.
+var DefaultMargins = Margins{Future: time.Second, Clock: 2 * time.Second, Mapping: 10 * time.Second}
+
 // DuplicateError reports that the ID was claimed before: the request may have
 // run.
 type DuplicateError struct{ ID uuid.UUID }
@@ -76,6 +90,7 @@
 // or after floor, is in its bucket; no bucket lies wholly before floor; count
 // is the number of IDs in all buckets and at most max.
 type Home struct {
+	margins Margins
 	max     int
 	floor   time.Time // IDs created earlier can't be vouched for
 	buckets map[int64]map[uuid.UUID]Token
@@ -84,9 +99,10 @@
 }
 
 // NewHome returns a memory that begins at start and holds up to limit IDs.
-func NewHome(start time.Time, limit int) *Home {
-	floor := start.Add(clockMargin)
+func NewHome(start time.Time, limit int, margins Margins) *Home {
+	floor := start.Add(margins.Clock)
 	return &Home{
+		margins: margins,
 		max:     limit,
 		floor:   floor,
 		buckets: make(map[int64]map[uuid.UUID]Token),
@@ -95,7 +111,7 @@
 }
 
 // Restart lets the memory begin anew at start, if that is later.
-func (h *Home) Restart(start time.Time) { h.raise(start.Add(clockMargin)) }
+func (h *Home) Restart(start time.Time) { h.raise(start.Add(h.margins.Clock)) }
 
 // Created returns the time in a UUIDv7.
 func Created(id uuid.UUID) time.Time {
@@ -116,7 +132,7 @@
 	}
 	h.raise(now.Add(-Window))
 	created := Created(id)
-	if created.After(now.Add(futureMargin)) {
+	if created.After(now.Add(h.margins.Future)) {
 		return &UnvouchedError{ID: id, Reason: UnvouchedFuture}
 	}
 	if created.Before(h.floor) {
--- /dev/null
+++ b/gateway/fake_test.go
@@ -0,0 +1,355 @@
+package gateway_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"go.uber.org/goleak"
+
+	"github.com/fuchsiahill/fuchsiahill/dedupe"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/gateway"
+	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/member"
+	"github.com/fuchsiahill/fuchsiahill/peer"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/settings"
+	"github.com/fuchsiahill/fuchsiahill/shard"
+	"github.com/fuchsiahill/fuchsiahill/store"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	dc    = fleet.DataCentre("sofia-1")
+	svc   = fleet.Service("reclaim")
+	front = shard.ID("front/sofia-1/0")
+)
+
+// view is a settable host list, settings and directory of members.
+type view struct {
+	mu       sync.Mutex
+	list     *platform.HostList
+	changed  chan struct{}
+	snapshot snapshot
+	hosts    []member.Host
+	sums     map[fleet.HostID]member.Summary
+}
+
+type snapshot struct {
+	revision store.Revision
+	centres  map[fleet.DataCentre]settings.DataCentre
+	values   settings.Resolved
+}
+
+func (s snapshot) Revision() store.Revision                              { return s.revision }
+func (s snapshot) DataCentres() map[fleet.DataCentre]settings.DataCentre { return s.centres }
+func (s snapshot) Teams() map[fleet.Team]settings.Team                   { return nil }
+func (s snapshot) Service(fleet.Organisation, fleet.DataCentre, fleet.Service) settings.Resolved {
+	return s.values
+}
+func (s snapshot) JobClass(fleet.Organisation, fleet.DataCentre, fleet.JobClass) settings.Resolved {
+	return s.values
+}
+
+func (v *view) Hosts() *platform.HostList {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.list
+}
+
+func (v *view) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+func (v *view) Current() settings.Snapshot {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.snapshot
+}
+
+func (v *view) ConfirmedAt() time.Time { return time.Now() }
+
+// setList changes the host list; setSettings the settings.
+func (v *view) setList(change func(*platform.HostList)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	next := *v.list
+	next.Servers = slices.Clone(next.Servers)
+	change(&next)
+	next.Version++
+	v.list = &next
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+func (v *view) setSettings(change func(*settings.Resolved, map[fleet.DataCentre]settings.DataCentre)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	next := v.snapshot
+	next.centres = maps.Clone(next.centres)
+	change(&next.values, next.centres)
+	next.revision++
+	v.snapshot = next
+}
+
+type members struct{ *view }
+
+func (m members) Hosts() []member.Host {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.hosts
+}
+
+func (m members) Host(id fleet.HostID) (member.Host, bool) {
+	for _, h := range m.Hosts() {
+		if h.ID == id {
+			return h, true
+		}
+	}
+	return member.Host{}, false
+}
+
+func (m members) Summary(id fleet.HostID) (member.Summary, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s, ok := m.sums[id]
+	return s, ok
+}
+
+// network carries peer calls between the gateways of a test.
+type network struct {
+	mu       sync.Mutex
+	handlers map[fleet.HostID]map[string]peer.Handler
+	owners   map[shard.ID]fleet.HostID
+	lost     bool // answers of calls are lost
+}
+
+func (n *network) Owner(id shard.ID) (shard.Owner, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	host, ok := n.owners[id]
+	return shard.Owner{Host: host, Epoch: 1}, ok
+}
+
+// port is one host's access to the network. It is its rights, too.
+type port struct {
+	*network
+	self   fleet.HostID
+	denied atomic.Bool
+}
+
+func (p *port) MaySend(id shard.ID) bool {
+	owner, ok := p.Owner(id)
+	return ok && owner.Host == p.self && !p.denied.Load()
+}
+
+func (p *port) Handle(method string, h peer.Handler) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.handlers[p.self] == nil {
+		p.handlers[p.self] = make(map[string]peer.Handler)
+	}
+	p.handlers[p.self][method] = h
+}
+
+func (p *port) Call(ctx context.Context, host fleet.HostID, method string, request, response any) error {
+	p.mu.Lock()
+	h, lost := p.handlers[host][method], p.lost
+	p.mu.Unlock()
+	if h == nil {
+		return &peer.UnreachableError{Host: host}
+	}
+	data, err := json.Marshal(request)
+	if err != nil {
+		return err
+	}
+	result, err := h(ctx, p.self, data)
+	if lost {
+		return &peer.UnknownError{Host: host, Method: method}
+	}
+	if err != nil {
+		return err
+	}
+	data, err = json.Marshal(result)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, response)
+}
+
+// site is a set of gateways with their fakes and backend servers.
+type site struct {
+	*view
+	net      *network
+	backends []*standin.Backend
+}
+
+func newSite(t *testing.T, backends int, work func() time.Duration) *site {
+	t.Helper()
+	s := &site{
+		view: &view{list: &platform.HostList{Version: 1}, changed: make(chan struct{}), sums: make(map[fleet.HostID]member.Summary)},
+		net:  &network{handlers: make(map[fleet.HostID]map[string]peer.Handler), owners: make(map[shard.ID]fleet.HostID)},
+	}
+	s.snapshot = snapshot{
+		revision: 1,
+		centres:  map[fleet.DataCentre]settings.DataCentre{dc: {Region: "bg", State: settings.DataCentreIn, Cells: 1}},
+		values: settings.Resolved{
+			RequestTimeoutMS: 1000, ObjectiveMS: 50, Concurrency: 1000, QueueLength: 100, RetryBudgetPercent: 10,
+			FirstByteTimeoutMS: 100, IdleTimeoutMS: 100, DialTimeoutMS: 100, BufferBytes: 1 << 10,
+		},
+	}
+	for i := range backends {
+		b, err := standin.StartBackend(platform.Server{
+			ID: fleet.ServerID(fmt.Sprintf("s%d", i)), Service: svc, Organisation: "balkantrans", DataCentre: dc,
+			Worker: "w1", Address: "127.0.0.1:0", Slots: 8, Connections: 64, State: platform.StateLive,
+		}, work)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { closeBackend(t, b) })
+		s.backends = append(s.backends, b)
+		s.setList(func(l *platform.HostList) { l.Servers = append(l.Servers, b.Info()) })
+	}
+	return s
+}
+
+// closeBackend checks that the server was never given more than its share.
+func closeBackend(t *testing.T, b *standin.Backend) {
+	t.Helper()
+	b.Close()
+	if st := b.Stats(); st.MaxRequests > 8 || st.MaxConnections > 64 {
+		t.Errorf("a server had %d requests and %d connections at once", st.MaxRequests, st.MaxConnections)
+	}
+}
+
+func (s *site) setFaults(f standin.BackendFaults) {
+	for _, b := range s.backends {
+		b.SetFaults(f)
+	}
+}
+
+// seen returns how often the backend servers ran a request.
+func (s *site) seen(id string) int {
+	n := 0
+	for _, b := range s.backends {
+		for _, r := range b.Stats().Requests {
+			if id == "" || r.ID == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// host is one gateway under test.
+type host struct {
+	*gateway.Gateway
+	port   *port
+	url    string
+	client *http.Client
+	stop   context.CancelFunc // ends Run
+	ended  chan struct{}      // Run returned
+}
+
+// start runs a gateway. It owns the front if owner.
+func (s *site) start(t *testing.T, id fleet.HostID, owner bool) *host {
+	t.Helper()
+	h := &host{port: &port{network: s.net, self: id}, ended: make(chan struct{})}
+	mux := http.NewServeMux()
+	server := httptest.NewServer(mux)
+	self := member.Host{ID: id, Incarnation: 1, Region: "bg", DataCentre: dc, HTTPAddress: strings.TrimPrefix(server.URL, "http://")}
+	h.Gateway = gateway.New(gateway.Deps{
+		Self: self, Platform: s.view, Settings: s.view, Rights: h.port, Shards: s.net,
+		Members: members{s.view}, Caller: h.port, Registry: h.port, Logger: log.NewNopLogger(),
+		Margins: dedupe.Margins{Future: 20 * time.Millisecond, Clock: 50 * time.Millisecond, Mapping: 30 * time.Millisecond},
+	})
+	mux.Handle("/", h.Gateway)
+	h.url = server.URL + "/svc/reclaim/x"
+	h.client = server.Client()
+	s.mu.Lock()
+	s.hosts = append(s.hosts, self)
+	s.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = h.Serve(ctx)
+	}()
+	h.stop = func() {}
+	if owner {
+		h.run(front)
+	}
+	t.Cleanup(func() {
+		h.stop()
+		for _, b := range s.backends {
+			b.Close()
+		}
+		if owner {
+			<-h.ended
+		}
+		cancel()
+		<-served
+		server.Close()
+	})
+	return h
+}
+
+// run gives the host the front.
+func (h *host) run(id shard.ID) {
+	h.port.mu.Lock()
+	h.port.owners[id] = h.port.self
+	h.port.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	h.stop = cancel
+	go func() {
+		defer close(h.ended)
+		_ = h.Run(ctx, id, shard.Owner{Host: h.port.self, Epoch: 1})
+	}()
+	for h.Summary()[svc].Slots == 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// reply is what a caller sees.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of the body or the whole exchange
+}
+
+func (r reply) outcome() string { return r.header.Get(gateway.HeaderOutcome) }
+func (r reply) reason() string  { return r.header.Get(gateway.HeaderReason) }
+
+// call sends a request with header pairs.
+func (h *host) call(ctx context.Context, method, body string, headers ...string) reply {
+	req, err := http.NewRequestWithContext(ctx, method, h.url, strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := h.client.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, resp.Header, string(data), err}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,7 @@
 	Caller   peer.Caller
 	Registry peer.Registry
 	Logger   log.Logger
+	Margins  dedupe.Margins // dedupe.DefaultMargins if zero
 }
 
 // Gateway serves requests. It is safe for concurrent use.
@@ -72,6 +73,7 @@
 			Directory: d.Shards,
 			Caller:    d.Caller,
 			Registry:  d.Registry,
+			Margins:   d.Margins,
 		}),
 		fronts:   make(map[shard.ID]*front),
 		services: make(map[fleet.Service]*service),
@@ -164,6 +166,16 @@
 	return s.latency()
 }
 
+// LongestRequest returns the longest time that a backend server may work on
+// a request: the largest request timeout of any service.
+func (g *Gateway) LongestRequest() time.Duration {
+	var longest int64
+	for _, s := range g.allServices() {
+		longest = max(longest, s.settings().RequestTimeoutMS)
+	}
+	return time.Duration(longest) * time.Millisecond
+}
+
 func (g *Gateway) service(name fleet.Service) (*service, bool) {
 	g.mu.RLock()
 	defer g.mu.RUnlock()
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,361 @@
+package gateway_test
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/gateway"
+	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/member"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/settings"
+)
+
+func instant() time.Duration { return 0 }
+
+// TestFaultTable brings about each fault at each point of the exchange, for
+// idempotent and other requests, and judges by what the servers saw.
+func TestFaultTable(t *testing.T) {
+	const (
+		answered = "answered"
+		notRun   = "not-run"
+		unknown  = "unknown"
+	)
+	cases := []struct {
+		point, name string
+		faults      standin.BackendFaults
+		down        bool // the servers are gone
+		outcome     string
+		runs        int // of a request that is not idempotent
+	}{
+		{"before dial", "servers gone", standin.BackendFaults{}, true, notRun, 0},
+		{"after dial", "closed at accept", standin.BackendFaults{RefuseDials: true}, false, unknown, 0},
+		{"after dial", "lost connections", standin.BackendFaults{GoSilent: true}, false, unknown, 0},
+		{"after request", "closed", standin.BackendFaults{DropBefore: true}, false, unknown, 1},
+		{"after request", "slow", standin.BackendFaults{Delay: 250 * time.Millisecond}, false, unknown, 1},
+		{"after request", "garbage", standin.BackendFaults{Garbage: true}, false, unknown, 1},
+		{"after headers", "another request's answer", standin.BackendFaults{WrongID: true}, false, unknown, 1},
+		{"after headers", "undelimited body", standin.BackendFaults{Undelimited: true}, false, unknown, 1},
+		{"in body", "cut", standin.BackendFaults{CutBody: true}, false, unknown, 1},
+		{"in body", "silent", standin.BackendFaults{SilentAfterHead: true}, false, unknown, 1},
+		{"in body", "overlong", standin.BackendFaults{Overlong: true}, false, unknown, 1},
+		{"after answer", "second answer", standin.BackendFaults{Leftover: true}, false, unknown, 1},
+		{"after answer", "closed", standin.BackendFaults{CloseAfter: true}, false, answered, 1},
+	}
+	for _, c := range cases {
+		for _, method := range []string{"POST", "GET"} {
+			t.Run(c.point+"/"+c.name+"/"+method, func(t *testing.T) {
+				t.Parallel()
+				s := newSite(t, 2, instant)
+				h := s.start(t, "h1", true)
+				if !c.faults.RefuseDials {
+					warm(t, h)
+				}
+				s.setFaults(c.faults)
+				if c.down {
+					for _, b := range s.backends {
+						b.Close()
+					}
+				}
+				r := h.call(t.Context(), method, "", "X-Request-Id", "r1")
+				if r.err != nil {
+					t.Fatal(r.err)
+				}
+				if method == "GET" && c.faults.GoSilent {
+					c.outcome = answered // on a new connection
+				}
+				if r.outcome() != c.outcome {
+					t.Errorf("outcome %s (%s), want %s", r.outcome(), r.reason(), c.outcome)
+				}
+				checkStatus(t, r)
+				if c.faults.GoSilent {
+					// A server that answers on new connections is not condemned.
+					for range 6 {
+						if next := h.call(t.Context(), "GET", ""); next.outcome() != answered {
+							t.Errorf("next: %s (%s)", next.outcome(), next.reason())
+						}
+					}
+				}
+				n := s.seen("r1")
+				if method == "POST" && n != c.runs {
+					t.Errorf("ran %d times, want %d", n, c.runs)
+				}
+				if method == "GET" && c.outcome == unknown && c.runs == 1 && n < 2 {
+					t.Errorf("an idempotent request was not retried")
+				}
+			})
+		}
+	}
+}
+
+// warm opens a connection to both servers.
+func warm(t *testing.T, h *host) {
+	t.Helper()
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() { h.call(t.Context(), "GET", "", "X-Request-Id", "warm") })
+	}
+	wg.Wait()
+}
+
+// checkStatus checks that status and headers agree with the outcome.
+func checkStatus(t *testing.T, r reply) {
+	t.Helper()
+	allowed := map[string][]int{"answered": {200}, "not-run": {429, 503}, "unknown": {502, 504}}[r.outcome()]
+	for _, s := range allowed {
+		if s == r.status {
+			return
+		}
+	}
+	t.Errorf("status %d with outcome %q", r.status, r.outcome())
+}
+
+// TestRetryOnAnotherServer checks that one bad server costs an idempotent
+// request nothing but a retry, at every point of the exchange.
+func TestRetryOnAnotherServer(t *testing.T) {
+	for name, f := range map[string]standin.BackendFaults{
+		"closed": {DropBefore: true}, "cut": {CutBody: true}, "garbage": {Garbage: true}, "silent": {SilentAfterHead: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 2, instant)
+			h := s.start(t, "h1", true)
+			s.backends[0].SetFaults(f)
+			for range 4 {
+				if r := h.call(t.Context(), "GET", "", "X-Request-Id", "r1"); r.outcome() != "answered" {
+					t.Errorf("outcome %s (%s)", r.outcome(), r.reason())
+				}
+			}
+		})
+	}
+}
+
+// TestStreamCut checks that a large answer that is cut never looks whole, and
+// that one that is whole arrives.
+func TestStreamCut(t *testing.T) {
+	s := newSite(t, 1, instant)
+	h := s.start(t, "h1", true)
+	r := h.call(t.Context(), "GET", "", "X-Answer-Bytes", "500000")
+	if r.err != nil || len(r.body) != 500000 {
+		t.Fatalf("%d bytes, %v", len(r.body), r.err)
+	}
+	s.setFaults(standin.BackendFaults{CutBody: true})
+	r = h.call(t.Context(), "GET", "", "X-Answer-Bytes", "500000")
+	if r.err == nil {
+		t.Errorf("a cut answer of %d bytes looked whole", len(r.body))
+	}
+}
+
+func TestPathAndHeaders(t *testing.T) {
+	s := newSite(t, 1, instant)
+	h := s.start(t, "h1", true)
+	for _, c := range []struct {
+		name, value string
+		status      int
+	}{
+		{gateway.HeaderTimeout, "0", 400},
+		{gateway.HeaderTimeout, "abc", 400},
+		{gateway.HeaderTimeout, "500", 200},
+		{gateway.HeaderIdempotent, "maybe", 400},
+		{gateway.HeaderRequestID, "r1", 400},
+		{gateway.HeaderRequestID, uuid.NewString(), 400},
+		{gateway.HeaderCaller, strings.Repeat("x", 65), 400},
+	} {
+		if r := h.call(t.Context(), "GET", "", c.name, c.value); r.status != c.status {
+			t.Errorf("%s: %q: status %d, want %d", c.name, c.value, r.status, c.status)
+		}
+	}
+	h.url = strings.Replace(h.url, "reclaim", "nothing", 1)
+	if r := h.call(t.Context(), "GET", ""); r.status != 503 || r.outcome() != "not-run" {
+		t.Errorf("unknown service: %d %s", r.status, r.outcome())
+	}
+}
+
+// TestOutAndLeaving checks that a data centre taken out and a leaving server
+// get no new request once the host's view shows it.
+func TestOutAndLeaving(t *testing.T) {
+	out := func(_ *settings.Resolved, c map[fleet.DataCentre]settings.DataCentre) {
+		c[dc] = settings.DataCentre{Region: "bg", State: settings.DataCentreOut, Cells: 1}
+	}
+	for name, change := range map[string]func(*site){
+		"data centre out": func(s *site) { s.setSettings(out) },
+		"server leaving":  func(s *site) { s.setList(func(l *platform.HostList) { l.Servers[0].State = platform.StateLeaving }) },
+		"server unlisted": func(s *site) { s.setList(func(l *platform.HostList) { l.Servers = nil }) },
+		"right lost":      nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 1, instant)
+			h := s.start(t, "h1", true)
+			warm(t, h)
+			if change != nil {
+				change(s)
+			} else {
+				h.port.denied.Store(true)
+			}
+			before := s.seen("")
+			for range 3 {
+				if r := h.call(t.Context(), "POST", ""); r.outcome() != "not-run" {
+					t.Errorf("outcome %s (%s)", r.outcome(), r.reason())
+				}
+			}
+			if n := s.seen(""); n != before {
+				t.Errorf("the server got %d requests", n-before)
+			}
+		})
+	}
+}
+
+// TestHandover checks that Run lets requests in progress finish, starts none,
+// and returns only when the server has surely stopped.
+func TestHandover(t *testing.T) {
+	s := newSite(t, 1, func() time.Duration { return 60 * time.Millisecond })
+	h := s.start(t, "h1", true)
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			ctx := t.Context()
+			if i < 4 { // callers that leave
+				var cancel context.CancelFunc
+				ctx, cancel = context.WithTimeout(ctx, 30*time.Millisecond)
+				defer cancel()
+			}
+			if r := h.call(ctx, "POST", ""); i >= 4 && r.outcome() != "answered" {
+				t.Errorf("cut off: %s (%s) %v", r.outcome(), r.reason(), r.err)
+			}
+		})
+	}
+	for s.seen("") < 8 {
+		time.Sleep(time.Millisecond)
+	}
+	h.stop()
+	<-h.ended
+	for _, r := range s.backends[0].Stats().Requests {
+		if r.Ended.IsZero() {
+			t.Error("the front was handed over while the server worked")
+		}
+	}
+	wg.Wait()
+	if r := h.call(t.Context(), "POST", ""); r.outcome() != "not-run" {
+		t.Errorf("outcome after the front's end: %s", r.outcome())
+	}
+}
+
+// TestDrain checks that a graceful shutdown cuts off nothing.
+func TestDrain(t *testing.T) {
+	s := newSite(t, 1, func() time.Duration { return 50 * time.Millisecond })
+	h := s.start(t, "h1", true)
+	var wg sync.WaitGroup
+	for range 16 { // half of them wait
+		wg.Go(func() {
+			if r := h.call(t.Context(), "POST", ""); r.outcome() != "answered" {
+				t.Errorf("cut off: %s (%s) %v", r.outcome(), r.reason(), r.err)
+			}
+		})
+	}
+	for s.seen("") < 8 || h.Summary()[svc].Waiting < 8 {
+		time.Sleep(time.Millisecond)
+	}
+	if err := h.Drain(t.Context()); err != nil {
+		t.Error(err)
+	}
+	if r := h.call(t.Context(), "POST", ""); r.outcome() != "not-run" || r.reason() != "draining" {
+		t.Errorf("after drain: %s (%s)", r.outcome(), r.reason())
+	}
+	wg.Wait()
+}
+
+// TestForward checks the hop to a peer with free slots, and that a refusal
+// there leads back.
+func TestForward(t *testing.T) {
+	s := newSite(t, 1, instant)
+	owner := s.start(t, "h1", true)
+	other := s.start(t, "h2", false)
+	if r := other.call(t.Context(), "POST", ""); r.outcome() != "not-run" || r.reason() != "no_server" {
+		t.Errorf("without a summary: %s (%s)", r.outcome(), r.reason())
+	}
+	s.mu.Lock()
+	s.sums["h1"] = member.Summary{Host: "h1", Incarnation: 1, Services: owner.Summary()}
+	s.mu.Unlock()
+	r := other.call(t.Context(), "POST", "data", "X-Request-Id", "r1")
+	if r.outcome() != "answered" || r.body != standin.Answer(s.backends[0].Info(), "r1", []byte("data")) {
+		t.Errorf("forwarded: %s (%s) %q", r.outcome(), r.reason(), r.body)
+	}
+	s.setFaults(standin.BackendFaults{CutBody: true})
+	if r := other.call(t.Context(), "POST", "data"); r.outcome() != "unknown" || r.status != 502 {
+		t.Errorf("cut: %s (%s) %d", r.outcome(), r.reason(), r.status)
+	}
+	owner.stop()
+	<-owner.ended
+	if r := other.call(t.Context(), "POST", "data"); r.outcome() != "not-run" {
+		t.Errorf("refused: %s (%s)", r.outcome(), r.reason())
+	}
+}
+
+// TestResend checks that a resend of a non-idempotent request is recognised
+// at any host, and never run when nobody can vouch for it.
+func TestResend(t *testing.T) {
+	s := newSite(t, 1, instant)
+	owner := s.start(t, "h1", true)
+	other := s.start(t, "h2", false)
+	s.sums["h1"] = member.Summary{Host: "h1", Incarnation: 1, Services: owner.Summary()}
+	old := uuid.Must(uuid.NewV7()).String()
+	s.waitForMemory(t, owner)
+
+	id := uuid.Must(uuid.NewV7()).String()
+	if r := other.call(t.Context(), "POST", "", gateway.HeaderRequestID, id); r.outcome() != "answered" {
+		t.Fatalf("first: %s (%s)", r.outcome(), r.reason())
+	}
+	for _, h := range []*host{owner, other} {
+		if r := h.call(t.Context(), "POST", "", gateway.HeaderRequestID, id); r.reason() != "duplicate" || r.outcome() != "unknown" {
+			t.Errorf("resend: %s (%s)", r.outcome(), r.reason())
+		}
+	}
+	if n := s.seen(id); n != 1 {
+		t.Errorf("ran %d times", n)
+	}
+	if r := other.call(t.Context(), "POST", "", gateway.HeaderRequestID, old); r.outcome() != "unknown" || s.seen(old) != 0 {
+		t.Errorf("ID from before the memory: %s (%s)", r.outcome(), r.reason())
+	}
+	s.net.mu.Lock()
+	s.net.lost = true
+	s.net.mu.Unlock()
+	lost := uuid.Must(uuid.NewV7()).String()
+	if r := other.call(t.Context(), "POST", "", gateway.HeaderRequestID, lost); r.outcome() != "unknown" || s.seen(lost) != 0 {
+		t.Errorf("home not reached: %s (%s)", r.outcome(), r.reason())
+	}
+}
+
+// TestClaimGivenBack checks that a request refused as not run can be sent
+// again under its ID.
+func TestClaimGivenBack(t *testing.T) {
+	s := newSite(t, 1, instant)
+	h := s.start(t, "h1", true)
+	s.waitForMemory(t, h)
+	id := uuid.Must(uuid.NewV7()).String()
+	s.setList(func(l *platform.HostList) { l.Servers[0].State = platform.StateLeaving })
+	if r := h.call(t.Context(), "POST", "", gateway.HeaderRequestID, id); r.outcome() != "not-run" {
+		t.Errorf("refused: %s (%s)", r.outcome(), r.reason())
+	}
+	s.setList(func(l *platform.HostList) { l.Servers[0].State = platform.StateLive })
+	if r := h.call(t.Context(), "POST", "", gateway.HeaderRequestID, id); r.outcome() != "answered" {
+		t.Errorf("sent again: %s (%s)", r.outcome(), r.reason())
+	}
+}
+
+// waitForMemory waits until new IDs can be vouched for.
+func (s *site) waitForMemory(t *testing.T, h *host) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		r := h.call(t.Context(), "POST", "", gateway.HeaderRequestID, uuid.Must(uuid.NewV7()).String())
+		if r.outcome() == "answered" {
+			return
+		}
+	}
+	t.Fatal("IDs are never vouched for")
+}
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -124,6 +124,7 @@
 	conn, _ := r.Context().Value(connKey{}).(net.Conn)
 	f, index, silent := b.begin(conn, r.Header.Get("X-Request-Id"))
 	if silent {
+		_, _ = io.Copy(io.Discard, r.Body) // else the end of the connection is not noticed
 		<-r.Context().Done()
 		return
 	}
