--- /dev/null
+++ b/backend/model_test.go
@@ -0,0 +1,165 @@
+package backend_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/fuchsiahill/fuchsiahill/backend"
+)
+
+// scripted is a server that does what the request's headers say, and ends
+// its work on a request at the latest after Longest.
+type scripted struct {
+	mu      sync.Mutex
+	running int
+	most    int
+	seen    map[string]int
+	conns   int
+	mostC   int
+}
+
+func (s *scripted) dial(context.Context, string) (net.Conn, error) {
+	client, server := net.Pipe()
+	s.mu.Lock()
+	s.conns++
+	s.mostC = max(s.mostC, s.conns)
+	s.mu.Unlock()
+	go s.serve(server)
+	return client, nil
+}
+
+func (s *scripted) serve(c net.Conn) {
+	defer func() {
+		c.Close()
+		s.mu.Lock()
+		s.conns--
+		s.mu.Unlock()
+	}()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		s.count(r.Header.Get("X-Request-Id"), 1)
+		ms, _ := strconv.Atoi(r.Header.Get("X-Work-Ms"))
+		time.Sleep(time.Duration(ms) * time.Millisecond)
+		s.count("", -1)
+		switch r.Header.Get("X-End") {
+		case "close":
+			return
+		case "silent":
+			_, _ = br.ReadByte() // until the client closes
+			return
+		case "garbage":
+			if _, err := c.Write([]byte("no answer\r\n\r\n")); err != nil {
+				return
+			}
+		default:
+			if _, err := c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func (s *scripted) count(id string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running += n
+	s.most = max(s.most, s.running)
+	if id != "" {
+		s.seen[id]++
+	}
+}
+
+// step is one request of a random run.
+type step struct {
+	work     int // ms
+	end      string
+	patience time.Duration // of the caller
+	pause    time.Duration // until the next
+}
+
+// TestSlotModel runs random requests against random servers' behaviour with
+// random patience, and checks that the server never runs more than its slots,
+// that each request is written at most once, and that no slot is lost.
+func TestSlotModel(t *testing.T) {
+	ms := func(t *rapid.T, lo, hi int, label string) int { return rapid.IntRange(lo, hi).Draw(t, label) }
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+			return step{
+				work:     ms(t, 0, 290, "work"),
+				end:      rapid.SampledFrom([]string{"answer", "answer", "close", "silent", "garbage"}).Draw(t, "end"),
+				patience: time.Duration(ms(t, 1, 400, "patience")) * time.Millisecond,
+				pause:    time.Duration(ms(t, 0, 100, "pause")) * time.Millisecond,
+			}
+		}), 1, 30).Draw(rt, "steps")
+		var failure string
+		synctest.Test(t, func(*testing.T) { failure = runSteps(steps) })
+		if failure != "" {
+			rt.Fatal(failure)
+		}
+	})
+}
+
+// runSteps returns what was violated, or "".
+func runSteps(steps []step) string {
+	const modelSlots, modelConnections = 3, 16
+	s := &scripted{seen: make(map[string]int)}
+	p := backend.NewPool("server", backend.Limits{Slots: modelSlots, Connections: modelConnections}, s.dial)
+	timeouts := shortTimeouts()
+	failure := ""
+	var wg sync.WaitGroup
+	for i, st := range steps {
+		r := newRequest("POST", strconv.Itoa(i), "")
+		r.Header.Set("X-Work-Ms", strconv.Itoa(st.work))
+		r.Header.Set("X-End", st.end)
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), st.patience)
+			defer cancel()
+			if resp, err := do(ctx, p, backend.Request{HTTP: r, Buffer: 100, Timeouts: timeouts}); err == nil {
+				resp.Close()
+			}
+		})
+		time.Sleep(st.pause)
+		synctest.Wait()
+		if u := p.Usage(); u.Slots > modelSlots || u.Connections > modelConnections || u.Slots < s.now() {
+			failure = fmt.Sprintf("pool %+v, server runs %d", u, s.now())
+		}
+	}
+	wg.Wait()
+	time.Sleep(timeouts.Longest)
+	synctest.Wait()
+	if u := p.Usage(); u.Slots != 0 {
+		failure = fmt.Sprintf("slots are lost: %+v", u)
+	}
+	p.Close()
+	<-p.Drained()
+	synctest.Wait()
+	for id, n := range s.seen {
+		if n > 1 {
+			failure = fmt.Sprintf("request %s was written %d times", id, n)
+		}
+	}
+	if s.most > modelSlots || s.mostC > modelConnections {
+		failure = fmt.Sprintf("the server ran %d at once on %d connections", s.most, s.mostC)
+	}
+	return failure
+}
+
+func (s *scripted) now() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running
+}
