--- a/backend/pool_test.go
+++ b/backend/pool_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -126,6 +127,8 @@
 		{"closed before head", standin.BackendFaults{DropBefore: true}, backend.Unknown, backend.ReasonClosed, 1, false},
 		{"garbage", standin.BackendFaults{Garbage: true}, backend.Unknown, backend.ReasonProtocol, 1, false},
 		{"wrong ID", standin.BackendFaults{WrongID: true}, backend.Unknown, backend.ReasonWrongAnswer, 1, true},
+		{"chunked body", standin.BackendFaults{Chunked: true}, backend.Answered, "", 1, false},
+		{"cut chunked body", standin.BackendFaults{CutBody: true, Chunked: true}, backend.Unknown, backend.ReasonCut, 1, false},
 		{"cut body", standin.BackendFaults{CutBody: true}, backend.Unknown, backend.ReasonCut, 1, false},
 		{"silent in body", standin.BackendFaults{SilentAfterHead: true}, backend.Unknown, backend.ReasonIdle, 1, true},
 		{"overlong body", standin.BackendFaults{Overlong: true}, backend.Unknown, backend.ReasonOverlong, 1, false},
@@ -367,3 +370,32 @@
 		t.Errorf("whole %v, %d bytes", resp.Whole, total)
 	}
 }
+
+// TestResetProvesNothing checks that a slot stays taken after a reset, which
+// something between the two ends may have sent.
+func TestResetProvesNothing(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = c.Read(make([]byte, 1))
+		_ = c.(*net.TCPConn).SetLinger(0) // close with a reset
+		c.Close()
+	}()
+	p := backend.NewPool(ln.Addr().String(), backend.Limits{Slots: 1, Connections: 2}, nil)
+	started := time.Now()
+	_, err = do(t.Context(), p, backend.Request{HTTP: newRequest("POST", "r1", ""), Timeouts: shortTimeouts()})
+	if got, _ := outcome(err); got != backend.Unknown || p.Usage().Slots != 1 {
+		t.Errorf("got %v, %+v", err, p.Usage())
+	}
+	eventually(t, "slot free", func() bool { return p.Usage().Slots == 0 })
+	if took := time.Since(started); took < shortTimeouts().Longest-10*time.Millisecond {
+		t.Errorf("the slot was free after %v", took)
+	}
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -139,16 +139,19 @@
 // TestStreamCut checks that a large answer that is cut never looks whole, and
 // that one that is whole arrives.
 func TestStreamCut(t *testing.T) {
-	s := newSite(t, 1, instant)
-	h := s.start(t, "h1", true)
-	r := h.call(t.Context(), "GET", "", "X-Answer-Bytes", "500000")
-	if r.err != nil || len(r.body) != 500000 {
-		t.Fatalf("%d bytes, %v", len(r.body), r.err)
-	}
-	s.setFaults(standin.BackendFaults{CutBody: true})
-	r = h.call(t.Context(), "GET", "", "X-Answer-Bytes", "500000")
-	if r.err == nil {
-		t.Errorf("a cut answer of %d bytes looked whole", len(r.body))
+	for _, chunked := range []bool{false, true} {
+		s := newSite(t, 1, instant)
+		h := s.start(t, "h1", true)
+		s.setFaults(standin.BackendFaults{Chunked: chunked})
+		r := h.call(t.Context(), "GET", "", "X-Answer-Bytes", "500000")
+		if r.err != nil || len(r.body) != 500000 {
+			t.Fatalf("%d bytes, %v", len(r.body), r.err)
+		}
+		s.setFaults(standin.BackendFaults{CutBody: true, Chunked: chunked})
+		r = h.call(t.Context(), "GET", "", "X-Answer-Bytes", "500000")
+		if r.err == nil {
+			t.Errorf("chunked %v: a cut answer of %d bytes looked whole", chunked, len(r.body))
+		}
 	}
 }
 
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -19,6 +19,7 @@
 	Delay       time.Duration // added before the answer
 	Status      int           // answer with this status instead of 200
 	CutBody     bool          // announce the whole body, send half and close
+	Chunked     bool          // announce no length
 	DropBefore  bool          // close the connection before the answer
 	GoSilent    bool          // connections open now never answer again; new ones work
 	RefuseDials bool          // close new connections at once
@@ -176,6 +177,11 @@
 		r.Header.Set("X-Request-Id", "other")
 	}
 	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	if f.Chunked {
+		w.Header().Del("Content-Length")
+		w.WriteHeader(http.StatusOK)
+		w.(http.Flusher).Flush()
+	}
 	if f.Status != 0 {
 		w.WriteHeader(f.Status)
 	}
