Prove that no request ID is accepted twice

The random model found that a front whose memory was open before the front was in the settings could accept an ID that its former home had accepted: memories of added fronts now begin again, too.

--- a/dedupe/claimer.go
+++ b/dedupe/claimer.go
@@ -100,20 +100,24 @@
 	if slices.Equal(sorted, c.fronts) {
 		return
 	}
-	removed := slices.ContainsFunc(c.fronts, func(f shard.ID) bool { return !slices.Contains(sorted, f) })
 	names := make([]string, len(sorted))
 	for i, f := range sorted {
 		names[i] = string(f)
 	}
+	c.restart(now.Add(c.deps.Margins.Mapping), sorted)
 	c.fronts = sorted
 	c.hash = rendezvous.New(names, xxhash.Sum64String)
 	c.changed = now
-	if !removed {
-		return
-	}
-	// IDs of the removed fronts move to these memories.
-	for _, h := range c.memories {
-		h.Restart(now.Add(c.deps.Margins.Mapping))
+}
+
+// restart lets memories begin again that get IDs from other homes: those of
+// added fronts, and all if a front was removed.
+func (c *Claimer) restart(start time.Time, next []shard.ID) {
+	removed := slices.ContainsFunc(c.fronts, func(f shard.ID) bool { return !slices.Contains(next, f) })
+	for f, h := range c.memories {
+		if removed || !slices.Contains(c.fronts, f) {
+			h.Restart(start)
+		}
 	}
 }
 
@@ -145,8 +149,8 @@
 // *UnvouchedError and *HomeUnavailableError; with each the request must not
 // be run.
 func (c *Claimer) Claim(ctx context.Context, id uuid.UUID) (*Claim, error) {
-	front, ok := c.home(id)
-	if !ok {
+	front := c.Home(id)
+	if front == "" {
 		return nil, &HomeUnavailableError{}
 	}
 	msg := message{Front: front, ID: id, Token: Token(rand.Uint64())}
@@ -180,17 +184,18 @@
 	_ = c.deps.Caller.Call(ctx, owner.Host, methodRelease, k.msg, &done) // best effort
 }
 
-func (c *Claimer) home(id uuid.UUID) (shard.ID, bool) {
+// Home returns the front that is the home of an ID, "" if there is no front.
+func (c *Claimer) Home(id uuid.UUID) shard.ID {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.homeLocked(id)
+	return c.home(id)
 }
 
-func (c *Claimer) homeLocked(id uuid.UUID) (shard.ID, bool) {
+func (c *Claimer) home(id uuid.UUID) shard.ID {
 	if len(c.fronts) == 0 {
-		return "", false
+		return ""
 	}
-	return shard.ID(c.hash.Lookup(string(id[:]))), true
+	return shard.ID(c.hash.Lookup(string(id[:])))
 }
 
 // ask brings the claim to its home. An answer that was lost is asked for
@@ -254,8 +259,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	home, ok := c.memories[msg.Front]
-	mapped, known := c.homeLocked(msg.ID)
-	if !ok || !known || mapped != msg.Front {
+	if !ok || c.home(msg.ID) != msg.Front {
 		return verdict{}, &NotHomeError{Front: msg.Front}
 	}
 	err := home.Claim(now, msg.ID, msg.Token)
--- /dev/null
+++ b/dedupe/claimer_test.go
@@ -0,0 +1,371 @@
+package dedupe_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"pgregory.net/rapid"
+
+	"github.com/fuchsiahill/fuchsiahill/dedupe"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/peer"
+	"github.com/fuchsiahill/fuchsiahill/shard"
+)
+
+// world is a set of hosts with exclusive rights to fronts. Each host has its
+// own, possibly old, view of who owns what.
+type world struct {
+	mu     sync.Mutex
+	rights map[shard.ID]fleet.HostID
+	hosts  map[fleet.HostID]*node
+	lose   bool // answers of calls
+}
+
+type node struct {
+	*world
+	self     fleet.HostID
+	view     map[shard.ID]fleet.HostID
+	handlers map[string]peer.Handler
+	claimer  *dedupe.Claimer
+}
+
+var margins = dedupe.Margins{Future: time.Second, Clock: time.Second, Mapping: 5 * time.Second}
+
+func newWorld(n int) *world {
+	w := &world{rights: make(map[shard.ID]fleet.HostID), hosts: make(map[fleet.HostID]*node)}
+	for i := range n {
+		h := &node{
+			world:    w,
+			self:     hostName(i),
+			view:     make(map[shard.ID]fleet.HostID),
+			handlers: make(map[string]peer.Handler),
+		}
+		h.claimer = dedupe.NewClaimer(dedupe.Deps{Self: h.self, Rights: h, Directory: h, Caller: h, Registry: h, Margins: margins})
+		w.hosts[h.self] = h
+	}
+	return w
+}
+
+func hostName(i int) fleet.HostID { return fleet.HostID(fmt.Sprintf("h%d", i)) }
+func frontName(i int) shard.ID    { return shard.NewID(shard.KindFront, "sofia-1", i) }
+
+func (n *node) Handle(method string, h peer.Handler) { n.handlers[method] = h }
+
+func (n *node) MaySend(id shard.ID) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.rights[id] == n.self
+}
+
+func (n *node) Owner(id shard.ID) (shard.Owner, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	host, ok := n.view[id]
+	return shard.Owner{Host: host}, ok
+}
+
+func (n *node) Call(ctx context.Context, host fleet.HostID, method string, request, response any) error {
+	data, err := json.Marshal(request)
+	if err != nil {
+		return err
+	}
+	result, err := n.hosts[host].handlers[method](ctx, n.self, data)
+	n.mu.Lock()
+	lose := n.lose
+	n.mu.Unlock()
+	if lose {
+		return &peer.UnknownError{Host: host, Method: method}
+	}
+	if err != nil {
+		return err
+	}
+	data, err = json.Marshal(result)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, response)
+}
+
+// give moves the rights to a front; the old owner may learn of it later.
+func (w *world) give(front shard.ID, host fleet.HostID, tellOld bool) {
+	w.mu.Lock()
+	old := w.rights[front]
+	w.rights[front] = host
+	w.mu.Unlock()
+	if h, ok := w.hosts[old]; ok && tellOld && old != host {
+		h.claimer.Close(front)
+	}
+	if old != host {
+		w.hosts[host].claimer.Open(time.Now(), front)
+	}
+}
+
+// look lets a host see the present owners.
+func (n *node) look() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for f, h := range n.rights {
+		n.view[f] = h
+	}
+}
+
+func fronts(n int) []shard.ID {
+	out := make([]shard.ID, n)
+	for i := range out {
+		out[i] = frontName(i)
+	}
+	return out
+}
+
+// move is one random event.
+type move struct {
+	what        string
+	host, front int
+	id          int
+	ms          int
+	flag        bool
+}
+
+// TestClaimModel moves fronts between hosts whose views of owners lag without
+// bound and whose views of the set of fronts lag up to the margin, and checks
+// that no ID is accepted twice.
+func TestClaimModel(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		moves := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) move {
+			return move{
+				what:  rapid.SampledFrom([]string{"claim", "claim", "create", "race", "race", "give", "look", "wait", "wait", "fronts", "lose"}).Draw(t, "what"),
+				host:  rapid.IntRange(0, 2).Draw(t, "host"),
+				front: rapid.IntRange(0, 1).Draw(t, "front"),
+				id:    rapid.IntRange(0, 2).Draw(t, "id"),
+				ms:    rapid.IntRange(-900, 4000).Draw(t, "ms"),
+				flag:  rapid.Bool().Draw(t, "flag"),
+			}
+		}), 20, 80).Draw(rt, "moves")
+		var failure string
+		synctest.Test(t, func(t *testing.T) { failure = play(t.Context(), moves) })
+		if failure != "" {
+			rt.Fatal(failure)
+		}
+	})
+}
+
+// play returns what was violated, or "".
+func play(ctx context.Context, moves []move) string {
+	w := newWorld(3)
+	for i := range 3 {
+		w.hosts[hostName(i)].claimer.SetFronts(time.Now(), fronts(1))
+	}
+	for i := range 2 {
+		w.give(frontName(i), hostName(i), true)
+	}
+	for _, h := range w.hosts {
+		h.look()
+	}
+	time.Sleep(margins.Mapping + margins.Clock)
+	var ids []uuid.UUID
+	accepted := make(map[uuid.UUID]int)
+	var seen [3]time.Time // last change of fronts, by host
+	claim := func(h *node, id uuid.UUID) {
+		if _, err := h.claimer.Claim(ctx, id); err == nil {
+			accepted[id]++
+		}
+	}
+	for i, m := range moves {
+		h := w.hosts[hostName(m.host)]
+		switch m.what {
+		case "create":
+			ids = append(ids, newID(time.Now().Add(time.Duration(-m.ms)*time.Millisecond), byte(i)))
+		case "claim":
+			if len(ids) == 0 {
+				continue
+			}
+			// The newest are the most likely to be accepted.
+			id := ids[max(len(ids)-1-m.id, 0)]
+			claim(h, id)
+		case "race": // all hosts send the same new request
+			id := newID(time.Now().Add(time.Duration(-m.ms)*time.Millisecond), byte(i))
+			ids = append(ids, id)
+			for k := range 3 {
+				claim(w.hosts[hostName((m.host+k)%3)], id)
+			}
+		case "give":
+			w.give(frontName(m.front), hostName(m.host), m.flag)
+		case "look":
+			h.look()
+		case "wait":
+			time.Sleep(time.Duration(max(m.ms, 0)) * time.Millisecond)
+		case "fronts":
+			// Each host sees the change at another time within the margin.
+			n := 1
+			if m.flag {
+				n = 2
+			}
+			for k := range 3 {
+				c := w.hosts[hostName(k)].claimer
+				// Settings never go back at a host.
+				seen[k] = later(seen[k], time.Now().Add(time.Duration(k*max(m.ms, 0)/3)*time.Millisecond))
+				time.AfterFunc(time.Until(seen[k]), func() { c.SetFronts(time.Now(), fronts(n)) })
+			}
+			time.Sleep(time.Duration(max(m.ms, 0)/2) * time.Millisecond)
+		case "lose":
+			w.mu.Lock()
+			w.lose = m.flag
+			w.mu.Unlock()
+		}
+		synctest.Wait()
+	}
+	time.Sleep(margins.Mapping) // lets the timers end
+	for id, n := range accepted {
+		if n > 1 {
+			return fmt.Sprintf("%s was accepted %d times", id, n)
+		}
+	}
+	return ""
+}
+
+// later returns b, or a moment after a if that is later.
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a.Add(time.Nanosecond)
+}
+
+// TestClaim checks the paths of a claim between hosts.
+func TestClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(2)
+		a, b := w.hosts["h0"], w.hosts["h1"]
+		for _, h := range []*node{a, b} {
+			h.claimer.SetFronts(time.Now(), fronts(1))
+		}
+		time.Sleep(margins.Mapping)
+		w.give(frontName(0), "h0", true)
+		created := newID(time.Now(), 1)
+		time.Sleep(margins.Clock)
+		claim := func(h *node, id uuid.UUID) string {
+			_, err := h.claimer.Claim(t.Context(), id)
+			return kind(err)
+		}
+		if got := claim(b, created); got != "unavailable" {
+			t.Errorf("owner not known: %s", got)
+		}
+		a.look()
+		b.look()
+		if got := claim(b, created); got != "old" {
+			t.Errorf("created before the memory: %s", got)
+		}
+		id := newID(time.Now(), 2)
+		if got := claim(b, id); got != "accepted" {
+			t.Errorf("first: %s", got)
+		}
+		if got := claim(a, id); got != "duplicate" {
+			t.Errorf("resend: %s", got)
+		}
+		id = newID(time.Now(), 3)
+		w.lose = true
+		if got := claim(b, id); got != "unavailable" {
+			t.Errorf("answers lost: %s", got)
+		}
+		w.lose = false
+		if got := claim(b, id); got != "duplicate" {
+			t.Errorf("after a claim with unknown outcome: %s", got)
+		}
+		w.give(frontName(0), "h1", false) // h0 has not noticed
+		if got := claim(a, newID(time.Now(), 4)); got != "unavailable" {
+			t.Errorf("at the former owner: %s", got)
+		}
+	})
+}
+
+// TestFrontsChange checks IDs whose home moves because the set of fronts
+// changes while hosts see different sets.
+func TestFrontsChange(t *testing.T) {
+	// homed returns an ID, created now, with the given home among two fronts.
+	homed := func(w *world, front shard.ID) uuid.UUID {
+		probe := dedupe.NewClaimer(dedupe.Deps{Self: "probe", Registry: &node{world: w, handlers: map[string]peer.Handler{}}, Directory: &node{world: w}})
+		probe.SetFronts(time.Now(), fronts(2))
+		for n := byte(0); ; n++ {
+			id := newID(time.Now(), n)
+			if probe.Home(id) == front {
+				return id
+			}
+		}
+	}
+	setup := func(n int) (*world, func(h int, id uuid.UUID) string) {
+		w := newWorld(3)
+		for i := range 3 {
+			w.hosts[hostName(i)].claimer.SetFronts(time.Now(), fronts(n))
+		}
+		for i := range n {
+			w.give(frontName(i), hostName(i), true)
+		}
+		time.Sleep(margins.Mapping + margins.Clock)
+		return w, func(h int, id uuid.UUID) string {
+			host := w.hosts[hostName(h)]
+			host.look()
+			_, err := host.claimer.Claim(context.Background(), id)
+			return kind(err)
+		}
+	}
+	set := func(w *world, host, n int) { w.hosts[hostName(host)].claimer.SetFronts(time.Now(), fronts(n)) }
+	type claimFunc = func(int, uuid.UUID) string
+
+	cases := []struct {
+		name   string
+		fronts int
+		run    func(*testing.T, *world, claimFunc)
+	}{
+		{"added, caller lags", 1, func(t *testing.T, w *world, claim claimFunc) {
+			set(w, 0, 2)
+			set(w, 1, 2)
+			if got := claim(2, homed(w, frontName(1))); got != "unavailable" {
+				t.Errorf("the former home: %s", got)
+			}
+		}},
+		{"added, former home lags", 1, func(t *testing.T, w *world, claim claimFunc) {
+			set(w, 1, 2)
+			w.give(frontName(1), hostName(1), true)
+			time.Sleep(margins.Clock)
+			id := homed(w, frontName(1))
+			if got := claim(2, id); got != "accepted" {
+				t.Fatalf("at the former home: %s", got)
+			}
+			if got := claim(1, id); got != "old" {
+				t.Errorf("at the new home: %s", got)
+			}
+			time.Sleep(margins.Mapping)
+			set(w, 0, 2)
+			set(w, 2, 2)
+			if got := claim(2, homed(w, frontName(1))); got != "accepted" {
+				t.Errorf("once all hosts have seen the change: %s", got)
+			}
+		}},
+		{"removed", 2, func(t *testing.T, w *world, claim claimFunc) {
+			id := homed(w, frontName(1))
+			if got := claim(2, id); got != "accepted" {
+				t.Fatalf("first: %s", got)
+			}
+			for i := range 3 {
+				set(w, i, 1)
+			}
+			if got := claim(2, id); got != "old" {
+				t.Errorf("at the new home: %s", got)
+			}
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w, claim := setup(c.fronts)
+				c.run(t, w, claim)
+			})
+		})
+	}
+}
