--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -87,11 +87,11 @@
 							t.Fatal(err)
 						}
 					}
-					stop()
+					_ = stop()
 				}
 				m := &listMachine{}
 				_, stop := serve(t, testDeps(st), 4, m, tt.ring, tt.limit)
-				stop()
+				_ = stop()
 				if len(m.Records) != 3*tt.records {
 					t.Fatalf("%d records recovered, want %d", len(m.Records), 3*tt.records)
 				}
@@ -116,7 +116,7 @@
 		if !errors.As(err, &stopped) || !errors.As(err, &collision) {
 			t.Fatalf("error %v, want a collision", err)
 		}
-		stopOld()
-		stopNew()
+		_ = stopOld()
+		_ = stopNew()
 	})
 }
--- /dev/null
+++ b/journal/snapshot_test.go
@@ -0,0 +1,265 @@
+package journal
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/store"
+)
+
+const testPart = 10 // bytes
+
+// at is the position of an owner in an empty ring.
+func at(last Sequence) position {
+	return position{last: last, nextKey: slotKey("q", int(last+1)), revision: 0}
+}
+
+func testClient(st store.Store) *client {
+	return &client{store: st, retries: func() {}, restart: func() {}}
+}
+
+// snapshotterOn returns the snapshotter of an owner that has just read st.
+func snapshotterOn(t *testing.T, st store.Store, epoch fleet.Epoch) *snapshotter {
+	t.Helper()
+	c := testClient(st)
+	r, err := c.readOnce(t.Context(), "q", 8)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &snapshotter{
+		client:    c,
+		shard:     "q",
+		owner:     testOwner(epoch),
+		limit:     testPart,
+		durable:   r.header,
+		revision:  r.headerRev,
+		revisions: make(map[string]store.Revision),
+	}
+}
+
+func begin(t *testing.T, s *snapshotter, n Sequence, data string) {
+	t.Helper()
+	if err := s.start(n, []byte(data)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func steps(t *testing.T, s *snapshotter, last Sequence, count int) {
+	t.Helper()
+	for range count {
+		if err := s.step(t.Context(), at(last)); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func complete(t *testing.T, s *snapshotter, n Sequence, data string) {
+	t.Helper()
+	begin(t, s, n, data)
+	for s.job != nil {
+		steps(t, s, n, 1)
+	}
+}
+
+func wantSnapshot(t *testing.T, st store.Store, want string) {
+	t.Helper()
+	r, err := testClient(st).readOnce(t.Context(), "q", 8)
+	if err != nil {
+		t.Fatalf("snapshot unreadable: %v", err)
+	}
+	if string(r.snapshot) != want {
+		t.Fatalf("snapshot %q, want %q", r.snapshot, want)
+	}
+}
+
+func wantCollision(t *testing.T, err error) {
+	t.Helper()
+	var collision *CollisionError
+	var superseded *SupersededError
+	if !errors.As(err, &collision) && !errors.As(err, &superseded) {
+		t.Fatalf("error %v, want a collision", err)
+	}
+}
+
+var (
+	first  = strings.Repeat("a", 35)
+	second = strings.Repeat("b", 35)
+	third  = strings.Repeat("c", 35)
+)
+
+// partSteps is the number of part writes of the snapshots above.
+const partSteps = 4
+
+func TestUnfinishedSnapshotLeavesTheLastOneWhole(t *testing.T) {
+	st := standin.NewStore()
+	s := snapshotterOn(t, st, 1)
+	complete(t, s, 1, first)
+	begin(t, s, 2, second)
+	for range partSteps {
+		steps(t, s, 2, 1)
+		wantSnapshot(t, st, first)
+	}
+	steps(t, s, 2, 1)
+	wantSnapshot(t, st, second)
+}
+
+func TestPredecessorCannotCompleteOverwrittenParts(t *testing.T) {
+	st := standin.NewStore()
+	complete(t, snapshotterOn(t, st, 1), 1, first)
+	old := snapshotterOn(t, st, 2)
+	begin(t, old, 2, second)
+	steps(t, old, 2, 1+partSteps) // all but the header
+	successor := snapshotterOn(t, st, 3)
+	begin(t, successor, 3, third)
+	steps(t, successor, 3, 2)
+	wantCollision(t, old.step(t.Context(), at(2)))
+	wantSnapshot(t, st, first)
+	steps(t, successor, 3, partSteps)
+	wantSnapshot(t, st, third)
+}
+
+func TestPredecessorCannotOverwriteParts(t *testing.T) {
+	tests := map[string]struct {
+		earlier []string // snapshots that the predecessor completed before
+		steps   int      // of the one in progress
+	}{
+		"parts never written before": {earlier: []string{first}, steps: 1},
+		"parts written before":       {earlier: []string{first, second}, steps: 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			st := standin.NewStore()
+			old := snapshotterOn(t, st, 1)
+			for i, data := range tt.earlier {
+				complete(t, old, Sequence(i+1), data)
+			}
+			begin(t, old, 3, second)
+			steps(t, old, 3, tt.steps)
+			successor := snapshotterOn(t, st, 2)
+			begin(t, successor, 3, third)
+			steps(t, successor, 3, 1+partSteps) // all but the header
+			for range 3 {
+				if err := old.step(t.Context(), at(3)); err != nil {
+					wantCollision(t, err)
+					break
+				}
+			}
+			steps(t, successor, 3, 1)
+			wantSnapshot(t, st, third)
+		})
+	}
+}
+
+func TestLateSnapshotOfPredecessorIsAdopted(t *testing.T) {
+	tests := map[string]string{"inline": "short", "parts": second}
+	for name, data := range tests {
+		t.Run(name, func(t *testing.T) {
+			st := standin.NewStore()
+			complete(t, snapshotterOn(t, st, 1), 1, first)
+			old := snapshotterOn(t, st, 2)
+			successor := snapshotterOn(t, st, 3)
+			complete(t, old, 4, data)
+			begin(t, successor, 6, third)
+			steps(t, successor, 6, 1)
+			if successor.durable.Sequence != 4 {
+				t.Fatalf("durable snapshot covers entry %d, want 4", successor.durable.Sequence)
+			}
+			for successor.job != nil {
+				wantSnapshot(t, st, data)
+				steps(t, successor, 6, 1)
+			}
+			wantSnapshot(t, st, third)
+		})
+	}
+}
+
+func TestSnapshotThatDoesNotLieBetweenStopsTheOwner(t *testing.T) {
+	st := standin.NewStore()
+	old := snapshotterOn(t, st, 1)
+	successor := snapshotterOn(t, st, 2)
+	complete(t, old, 9, "short")
+	begin(t, successor, 3, "other")
+	wantCollision(t, successor.step(t.Context(), at(3)))
+}
+
+// TestSnapshotHoldsNoLaterEntry appends transactions that fill two entries
+// each: the state is ahead of the first one when that is sent.
+func TestSnapshotHoldsNoLaterEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := standin.NewStore()
+		m := &countMachine{}
+		s, stop := serve(t, testDeps(st), 1, m, 4, partBytes)
+		const transactions = 6 // the last snapshot is due at the first half of one
+		record := bytes.Repeat([]byte("x"), entryLimitBytes)
+		for range transactions {
+			err := s.Do(t.Context(), func(tx Tx) error {
+				tx.Append(record)
+				tx.Append(record)
+				return nil
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Second)
+		}
+		_ = stop()
+		again := &countMachine{}
+		_, stop = serve(t, testDeps(st), 2, again, 4, partBytes)
+		_ = stop()
+		if again.Count != 2*transactions {
+			t.Fatalf("%d records recovered, want %d", again.Count, 2*transactions)
+		}
+	})
+}
+
+// TestEntriesWaitForTheSnapshotThatCoversThem stops an owner after each number
+// of records, so that it stops at every step of a snapshot of many parts.
+func TestEntriesWaitForTheSnapshotThatCoversThem(t *testing.T) {
+	const ring, limit = 4, 40
+	for n := range 40 {
+		synctest.Test(t, func(t *testing.T) {
+			st := standin.NewStore()
+			st.SetFaults(standin.StoreFaults{Delay: time.Millisecond})
+			deps := testDeps(st)
+			deps.Pace.MaxBytes = 1 // an entry is due at once
+			s, stop := serve(t, deps, 1, &listMachine{}, ring, limit)
+			for range n {
+				if err := appendRecord(t.Context(), s, "0123456789"); err != nil {
+					t.Fatal(err)
+				}
+			}
+			_ = stop()
+			ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+			defer cancel()
+			m := &listMachine{}
+			if _, err := open(ctx, testDeps(st), "queue/a/0", testOwner(2), m, ring, limit); err != nil {
+				t.Fatalf("%d records: %v", n, err)
+			}
+			if len(m.Records) != n {
+				t.Fatalf("%d records recovered, want %d", len(m.Records), n)
+			}
+		})
+	}
+}
+
+// countMachine counts records.
+type countMachine struct{ Count int }
+
+func (m *countMachine) Apply([]byte) error { m.Count++; return nil }
+
+func (m *countMachine) Snapshot() ([]byte, error) { return Encode(m.Count) }
+
+func (m *countMachine) Restore(snapshot []byte) error {
+	m.Count = 0
+	if len(snapshot) == 0 {
+		return nil
+	}
+	return Decode(snapshot, &m.Count)
+}
