--- /dev/null
+++ b/queue/crash_test.go
@@ -0,0 +1,181 @@
+package queue
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/fuchsiahill/fuchsiahill/delegation"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/job"
+	"github.com/fuchsiahill/fuchsiahill/shard"
+)
+
+// crashRun is one run of a workload in which the owner crashes.
+type crashRun struct {
+	points map[int]bool // see crashPoint
+	cells  bool         // the cells' owner restarts at the same moments
+	loseN  int          // one message in n, and one reply in n, is lost; 0: none
+	seed   uint64       // of the losses
+}
+
+// run submits, evicts, fails, refuses, cancels and finishes tasks under the
+// crashes, and checks what the cells saw and what callers are told. It
+// returns the number of events.
+func (c crashRun) run(t *testing.T) (events int) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.points.points = c.points
+		r.points.crash = func() {
+			r.crash()
+			if c.cells {
+				r.cells.restart()
+			}
+		}
+		if c.loseN > 0 {
+			r.net.lose = loseSome(c.loseN, c.seed)
+		}
+		r.cells.end = endings()
+		r.cells.refuse = refusals()
+		r.cells.runtime = func(task delegation.Task) time.Duration {
+			if task.Priority == longPriority {
+				return time.Hour
+			}
+			return time.Second
+		}
+		r.start()
+		r.submitUntilKnown("j1", 3)
+		r.submitUntilKnown("j2", 2)
+		r.submitUntilKnown("long", 4, withPriority(longPriority))
+		time.Sleep(500 * time.Millisecond)
+		r.cancelUntilKnown("long")
+		for id, tasks := range map[fleet.JobID]int{"j1": 3, "j2": 2} {
+			if s := r.mustEnd(id); s.Finished != tasks || s.State != job.StateFinished {
+				t.Errorf("job %s: %+v", id, s)
+			}
+		}
+		if s := r.mustEnd("long"); s.State != job.StateCancelled || s.Cancelled != 4 {
+			t.Errorf("cancelled job: %+v", s)
+		}
+		r.cells.check(t)
+		if got, want := fmt.Sprint(r.cells.runs()), "[j1/0 j1/1 j1/2 j2/0 j2/1]"; got != want {
+			t.Errorf("finished %s, want %s", got, want)
+		}
+		events = r.points.count
+		time.Sleep(2 * restartAfter) // a crash at the very end
+		r.stop()
+		time.Sleep(time.Minute)
+	})
+	return events
+}
+
+// longPriority marks the job whose tasks run until they are cancelled.
+const longPriority = 51
+
+func withPriority(p int) func(*job.Spec) {
+	return func(s *job.Spec) { s.Priority = &p }
+}
+
+// endings lets the first attempt of some tasks end badly.
+func endings() func(delegation.Task) delegation.Outcome {
+	return func(task delegation.Task) delegation.Outcome {
+		switch {
+		case task.Attempt > 2:
+			return delegation.Outcome{End: delegation.EndFinished}
+		case task.Task == "j1/0" && task.Checkpoint == "":
+			return delegation.Outcome{End: delegation.EndEvicted, Checkpoint: "c1", CheckpointProgress: 0.5}
+		case task.Task == "j2/1" && task.Attempt == 1:
+			return delegation.Outcome{End: delegation.EndFailed, Error: "exit 1"}
+		default:
+			return delegation.Outcome{End: delegation.EndFinished}
+		}
+	}
+}
+
+// refusals lets the first attempt of one task be refused.
+func refusals() func(shard.ID, delegation.Task) string {
+	return func(_ shard.ID, task delegation.Task) string {
+		if task.Task == "j1/2" && task.Attempt == 1 {
+			return "no_room"
+		}
+		return ""
+	}
+}
+
+// loseSome loses one message in n and one reply in n.
+func loseSome(n int, seed uint64) func(string) (bool, bool) {
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(seed, 0))
+	return func(string) (before, after bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		return random.IntN(n) == 0, random.IntN(n) == 0
+	}
+}
+
+// submitUntilKnown resubmits a job until it is accepted.
+func (r *rig) submitUntilKnown(id fleet.JobID, tasks int, change ...func(*job.Spec)) {
+	r.t.Helper()
+	for range 200 {
+		if _, err := r.submit(id, tasks, change...); err == nil {
+			return
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	r.t.Fatalf("job %s was not accepted", id)
+}
+
+func (r *rig) cancelUntilKnown(id fleet.JobID) {
+	r.t.Helper()
+	for range 200 {
+		_, err := r.client.Cancel(r.t.Context(), testTeam, id)
+		if err == nil {
+			return
+		}
+		var missing *job.NotFoundError
+		if errors.As(err, &missing) {
+			r.t.Fatalf("accepted job %s is unknown", id)
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	r.t.Fatalf("job %s was not cancelled", id)
+}
+
+// TestCrashPoints stops the owner before and after every journal write and
+// every message, alone and together with the cells' owner.
+func TestCrashPoints(t *testing.T) {
+	events := crashRun{}.run(t)
+	for n := 1; n <= events; n++ {
+		for _, after := range []bool{false, true} {
+			for _, cells := range []bool{false, true} {
+				crashRun{points: map[int]bool{n: after}, cells: cells}.run(t)
+				if t.Failed() {
+					t.Fatalf("crash at event %d of %d, after it took effect: %v, cells too: %v", n, events, after, cells)
+				}
+			}
+		}
+	}
+}
+
+// TestCrashesWithLostMessages lets several crashes and lost messages and
+// replies come together.
+func TestCrashesWithLostMessages(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		run := crashRun{
+			points: rapid.MapOfN(rapid.IntRange(1, 80), rapid.Bool(), 0, 6).Draw(rt, "points"),
+			cells:  rapid.Bool().Draw(rt, "cells"),
+			loseN:  rapid.SampledFrom([]int{0, 3, 5, 7}).Draw(rt, "lose"),
+			seed:   rapid.Uint64().Draw(rt, "seed"),
+		}
+		run.run(t)
+		if t.Failed() {
+			rt.FailNow()
+		}
+	})
+}
--- a/queue/rig_test.go
+++ b/queue/rig_test.go
@@ -72,7 +72,7 @@
 		return err
 	}
 	reply, err := h(ctx, testHost, params)
-	if after || ctx.Err() != nil {
+	if after || lost(err) || ctx.Err() != nil {
 		return unknown
 	}
 	if err != nil {
@@ -209,6 +209,7 @@
 	world  *world
 	cells  *fakeCells
 	client *Client
+	points *crashPoint
 	epoch  fleet.Epoch
 	stop   func()
 	server *Server
@@ -221,20 +222,31 @@
 		net:   newNetwork(),
 		world: newWorld(),
 	}
+	r.points = &crashPoint{crash: r.crash}
 	r.cells = newFakeCells(r.net)
 	r.client = NewClient(ClientDeps{Peers: r.net, Shards: r.world, Settings: r.world})
 	return r
 }
 
-// start runs the shard under the next epoch, after stopping the last owner
-// without notice.
+// restartAfter is how long a shard has no owner after a crash.
+const restartAfter = 2 * time.Second
+
+// crash stops the owner and starts the next one later.
+func (r *rig) crash() {
+	stop := r.stop
+	go stop()
+	time.AfterFunc(restartAfter, r.start)
+}
+
+// start runs the shard under the next epoch.
 func (r *rig) start() {
 	r.epoch++
+	p := &process{Store: r.store, net: r.net, points: r.points}
 	r.server = NewServer(Deps{
 		Region:   "bg",
-		Store:    r.store,
-		Peers:    r.net,
-		Registry: r.net,
+		Store:    p,
+		Peers:    p,
+		Registry: p,
 		Members:  r.world,
 		Shards:   r.world,
 		Settings: r.world,
@@ -291,7 +303,7 @@
 	running  map[fleet.TaskID]platform.AttemptRef
 	finished map[fleet.TaskID]int
 	doubled  []platform.AttemptRef // offered while another attempt was running or after the end
-	runtime  time.Duration
+	runtime  func(delegation.Task) time.Duration
 	end      func(delegation.Task) delegation.Outcome // nil: finished
 	refuse   func(shard.ID, delegation.Task) string   // reason, "" to accept
 }
@@ -310,7 +322,7 @@
 		attempts: make(map[platform.AttemptRef]*fakeAttempt),
 		running:  make(map[fleet.TaskID]platform.AttemptRef),
 		finished: make(map[fleet.TaskID]int),
-		runtime:  time.Second,
+		runtime:  func(delegation.Task) time.Duration { return time.Second },
 	}
 	net.Handle(delegation.MethodOffer, handler(c.offer))
 	net.Handle(delegation.MethodCancel, handler(c.cancel))
@@ -346,7 +358,7 @@
 	}
 	if a.reason == "" {
 		c.running[task.Task] = task.AttemptRef
-		time.AfterFunc(c.runtime, func() { c.finish(a) })
+		time.AfterFunc(c.runtime(task), func() { c.finish(a) })
 	}
 	return a
 }
@@ -406,6 +418,18 @@
 	return delegation.CancelReply{}, nil
 }
 
+// restart gives back again all that the queue is not known to have taken, as
+// a cell's new owner does.
+func (c *fakeCells) restart() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, a := range c.attempts {
+		if a.out != nil && !a.acked {
+			go c.giveBack(a)
+		}
+	}
+}
+
 // check fails the test if a task ran twice at once or finished twice.
 func (c *fakeCells) check(t *testing.T) {
 	t.Helper()
