--- a/queue/crash_test.go
+++ b/queue/crash_test.go
@@ -67,7 +67,7 @@
 		if got, want := fmt.Sprint(r.cells.runs()), "[j1/0 j1/1 j1/2 j2/0 j2/1]"; got != want {
 			t.Errorf("finished %s, want %s", got, want)
 		}
-		events = r.points.count
+		events = r.points.seen()
 		time.Sleep(2 * restartAfter) // a crash at the very end
 		r.stop()
 		time.Sleep(time.Minute)
--- a/queue/process_test.go
+++ b/queue/process_test.go
@@ -97,3 +97,10 @@
 func lost(err error) bool {
 	return err != nil && strings.HasSuffix(err.Error(), (&lostError{}).Error())
 }
+
+// seen returns the number of events so far.
+func (c *crashPoint) seen() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.count
+}
--- a/queue/rig_test.go
+++ b/queue/rig_test.go
@@ -210,9 +210,10 @@
 	cells  *fakeCells
 	client *Client
 	points *crashPoint
-	epoch  fleet.Epoch
-	stop   func()
-	server *Server
+
+	mu    sync.Mutex
+	epoch fleet.Epoch
+	end   func() // of the present owner
 }
 
 func newRig(t *testing.T) *rig {
@@ -233,16 +234,19 @@
 
 // crash stops the owner and starts the next one later.
 func (r *rig) crash() {
-	stop := r.stop
-	go stop()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	go r.end()
 	time.AfterFunc(restartAfter, r.start)
 }
 
 // start runs the shard under the next epoch.
 func (r *rig) start() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.epoch++
 	p := &process{Store: r.store, net: r.net, points: r.points}
-	r.server = NewServer(Deps{
+	server := NewServer(Deps{
 		Region:   "bg",
 		Store:    p,
 		Peers:    p,
@@ -258,14 +262,22 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		_ = r.server.Run(ctx, testShard, owner)
+		_ = server.Run(ctx, testShard, owner)
 	}()
-	r.stop = func() {
+	r.end = func() {
 		cancel()
 		<-ended
 	}
 }
 
+// stop ends the present owner in good order.
+func (r *rig) stop() {
+	r.mu.Lock()
+	end := r.end
+	r.mu.Unlock()
+	end()
+}
+
 func (r *rig) submit(id fleet.JobID, tasks int, change ...func(*job.Spec)) (job.Status, error) {
 	s := spec(id, tasks)
 	for _, c := range change {
