--- a/queue/job.go
+++ b/queue/job.go
@@ -122,8 +122,10 @@
 	if at < 0 {
 		return "", 0, false
 	}
-	index, err := strconv.Atoi(string(id[at+1:]))
-	return fleet.JobID(id[:at]), index, err == nil && index >= 0
+	text := string(id[at+1:])
+	index, err := strconv.Atoi(text)
+	// Only the form that TaskID writes names the task.
+	return fleet.JobID(id[:at]), index, err == nil && index >= 0 && strconv.Itoa(index) == text
 }
 
 func attemptRef(id fleet.JobID, index int, attempt fleet.Attempt) platform.AttemptRef {
--- /dev/null
+++ b/queue/model_test.go
@@ -0,0 +1,401 @@
+package queue
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/fuchsiahill/fuchsiahill/delegation"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/job"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/shard"
+)
+
+const modelMaxAttempts = 2
+
+var modelLimits = func(*jobState) attemptLimit {
+	return attemptLimit{failures: modelMaxAttempts, losses: 2 * modelMaxAttempts}
+}
+
+// model drives a Machine and keeps, in the plainest way, what must be true.
+type model struct {
+	machine *Machine
+	records [][]byte
+	now     time.Time
+	held    map[fleet.TaskID]heldTask // by a cell
+	ended   map[fleet.TaskID]bool
+	jobs    map[fleet.JobID]int // tasks of each job
+}
+
+type heldTask struct {
+	cell    shard.ID
+	attempt fleet.Attempt
+	size    fleet.Resources
+}
+
+func newModel() *model {
+	return &model{
+		machine: NewMachine(),
+		now:     time.Unix(1_000_000, 0),
+		held:    make(map[fleet.TaskID]heldTask),
+		ended:   make(map[fleet.TaskID]bool),
+		jobs:    make(map[fleet.JobID]int),
+	}
+}
+
+func (m *model) apply(t *rapid.T, r record) {
+	data := r.encode()
+	if err := m.machine.Apply(data); err != nil {
+		t.Fatal(err)
+	}
+	m.records = append(m.records, data)
+}
+
+func (m *model) submit(t *rapid.T) {
+	m.now = m.now.Add(time.Second)
+	s := spec(fleet.JobID(fmt.Sprintf("j%d", len(m.jobs))), rapid.IntRange(1, 6).Draw(t, "tasks"))
+	s.Resources.MilliCores = int64(rapid.IntRange(1, 3).Draw(t, "cores")) * 1000
+	priority := rapid.SampledFrom([]int{10, 50, 90}).Draw(t, "priority")
+	s.Priority = &priority
+	m.jobs[s.ID] = s.Tasks
+	submission := newSubmitted(s, newWorld().values, m.now)
+	m.apply(t, record{Submitted: &submission})
+}
+
+// anyCell chooses among three cells, sometimes none.
+type anyCell struct{ t *rapid.T }
+
+func (c anyCell) Choose(fleet.Resources, []fleet.DataCentre, bool) (shard.ID, string) {
+	n := rapid.IntRange(0, 3).Draw(c.t, "cell")
+	if n == 3 {
+		return "", waitRoom
+	}
+	return shard.NewID(shard.KindCell, "sofia", n), ""
+}
+
+func (m *model) release(t *rapid.T) {
+	quota := fleet.Resources{MilliCores: int64(rapid.IntRange(0, 8).Draw(t, "quota")) * 1000, MemoryMB: 1 << 20}
+	plan := m.machine.releasePlan(m.now, quota, anyCell{t})
+	if plan == nil {
+		return
+	}
+	m.apply(t, record{Delegated: plan})
+	for _, run := range plan.Runs {
+		for i := run.From; i < run.From+run.Count; i++ {
+			m.delegate(t, run, i)
+		}
+	}
+	if used := m.used(); !used.Fits(quota) {
+		t.Fatalf("cells hold %+v, the quota is %+v", used, quota)
+	}
+}
+
+func (m *model) delegate(t *rapid.T, run delegatedRun, i int) {
+	id := TaskID(run.Job, i)
+	if _, twice := m.held[id]; twice || m.ended[id] {
+		t.Fatalf("%s delegated while held or after its end", id)
+	}
+	j := m.machine.jobs[run.Job]
+	m.held[id] = heldTask{cell: run.Cell, attempt: j.tasks[i].attempts(), size: j.Resources}
+}
+
+func (m *model) used() fleet.Resources {
+	var sum fleet.Resources
+	for _, h := range m.held {
+		sum = sum.Add(h.size)
+	}
+	return sum
+}
+
+func (m *model) giveBack(t *rapid.T) {
+	ids := m.heldIDs()
+	if len(ids) == 0 {
+		return
+	}
+	cell := m.held[rapid.SampledFrom(ids).Draw(t, "task")].cell
+	ends := []delegation.End{delegation.EndFinished, delegation.EndFailed, delegation.EndEvicted, delegation.EndLost, delegation.EndNotRun, delegation.EndStopped}
+	var outcomes []delegation.Outcome
+	for _, id := range ids {
+		if m.held[id].cell != cell || !rapid.Bool().Draw(t, "returned") {
+			continue
+		}
+		o := delegation.Outcome{
+			AttemptRef: platform.AttemptRef{Task: id, Attempt: m.held[id].attempt},
+			End:        rapid.SampledFrom(ends).Draw(t, "end"),
+			Checkpoint: rapid.SampledFrom([]string{"", "c"}).Draw(t, "checkpoint"),
+		}
+		outcomes = append(outcomes, o)
+		if rapid.IntRange(0, 3).Draw(t, "twice") == 0 {
+			outcomes = append(outcomes, o)
+		}
+	}
+	m.conclude(t, cell, outcomes)
+	if again := m.machine.returns(cell, outcomes, modelLimits, m.now); again != nil {
+		t.Fatalf("returned again: %+v", again)
+	}
+}
+
+func (m *model) conclude(t *rapid.T, cell shard.ID, outcomes []delegation.Outcome) {
+	r := m.machine.returns(cell, outcomes, modelLimits, m.now)
+	if r == nil {
+		return
+	}
+	m.apply(t, record{Returned: r})
+	for _, run := range r.Runs {
+		for i := run.From; i < run.From+run.Count; i++ {
+			id := TaskID(run.Job, i)
+			if m.held[id].attempt != run.Attempt || m.held[id].cell != cell {
+				t.Fatalf("%s ended by an attempt that does not hold it", id)
+			}
+			delete(m.held, id)
+			m.noteEnd(t, run.Job, i)
+		}
+	}
+}
+
+func (m *model) noteEnd(t *rapid.T, id fleet.JobID, i int) {
+	state := m.machine.jobs[id].tasks[i].state()
+	if state != taskFinished && state != taskFailed && state != taskCancelled {
+		return
+	}
+	if m.ended[TaskID(id, i)] {
+		t.Fatalf("%s ended twice", TaskID(id, i))
+	}
+	m.ended[TaskID(id, i)] = true
+}
+
+// stray returns outcomes of attempts that no cell holds.
+func (m *model) stray(t *rapid.T) {
+	for id, h := range m.held {
+		refs := []delegation.Outcome{
+			{AttemptRef: platform.AttemptRef{Task: id, Attempt: h.attempt - 1}, End: delegation.EndFinished},
+			{AttemptRef: platform.AttemptRef{Task: id, Attempt: h.attempt + 1}, End: delegation.EndFinished},
+			{AttemptRef: platform.AttemptRef{Task: id + "0", Attempt: h.attempt}, End: delegation.EndFinished},
+			{AttemptRef: platform.AttemptRef{Task: "nobody/0", Attempt: 1}, End: delegation.EndFinished},
+			{AttemptRef: platform.AttemptRef{Task: "garbage", Attempt: 1}, End: delegation.EndFinished},
+		}
+		if r := m.machine.returns(h.cell, refs, modelLimits, m.now); r != nil {
+			t.Fatalf("stray outcomes taken: %+v", r)
+		}
+		own := []delegation.Outcome{{AttemptRef: platform.AttemptRef{Task: id, Attempt: h.attempt}, End: delegation.EndFinished}}
+		if r := m.machine.returns("cell/other/0", own, modelLimits, m.now); r != nil {
+			t.Fatalf("outcome of another cell taken: %+v", r)
+		}
+	}
+}
+
+func (m *model) cancel(t *rapid.T) {
+	if len(m.machine.ids) == 0 {
+		return
+	}
+	id := rapid.SampledFrom(m.machine.ids).Draw(t, "job")
+	m.apply(t, record{Cancelled: &cancelled{At: m.now.UnixMilli(), Jobs: []fleet.JobID{id}}})
+	for i, task := range m.machine.jobs[id].tasks {
+		if task.state() == taskCancelled {
+			m.ended[TaskID(id, i)] = true
+		}
+	}
+}
+
+func (m *model) expire(t *rapid.T) {
+	m.now = m.now.Add(time.Minute)
+	before := m.now.Add(-2 * time.Minute).UnixMilli()
+	m.apply(t, record{Expired: &expired{Before: before}})
+	for id, tasks := range m.jobs {
+		if m.machine.jobs[id] != nil {
+			continue
+		}
+		for i := range tasks {
+			if !m.ended[TaskID(id, i)] {
+				t.Fatalf("%s forgotten before task %d ended", id, i)
+			}
+		}
+	}
+}
+
+func (m *model) heldIDs() []fleet.TaskID {
+	var ids []fleet.TaskID
+	for id := range m.held {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// takeOver replaces the Machine by one restored from its snapshot.
+func (m *model) takeOver(t *rapid.T) {
+	data := snapshotOf(t, m.machine)
+	restored := NewMachine()
+	if err := restored.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(snapshotOf(t, restored), data) {
+		t.Fatal("the restored state has another snapshot")
+	}
+	m.machine = restored
+}
+
+func snapshotOf(t interface{ Fatal(...any) }, m *Machine) []byte {
+	data, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// check compares the Machine with the model.
+func (m *model) check(t *rapid.T) {
+	if m.machine.used != m.used() || len(m.machine.delegations) != len(m.held) {
+		t.Fatalf("machine counts %+v in %d tasks, cells hold %+v in %d", m.machine.used, len(m.machine.delegations), m.used(), len(m.held))
+	}
+	queued := 0
+	for _, l := range m.machine.order.lanes {
+		queued += len(l.jobs)
+	}
+	for _, j := range m.machine.jobs {
+		m.checkJob(t, j)
+		if j.counts[taskQueued] > 0 {
+			queued--
+		}
+	}
+	if queued != 0 {
+		t.Fatalf("order holds %d jobs too many", queued)
+	}
+}
+
+func (m *model) checkJob(t *rapid.T, j *jobState) {
+	var counts [taskStates]int
+	for i, task := range j.tasks {
+		counts[task.state()]++
+		_, held := m.held[TaskID(j.ID, i)]
+		if held != (task.state() == taskDelegated) {
+			t.Fatalf("%s is in state %d, held by a cell: %v", TaskID(j.ID, i), task.state(), held)
+		}
+		if task.state() == taskQueued && i < j.next {
+			t.Fatalf("%s is queued before index %d", TaskID(j.ID, i), j.next)
+		}
+	}
+	if counts != j.counts || (j.ended != 0) != j.final() {
+		t.Fatalf("job %s: counts %v, want %v; ended %d", j.ID, j.counts, counts, j.ended)
+	}
+	s := j.status()
+	if s.Queued+s.Delegated+s.Running+s.Finished+s.Failed+s.Cancelled != s.Spec.Tasks || s.State.Final() != j.final() {
+		t.Fatalf("status %+v", s)
+	}
+}
+
+// finish lets every task run to its end.
+func (m *model) finish(t *rapid.T) {
+	for range 1000 {
+		plan := m.machine.releasePlan(m.now, fleet.Resources{MilliCores: 4000, MemoryMB: 1 << 20}, oneCell{})
+		if plan != nil {
+			m.apply(t, record{Delegated: plan})
+			for _, run := range plan.Runs {
+				for i := run.From; i < run.From+run.Count; i++ {
+					m.delegate(t, run, i)
+				}
+			}
+		}
+		if len(m.held) == 0 {
+			break
+		}
+		for _, id := range m.heldIDs() {
+			h := m.held[id]
+			m.conclude(t, h.cell, []delegation.Outcome{{AttemptRef: platform.AttemptRef{Task: id, Attempt: h.attempt}, End: delegation.EndFinished}})
+		}
+	}
+	for id, tasks := range m.jobs {
+		for i := range tasks {
+			if !m.ended[TaskID(id, i)] {
+				t.Fatalf("%s never ended", TaskID(id, i))
+			}
+		}
+	}
+}
+
+type oneCell struct{}
+
+func (oneCell) Choose(fleet.Resources, []fleet.DataCentre, bool) (shard.ID, string) {
+	return "cell/sofia/0", ""
+}
+
+// TestMachineModel checks that no task is given out twice at once or after
+// its end, that the quota holds, that every task ends exactly once, and that
+// snapshot and replay give the same state.
+func TestMachineModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel()
+		t.Repeat(map[string]func(*rapid.T){
+			"submit":   m.submit,
+			"release":  m.release,
+			"return":   m.giveBack,
+			"stray":    m.stray,
+			"cancel":   m.cancel,
+			"expire":   m.expire,
+			"takeOver": m.takeOver,
+			"":         m.check,
+		})
+		m.finish(t)
+		replayed := NewMachine()
+		for _, r := range m.records {
+			if err := replayed.Apply(r); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if !bytes.Equal(snapshotOf(t, replayed), snapshotOf(t, m.machine)) {
+			t.Fatal("replay of the records gives another state")
+		}
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	m := NewMachine()
+	s := newSubmitted(spec("j", 3), newWorld().values, time.Unix(1, 0))
+	seeds := []record{
+		{Submitted: &s},
+		{Delegated: &delegated{Runs: []delegatedRun{{Job: "j", Count: 2, Cell: "cell/sofia/0"}}}},
+		{Returned: &returned{At: 5, Runs: []returnedRun{{Job: "j", Count: 1, Attempt: 1, End: delegation.EndFinished}}}},
+		{Cancelled: &cancelled{At: 6, Jobs: []fleet.JobID{"j"}}},
+		{Expired: &expired{Before: 7}},
+	}
+	for _, r := range seeds {
+		data := r.encode()
+		f.Add(data)
+		if err := m.Apply(data); err != nil {
+			f.Fatal(err)
+		}
+		f.Add(snapshotOf(f, m))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m := NewMachine()
+		first := submitted{ID: "j", Team: "t", Tasks: 3, Resources: small, At: 1}
+		if err := m.Apply(record{Submitted: &first}.encode()); err != nil {
+			t.Fatal(err)
+		}
+		if err := m.Apply(data); err == nil {
+			takeOverUnchanged(t, m)
+		}
+		restored := NewMachine()
+		if err := restored.Restore(data); err == nil {
+			takeOverUnchanged(t, restored)
+		}
+	})
+}
+
+func takeOverUnchanged(t *testing.T, m *Machine) {
+	t.Helper()
+	again := NewMachine()
+	data := snapshotOf(t, m)
+	if err := again.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(snapshotOf(t, again), data) {
+		t.Fatal("the restored state has another snapshot")
+	}
+	var _ job.Page = again.List("", 10)
+}
