--- a/cell/fixture_test.go
+++ b/cell/fixture_test.go
@@ -45,7 +45,7 @@
 	log     *sharedLog
 	machine journal.Machine
 	epoch   fleet.Epoch
-	mu      sync.Mutex // the shard's goroutine
+	turn    chan struct{} // held by the transaction that runs
 	stopped chan struct{}
 	once    sync.Once
 }
@@ -60,7 +60,7 @@
 			}
 		}
 	}
-	j := &memJournal{log: l, machine: m, epoch: owner.Epoch, stopped: make(chan struct{})}
+	j := &memJournal{log: l, machine: m, epoch: owner.Epoch, turn: make(chan struct{}, 1), stopped: make(chan struct{})}
 	l.holder = j // the first entry of a new owner fences the one before
 	return j, nil
 }
@@ -92,8 +92,8 @@
 }
 
 func (j *memJournal) Do(ctx context.Context, fn func(journal.Tx) error) error {
-	j.mu.Lock()
-	defer j.mu.Unlock()
+	j.turn <- struct{}{}
+	defer func() { <-j.turn }()
 	tx := &memTx{j: j}
 	if err := fn(tx); err != nil {
 		return err
