--- /dev/null
+++ b/cell/crash_test.go
@@ -0,0 +1,281 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/delegation"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+)
+
+// crashPoints is how many journal writes and worker calls of the session the
+// tables stop the owner at.
+const crashPoints = 14
+
+// runCrash runs four tasks while arm's hook may end the first owner, and lets
+// a second owner on another host finish them.
+func runCrash(t *testing.T, arm func(b *bench, crash func())) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2, 3*time.Second)
+		first := b.start("a")
+		crashed := make(chan struct{})
+		arm(b, func() {
+			first.crash()
+			close(crashed)
+		})
+		b.queue.add(6, small)
+		first.finish(20 * time.Second)
+		select {
+		case <-crashed:
+		default:
+			first.crash() // the point lies behind the end of the session
+		}
+		second := b.start("b")
+		defer second.stop()
+		if !second.finish(3 * time.Minute) {
+			t.Error("tasks are not done")
+		}
+		<-first.done
+		b.check()
+	})
+}
+
+func TestOwnerStopsAtEveryPoint(t *testing.T) {
+	for point := 1; point <= crashPoints; point++ {
+		for _, after := range []bool{false, true} {
+			hook := func(crash func()) func(int, bool) {
+				done := false
+				return func(n int, isAfter bool) {
+					if n == point && isAfter == after && !done {
+						done = true
+						crash()
+					}
+				}
+			}
+			t.Run(fmt.Sprintf("journal write %d, after=%v", point, after), func(t *testing.T) {
+				runCrash(t, func(b *bench, crash func()) { b.log.hook = hook(crash) })
+			})
+			t.Run(fmt.Sprintf("worker call %d, after=%v", point, after), func(t *testing.T) {
+				runCrash(t, func(b *bench, crash func()) { b.hook = hook(crash) })
+			})
+		}
+	}
+}
+
+func TestFaults(t *testing.T) {
+	long := 30 * time.Second
+	tests := map[string]struct {
+		runTime time.Duration
+		faults  func(b *bench, o *owner) *owner // returns the owner that finishes
+		wantEnd map[delegation.End]int
+	}{
+		"replies of workers are lost": {
+			runTime: 5 * time.Second,
+			faults: func(b *bench, o *owner) *owner {
+				for _, w := range b.workers {
+					w.SetFaults(standin.WorkerFaults{LoseReply: 4})
+				}
+				return o
+			},
+			wantEnd: map[delegation.End]int{delegation.EndFinished: 6},
+		},
+		"replies of the queue are lost": {
+			runTime: 5 * time.Second,
+			faults: func(b *bench, o *owner) *owner {
+				b.queue.lose = 3
+				return o
+			},
+			wantEnd: map[delegation.End]int{delegation.EndFinished: 6},
+		},
+		"worker is silent for less than its lease": {
+			runTime: long,
+			faults: func(b *bench, o *owner) *owner {
+				o.offer()
+				time.Sleep(4 * time.Second)
+				b.workers[0].SetFaults(standin.WorkerFaults{Silent: true})
+				time.Sleep(3 * time.Second)
+				b.workers[0].SetFaults(standin.WorkerFaults{})
+				return o
+			},
+			wantEnd: map[delegation.End]int{delegation.EndFinished: 6, delegation.EndLost: 0},
+		},
+		"worker is silent and comes back": {
+			runTime: long,
+			faults: func(b *bench, o *owner) *owner {
+				o.offer()
+				time.Sleep(4 * time.Second)
+				b.workers[0].SetFaults(standin.WorkerFaults{Silent: true})
+				time.Sleep(12 * time.Second)
+				b.workers[0].SetFaults(standin.WorkerFaults{})
+				return o
+			},
+		},
+		"worker is silent for good": {
+			runTime: long,
+			faults: func(b *bench, o *owner) *owner {
+				o.offer()
+				time.Sleep(4 * time.Second)
+				b.workers[0].SetFaults(standin.WorkerFaults{Silent: true})
+				return o
+			},
+		},
+		"worker dies and returns empty": {
+			runTime: long,
+			faults: func(b *bench, o *owner) *owner {
+				o.offer()
+				time.Sleep(4 * time.Second)
+				b.workers[0].Kill()
+				time.Sleep(time.Second)
+				b.workers[0].Restart()
+				return o
+			},
+		},
+		"planned hand-over evicts nothing": {
+			runTime: long,
+			faults: func(b *bench, o *owner) *owner {
+				o.offer()
+				time.Sleep(4 * time.Second)
+				o.stop()
+				return b.start("b")
+			},
+			wantEnd: map[delegation.End]int{delegation.EndFinished: 6, delegation.EndEvicted: 0},
+		},
+		"owner is killed and replaced": {
+			runTime: long,
+			faults: func(b *bench, o *owner) *owner {
+				o.offer()
+				time.Sleep(4 * time.Second)
+				o.crash()
+				time.Sleep(3 * time.Second)
+				return b.start("b")
+			},
+			wantEnd: map[delegation.End]int{delegation.EndFinished: 6, delegation.EndEvicted: 0},
+		},
+		"two owners at once": {
+			runTime: long,
+			faults: func(b *bench, o *owner) *owner {
+				o.offer()
+				time.Sleep(time.Second)
+				second := b.start("b")
+				o.offer()
+				return second
+			},
+			wantEnd: map[delegation.End]int{delegation.EndFinished: 6, delegation.EndEvicted: 0},
+		},
+		"owner is paused past its leases": {
+			runTime: long,
+			faults: func(b *bench, o *owner) *owner {
+				o.offer()
+				time.Sleep(4 * time.Second)
+				o.pause(20 * time.Second)
+				time.Sleep(9 * time.Second)
+				return b.start("b")
+			},
+		},
+		"store is down while tasks run": {
+			runTime: long,
+			faults: func(b *bench, o *owner) *owner {
+				o.offer()
+				time.Sleep(time.Second)
+				b.log.setDown(true)
+				time.Sleep(20 * time.Minute)
+				b.log.setDown(false)
+				return o
+			},
+			wantEnd: map[delegation.End]int{delegation.EndFinished: 6, delegation.EndEvicted: 0},
+		},
+		"queue can't be reached": {
+			runTime: 5 * time.Second,
+			faults: func(b *bench, o *owner) *owner {
+				b.queue.setDown(true)
+				o.offer()
+				time.Sleep(20 * time.Second)
+				b.queue.setDown(false)
+				return o
+			},
+			wantEnd: map[delegation.End]int{delegation.EndFinished: 6},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, 3, tt.runTime)
+				first := b.start("a")
+				time.Sleep(500 * time.Millisecond)
+				b.queue.add(6, small)
+				last := tt.faults(b, first)
+				if !last.finish(10 * time.Minute) {
+					t.Error("tasks are not done")
+				}
+				time.Sleep(20 * time.Second) // what was paused goes on
+				last.stop()
+				first.stop()
+				b.check()
+				for end, want := range tt.wantEnd {
+					if got := b.queue.outcomes(end); got != want {
+						t.Errorf("%d outcomes %s, want %d", got, end, want)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestPredecessorStillRenews cuts the first owner from the store and the
+// second from the worker, so that the task goes on under the first one.
+func TestPredecessorStillRenews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2, 20*time.Minute)
+		first := b.start("a")
+		time.Sleep(500 * time.Millisecond)
+		b.queue.add(1, fleet.Resources{MilliCores: 4000, MemoryMB: 4000})
+		first.offer()
+		time.Sleep(time.Second)
+		first.set(func() { first.noStore = true })
+		second := b.start("b")
+		second.set(func() { second.noWorker = map[fleet.WorkerID]bool{b.records.Runs()[0].Worker: true} })
+		time.Sleep(10 * time.Minute)
+		if got := len(b.records.Runs()); got != 1 {
+			t.Errorf("%d runs while the first may go on, want 1", got)
+		}
+		second.set(func() { second.noWorker = nil })
+		if !second.finish(time.Hour) {
+			t.Error("task is not done")
+		}
+		second.stop()
+		first.stop()
+		b.check()
+	})
+}
+
+// TestPredecessorEnded tells the second owner by the host list that the first
+// has ended: it need not wait.
+func TestPredecessorEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2, 2*time.Minute)
+		first := b.start("a")
+		time.Sleep(500 * time.Millisecond)
+		b.queue.add(1, small)
+		first.offer()
+		time.Sleep(time.Second)
+		first.crash()
+		for _, w := range b.workers {
+			if w.Info().ID == b.records.Runs()[0].Worker {
+				w.Kill()
+			}
+		}
+		b.hosts.Update(func(l *platform.HostList) {
+			l.EntryHosts = []platform.EntryHost{{ID: "a", State: platform.StateGone}}
+		})
+		second := b.start("b")
+		defer second.stop()
+		if !second.finish(5 * time.Minute) {
+			t.Error("task is not done")
+		}
+		b.check()
+	})
+}
--- a/cell/fixture_test.go
+++ b/cell/fixture_test.go
@@ -48,9 +48,10 @@
 	turn    chan struct{} // held by the transaction that runs
 	stopped chan struct{}
 	once    sync.Once
+	owner   *owner
 }
 
-func (l *sharedLog) open(_ context.Context, _ shard.ID, owner shard.Owner, m journal.Machine) (Journal, error) {
+func (l *sharedLog) open(_ context.Context, _ shard.ID, owner shard.Owner, m journal.Machine) (*memJournal, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, entry := range l.entries {
@@ -65,6 +66,12 @@
 	return j, nil
 }
 
+func (l *sharedLog) setDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
 func (j *memJournal) stop() { j.once.Do(func() { close(j.stopped) }) }
 
 func (j *memJournal) Serve(ctx context.Context) error {
@@ -117,7 +124,8 @@
 		delay, down, hook := l.delay, l.down, l.hook
 		l.mu.Unlock()
 		time.Sleep(delay)
-		if !down {
+		j.owner.gate()
+		if !down && !j.owner.is(&j.owner.noStore) {
 			l.mu.Lock()
 			l.writes++
 			write := l.writes
@@ -329,6 +337,12 @@
 	return n
 }
 
+func (q *fakeQueue) setDown(down bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.down = down
+}
+
 // Call implements peer.Caller for calls of the cell.
 func (q *fakeQueue) Call(_ context.Context, host fleet.HostID, method string, request, _ any) error {
 	q.mu.Lock()
@@ -365,6 +379,8 @@
 	records  *standin.Records
 	workers  []*standin.Worker
 	control  platform.WorkerControl
+	hook     func(call int, after bool) // before and after each call to a worker
+	calls    int
 	queue    *fakeQueue
 	sharing  Sharing
 	epoch    fleet.Epoch
@@ -413,10 +429,110 @@
 type owner struct {
 	b        *bench
 	server   *Server
+	journal  *memJournal
 	handlers handlers
 	cancel   context.CancelFunc
 	done     chan struct{}
 	err      error
+
+	mu       sync.Mutex
+	dead     bool
+	noStore  bool                    // the store can't be reached
+	noWorker map[fleet.WorkerID]bool // nor can these workers
+	resume   chan struct{}           // closed when a pause ends; nil if there is none
+}
+
+func (o *owner) is(flag *bool) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return *flag
+}
+
+func (o *owner) set(change func()) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	change()
+}
+
+// gate holds the owner while it is paused.
+func (o *owner) gate() {
+	o.mu.Lock()
+	resume := o.resume
+	o.mu.Unlock()
+	if resume != nil {
+		<-resume
+	}
+}
+
+// pause stops the owner's calls and writes for d, after they were decided and
+// before they are sent.
+func (o *owner) pause(d time.Duration) {
+	resume := make(chan struct{})
+	o.set(func() { o.resume = resume })
+	time.AfterFunc(d, func() {
+		o.set(func() { o.resume = nil })
+		close(resume)
+	})
+}
+
+// call makes one call to a worker as far as the owner can reach it.
+func (o *owner) call(ctx context.Context, address, op string, do func(context.Context) (platform.WorkerReport, error)) (platform.WorkerReport, error) {
+	o.gate()
+	unanswered := &platform.WorkerUnknownError{Op: op, Cause: context.DeadlineExceeded}
+	o.mu.Lock()
+	cut := o.dead
+	for _, w := range o.b.workers {
+		cut = cut || w.Info().Address == address && o.noWorker[w.Info().ID]
+	}
+	o.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return platform.WorkerReport{}, unanswered
+	}
+	o.b.queue.mu.Lock()
+	o.b.calls++
+	n := o.b.calls
+	o.b.queue.mu.Unlock()
+	if o.b.hook != nil {
+		o.b.hook(n, false)
+		if o.is(&o.dead) {
+			return platform.WorkerReport{}, unanswered
+		}
+	}
+	sent, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout) // what was sent arrives
+	defer cancel()
+	report, err := do(sent)
+	if o.b.hook != nil {
+		o.b.hook(n, true)
+	}
+	if o.is(&o.dead) {
+		return platform.WorkerReport{}, unanswered
+	}
+	return report, err
+}
+
+func (o *owner) Start(ctx context.Context, address string, req platform.StartRequest) (platform.WorkerReport, error) {
+	return o.call(ctx, address, "start", func(ctx context.Context) (platform.WorkerReport, error) {
+		return o.b.control.Start(ctx, address, req)
+	})
+}
+
+func (o *owner) Renew(ctx context.Context, address string, req platform.RenewRequest) (platform.WorkerReport, error) {
+	return o.call(ctx, address, "renew", func(ctx context.Context) (platform.WorkerReport, error) {
+		return o.b.control.Renew(ctx, address, req)
+	})
+}
+
+func (o *owner) Stop(ctx context.Context, address string, req platform.StopRequest) (platform.WorkerReport, error) {
+	return o.call(ctx, address, "stop", func(ctx context.Context) (platform.WorkerReport, error) {
+		return o.b.control.Stop(ctx, address, req)
+	})
+}
+
+func (o *owner) Throttle(ctx context.Context, address string, req platform.ThrottleRequest) (platform.WorkerReport, error) {
+	return o.call(ctx, address, "throttle", func(ctx context.Context) (platform.WorkerReport, error) {
+		return o.b.control.Throttle(ctx, address, req)
+	})
 }
 
 // start begins the term of a new owner on host.
@@ -426,7 +542,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &owner{b: b, handlers: h, cancel: cancel, done: make(chan struct{})}
 	o.server = NewServer(Deps{
-		Open: b.log.open, Workers: b.control, Hosts: staticView{b.hosts}, Settings: b.settings,
+		Open: o.open, Workers: o, Hosts: staticView{b.hosts}, Settings: b.settings,
 		Directory: b.queue, Peers: b.queue, Registry: h, Sharing: b.sharing, Logger: b.logger,
 	})
 	claim := shard.Owner{Host: host, Incarnation: 1, Epoch: b.epoch}
@@ -440,15 +556,25 @@
 // crash ends the owner's process: nothing that it journals or sends from now
 // on takes effect.
 func (o *owner) crash() {
-	o.b.log.mu.Lock()
-	holder := o.b.log.holder
-	o.b.log.mu.Unlock()
-	if holder != nil {
-		holder.stop()
-	}
+	o.set(func() {
+		o.dead = true
+		if o.journal != nil {
+			o.journal.stop()
+		}
+	})
 	o.cancel()
 }
 
+func (o *owner) open(ctx context.Context, id shard.ID, claim shard.Owner, m journal.Machine) (Journal, error) {
+	j, err := o.b.log.open(ctx, id, claim, m)
+	if err != nil {
+		return nil, err
+	}
+	j.owner = o
+	o.set(func() { o.journal = j })
+	return j, nil
+}
+
 func (o *owner) stop() {
 	o.cancel()
 	<-o.done
--- a/cell/machine.go
+++ b/cell/machine.go
@@ -103,6 +103,10 @@
 
 // Restore implements journal.Machine.
 func (m *Machine) Restore(snapshot []byte) error {
+	if len(snapshot) == 0 {
+		*m = *NewMachine()
+		return nil
+	}
 	var s state
 	if err := m.codec.dec.Unmarshal(snapshot, &s); err != nil {
 		return eris.Wrap(&DecodeError{What: "snapshot", Cause: err}, "journal")
