--- a/queue/admit.go
+++ b/queue/admit.go
@@ -119,7 +119,7 @@
 		if d.of(need) > largest {
 			return &job.TooLargeError{Resource: d.name, Need: d.of(need), Largest: largest}
 		}
-		if d.of(need) > fitting && (second == nil || fitting > 0) {
+		if d.of(need) > fitting && (second == nil || second.Largest == 0) {
 			second = &job.TooLargeError{Resource: d.name, Need: d.of(need), Largest: fitting}
 		}
 	}
--- /dev/null
+++ b/queue/decide_test.go
@@ -0,0 +1,294 @@
+package queue
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/job"
+	"github.com/fuchsiahill/fuchsiahill/member"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/settings"
+	"github.com/fuchsiahill/fuchsiahill/shard"
+)
+
+func resources(cores, memory, accelerators int64) fleet.Resources {
+	return fleet.Resources{MilliCores: cores, MemoryMB: memory, Accelerators: accelerators}
+}
+
+func TestSubmissionChecks(t *testing.T) {
+	world := newWorld()
+	world.hosts.Workers = []platform.Worker{
+		{ID: "wide", DataCentre: "sofia", Capacity: resources(64000, 1000, 0), State: platform.StateLive},
+		{ID: "tall", DataCentre: "sofia", Capacity: resources(1000, 64000, 2), State: platform.StateLeaving},
+		{ID: "gone", DataCentre: "sofia", Capacity: resources(99000, 99000, 9), State: platform.StateGone},
+		{ID: "far", DataCentre: "ruse", Capacity: resources(2000, 2000, 8), State: platform.StateLive},
+	}
+	sofia := []fleet.DataCentre{"sofia"}
+	tests := map[string]struct {
+		change func(*job.Spec)
+		want   error
+	}{
+		"accepted":                {func(*job.Spec) {}, nil},
+		"fits only a data centre": {func(s *job.Spec) { s.Resources = resources(1, 1, 8) }, nil},
+		"unknown team":            {func(s *job.Spec) { s.Team = "nobody" }, &job.InvalidError{Field: "team", Reason: "unknown"}},
+		"other organisation":      {func(s *job.Spec) { s.Organisation = "verband" }, &job.InvalidError{Field: "organisation", Reason: "not that of the team"}},
+		"no resources":            {func(s *job.Spec) { s.Resources = fleet.Resources{} }, &job.InvalidError{Field: "resources", Reason: "are all zero"}},
+		"unknown data centre":     {func(s *job.Spec) { s.DataCentres = []fleet.DataCentre{"oslo"} }, &job.InvalidError{Field: "data_centres", Reason: "oslo is unknown"}},
+		"too many tasks":          {func(s *job.Spec) { s.Tasks = job.MaxTasks + 1 }, &job.InvalidError{Field: "Spec.Tasks", Reason: "breaks the rule lte 10000"}},
+		"too many cores":          {func(s *job.Spec) { s.Resources = resources(64001, 1, 0) }, &job.TooLargeError{Resource: "milli_cores", Need: 64001, Largest: 64000}},
+		"accelerators elsewhere":  {func(s *job.Spec) { s.Resources = resources(1, 1, 3); s.DataCentres = sofia }, &job.TooLargeError{Resource: "accelerators", Need: 3, Largest: 2}},
+		"no worker holds both":    {func(s *job.Spec) { s.Resources = resources(2000, 2000, 0); s.DataCentres = sofia }, &job.TooLargeError{Resource: "milli_cores", Need: 2000, Largest: 1000}},
+		"negative":                {func(s *job.Spec) { s.Resources = resources(-1, 5, 0) }, &job.InvalidError{Field: "Spec.Resources.MilliCores", Reason: "breaks the rule gte 0"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := spec("j", 1)
+			tt.change(&s)
+			err := checkSpec(s, "bg", world.Current(), platformView{world}.Hosts())
+			if got, want := cause(err), tt.want; !cmp.Equal(got, want) {
+				t.Fatalf("error %v, want %v", got, want)
+			}
+		})
+	}
+}
+
+// cause returns the error of package job that err wraps.
+func cause(err error) error {
+	wire, ok := wireError(err)
+	if !ok {
+		return err
+	}
+	return wire.Err()
+}
+
+func TestHostListNotKnownYet(t *testing.T) {
+	err := checkSpec(spec("j", 1), "bg", newWorld().Current(), &platform.HostList{})
+	var unavailable *job.UnavailableError
+	if !errors.As(err, &unavailable) {
+		t.Fatalf("error %v, want it to be unavailable", err)
+	}
+}
+
+func TestWireErrorsKeepTheirType(t *testing.T) {
+	for _, err := range []error{
+		&job.ConflictError{ID: "j"},
+		&job.NotFoundError{ID: "j"},
+		&job.InvalidError{Field: "f", Reason: "r"},
+		&job.TooLargeError{Resource: "memory_mb", Need: 5, Largest: 4},
+		&job.UnavailableError{Reason: "r", RetryAfter: time.Second},
+	} {
+		if got := cause(err); !cmp.Equal(got, err) {
+			t.Errorf("%#v became %#v", err, got)
+		}
+	}
+	var unknown *job.UnknownError
+	if !errors.As(cause(&job.UnknownError{Cause: &lostError{}}), &unknown) {
+		t.Error("an unknown outcome became known")
+	}
+}
+
+func TestQuotaSharesAddUp(t *testing.T) {
+	quota := resources(10_007, 3, 0)
+	for shards := 1; shards <= 16; shards++ {
+		var sum fleet.Resources
+		for n := range shards + 2 {
+			sum = sum.Add(quotaShare(quota, shards, n))
+		}
+		if sum != quota {
+			t.Fatalf("%d shares add up to %+v, want %+v", shards, sum, quota)
+		}
+	}
+}
+
+// queued is a job in the tables below.
+type queued struct {
+	id       fleet.JobID
+	priority int
+	age      time.Duration
+	cores    int64
+}
+
+func machineWith(t *testing.T, now time.Time, jobs []queued) *Machine {
+	t.Helper()
+	m := NewMachine()
+	for _, q := range jobs {
+		s := submitted{
+			ID: q.id, Team: testTeam, Tasks: 1,
+			Resources: fleet.Resources{MilliCores: q.cores * 1000},
+			Priority:  q.priority, Aging: 1, At: now.Add(-q.age).UnixMilli(),
+		}
+		if err := m.Apply(record{Submitted: &s}.encode()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return m
+}
+
+// roomFor is a Chooser with room for tasks of up to so many cores.
+type roomFor int64
+
+func (r roomFor) Choose(need fleet.Resources, _ []fleet.DataCentre, _ bool) (shard.ID, string) {
+	if need.MilliCores > int64(r)*1000 {
+		return "", waitRoom
+	}
+	return "cell/sofia/0", ""
+}
+
+func TestReleaseOrder(t *testing.T) {
+	tests := map[string]struct {
+		jobs  []queued
+		quota int64 // cores
+		room  roomFor
+		want  string
+	}{
+		"oldest first":                      {[]queued{{"new", 50, 0, 1}, {"old", 50, time.Second, 1}}, 8, 8, "[old new]"},
+		"priority first":                    {[]queued{{"low", 40, 0, 1}, {"high", 60, 0, 1}}, 8, 8, "[high low]"},
+		"waiting raises":                    {[]queued{{"low", 40, 30 * time.Minute, 1}, {"high", 60, 0, 1}}, 8, 8, "[low high]"},
+		"waiting does not make urgent":      {[]queued{{"low", 40, 24 * time.Hour, 1}, {"urgent", 90, 0, 1}}, 8, 8, "[urgent low]"},
+		"quota used up":                     {[]queued{{"a", 60, 0, 2}, {"b", 50, 0, 2}, {"c", 40, 0, 2}}, 4, 8, "[a b]"},
+		"large job holds back small ones":   {[]queued{{"a", 60, 0, 2}, {"large", 50, 0, 3}, {"small", 40, 0, 1}}, 4, 8, "[a]"},
+		"more than the quota holds no one":  {[]queued{{"huge", 60, 0, 9}, {"small", 40, 0, 1}}, 4, 99, "[small]"},
+		"no room for one holds back no one": {[]queued{{"large", 60, 0, 4}, {"small", 40, 0, 1}}, 8, 2, "[small]"},
+		"no quota":                          {[]queued{{"a", 60, 0, 1}}, 0, 8, "[]"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1_000_000, 0)
+			m := machineWith(t, now, tt.jobs)
+			got := []fleet.JobID{}
+			if plan := m.releasePlan(now, fleet.Resources{MilliCores: tt.quota * 1000}, tt.room); plan != nil {
+				for _, run := range plan.Runs {
+					got = append(got, run.Job)
+				}
+			}
+			if fmt.Sprint(got) != tt.want {
+				t.Fatalf("released %v, want %s", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestChooseCell(t *testing.T) {
+	full := member.CellLoad{Capacity: big, LargestFit: resources(100, 100, 0), Free: resources(100, 100, 0)}
+	empty := member.CellLoad{Capacity: big, LargestFit: big, Free: big}
+	half := member.CellLoad{Capacity: big, LargestFit: resources(8000, 32000, 0), Free: resources(8000, 32000, 0)}
+	busy := empty
+	busy.Waiting = maxWaiting
+	out := settings.DataCentre{Region: "bg", State: settings.DataCentreOut, Cells: 1}
+	tests := map[string]struct {
+		sofia, ruse *member.CellLoad // nil: no summary
+		outSofia    bool
+		allowed     []fleet.DataCentre
+		urgent      bool
+		cell        shard.ID
+		wait        string
+	}{
+		"only one has room":          {sofia: &full, ruse: &empty, cell: "cell/ruse/0"},
+		"no summary":                 {ruse: &empty, cell: "cell/ruse/0"},
+		"not allowed":                {sofia: &full, ruse: &empty, allowed: []fleet.DataCentre{"sofia"}, wait: waitRoom},
+		"out":                        {sofia: &empty, ruse: &full, outSofia: true, wait: waitRoom},
+		"all that are allowed out":   {sofia: &empty, ruse: &empty, outSofia: true, allowed: []fleet.DataCentre{"sofia"}, wait: waitOut},
+		"too many waiting":           {sofia: &busy, ruse: &half, cell: "cell/ruse/0"},
+		"urgent goes to a full cell": {sofia: &full, urgent: true, cell: "cell/sofia/0"},
+		"nothing known":              {wait: waitRoom},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			world := newWorld()
+			world.cells = make(map[string]member.CellLoad)
+			for id, load := range map[string]*member.CellLoad{"cell/sofia/0": tt.sofia, "cell/ruse/0": tt.ruse} {
+				if load != nil {
+					world.cells[id] = *load
+				}
+			}
+			if tt.outSofia {
+				world.dcs["sofia"] = out
+			}
+			cell, wait := testChooser(world).Choose(small, tt.allowed, tt.urgent)
+			if cell != tt.cell || wait != tt.wait {
+				t.Fatalf("chose %q, %q, want %q, %q", cell, wait, tt.cell, tt.wait)
+			}
+		})
+	}
+}
+
+func testChooser(w *world) *cellChooser {
+	summary, _ := w.Summary(testHost)
+	return &cellChooser{
+		cells: viewCells("bg", w.Current(), []member.Summary{summary}),
+		rand:  newRand(1),
+		sent:  newRecentlySent(),
+		now:   time.Unix(1_000_000, 0),
+	}
+}
+
+func TestChoicesFillNoCellTwice(t *testing.T) {
+	c := testChooser(newWorld())
+	chosen := make(map[shard.ID]int)
+	for {
+		cell, wait := c.Choose(small, nil, false)
+		if wait != "" {
+			break
+		}
+		chosen[cell]++
+	}
+	if chosen["cell/sofia/0"] != 16 || chosen["cell/ruse/0"] != 16 {
+		t.Fatalf("chose %v, want 16 tasks of one core for each cell of 16", chosen)
+	}
+	c.now = c.now.Add(sentMemory + time.Second)
+	if _, wait := c.Choose(small, nil, false); wait != "" {
+		t.Fatalf("waits for %q after newer summaries", wait)
+	}
+}
+
+func TestRefusingCellIsLeftAloneForAWhile(t *testing.T) {
+	c := testChooser(newWorld())
+	c.sent.refuse("cell/sofia/0", small, c.now)
+	for range 20 {
+		if cell, _ := c.Choose(resources(2000, 2048, 0), nil, false); cell != "cell/ruse/0" {
+			if cell == "" {
+				break
+			}
+			t.Fatalf("chose %q, which has refused less", cell)
+		}
+	}
+	if !c.hasRoom(&c.cells[1], resources(10, 10, 0), false) {
+		t.Fatal("a smaller task is kept from the cell too")
+	}
+	c.now = c.now.Add(avoidInitial + time.Millisecond)
+	if c.sent.avoids("cell/sofia/0", small, c.now) {
+		t.Fatal("the pause does not end")
+	}
+	c.sent.refuse("cell/sofia/0", small, c.now)
+	if !c.sent.avoids("cell/sofia/0", small, c.now.Add(avoidInitial+time.Millisecond)) {
+		t.Fatal("the second pause is not longer")
+	}
+}
+
+func TestAttemptsAreBounded(t *testing.T) {
+	limit := attemptLimit{failures: 3, losses: 5}
+	tests := map[string]struct {
+		before detail
+		end    string
+		want   bool
+	}{
+		"first failure": {detail{}, "failed", false},
+		"last failure":  {detail{Failures: 2}, "failed", true},
+		"many losses":   {detail{Losses: 4}, "lost", true},
+		"few losses":    {detail{Losses: 3, Failures: 2}, "lost", false},
+		"evicted":       {detail{Losses: 9, Failures: 9}, "evicted", false},
+		"not run":       {detail{Losses: 9, Failures: 9}, "not_run", false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := limit.reached(tt.before, endOf(tt.end)); got != tt.want {
+				t.Fatalf("no further attempt: %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/queue/rig_test.go
+++ b/queue/rig_test.go
@@ -224,7 +224,7 @@
 		world: newWorld(),
 	}
 	r.points = &crashPoint{crash: r.crash}
-	r.cells = newFakeCells(r.net)
+	r.cells = newFakeCells(r.net, t.Context().Done())
 	r.client = NewClient(ClientDeps{Peers: r.net, Shards: r.world, Settings: r.world})
 	return r
 }
@@ -308,7 +308,8 @@
 // remembers them durably, and returns each until the queue has acknowledged.
 // It judges what it saw.
 type fakeCells struct {
-	net *network
+	net  *network
+	done <-chan struct{} // closed at the end of the test
 
 	mu       sync.Mutex
 	attempts map[platform.AttemptRef]*fakeAttempt
@@ -328,9 +329,10 @@
 	reason string // refused
 }
 
-func newFakeCells(net *network) *fakeCells {
+func newFakeCells(net *network, done <-chan struct{}) *fakeCells {
 	c := &fakeCells{
 		net:      net,
+		done:     done,
 		attempts: make(map[platform.AttemptRef]*fakeAttempt),
 		running:  make(map[fleet.TaskID]platform.AttemptRef),
 		finished: make(map[fleet.TaskID]int),
@@ -411,7 +413,11 @@
 			c.mu.Unlock()
 			return
 		}
-		time.Sleep(200 * time.Millisecond)
+		select {
+		case <-c.done:
+			return
+		case <-time.After(200 * time.Millisecond):
+		}
 	}
 }
 
--- a/queue/server_test.go
+++ b/queue/server_test.go
@@ -1,25 +1,389 @@
 package queue
 
 import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/delegation"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/job"
+	"github.com/fuchsiahill/fuchsiahill/peer"
+	"github.com/fuchsiahill/fuchsiahill/settings"
+	"github.com/fuchsiahill/fuchsiahill/shard"
 )
 
-func TestJobRunsToItsEnd(t *testing.T) {
+func newRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0)) }
+
+func endOf(s string) delegation.End { return delegation.End(s) }
+
+// withRig runs a test on a running queue shard.
+func withRig(t *testing.T, test func(*testing.T, *rig)) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t)
 		r.start()
-		defer func() { r.stop() }()
-		if _, err := r.submit("j1", 5); err != nil {
-			t.Fatal(err)
+		test(t, r)
+		r.cells.check(t)
+		r.stop()
+		time.Sleep(time.Minute)
+	})
+}
+
+func (r *rig) must(s job.Status, err error) job.Status {
+	r.t.Helper()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return s
+}
+
+func (r *rig) get(id fleet.JobID) job.Status {
+	r.t.Helper()
+	return r.must(r.client.Get(r.t.Context(), testTeam, id))
+}
+
+func TestJobRunsToItsEnd(t *testing.T) {
+	withRig(t, func(t *testing.T, r *rig) {
+		if s := r.must(r.submit("j1", 5)); s.State != job.StateQueued || s.Queued != 5 {
+			t.Fatalf("status %+v", s)
 		}
-		status := r.mustEnd("j1")
-		if status.Finished != 5 || status.State != "finished" {
-			t.Fatalf("status %+v", status)
+		if s := r.mustEnd("j1"); s.Finished != 5 || s.State != job.StateFinished || s.Ended.IsZero() {
+			t.Fatalf("status %+v", s)
 		}
-		r.cells.check(t)
 		if n := len(r.cells.runs()); n != 5 {
 			t.Fatalf("%d tasks ran, want 5", n)
 		}
 	})
 }
+
+func TestResubmission(t *testing.T) {
+	withRig(t, func(t *testing.T, r *rig) {
+		first := r.must(r.submit("j1", 2))
+		again := r.must(r.submit("j1", 2))
+		if again.Submitted != first.Submitted {
+			t.Fatalf("submitted at %v and %v", first.Submitted, again.Submitted)
+		}
+		changes := map[string]func(*job.Spec){
+			"tasks":     func(s *job.Spec) { s.Tasks = 3 },
+			"resources": func(s *job.Spec) { s.Resources.MilliCores++ },
+			"command":   func(s *job.Spec) { s.Command = "other" },
+			"class":     func(s *job.Spec) { s.Class = "other" },
+			"priority":  withPriority(50),
+			"places":    func(s *job.Spec) { s.DataCentres = []fleet.DataCentre{"ruse"} },
+		}
+		for name, change := range changes {
+			_, err := r.submit("j1", 2, change)
+			var conflict *job.ConflictError
+			if !errors.As(err, &conflict) {
+				t.Errorf("other %s: error %v, want a conflict", name, err)
+			}
+		}
+		r.mustEnd("j1")
+		if s := r.must(r.submit("j1", 2)); s.State != job.StateFinished {
+			t.Fatalf("status %+v", s)
+		}
+	})
+}
+
+// TestUrgentStart measures from submission to the cell while other work is
+// queued and the store takes a few milliseconds.
+func TestUrgentStart(t *testing.T) {
+	withRig(t, func(t *testing.T, r *rig) {
+		r.store.SetFaults(standin.StoreFaults{Delay: 5 * time.Millisecond})
+		for i := range 30 {
+			r.must(r.submit(fleet.JobID(fmt.Sprintf("batch%d", i)), 1))
+		}
+		time.Sleep(3 * time.Second)
+		began := time.Now()
+		r.cells.runtime = func(delegation.Task) time.Duration { return time.Hour }
+		r.must(r.submit("urgent", 1, withPriority(95)))
+		for r.get("urgent").Queued > 0 || !r.cells.has("urgent/0") {
+			time.Sleep(time.Millisecond)
+		}
+		if took := time.Since(began); took > job.UrgentStart/2 {
+			t.Fatalf("at the cell after %v, want at most half of %v", took, job.UrgentStart)
+		}
+	})
+}
+
+func (c *fakeCells) has(id fleet.TaskID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.running[id]
+	return ok
+}
+
+func TestWaitingJobsSayWhy(t *testing.T) {
+	outOf := func(w *world) {
+		for name, dc := range w.dcs {
+			dc.State = settings.DataCentreOut
+			w.dcs[name] = dc
+		}
+	}
+	tests := map[string]struct {
+		before, after func(*world)
+		reason        string
+	}{
+		"data centres out": {outOf, func(w *world) {
+			w.dcs["ruse"] = settings.DataCentre{Region: "bg", State: settings.DataCentreIn, Cells: 1}
+		}, waitOut},
+		"settings not confirmed": {func(w *world) { w.stale = true }, func(w *world) { w.stale = false }, waitSettings},
+		"no room":                {func(w *world) { w.cells = nil }, func(w *world) { w.cells = newWorld().cells }, waitRoom},
+		"no quota": {func(w *world) {
+			w.teams[testTeam] = settings.Team{Organisation: testOrg, Shards: 1}
+		}, func(w *world) { w.teams = newWorld().teams }, waitOverQuot},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			withRig(t, func(t *testing.T, r *rig) {
+				r.world.update(tt.before)
+				r.must(r.submit("j1", 1))
+				time.Sleep(time.Minute)
+				if s := r.get("j1"); s.State != job.StateQueued || s.Reason != tt.reason {
+					t.Fatalf("status %+v, want the reason %q", s, tt.reason)
+				}
+				r.world.update(tt.after)
+				r.mustEnd("j1")
+			})
+		})
+	}
+}
+
+func TestFailingJobEndsWithTheTruth(t *testing.T) {
+	withRig(t, func(t *testing.T, r *rig) {
+		r.cells.end = func(delegation.Task) delegation.Outcome {
+			return delegation.Outcome{End: delegation.EndFailed, Error: "exit 7"}
+		}
+		r.must(r.submit("j1", 2))
+		s := r.mustEnd("j1")
+		if s.State != job.StateFailed || s.Failed != 2 || s.LastError != "exit 7" || s.Reason != "exit 7" {
+			t.Fatalf("status %+v", s)
+		}
+		if n := r.cells.attemptsOf("j1/0"); n != 3 {
+			t.Fatalf("%d attempts, want 3", n)
+		}
+	})
+}
+
+func (c *fakeCells) attemptsOf(id fleet.TaskID) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for ref := range c.attempts {
+		if ref.Task == id {
+			n++
+		}
+	}
+	return n
+}
+
+// TestEvictedTaskResumes wants the next attempt to get the checkpoint, also
+// from the next owner.
+func TestEvictedTaskResumes(t *testing.T) {
+	withRig(t, func(t *testing.T, r *rig) {
+		r.cells.end = func(task delegation.Task) delegation.Outcome {
+			if task.Attempt == 1 {
+				return delegation.Outcome{End: delegation.EndEvicted, Checkpoint: "c7", CheckpointProgress: 0.7}
+			}
+			if task.Checkpoint != "c7" || task.CheckpointProgress != 0.7 {
+				t.Errorf("attempt %d resumes from %q at %v", task.Attempt, task.Checkpoint, task.CheckpointProgress)
+			}
+			return delegation.Outcome{End: delegation.EndFinished}
+		}
+		r.must(r.submit("j1", 1))
+		time.Sleep(900 * time.Millisecond)
+		r.world.update(func(w *world) { w.stale = true })
+		time.Sleep(5 * time.Second)
+		r.stop()
+		r.start()
+		r.world.update(func(w *world) { w.stale = false })
+		if s := r.mustEnd("j1"); s.Evictions != 1 || s.Finished != 1 {
+			t.Fatalf("status %+v", s)
+		}
+	})
+}
+
+// TestCancellationWave cancels a job of 10,000 tasks and many small ones and
+// counts the store's writes.
+func TestCancellationWave(t *testing.T) {
+	withRig(t, func(t *testing.T, r *rig) {
+		r.cells.runtime = func(delegation.Task) time.Duration { return time.Hour }
+		r.must(r.submit("large", job.MaxTasks))
+		time.Sleep(time.Second)
+		const small = 200
+		for i := range small {
+			r.must(r.submit(fleet.JobID(fmt.Sprintf("s%d", i)), 1))
+		}
+		_, before := r.store.Calls()
+		if s := r.must(r.client.Cancel(t.Context(), testTeam, "large")); s.Cancelled < 9000 {
+			t.Fatalf("status %+v", s)
+		}
+		results := make(chan error, small)
+		for i := range small {
+			go func() {
+				_, err := r.client.Cancel(t.Context(), testTeam, fleet.JobID(fmt.Sprintf("s%d", i)))
+				results <- err
+			}()
+		}
+		for range small {
+			if err := <-results; err != nil {
+				t.Error(err)
+			}
+		}
+		if _, after := r.store.Calls(); after-before > 10 {
+			t.Fatalf("%d writes, want at most 10", after-before)
+		}
+		if s := r.mustEnd("large"); s.State != job.StateCancelled || s.Cancelled != job.MaxTasks {
+			t.Fatalf("status %+v", s)
+		}
+	})
+}
+
+func TestOutageRefusesAndKeeps(t *testing.T) {
+	withRig(t, func(t *testing.T, r *rig) {
+		r.must(r.submit("before", 1))
+		r.mustEnd("before")
+		r.store.SetFaults(standin.StoreFaults{Down: true})
+		_, err := r.submit("during", 1)
+		var unknown *job.UnknownError
+		if !errors.As(err, &unknown) {
+			t.Fatalf("error %v, want an unknown outcome", err)
+		}
+		_, err = r.submit("later", 1)
+		var unavailable *job.UnavailableError
+		if !errors.As(err, &unavailable) {
+			t.Fatalf("error %v, want it to be unavailable", err)
+		}
+		if r.cells.has("during/0") {
+			t.Fatal("a task was given out before its job was durable")
+		}
+		r.store.SetFaults(standin.StoreFaults{})
+		r.must(r.submit("during", 1))
+		r.mustEnd("during")
+		_, err = r.client.Get(t.Context(), testTeam, "later")
+		var missing *job.NotFoundError
+		if !errors.As(err, &missing) {
+			t.Fatalf("error %v, want the refused job to be unknown", err)
+		}
+	})
+}
+
+func TestListingPages(t *testing.T) {
+	withRig(t, func(t *testing.T, r *rig) {
+		for i := range 7 {
+			r.must(r.submit(fleet.JobID(fmt.Sprintf("j%d", i)), 1))
+		}
+		var ids []fleet.JobID
+		q := job.ListQuery{Team: testTeam, Limit: 3}
+		for pages := 1; ; pages++ {
+			page, err := r.client.List(t.Context(), q)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, s := range page.Jobs {
+				ids = append(ids, s.Spec.ID)
+			}
+			if page.Next == "" {
+				if pages != 3 {
+					t.Fatalf("%d pages, want 3", pages)
+				}
+				break
+			}
+			q.After = page.Next
+		}
+		if got := fmt.Sprint(ids); got != "[j0 j1 j2 j3 j4 j5 j6]" {
+			t.Fatalf("listed %s", got)
+		}
+	})
+}
+
+func TestEndedJobsAreForgottenInTime(t *testing.T) {
+	withRig(t, func(t *testing.T, r *rig) {
+		r.must(r.submit("j1", 1))
+		r.mustEnd("j1")
+		time.Sleep(RetainFor - time.Hour)
+		r.get("j1")
+		time.Sleep(2 * time.Hour)
+		_, err := r.client.Get(t.Context(), testTeam, "j1")
+		var missing *job.NotFoundError
+		if !errors.As(err, &missing) {
+			t.Fatalf("error %v, want the job to be forgotten", err)
+		}
+	})
+}
+
+func TestRunningIsReported(t *testing.T) {
+	withRig(t, func(t *testing.T, r *rig) {
+		r.cells.runtime = func(delegation.Task) time.Duration { return time.Minute }
+		r.must(r.submit("j1", 2))
+		time.Sleep(time.Second)
+		req := delegation.Started{Queue: testShard}
+		req.Tasks = append(req.Tasks, attemptRef("j1", 0, 1), attemptRef("j1", 0, 1), attemptRef("j1", 1, 9), attemptRef("j9", 0, 1))
+		if err := r.net.Call(t.Context(), testHost, delegation.MethodStart, req, &delegation.StartedReply{}); err != nil {
+			t.Fatal(err)
+		}
+		if s := r.get("j1"); s.State != job.StateRunning || s.Running != 1 || s.Delegated != 1 {
+			t.Fatalf("status %+v", s)
+		}
+		r.mustEnd("j1")
+	})
+}
+
+// callFunc is a peer.Caller.
+type callFunc func() error
+
+func (f callFunc) Call(context.Context, fleet.HostID, string, any, any) error { return f() }
+
+func TestClientErrors(t *testing.T) {
+	notOwner := &peer.RemoteError{Kind: peer.KindNotOwner}
+	tests := map[string]struct {
+		errs  []error // of the calls
+		want  error
+		calls int
+	}{
+		"no owner, twice":    {[]error{notOwner, notOwner}, &job.UnavailableError{}, 2},
+		"no owner, then one": {[]error{notOwner, &peer.UnknownError{Cause: &lostError{}}}, &job.UnknownError{}, 2},
+		"unreachable":        {[]error{&peer.UnreachableError{Cause: &lostError{}}, notOwner}, &job.UnavailableError{}, 2},
+		"no answer":          {[]error{&peer.UnknownError{Cause: &lostError{}}}, &job.UnknownError{}, 1},
+		"failure":            {[]error{&peer.RemoteError{Kind: peer.KindInternal}}, &job.UnknownError{}, 1},
+		"unavailable":        {[]error{&peer.RemoteError{Kind: peer.KindUnavailable}}, &job.UnavailableError{}, 1},
+		"empty reply":        {[]error{nil}, &job.UnknownError{}, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				calls := 0
+				client := NewClient(ClientDeps{
+					Peers:    callFunc(func() error { calls++; return tt.errs[calls-1] }),
+					Shards:   newWorld(),
+					Settings: newWorld(),
+				})
+				_, err := client.Submit(t.Context(), spec("j", 1))
+				if got := fmt.Sprintf("%T", cause(err)); got != fmt.Sprintf("%T", tt.want) {
+					t.Fatalf("error %v, want a %T", err, tt.want)
+				}
+				if calls != tt.calls {
+					t.Fatalf("%d calls, want %d", calls, tt.calls)
+				}
+			})
+		})
+	}
+}
+
+func TestJobsSpreadOverShards(t *testing.T) {
+	const shards, jobs = 4, 1000
+	found := make(map[shard.ID]int)
+	for i := range jobs {
+		found[HomeOf(testTeam, fleet.JobID(fmt.Sprintf("j%d", i)), shards)]++
+	}
+	for n := range shards {
+		if got := found[shard.NewID(shard.KindQueue, string(testTeam), n)]; got < jobs/shards/2 {
+			t.Fatalf("shard %d is the home of %d jobs of %d", n, got, jobs)
+		}
+	}
+}
