--- a/queue/rig_test.go
+++ b/queue/rig_test.go
@@ -24,9 +24,12 @@
 )
 
 const (
-	testHost  = fleet.HostID("h1")
-	testTeam  = fleet.Team("claims")
-	testOrg   = fleet.Organisation("balkantrans")
+	testHost = fleet.HostID("h1")
+	testTeam = fleet.Team("claims")
+	testOrg  = fleet.Organisation("balkantrans")
+	// testRetainFor is how long the shards of tests keep ended jobs.
+	testRetainFor = 30 * time.Minute
+
 	testShard = shard.ID("queue/claims/0")
 )
 
@@ -256,6 +259,8 @@
 		Settings: r.world,
 		Platform: platformView{r.world},
 		Logger:   log.NewNopLogger(),
+
+		RetainFor: testRetainFor,
 	})
 	ctx, cancel := context.WithCancel(r.t.Context())
 	owner := shard.Owner{Host: testHost, Incarnation: 1, Epoch: r.epoch}
@@ -338,12 +343,12 @@
 		finished: make(map[fleet.TaskID]int),
 		runtime:  func(delegation.Task) time.Duration { return time.Second },
 	}
-	net.Handle(delegation.MethodOffer, handler(c.offer))
-	net.Handle(delegation.MethodCancel, handler(c.cancel))
+	peer.Register(net, delegation.MethodOffer, c.offer)
+	peer.Register(net, delegation.MethodCancel, c.cancel)
 	return c
 }
 
-func (c *fakeCells) offer(_ context.Context, o delegation.Offer) (delegation.OfferReply, error) {
+func (c *fakeCells) offer(_ context.Context, _ fleet.HostID, o delegation.Offer) (delegation.OfferReply, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var reply delegation.OfferReply
@@ -421,7 +426,7 @@
 	}
 }
 
-func (c *fakeCells) cancel(_ context.Context, req delegation.Cancel) (delegation.CancelReply, error) {
+func (c *fakeCells) cancel(_ context.Context, _ fleet.HostID, req delegation.Cancel) (delegation.CancelReply, error) {
 	c.mu.Lock()
 	var stop []*fakeAttempt
 	for _, ref := range req.Tasks {
--- a/queue/server.go
+++ b/queue/server.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"expvar"
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/rotisserie/eris"
@@ -35,6 +35,9 @@
 	Settings settings.View
 	Platform platform.View
 	Logger   log.Logger
+	// RetainFor is how long ended jobs are kept and their IDs recognised; 0
+	// means DefaultRetainFor.
+	RetainFor time.Duration
 }
 
 // Counters in Server.Vars.
@@ -62,17 +65,20 @@
 
 // NewServer returns a Server and registers its peer handlers.
 func NewServer(deps Deps) *Server {
+	if deps.RetainFor == 0 {
+		deps.RetainFor = DefaultRetainFor
+	}
 	s := &Server{
 		deps:   deps,
 		vars:   new(expvar.Map).Init(),
 		shards: make(map[shard.ID]*ownedShard),
 	}
-	deps.Registry.Handle(MethodSubmit, handler(s.submit))
-	deps.Registry.Handle(MethodGet, handler(s.get))
-	deps.Registry.Handle(MethodList, handler(s.list))
-	deps.Registry.Handle(MethodCancel, handler(s.cancel))
-	deps.Registry.Handle(delegation.MethodReturn, handler(s.takeBack))
-	deps.Registry.Handle(delegation.MethodStart, handler(s.started))
+	peer.Register(deps.Registry, MethodSubmit, s.submit)
+	peer.Register(deps.Registry, MethodGet, s.get)
+	peer.Register(deps.Registry, MethodList, s.list)
+	peer.Register(deps.Registry, MethodCancel, s.cancel)
+	peer.Register(deps.Registry, delegation.MethodReturn, s.takeBack)
+	peer.Register(deps.Registry, delegation.MethodStart, s.started)
 	return s
 }
 
@@ -136,21 +142,6 @@
 	return q, nil
 }
 
-// handler decodes the request of a typed method.
-func handler[Request, Reply any](method func(context.Context, Request) (Reply, error)) peer.Handler {
-	return func(ctx context.Context, _ fleet.HostID, params []byte) (any, error) {
-		var request Request
-		if err := json.Unmarshal(params, &request); err != nil {
-			return nil, eris.Wrap(&peer.RemoteError{Kind: peer.KindBadRequest, Message: err.Error()}, "queue")
-		}
-		reply, err := method(ctx, request)
-		if err != nil {
-			return nil, err
-		}
-		return reply, nil
-	}
-}
-
 // statusReply puts an error of package job into the reply.
 func statusReply(status job.Status, err error) (StatusReply, error) {
 	if err == nil {
@@ -162,7 +153,7 @@
 	return StatusReply{}, err
 }
 
-func (s *Server) submit(ctx context.Context, req SubmitRequest) (StatusReply, error) {
+func (s *Server) submit(ctx context.Context, _ fleet.HostID, req SubmitRequest) (StatusReply, error) {
 	q, err := s.owned(req.Queue)
 	if err != nil {
 		return StatusReply{}, err
@@ -170,7 +161,7 @@
 	return statusReply(q.submit(ctx, req.Spec))
 }
 
-func (s *Server) get(ctx context.Context, req JobRequest) (StatusReply, error) {
+func (s *Server) get(ctx context.Context, _ fleet.HostID, req JobRequest) (StatusReply, error) {
 	q, err := s.owned(req.Queue)
 	if err != nil {
 		return StatusReply{}, err
@@ -178,7 +169,7 @@
 	return statusReply(q.get(ctx, req.ID))
 }
 
-func (s *Server) cancel(ctx context.Context, req JobRequest) (StatusReply, error) {
+func (s *Server) cancel(ctx context.Context, _ fleet.HostID, req JobRequest) (StatusReply, error) {
 	q, err := s.owned(req.Queue)
 	if err != nil {
 		return StatusReply{}, err
@@ -186,7 +177,7 @@
 	return statusReply(q.cancel(ctx, req.ID))
 }
 
-func (s *Server) list(ctx context.Context, req ListRequest) (ListReply, error) {
+func (s *Server) list(ctx context.Context, _ fleet.HostID, req ListRequest) (ListReply, error) {
 	q, err := s.owned(req.Queue)
 	if err != nil {
 		return ListReply{}, err
@@ -201,7 +192,7 @@
 	return ListReply{}, err
 }
 
-func (s *Server) takeBack(ctx context.Context, req delegation.Return) (delegation.ReturnReply, error) {
+func (s *Server) takeBack(ctx context.Context, _ fleet.HostID, req delegation.Return) (delegation.ReturnReply, error) {
 	q, err := s.owned(req.Queue)
 	if err != nil {
 		return delegation.ReturnReply{}, err
@@ -209,7 +200,7 @@
 	return delegation.ReturnReply{}, q.takeBack(ctx, req.Cell, req.Outcomes)
 }
 
-func (s *Server) started(ctx context.Context, req delegation.Started) (delegation.StartedReply, error) {
+func (s *Server) started(ctx context.Context, _ fleet.HostID, req delegation.Started) (delegation.StartedReply, error) {
 	q, err := s.owned(req.Queue)
 	if err != nil {
 		return delegation.StartedReply{}, err
--- a/queue/server_test.go
+++ b/queue/server_test.go
@@ -306,9 +306,9 @@
 	withRig(t, func(t *testing.T, r *rig) {
 		r.must(r.submit("j1", 1))
 		r.mustEnd("j1")
-		time.Sleep(RetainFor - time.Hour)
+		time.Sleep(testRetainFor - 5*time.Minute)
 		r.get("j1")
-		time.Sleep(2 * time.Hour)
+		time.Sleep(10 * time.Minute)
 		_, err := r.client.Get(t.Context(), testTeam, "j1")
 		var missing *job.NotFoundError
 		if !errors.As(err, &missing) {
--- a/queue/shard.go
+++ b/queue/shard.go
@@ -27,8 +27,8 @@
 	// confirmedFor is how long after its confirmation the settings view lets
 	// tasks be given out.
 	confirmedFor = 2 * time.Second
-	// RetainFor is how long ended jobs are kept, and their IDs recognised.
-	RetainFor = 24 * time.Hour
+	// DefaultRetainFor is how long ended jobs are kept.
+	DefaultRetainFor = 24 * time.Hour
 	// MaxJobs bounds the jobs of one shard, ended ones included.
 	MaxJobs = 20_000
 
@@ -76,17 +76,13 @@
 	return q
 }
 
-// run runs the shard until ctx ends or the shard is lost.
+// run runs the shard until ctx ends or the shard is lost, and returns why.
 func (q *ownedShard) run(ctx context.Context) error {
 	group, inner := errgroup.WithContext(ctx)
 	group.Go(func() error { return q.journal.Serve(inner) })
 	group.Go(func() error { return q.releaseLoop(inner) })
 	group.Go(func() error { return q.sender.loop(inner) })
-	err := group.Wait()
-	if ctx.Err() != nil {
-		return nil
-	}
-	return err
+	return group.Wait()
 }
 
 func kick(c chan struct{}) {
@@ -168,7 +164,7 @@
 }
 
 func (q *ownedShard) expire(tx journal.Tx) error {
-	before := time.Now().Add(-RetainFor).UnixMilli()
+	before := time.Now().Add(-q.server.deps.RetainFor).UnixMilli()
 	if q.machine.expirable(before) {
 		tx.Append(record{Expired: &expired{Before: before}}.encode())
 	}
@@ -258,11 +254,11 @@
 func (q *ownedShard) get(ctx context.Context, id fleet.JobID) (job.Status, error) {
 	var status job.Status
 	err := q.commit(ctx, func(journal.Tx) error {
-		known := false
-		status, known = q.machine.Status(id)
-		if !known {
+		j := q.machine.jobs[id]
+		if j == nil {
 			return eris.Wrap(&job.NotFoundError{ID: id}, "get")
 		}
+		status = j.status()
 		return nil
 	})
 	return status, readError(err)
