--- a/queue/rig_test.go
+++ b/queue/rig_test.go
@@ -24,9 +24,12 @@
 )
 
 const (
-	testHost  = fleet.HostID("h1")
-	testTeam  = fleet.Team("claims")
-	testOrg   = fleet.Organisation("balkantrans")
+	testHost = fleet.HostID("h1")
+	testTeam = fleet.Team("claims")
+	testOrg  = fleet.Organisation("balkantrans")
+	// testRetainFor is how long the shards of tests keep ended jobs.
+	testRetainFor = 30 * time.Minute
+
 	testShard = shard.ID("queue/claims/0")
 )
 
@@ -224,7 +227,7 @@
 		world: newWorld(),
 	}
 	r.points = &crashPoint{crash: r.crash}
-	r.cells = newFakeCells(r.net)
+	r.cells = newFakeCells(r.net, t.Context().Done())
 	r.client = NewClient(ClientDeps{Peers: r.net, Shards: r.world, Settings: r.world})
 	return r
 }
@@ -256,6 +259,8 @@
 		Settings: r.world,
 		Platform: platformView{r.world},
 		Logger:   log.NewNopLogger(),
+
+		RetainFor: testRetainFor,
 	})
 	ctx, cancel := context.WithCancel(r.t.Context())
 	owner := shard.Owner{Host: testHost, Incarnation: 1, Epoch: r.epoch}
@@ -308,7 +313,8 @@
 // remembers them durably, and returns each until the queue has acknowledged.
 // It judges what it saw.
 type fakeCells struct {
-	net *network
+	net  *network
+	done <-chan struct{} // closed at the end of the test
 
 	mu       sync.Mutex
 	attempts map[platform.AttemptRef]*fakeAttempt
@@ -328,20 +334,21 @@
 	reason string // refused
 }
 
-func newFakeCells(net *network) *fakeCells {
+func newFakeCells(net *network, done <-chan struct{}) *fakeCells {
 	c := &fakeCells{
 		net:      net,
+		done:     done,
 		attempts: make(map[platform.AttemptRef]*fakeAttempt),
 		running:  make(map[fleet.TaskID]platform.AttemptRef),
 		finished: make(map[fleet.TaskID]int),
 		runtime:  func(delegation.Task) time.Duration { return time.Second },
 	}
-	net.Handle(delegation.MethodOffer, handler(c.offer))
-	net.Handle(delegation.MethodCancel, handler(c.cancel))
+	peer.Register(net, delegation.MethodOffer, c.offer)
+	peer.Register(net, delegation.MethodCancel, c.cancel)
 	return c
 }
 
-func (c *fakeCells) offer(_ context.Context, o delegation.Offer) (delegation.OfferReply, error) {
+func (c *fakeCells) offer(_ context.Context, _ fleet.HostID, o delegation.Offer) (delegation.OfferReply, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var reply delegation.OfferReply
@@ -411,11 +418,15 @@
 			c.mu.Unlock()
 			return
 		}
-		time.Sleep(200 * time.Millisecond)
+		select {
+		case <-c.done:
+			return
+		case <-time.After(200 * time.Millisecond):
+		}
 	}
 }
 
-func (c *fakeCells) cancel(_ context.Context, req delegation.Cancel) (delegation.CancelReply, error) {
+func (c *fakeCells) cancel(_ context.Context, _ fleet.HostID, req delegation.Cancel) (delegation.CancelReply, error) {
 	c.mu.Lock()
 	var stop []*fakeAttempt
 	for _, ref := range req.Tasks {
