Cut the allocations of a request and bound slow readers

A caller that did not read its streamed answer held its slot and a shutdown without bound: answers now have the request's deadline for writing (TestSlowReader, seen to fail without it).

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -33,12 +33,14 @@
 	readAt   atomic.Int64 // Unix nanoseconds of the last byte of the present answer, 0 for none
 	headLeft int          // bytes the head may still have; negative: no limit
 	sawEOF   bool         // the server closed the connection
+	probe    prober
 }
 
 func newConn(nc net.Conn) *conn {
 	c := &conn{Conn: nc, headLeft: -1}
 	c.br = bufio.NewReaderSize(readerFunc(c.read), connBuffer)
 	c.bw = bufio.NewWriterSize(writerFunc(c.write), connBuffer)
+	c.probe.init(nc)
 	return c
 }
 
--- a/backend/conn_linux.go
+++ b/backend/conn_linux.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"syscall"
 
 	"github.com/rotisserie/eris"
@@ -23,28 +24,46 @@
 	return eris.Wrap(optErr, "set TCP user timeout")
 }
 
+// prober looks for input on an idle connection without taking it. It keeps
+// what it needs, because it runs before every exchange.
+type prober struct {
+	raw  syscall.RawConn // nil for a connection that is no socket
+	peek func(fd uintptr)
+	buf  [1]byte
+	n    int
+	err  error
+}
+
+func (p *prober) init(nc net.Conn) {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return
+	}
+	p.raw = raw
+	p.peek = func(fd uintptr) {
+		p.n, _, p.err = syscall.Recvfrom(int(fd), p.buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	}
+}
+
 // quiet reports whether an idle connection is open with nothing to read. A
 // byte or a close there means that the connection must not be used again.
 func (c *conn) quiet() bool {
 	if c.br.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	p := &c.probe
+	if p.raw == nil {
 		return true
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
+	if p.raw.Control(p.peek) != nil {
 		return false
 	}
-	quiet := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, recvErr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(recvErr, syscall.EAGAIN)
-		if n == 0 && recvErr == nil {
-			c.sawEOF = true
-		}
-	})
-	return err == nil && quiet
+	if p.n == 0 && p.err == nil {
+		c.sawEOF = true
+	}
+	return errors.Is(p.err, syscall.EAGAIN)
 }
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -28,7 +28,13 @@
 	Streamed bool          // the body is read from the caller while it is sent
 	Buffer   int64         // an answer up to this many bytes is returned whole
 	Timeouts Timeouts
-	Allow    func() bool // asked right before the first byte; nil: always
+	Gate     Gate      // asked right before the first byte; nil: always
+	Deadline time.Time // of the caller, for the whole answer; zero: none
+}
+
+// Gate tells whether a request may be sent.
+type Gate interface {
+	MaySend() bool
 }
 
 // Stages of an exchange. The step from pending is taken once, either by the
@@ -50,9 +56,12 @@
 	reused   bool                 // set before conn
 	sentAt   atomic.Int64         // Unix nanoseconds
 	head     chan headResult      // one value
+	resp     Response             // of the head result
 	chunks   chan chunk           // of a body above Buffer
 	quit     chan struct{}        // closed when the caller has left
 	deadline time.Time            // the server has surely stopped
+	streamed chan error           // result of a write that goes on; used by run only
+	sendErr  error                // of the write; used by run only
 }
 
 type headResult struct {
@@ -91,7 +100,7 @@
 		x.finishUnsent(notRun)
 		return
 	}
-	if x.req.Allow != nil && !x.req.Allow() {
+	if x.req.Gate != nil && !x.req.Gate.MaySend() {
 		x.pool.put(c)
 		x.finishUnsent(&NotRunError{Address: x.pool.address, Reason: ReasonNotAllowed})
 		return
@@ -121,48 +130,53 @@
 
 // transfer writes the request and reads the answer.
 func (x *exchange) transfer(c *conn) {
-	sent := x.send(c)
-	if !x.req.Streamed {
-		if err := <-sent; err != nil && c.written.Load() == 0 {
-			go x.pool.retire(c)
-			x.finishUnsent(&NotRunError{Address: x.pool.address, Reason: ReasonWrite, Cause: err})
-			return
-		}
+	if x.req.Streamed {
+		x.streamed = make(chan error, 1)
+		go func() { x.streamed <- x.write(c) }()
+	} else if x.sendErr = x.write(c); x.sendErr != nil && c.written.Load() == 0 {
+		go x.pool.retire(c)
+		x.finishUnsent(&NotRunError{Address: x.pool.address, Reason: ReasonWrite, Cause: x.sendErr})
+		return
 	}
 	// After a failed write an answer may still be there: a server may refuse a
 	// body early.
 	resp, err := x.readHead(c)
 	if err != nil {
-		x.fail(c, sent, err)
+		x.fail(c, err)
 		return
 	}
-	x.readBody(c, sent, resp)
+	x.readBody(c, resp)
 }
 
-// send writes the request. The channel yields the result once, and is closed.
-func (x *exchange) send(c *conn) <-chan error {
-	done := make(chan error, 1)
-	write := func() {
-		defer close(done)
-		err := x.req.HTTP.Write(c.bw)
-		if err == nil {
-			err = c.bw.Flush()
-		}
-		if err != nil {
-			c.bw.Reset(writerFunc(c.write))
-			// The server must not wait for the rest of the request.
-			if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && c.written.Load() > 0 {
-				_ = half.CloseWrite() // the connection is not used again in any case
-			}
-			done <- err
-		}
+// write writes the request.
+func (x *exchange) write(c *conn) error {
+	err := x.req.HTTP.Write(c.bw)
+	if err == nil {
+		err = c.bw.Flush()
 	}
-	if x.req.Streamed {
-		go write()
-		return done
+	if err == nil {
+		return nil
+	}
+	c.bw.Reset(writerFunc(c.write))
+	// The server must not wait for the rest of the request.
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && c.written.Load() > 0 {
+		_ = half.CloseWrite() // the connection is not used again in any case
 	}
-	write()
-	return done
+	return err
+}
+
+// sent reports whether the request is written completely, and the error that
+// ended the writing.
+func (x *exchange) sent() (bool, error) {
+	if x.streamed != nil {
+		select {
+		case x.sendErr = <-x.streamed:
+			x.streamed = nil
+		default:
+			return false, nil
+		}
+	}
+	return x.sendErr == nil, x.sendErr
 }
 
 // readHead reads the final answer's header.
@@ -195,19 +209,20 @@
 
 // fail reports an exchange without an answer and waits until the server has
 // surely stopped.
-func (x *exchange) fail(c *conn, sent <-chan error, err error) {
-	x.head <- headResult{err: x.unknown(headReason(c, sent, err), err)}
+func (x *exchange) fail(c *conn, err error) {
+	x.head <- headResult{err: x.unknown(x.headReason(c, err), err)}
 	x.settle(c, err)
 }
 
-func headReason(c *conn, sent <-chan error, err error) Reason {
+func (x *exchange) headReason(c *conn, err error) Reason {
 	var wrong *WrongRequestError
 	switch {
 	case errors.As(err, &wrong):
 		return ReasonWrongAnswer
-	case c.readAt.Load() == 0 && writeFailed(sent):
-		return ReasonRequestBody
 	case c.readAt.Load() == 0:
+		if _, sendErr := x.sent(); sendErr != nil {
+			return ReasonRequestBody
+		}
 		return ReasonClosed
 	case c.sawEOF:
 		return ReasonCut
@@ -216,15 +231,6 @@
 	}
 }
 
-func writeFailed(sent <-chan error) bool {
-	select {
-	case err := <-sent:
-		return err != nil
-	default:
-		return false
-	}
-}
-
 func (x *exchange) unknown(reason Reason, cause error) *UnknownError {
 	return &UnknownError{Address: x.pool.address, Reason: reason, Reused: x.reused, Cause: cause}
 }
@@ -255,15 +261,10 @@
 	return errors.As(err, &netErr)
 }
 
-// finish ends a whole exchange.
-func (x *exchange) finish(c *conn, sent <-chan error, reusable bool) {
-	select {
-	case err := <-sent:
-		reusable = reusable && err == nil
-	default:
-		reusable = false // the server answered before it had the whole request
-	}
-	if reusable {
+// finish ends a whole exchange. A server that answered before it had the
+// whole request may still find its rest on the connection.
+func (x *exchange) finish(c *conn, reusable bool) {
+	if sent, _ := x.sent(); sent && reusable {
 		x.pool.put(c)
 	} else {
 		go x.pool.retire(c)
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -51,6 +51,8 @@
 	idle    []*conn // most recently used last
 	closed  bool
 	drained chan struct{} // closed once closed, taken == 0 and open == 0
+
+	timers sync.Pool // of *time.Timer
 }
 
 // NewPool returns a pool for the server at address. A nil dial opens TCP
@@ -62,7 +64,8 @@
 	return &Pool{address: address, limits: limits, dial: dial, drained: make(chan struct{})}
 }
 
-// Slot is the right to one exchange. Use exactly one of Do and Release.
+// Slot is the right to one exchange. Use exactly one of Do and Release, and
+// do not copy it after that.
 type Slot struct {
 	pool   *Pool
 	onFree func()
@@ -70,14 +73,14 @@
 
 // TryAcquire takes a slot if one is free and the pool is open. onFree (may be
 // nil) is called once, when the slot is free again.
-func (p *Pool) TryAcquire(onFree func()) (*Slot, bool) {
+func (p *Pool) TryAcquire(onFree func()) (Slot, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || p.taken >= p.limits.Slots {
-		return nil, false
+		return Slot{}, false
 	}
 	p.taken++
-	return &Slot{pool: p, onFree: onFree}, true
+	return Slot{pool: p, onFree: onFree}, true
 }
 
 // Release gives back a slot that was not used.
@@ -254,3 +257,17 @@
 	}
 	p.lose()
 }
+
+// timer returns a timer that fires after d.
+func (p *Pool) timer(d time.Duration) *time.Timer {
+	if t, ok := p.timers.Get().(*time.Timer); ok {
+		t.Reset(d)
+		return t
+	}
+	return time.NewTimer(d)
+}
+
+func (p *Pool) stopTimer(t *time.Timer) {
+	t.Stop()
+	p.timers.Put(t)
+}
--- a/backend/pool_test.go
+++ b/backend/pool_test.go
@@ -84,6 +84,10 @@
 	return slot.Do(ctx, req)
 }
 
+type gate func() bool
+
+func (g gate) MaySend() bool { return g() }
+
 func eventually(t *testing.T, what string, cond func() bool) {
 	t.Helper()
 	for end := time.Now().Add(2 * time.Second); !cond(); time.Sleep(time.Millisecond) {
@@ -214,7 +218,7 @@
 	t.Run("right lost", func(t *testing.T) {
 		b := start(t, instant)
 		p := newPool(t, b)
-		req := backend.Request{HTTP: newRequest("POST", "r1", "x"), Timeouts: shortTimeouts(), Allow: func() bool { return false }}
+		req := backend.Request{HTTP: newRequest("POST", "r1", "x"), Timeouts: shortTimeouts(), Gate: gate(func() bool { return false })}
 		_, err := do(t.Context(), p, req)
 		if got, reason := outcome(err); got != backend.NotRun || reason != backend.ReasonNotAllowed {
 			t.Errorf("got %v", err)
@@ -228,11 +232,11 @@
 		p := newPool(t, b)
 		ctx, cancel := context.WithCancel(t.Context())
 		asked, goOn := make(chan bool), make(chan bool)
-		req := backend.Request{HTTP: newRequest("POST", "r1", "x"), Timeouts: shortTimeouts(), Allow: func() bool {
+		req := backend.Request{HTTP: newRequest("POST", "r1", "x"), Timeouts: shortTimeouts(), Gate: gate(func() bool {
 			close(asked)
 			<-goOn
 			return true
-		}}
+		})}
 		done := make(chan error)
 		go func() {
 			_, err := do(ctx, p, req)
--- a/backend/response.go
+++ b/backend/response.go
@@ -26,35 +26,36 @@
 
 // readBody delivers the body and finishes the exchange. A whole answer frees
 // the slot before the caller learns of it.
-func (x *exchange) readBody(c *conn, sent <-chan error, head *http.Response) {
-	resp := &Response{Status: head.StatusCode, Header: head.Header, Length: head.ContentLength, x: x}
+func (x *exchange) readBody(c *conn, head *http.Response) {
+	resp := &x.resp
+	*resp = Response{Status: head.StatusCode, Header: head.Header, Length: head.ContentLength, x: x}
 	data, whole, err := wholeBody(head.Body, head.ContentLength, x.req.Buffer)
 	if whole {
 		err = x.checkEnd(c, head)
 	}
 	if err != nil {
 		x.head <- headResult{err: x.unknown(bodyReason(c, err), err)}
-		x.endBody(c, sent, err)
+		x.endBody(c, err)
 		return
 	}
 	resp.Body = data
 	resp.Whole = whole
 	if whole {
-		x.finish(c, sent, !head.Close)
+		x.finish(c, !head.Close)
 		x.head <- headResult{resp: resp}
 		return
 	}
 	x.chunks = make(chan chunk)
 	x.head <- headResult{resp: resp}
-	x.stream(c, sent, head)
+	x.stream(c, head)
 }
 
 // endBody ends an exchange whose body was not acceptable. After an overlong
 // body the server has answered and is done.
-func (x *exchange) endBody(c *conn, sent <-chan error, err error) {
+func (x *exchange) endBody(c *conn, err error) {
 	var overlong *OverlongError
 	if errors.As(err, &overlong) {
-		x.finish(c, sent, false)
+		x.finish(c, false)
 		return
 	}
 	x.settle(c, err)
@@ -69,12 +70,13 @@
 // checkEnd consumes what ends the body (the last chunk, trailers) and checks
 // that nothing follows.
 func (x *exchange) checkEnd(c *conn, head *http.Response) error {
-	n, err := io.Copy(io.Discard, io.LimitReader(head.Body, 1))
-	if err != nil {
-		return err
+	if head.ContentLength < 0 {
+		if _, err := io.Copy(io.Discard, head.Body); err != nil {
+			return err
+		}
 	}
-	if n+int64(c.br.Buffered()) > 0 {
-		return &OverlongError{Bytes: c.br.Buffered()}
+	if n := c.br.Buffered(); n > 0 {
+		return &OverlongError{Bytes: n}
 	}
 	return nil
 }
@@ -95,7 +97,7 @@
 
 // stream hands the rest of the body to the caller in parts, and discards it
 // once the caller has left.
-func (x *exchange) stream(c *conn, sent <-chan error, head *http.Response) {
+func (x *exchange) stream(c *conn, head *http.Response) {
 	var buffers [2][]byte
 	for i := 0; ; i ^= 1 {
 		if buffers[i] == nil {
@@ -103,7 +105,7 @@
 		}
 		n, err := head.Body.Read(buffers[i])
 		if errors.Is(err, io.EOF) {
-			x.endStream(c, sent, head, buffers[i][:n])
+			x.endStream(c, head, buffers[i][:n])
 			return
 		}
 		if err != nil {
@@ -117,19 +119,19 @@
 
 // endStream checks the end before the last bytes are handed over, so that an
 // answer that is not acceptable never looks whole.
-func (x *exchange) endStream(c *conn, sent <-chan error, head *http.Response, last []byte) {
+func (x *exchange) endStream(c *conn, head *http.Response, last []byte) {
 	err := x.checkEnd(c, head)
 	if err != nil {
-		x.endBody(c, sent, err)
+		x.endBody(c, err)
 		x.deliver(chunk{err: x.unknown(bodyReason(c, err), err)})
 		return
 	}
 	select {
 	case <-x.quit:
-		x.finish(c, sent, false)
+		x.finish(c, false)
 		return
 	default:
-		x.finish(c, sent, !head.Close)
+		x.finish(c, !head.Close)
 	}
 	x.deliver(chunk{data: last})
 	x.deliver(chunk{err: io.EOF})
@@ -148,14 +150,19 @@
 	if r.Whole {
 		return nil, io.EOF
 	}
-	timer := time.NewTimer(r.x.req.Timeouts.Idle)
-	defer timer.Stop()
+	idle := r.x.req.Timeouts.Idle
+	wait := r.x.clip(time.Now(), idle)
+	timer := r.x.pool.timer(wait)
+	defer r.x.pool.stopTimer(timer)
 	select {
 	case k := <-r.x.chunks:
 		return k.data, k.err
 	case <-ctx.Done():
 		return nil, r.x.unknown(cancelReason(ctx), ctx.Err())
 	case <-timer.C:
+		if wait < idle {
+			return nil, r.x.unknown(ReasonDeadline, nil)
+		}
 		return nil, r.x.unknown(ReasonIdle, nil)
 	}
 }
@@ -170,8 +177,8 @@
 // await waits for the exchange's header on behalf of the caller.
 func (x *exchange) await(ctx context.Context) (*Response, error) {
 	t := x.req.Timeouts
-	timer := time.NewTimer(min(t.Dial, t.FirstByte))
-	defer timer.Stop()
+	timer := x.pool.timer(x.clip(x.started, min(t.Dial, t.FirstByte)))
+	defer x.pool.stopTimer(timer)
 	for {
 		select {
 		case h := <-x.head:
@@ -179,7 +186,11 @@
 		case <-ctx.Done():
 			return nil, x.abandon(cancelReason(ctx), ctx.Err())
 		case <-timer.C:
-			left, reason := x.patience(time.Now())
+			now := time.Now()
+			left, reason := x.patience(now)
+			if x.clip(now, left) < left {
+				left, reason = x.clip(now, left), ReasonDeadline
+			}
 			if left <= 0 {
 				return nil, x.abandon(reason, nil)
 			}
@@ -188,6 +199,15 @@
 	}
 }
 
+// clip returns d, or the time left until the caller's deadline if that is
+// less.
+func (x *exchange) clip(now time.Time, d time.Duration) time.Duration {
+	if x.req.Deadline.IsZero() {
+		return d
+	}
+	return min(d, x.req.Deadline.Sub(now))
+}
+
 // patience returns how much longer to wait for the server, and what it failed
 // to do if that is not above 0.
 func (x *exchange) patience(now time.Time) (time.Duration, Reason) {
--- /dev/null
+++ b/gateway/bench_test.go
@@ -0,0 +1,79 @@
+package gateway_test
+
+import (
+	"io"
+	"net/http"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/backend"
+	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+)
+
+// benchSite runs a gateway with one backend server for a benchmark.
+func benchSite(b *testing.B) (gatewayURL, serverURL string) {
+	b.Helper()
+	s := newSite(b, 1, instant)
+	h := s.start(b, "h1", true)
+	return h.url, "http://" + s.backends[0].Info().Address + "/x"
+}
+
+// BenchmarkOverhead compares a request through the gateway with one sent to
+// the backend server directly; the difference is the gateway's own.
+func BenchmarkOverhead(b *testing.B) {
+	viaURL, directURL := benchSite(b)
+	for _, c := range []struct{ name, url string }{{"direct", directURL}, {"gateway", viaURL}} {
+		b.Run(c.name, func(b *testing.B) {
+			client := &http.Client{Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+			var took []time.Duration
+			b.ReportAllocs()
+			for b.Loop() {
+				began := time.Now()
+				resp, err := client.Get(c.url)
+				if err != nil {
+					b.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+				if resp.StatusCode != http.StatusOK {
+					b.Fatal(resp.Status)
+				}
+				took = append(took, time.Since(began))
+			}
+			slices.Sort(took)
+			b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-µs")
+			b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-µs")
+		})
+	}
+}
+
+// BenchmarkServerMemory measures what one backend server without connections
+// costs, and one connection.
+func BenchmarkServerMemory(b *testing.B) {
+	server, err := standin.StartBackend(platform.Server{ID: "s0", Address: "127.0.0.1:0"}, instant)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer server.Close()
+	const n = 3100
+	for b.Loop() {
+		before := heap()
+		pools := make([]*backend.Pool, n)
+		for i := range pools {
+			pools[i] = backend.NewPool("127.0.0.1:1", backend.Limits{Slots: 8, Connections: 64}, nil)
+		}
+		b.ReportMetric(float64(heap()-before)/n, "B/pool")
+		runtime.KeepAlive(pools)
+	}
+}
+
+func heap() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -43,7 +43,7 @@
 	mu       sync.Mutex
 	list     *platform.HostList
 	changed  chan struct{}
-	snapshot snapshot
+	snapshot *snapshot
 	hosts    []member.Host
 	sums     map[fleet.HostID]member.Summary
 }
@@ -100,11 +100,11 @@
 func (v *view) setSettings(change func(*settings.Resolved, map[fleet.DataCentre]settings.DataCentre)) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	next := v.snapshot
+	next := *v.snapshot
 	next.centres = maps.Clone(next.centres)
 	change(&next.values, next.centres)
 	next.revision++
-	v.snapshot = next
+	v.snapshot = &next
 }
 
 type members struct{ *view }
@@ -199,13 +199,13 @@
 	backends []*standin.Backend
 }
 
-func newSite(t *testing.T, backends int, work func() time.Duration) *site {
+func newSite(t testing.TB, backends int, work func() time.Duration) *site {
 	t.Helper()
 	s := &site{
 		view: &view{list: &platform.HostList{Version: 1}, changed: make(chan struct{}), sums: make(map[fleet.HostID]member.Summary)},
 		net:  &network{handlers: make(map[fleet.HostID]map[string]peer.Handler), owners: make(map[shard.ID]fleet.HostID)},
 	}
-	s.snapshot = snapshot{
+	s.snapshot = &snapshot{
 		revision: 1,
 		centres:  map[fleet.DataCentre]settings.DataCentre{dc: {Region: "bg", State: settings.DataCentreIn, Cells: 1}},
 		values: settings.Resolved{
@@ -229,7 +229,7 @@
 }
 
 // closeBackend checks that the server was never given more than its share.
-func closeBackend(t *testing.T, b *standin.Backend) {
+func closeBackend(t testing.TB, b *standin.Backend) {
 	t.Helper()
 	b.Close()
 	if st := b.Stats(); st.MaxRequests > 8 || st.MaxConnections > 64 {
@@ -267,18 +267,19 @@
 }
 
 // start runs a gateway. It owns the front if owner.
-func (s *site) start(t *testing.T, id fleet.HostID, owner bool) *host {
+func (s *site) start(t testing.TB, id fleet.HostID, owner bool) *host {
 	t.Helper()
 	h := &host{port: &port{network: s.net, self: id}, ended: make(chan struct{})}
-	mux := http.NewServeMux()
-	server := httptest.NewServer(mux)
-	self := member.Host{ID: id, Incarnation: 1, Region: "bg", DataCentre: dc, HTTPAddress: strings.TrimPrefix(server.URL, "http://")}
+	server := httptest.NewUnstartedServer(nil)
+	address := server.Listener.Addr().String()
+	self := member.Host{ID: id, Incarnation: 1, Region: "bg", DataCentre: dc, HTTPAddress: address}
 	h.Gateway = gateway.New(gateway.Deps{
 		Self: self, Platform: s.view, Settings: s.view, Rights: h.port, Shards: s.net,
 		Members: members{s.view}, Caller: h.port, Registry: h.port, Logger: log.NewNopLogger(),
 		Margins: dedupe.Margins{Future: 20 * time.Millisecond, Clock: 50 * time.Millisecond, Mapping: 30 * time.Millisecond},
 	})
-	mux.Handle("/", h.Gateway)
+	server.Config.Handler = h.Gateway
+	server.Start()
 	h.url = server.URL + "/svc/reclaim/x"
 	h.client = server.Client()
 	s.mu.Lock()
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -74,7 +74,13 @@
 	out.Header.Set(HeaderIdempotent, strconv.FormatBool(q.idempotent))
 	t := timeouts(&q.values)
 	t.FirstByte = max(left, t.FirstByte) // the peer's own limits apply to its server
-	return backend.Request{HTTP: out, Streamed: q.streamed(), Buffer: q.values.BufferBytes, Timeouts: t}
+	return backend.Request{
+		HTTP:     out,
+		Streamed: q.streamed(),
+		Buffer:   q.values.BufferBytes,
+		Timeouts: t,
+		Deadline: q.deadline,
+	}
 }
 
 // peerFailure returns a peer's answer as an error unless it is an answer of a
@@ -139,7 +145,7 @@
 	p, ok := g.peers[key]
 	if !ok {
 		limits := backend.Limits{Slots: peerSlots, Connections: 2 * peerSlots}
-		p = &peerPool{pool: backend.NewPool(host.HTTPAddress, limits, nil)}
+		p = &peerPool{pool: backend.NewPool(host.HTTPAddress, limits, g.deps.Dial)}
 		g.peers[key] = p
 	}
 	return p
--- a/gateway/fronts.go
+++ b/gateway/fronts.go
@@ -166,7 +166,7 @@
 	key := serverKey{info.ID, info.Address}
 	s, ok := f.servers[key]
 	if !ok {
-		s = &server{address: info.Address, front: f.id, pool: backend.NewPool(info.Address, limits, nil)}
+		s = &server{address: info.Address, front: f.id, pool: backend.NewPool(info.Address, limits, g.deps.Dial)}
 		f.servers[key] = s
 	}
 	s.info = *info
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/fuchsiahill/fuchsiahill/backend"
 	"github.com/fuchsiahill/fuchsiahill/dedupe"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/member"
@@ -41,7 +42,8 @@
 	Caller   peer.Caller
 	Registry peer.Registry
 	Logger   log.Logger
-	Margins  dedupe.Margins // dedupe.DefaultMargins if zero
+	Margins  dedupe.Margins   // dedupe.DefaultMargins if zero
+	Dial     backend.DialFunc // TCP if nil
 }
 
 // Gateway serves requests. It is safe for concurrent use.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -155,6 +156,38 @@
 	}
 }
 
+// TestSlowReader checks that a caller that does not read its answer holds no
+// slot beyond its deadline.
+func TestSlowReader(t *testing.T) {
+	s := newSite(t, 1, instant)
+	s.setSettings(func(v *settings.Resolved, _ map[fleet.DataCentre]settings.DataCentre) { v.RequestTimeoutMS = 200 })
+	h := s.start(t, "h1", true)
+	conn, err := net.Dial("tcp", strings.TrimSuffix(strings.TrimPrefix(h.url, "http://"), "/svc/reclaim/x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.(*net.TCPConn).SetReadBuffer(4096)
+	for range 40 { // pipelined, to fill the buffers on the way
+		if _, err := conn.Write([]byte("GET /svc/reclaim/x HTTP/1.1\r\nHost: h\r\nX-Answer-Bytes: 900000\r\n\r\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for n := -1; n != s.seen("") || h.Summary()[svc].Free == 8; time.Sleep(50 * time.Millisecond) {
+		n = s.seen("")
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	if err := h.Drain(ctx); err != nil {
+		t.Error(err)
+	}
+	for end := time.Now().Add(time.Second); h.Summary()[svc].Free < 8; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the slot is still taken")
+		}
+	}
+}
+
 func TestPathAndHeaders(t *testing.T) {
 	s := newSite(t, 1, instant)
 	h := s.start(t, "h1", true)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -20,6 +21,9 @@
 // PathPrefix is before the name of the service in every path.
 const PathPrefix = "/svc/"
 
+// smallAnswer in bytes fits into the connection's buffer.
+const smallAnswer = 4 << 10
+
 // claimReleaseTimeout bounds giving a claim back.
 const claimReleaseTimeout = 200 * time.Millisecond
 
@@ -29,8 +33,9 @@
 	service  *service
 	values   settings.Resolved
 	in       *http.Request
-	path     *url.URL // as the backend server sees it
+	path     url.URL // as the backend server sees it
 	header   http.Header
+	idValue  [1]string // X-Request-Id
 	body     []byte    // what was read of the body
 	rest     io.Reader // what was not, nil if body is all
 	length   int64     // of the whole body, -1 if not known
@@ -55,9 +60,8 @@
 		g.fail(w, err)
 		return
 	}
-	w.Header().Set(backend.RequestIDHeader, q.requestID)
-	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
-	defer cancel()
+	ctx := r.Context()
+	w.Header()[backend.RequestIDHeader] = q.idValue[:]
 	if err := q.readBody(w); err != nil {
 		g.fail(w, err)
 		return
@@ -85,42 +89,40 @@
 	if err != nil {
 		return nil, err
 	}
-	q := &request{options: o, service: svc, values: svc.settings(), in: r, path: path}
+	q := &request{options: o, service: svc, values: svc.settings(), in: r, path: path, idValue: [1]string{o.requestID}}
 	longest := time.Duration(q.values.RequestTimeoutMS) * time.Millisecond
 	if q.timeout <= 0 || q.timeout > longest {
 		q.timeout = longest
 	}
 	q.deadline = now.Add(q.timeout)
-	q.header = endToEnd(r.Header)
-	q.header.Del(HeaderHop)
-	q.header.Set(backend.RequestIDHeader, q.requestID)
+	q.header = maps.Clone(r.Header)
+	stripHopByHop(q.header)
+	delete(q.header, HeaderHop)
+	q.header[backend.RequestIDHeader] = q.idValue[:]
 	if _, ok := q.header["User-Agent"]; !ok {
-		q.header["User-Agent"] = []string{""} // keeps http.Request.Write from adding its own
+		q.header["User-Agent"] = noUserAgent
 	}
 	return q, nil
 }
 
 // splitPath takes the service out of the path, keeping the rest as it was
 // written.
-func splitPath(u *url.URL) (fleet.Service, *url.URL, error) {
-	rest, ok := strings.CutPrefix(u.EscapedPath(), PathPrefix)
-	name, path, found := strings.Cut(rest, "/")
+func splitPath(u *url.URL) (fleet.Service, url.URL, error) {
+	raw := u.EscapedPath()
+	rest, ok := strings.CutPrefix(raw, PathPrefix)
+	name, _, _ := strings.Cut(rest, "/")
 	if !ok || name == "" {
-		return "", nil, &BadRequestError{Header: "path", Value: u.Path}
+		return "", url.URL{}, &BadRequestError{Header: "path", Value: u.Path}
 	}
-	if !found {
-		path = ""
+	raw = rest[len(name):]
+	if raw == "" {
+		raw = "/"
 	}
-	plain, err := url.PathUnescape("/" + path)
+	plain, err := url.PathUnescape(raw)
 	if err != nil {
-		return "", nil, &BadRequestError{Header: "path", Value: u.Path}
+		return "", url.URL{}, &BadRequestError{Header: "path", Value: u.Path}
 	}
-	return fleet.Service(name), &url.URL{
-		Scheme:   "http",
-		Path:     plain,
-		RawPath:  "/" + path,
-		RawQuery: u.RawQuery,
-	}, nil
+	return fleet.Service(name), url.URL{Scheme: "http", Path: plain, RawPath: raw, RawQuery: u.RawQuery}, nil
 }
 
 // readBody reads the body up to the limit for replay, before the request
@@ -155,7 +157,7 @@
 
 // outgoing builds the request for one exchange.
 func (q *request) outgoing(address string) *http.Request {
-	u := *q.path
+	u := q.path
 	u.Host = address
 	out := &http.Request{
 		Method:        q.in.Method,
@@ -183,7 +185,9 @@
 		return g.send(ctx, q)
 	}
 	g.metrics.claims.Add(1)
-	claim, err := g.claimer.Claim(ctx, q.id)
+	claimCtx, cancel := context.WithDeadline(ctx, q.deadline)
+	claim, err := g.claimer.Claim(claimCtx, q.id)
+	cancel()
 	if err != nil {
 		return nil, err
 	}
@@ -221,13 +225,16 @@
 // that it never looks whole.
 func (g *Gateway) answer(ctx context.Context, w http.ResponseWriter, q *request, resp *backend.Response) {
 	h := w.Header()
-	for name, values := range endToEnd(resp.Header) {
-		h[name] = values
+	stripHopByHop(resp.Header)
+	maps.Copy(h, resp.Header)
+	h[backend.RequestIDHeader] = q.idValue[:]
+	h[HeaderOutcome] = answeredValue
+	if _, ok := h["Content-Length"]; !ok && resp.Whole && hasBody(q.in.Method, resp.Status) {
+		h.Set("Content-Length", strconv.Itoa(len(resp.Body)))
 	}
-	h.Set(backend.RequestIDHeader, q.requestID)
-	h.Set(HeaderOutcome, string(backend.Answered))
-	if hasLength(q.in.Method, resp) {
-		h.Set("Content-Length", strconv.FormatInt(resp.Length, 10))
+	if !resp.Whole || len(resp.Body) > smallAnswer {
+		// A caller that does not read must not hold a slot or a shutdown.
+		_ = http.NewResponseController(w).SetWriteDeadline(q.deadline) // a test recorder has none
 	}
 	w.WriteHeader(resp.Status)
 	if _, err := w.Write(resp.Body); err != nil && len(resp.Body) > 0 && q.in.Method != http.MethodHead {
@@ -249,13 +256,7 @@
 	g.metrics.count(backend.Answered)
 }
 
-// hasLength reports whether the answer's length is known and may be announced.
-func hasLength(method string, resp *backend.Response) bool {
-	if method == http.MethodHead || resp.Status == http.StatusNoContent || resp.Status == http.StatusNotModified {
-		return false
-	}
-	if resp.Whole {
-		resp.Length = int64(len(resp.Body))
-	}
-	return resp.Length >= 0
+// hasBody reports whether an answer with this status has a body.
+func hasBody(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -23,6 +24,11 @@
 	HeaderHop        = "Fuchsiahill-Hop"        // set between entry hosts
 )
 
+// noUserAgent keeps http.Request.Write from adding its own.
+var noUserAgent = []string{""}
+
+var answeredValue = []string{string(backend.Answered)}
+
 // Headers of answers.
 const (
 	HeaderOutcome      = "Fuchsiahill-Outcome"
@@ -93,7 +99,7 @@
 		o.requestID = v
 	}
 	if o.requestID == "" {
-		o.requestID = uuid.NewString()
+		o.requestID = strconv.FormatUint(rand.Uint64(), 16)
 	}
 	return nil
 }
@@ -106,22 +112,16 @@
 	return false
 }
 
-// endToEnd returns a copy of the header without what belongs to one
-// connection.
-func endToEnd(h http.Header) http.Header {
-	out := h.Clone()
-	if out == nil {
-		out = make(http.Header)
-	}
+// stripHopByHop removes what belongs to one connection.
+func stripHopByHop(h http.Header) {
 	for _, v := range h["Connection"] {
 		for name := range strings.SplitSeq(v, ",") {
-			out.Del(strings.TrimSpace(name))
+			h.Del(strings.TrimSpace(name))
 		}
 	}
 	for _, name := range hopByHop {
-		delete(out, name)
+		delete(h, name)
 	}
-	return out
 }
 
 // setFailure describes a failure in the headers of its answer.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -74,7 +74,7 @@
 
 // try runs one exchange with an own server other than avoid.
 func (g *Gateway) try(ctx context.Context, q *request, t *route.Ticket, avoid fleet.ServerID) (*backend.Response, fleet.ServerID, error) {
-	a, err := q.service.pick(t, avoid)
+	a, err := q.service.pick(t, avoid, g)
 	if err != nil {
 		return nil, "", err
 	}
@@ -85,7 +85,8 @@
 		Streamed: q.streamed(),
 		Buffer:   v.BufferBytes,
 		Timeouts: timeouts(v),
-		Allow:    func() bool { return g.maySend(a.server) },
+		Gate:     a,
+		Deadline: q.deadline,
 	})
 	a.report(time.Since(started), resp, err)
 	return resp, a.target.ID(), err
@@ -103,7 +104,7 @@
 
 // mayRetry reports whether the request may go to another server after err.
 func (g *Gateway) mayRetry(ctx context.Context, q *request, err error) bool {
-	if ctx.Err() != nil || !retryable(q, err) || !q.service.retry() {
+	if ctx.Err() != nil || !time.Now().Before(q.deadline) || !retryable(q, err) || !q.service.retry() {
 		return false
 	}
 	g.metrics.retries.Add(1)
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -145,10 +145,8 @@
 	s.mu.Lock()
 	t := s.limiter.Admit(time.Now(), class, deadline)
 	s.mu.Unlock()
-	select {
-	case <-t.Decided():
-	case <-ctx.Done():
-		return nil, s.giveUp(t)
+	if err := s.wait(ctx, t, deadline); err != nil {
+		return nil, err
 	}
 	if refusal := t.Refusal(); refusal != nil {
 		return nil, refusal
@@ -156,6 +154,18 @@
 	return t, nil
 }
 
+func (s *service) wait(ctx context.Context, t *route.Ticket, deadline time.Time) error {
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case <-t.Decided():
+		return nil
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return s.giveUp(t)
+}
+
 // giveUp ends the wait of a caller that left or whose deadline passed.
 func (s *service) giveUp(t *route.Ticket) error {
 	now := time.Now()
@@ -171,11 +181,15 @@
 	target  *route.Server
 	server  *server
 	ticket  *route.Ticket
-	slot    *backend.Slot
+	slot    backend.Slot
+	gateway *Gateway
 }
 
+// MaySend implements backend.Gate.
+func (a *attempt) MaySend() bool { return a.gateway.maySend(a.server) }
+
 // pick turns a running ticket into a slot of a server other than avoid.
-func (s *service) pick(t *route.Ticket, avoid fleet.ServerID) (*attempt, error) {
+func (s *service) pick(t *route.Ticket, avoid fleet.ServerID, g *Gateway) (*attempt, error) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -184,7 +198,7 @@
 		s.limiter.Cancel(now, t)
 		return nil, &NoServerError{Service: s.name}
 	}
-	a := &attempt{service: s, target: target, server: s.servers[target.ID()], ticket: t}
+	a := &attempt{service: s, target: target, server: s.servers[target.ID()], ticket: t, gateway: g}
 	slot, ok := a.server.pool.TryAcquire(a.free)
 	if !ok {
 		s.picker.Release(target)
@@ -210,8 +224,11 @@
 func (a *attempt) report(latency time.Duration, resp *backend.Response, err error) {
 	now := time.Now()
 	s := a.service
-	verdict := judge(err, latency, s.settings())
-	if resp != nil && resp.Status >= failedStatus {
+	verdict := verdictOK
+	switch {
+	case err != nil:
+		verdict = s.judge(err, latency)
+	case resp.Status >= failedStatus:
 		verdict = verdictFailed
 	}
 	if verdict == verdictConnection {
@@ -242,19 +259,17 @@
 )
 
 // judge tells what an exchange says of its server.
-func judge(err error, latency time.Duration, v settings.Resolved) verdict {
+func (s *service) judge(err error, latency time.Duration) verdict {
 	var notRun *backend.NotRunError
 	var unknown *backend.UnknownError
 	switch {
-	case err == nil:
-		return verdictOK
 	case errors.As(err, &notRun):
 		if notRun.Reason == backend.ReasonDial {
 			return verdictFailed
 		}
 		return verdictNone
 	case errors.As(err, &unknown):
-		return judgeUnknown(unknown, latency, v)
+		return judgeUnknown(unknown, latency, s.settings())
 	}
 	return verdictNone
 }
--- a/route/limiter.go
+++ b/route/limiter.go
@@ -67,6 +67,13 @@
 // Refusal returns why a decided request was refused, or nil if it may run.
 func (t *Ticket) Refusal() *RefusedError { return t.refusal }
 
+// closedChan is the channel of all requests that need not wait.
+var closedChan = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
 // Limiter bounds the running and waiting requests of one service.
 //
 // Invariants: running <= limits.Concurrency, except after the limits were
@@ -120,7 +127,7 @@
 	if l.running >= l.limits.Concurrency {
 		return nil, false
 	}
-	t := &Ticket{class: class, decided: make(chan struct{})}
+	t := &Ticket{class: class, decided: closedChan}
 	l.load[class]++
 	l.start(now, t)
 	return t, true
@@ -219,7 +226,6 @@
 	l.running++
 	l.runningOf[t.class]++
 	l.startedSum += now.Sub(l.epoch)
-	close(t.decided)
 }
 
 func (l *Limiter) refuse(now time.Time, t *Ticket, reason RefusalReason) {
@@ -300,6 +306,7 @@
 		}
 		l.dequeue(t)
 		l.start(now, t)
+		close(t.decided)
 	}
 }
 
