Let a caller send its body as slowly as its deadline allows

The server's time to begin its answer ran from the first byte of the request, so a slow upload failed as silent (TestSlowUpload, seen to fail first).

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -59,7 +59,7 @@
 	if c.headLeft > 0 && len(b) > c.headLeft {
 		b = b[:c.headLeft]
 	}
-	n, err := c.Conn.Read(b)
+	n, err := c.Read(b)
 	if n > 0 {
 		c.readAt.Store(time.Now().UnixNano())
 	}
@@ -73,7 +73,7 @@
 }
 
 func (c *conn) write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
+	n, err := c.Write(b)
 	c.written.Add(int64(n))
 	return n, err
 }
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -17,7 +17,7 @@
 // Timeouts bound an exchange.
 type Timeouts struct {
 	Dial      time.Duration
-	FirstByte time.Duration // from the request's first byte to the answer's first byte
+	FirstByte time.Duration // from the request's last byte to the answer's first byte
 	Idle      time.Duration // longest silence inside an answer
 	Longest   time.Duration // after this the server has surely stopped working on a request
 }
@@ -55,6 +55,7 @@
 	conn     atomic.Pointer[conn] // set before stageWriting
 	reused   bool                 // set before conn
 	sentAt   atomic.Int64         // Unix nanoseconds
+	wroteAt  atomic.Int64         // Unix nanoseconds of the end of a streamed request
 	head     chan headResult      // one value
 	resp     Response             // of the head result
 	chunks   chan chunk           // of a body above Buffer
@@ -132,7 +133,11 @@
 func (x *exchange) transfer(c *conn) {
 	if x.req.Streamed {
 		x.streamed = make(chan error, 1)
-		go func() { x.streamed <- x.write(c) }()
+		go func() {
+			err := x.write(c)
+			x.wroteAt.Store(time.Now().UnixNano())
+			x.streamed <- err
+		}()
 	} else if x.sendErr = x.write(c); x.sendErr != nil && c.written.Load() == 0 {
 		go x.pool.retire(c)
 		x.finishUnsent(&NotRunError{Address: x.pool.address, Reason: ReasonWrite, Cause: x.sendErr})
@@ -140,12 +145,12 @@
 	}
 	// After a failed write an answer may still be there: a server may refuse a
 	// body early.
-	resp, err := x.readHead(c)
+	head, err := x.readHead(c)
 	if err != nil {
 		x.fail(c, err)
 		return
 	}
-	x.readBody(c, resp)
+	x.readBody(c, head)
 }
 
 // write writes the request.
@@ -179,19 +184,30 @@
 	return x.sendErr == nil, x.sendErr
 }
 
+// answerHead is the header of an answer, with its body still to be read.
+type answerHead struct {
+	status int
+	header http.Header
+	body   io.Reader // the connection's; there is nothing to close
+	length int64     // -1 for chunked
+	close  bool      // the server closes the connection after the body
+}
+
 // readHead reads the final answer's header.
-func (x *exchange) readHead(c *conn) (*http.Response, error) {
+func (x *exchange) readHead(c *conn) (*answerHead, error) {
 	for {
 		resp, err := http.ReadResponse(c.br, x.req.HTTP)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, &UpgradeError{}
-		}
 		if resp.StatusCode >= http.StatusOK {
 			c.headLeft = -1
-			return resp, x.checkHead(resp)
+			head := &answerHead{resp.StatusCode, resp.Header, resp.Body, resp.ContentLength, resp.Close}
+			return head, x.checkHead(resp)
+		}
+		_ = resp.Body.Close() // an interim answer has none
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, &UpgradeError{}
 		}
 	}
 }
--- a/backend/response.go
+++ b/backend/response.go
@@ -26,10 +26,10 @@
 
 // readBody delivers the body and finishes the exchange. A whole answer frees
 // the slot before the caller learns of it.
-func (x *exchange) readBody(c *conn, head *http.Response) {
+func (x *exchange) readBody(c *conn, head *answerHead) {
 	resp := &x.resp
-	*resp = Response{Status: head.StatusCode, Header: head.Header, Length: head.ContentLength, x: x}
-	data, whole, err := wholeBody(head.Body, head.ContentLength, x.req.Buffer)
+	*resp = Response{Status: head.status, Header: head.header, Length: head.length, x: x}
+	data, whole, err := wholeBody(head.body, head.length, x.req.Buffer)
 	if whole {
 		err = x.checkEnd(c, head)
 	}
@@ -41,7 +41,7 @@
 	resp.Body = data
 	resp.Whole = whole
 	if whole {
-		x.finish(c, !head.Close)
+		x.finish(c, !head.close)
 		x.head <- headResult{resp: resp}
 		return
 	}
@@ -69,9 +69,9 @@
 
 // checkEnd consumes what ends the body (the last chunk, trailers) and checks
 // that nothing follows.
-func (x *exchange) checkEnd(c *conn, head *http.Response) error {
-	if head.ContentLength < 0 {
-		if _, err := io.Copy(io.Discard, head.Body); err != nil {
+func (x *exchange) checkEnd(c *conn, head *answerHead) error {
+	if head.length < 0 {
+		if _, err := io.Copy(io.Discard, head.body); err != nil {
 			return err
 		}
 	}
@@ -97,13 +97,13 @@
 
 // stream hands the rest of the body to the caller in parts, and discards it
 // once the caller has left.
-func (x *exchange) stream(c *conn, head *http.Response) {
+func (x *exchange) stream(c *conn, head *answerHead) {
 	var buffers [2][]byte
 	for i := 0; ; i ^= 1 {
 		if buffers[i] == nil {
 			buffers[i] = make([]byte, streamChunk)
 		}
-		n, err := head.Body.Read(buffers[i])
+		n, err := head.body.Read(buffers[i])
 		if errors.Is(err, io.EOF) {
 			x.endStream(c, head, buffers[i][:n])
 			return
@@ -119,7 +119,7 @@
 
 // endStream checks the end before the last bytes are handed over, so that an
 // answer that is not acceptable never looks whole.
-func (x *exchange) endStream(c *conn, head *http.Response, last []byte) {
+func (x *exchange) endStream(c *conn, head *answerHead, last []byte) {
 	err := x.checkEnd(c, head)
 	if err != nil {
 		x.endBody(c, err)
@@ -131,7 +131,7 @@
 		x.finish(c, false)
 		return
 	default:
-		x.finish(c, !head.Close)
+		x.finish(c, !head.close)
 	}
 	x.deliver(chunk{data: last})
 	x.deliver(chunk{err: io.EOF})
@@ -215,9 +215,17 @@
 	if sent == 0 {
 		return x.started.Add(x.req.Timeouts.Dial).Sub(now), ReasonDial
 	}
-	if read := x.conn.Load().readAt.Load(); read != 0 {
+	c := x.conn.Load()
+	if read := c.readAt.Load(); read != 0 {
 		return time.Unix(0, read).Add(x.req.Timeouts.Idle).Sub(now), ReasonIdle
 	}
+	if x.req.Streamed {
+		wrote := x.wroteAt.Load()
+		if wrote == 0 { // the caller still sends
+			return time.Unix(0, sent).Add(x.req.Timeouts.Longest).Sub(now), ReasonFirstByte
+		}
+		sent = wrote
+	}
 	return time.Unix(0, sent).Add(x.req.Timeouts.FirstByte).Sub(now), ReasonFirstByte
 }
 
--- a/backend/stream_test.go
+++ b/backend/stream_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/backend"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
@@ -62,3 +63,31 @@
 		t.Errorf("whole %v, %d bytes", resp.Whole, total)
 	}
 }
+
+// slowReader gives one byte at a time.
+type slowReader struct{ left int }
+
+func (r *slowReader) Read(b []byte) (int, error) {
+	if r.left == 0 {
+		return 0, io.EOF
+	}
+	r.left--
+	time.Sleep(20 * time.Millisecond)
+	return copy(b, "x"), nil
+}
+
+// TestSlowUpload checks that the server's time to answer begins when it has
+// the request.
+func TestSlowUpload(t *testing.T) {
+	b := start(t, instant)
+	p := newPool(t, b)
+	r := newRequest("POST", "r1", "")
+	r.Body = io.NopCloser(&slowReader{left: 8})
+	r.ContentLength = 8
+	timeouts := shortTimeouts()
+	timeouts.Longest = time.Second
+	_, err := do(t.Context(), p, backend.Request{HTTP: r, Streamed: true, Buffer: 1 << 10, Timeouts: timeouts})
+	if err != nil {
+		t.Error(err)
+	}
+}
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -6,7 +6,6 @@
 	"slices"
 	"testing"
 	"time"
-
 )
 
 // benchSite runs a gateway with one backend server for a benchmark.
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -29,6 +29,9 @@
 // unknownRetryAfter is told to callers whose request has an unknown outcome.
 const unknownRetryAfter = 100 * time.Millisecond
 
+// otherHostRetryAfter is told to callers whom another host can serve.
+const otherHostRetryAfter = 10 * time.Millisecond
+
 // DrainError reports that requests were still in progress when the time to
 // drain was over.
 type DrainError struct{ Cause error }
@@ -110,7 +113,7 @@
 	case errors.As(err, &noServer):
 		return refusal(reasonNoServer, time.Second)
 	case errors.As(err, &draining):
-		return refusal(reasonDraining, 0)
+		return refusal(reasonDraining, otherHostRetryAfter)
 	case errors.As(err, &body):
 		return failure{http.StatusBadRequest, backend.NotRun, reasonRequestBody, 0}
 	case errors.As(err, &bad):
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"expvar"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -84,7 +85,7 @@
 	}
 	g.version.Store(-1)
 	g.revision.Store(-1)
-	g.metrics.init()
+	g.metrics.init(expvar.Func(g.serviceMetrics))
 	g.refresh(time.Now())
 	return g
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -98,6 +98,7 @@
 	q.header = maps.Clone(r.Header)
 	stripHopByHop(q.header)
 	delete(q.header, HeaderHop)
+	delete(q.header, "Expect") // the body is sent in any case
 	q.header[backend.RequestIDHeader] = q.idValue[:]
 	if _, ok := q.header["User-Agent"]; !ok {
 		q.header["User-Agent"] = noUserAgent
@@ -214,6 +215,9 @@
 func (g *Gateway) fail(w http.ResponseWriter, err error) {
 	f := describe(err)
 	g.metrics.count(f.outcome)
+	if f.outcome == backend.Unknown {
+		g.deps.Logger.Log("event", "request_unknown", "reason", f.reason, "request", w.Header().Get(backend.RequestIDHeader), "err", err)
+	}
 	h := w.Header()
 	f.setHeaders(h)
 	h.Set("Content-Type", "application/json")
@@ -229,6 +233,7 @@
 	maps.Copy(h, resp.Header)
 	h[backend.RequestIDHeader] = q.idValue[:]
 	h[HeaderOutcome] = answeredValue
+	delete(h, HeaderReason)
 	if _, ok := h["Content-Length"]; !ok && resp.Whole && hasBody(q.in.Method, resp.Status) {
 		h.Set("Content-Length", strconv.Itoa(len(resp.Body)))
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -4,6 +4,7 @@
 	"expvar"
 
 	"github.com/fuchsiahill/fuchsiahill/backend"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
 )
 
 // metrics counts what happened since the start.
@@ -18,7 +19,7 @@
 	claims    expvar.Int
 }
 
-func (m *metrics) init() {
+func (m *metrics) init(services expvar.Var) {
 	m.all.Init()
 	m.all.Set("answered", &m.answered)
 	m.all.Set("not_run", &m.notRun)
@@ -27,6 +28,7 @@
 	m.all.Set("forwarded", &m.forwarded)
 	m.all.Set("aborted", &m.aborted)
 	m.all.Set("claims", &m.claims)
+	m.all.Set("services", services)
 }
 
 func (m *metrics) count(o backend.Outcome) {
@@ -40,5 +42,33 @@
 	}
 }
 
+// serviceMetrics is the published state of a service.
+type serviceMetrics struct {
+	Slots   int   `json:"slots"`
+	Free    int   `json:"free"`
+	Waiting int   `json:"waiting"`
+	Ejected int   `json:"ejected"`
+	P50US   int64 `json:"p50_us"`
+	P99US   int64 `json:"p99_us"`
+	Samples int64 `json:"samples"`
+}
+
+func (g *Gateway) serviceMetrics() any {
+	all := make(map[fleet.Service]serviceMetrics)
+	for _, s := range g.allServices() {
+		load, l := s.load(), s.latency()
+		all[s.name] = serviceMetrics{
+			Slots:   load.Slots,
+			Free:    load.Free,
+			Waiting: load.Waiting,
+			Ejected: s.ejected(),
+			P50US:   l.P50.Microseconds(),
+			P99US:   l.P99.Microseconds(),
+			Samples: l.Samples,
+		}
+	}
+	return all
+}
+
 // Metrics returns the gateway's counters, for publishing with expvar.
 func (g *Gateway) Metrics() expvar.Var { return &g.metrics.all }
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -113,6 +113,12 @@
 	}
 }
 
+func (s *service) ejected() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.picker.EjectedCount()
+}
+
 func (s *service) observe(d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
