Forward around a peer that did not run a request

Ruled out: slow start, which weighs a choice and caps nothing, and summaries that count servers of a data centre that is out.

Change: a peer that did not run a request rests for 2 s and the request is offered to one other peer.

Before: TestForwardAroundDeadPeer fails at request 0 (no_server). After: it passes.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -16,6 +16,11 @@
 	peerSlots = 256 // requests at once that are forwarded to one peer
 	// hopTime is kept from the deadline for the way back.
 	hopTime = 5 * time.Millisecond
+	// peersTried is how many peers a request may be offered to.
+	peersTried = 2
+	// peerRest is how long a peer gets no requests after one was not run
+	// there. Its last summary may be as old as its lease.
+	peerRest = 2 * time.Second
 )
 
 // peerKey names one process of a peer.
@@ -26,21 +31,44 @@
 }
 
 type peerPool struct {
-	pool *backend.Pool
+	pool      *backend.Pool
+	restUntil time.Time // guarded by Gateway.mu
 }
 
 // sendElsewhere forwards a request that finds the own servers full, at most
-// one hop. It returns false if there is no peer to ask.
+// one hop. It returns false if there is no peer to ask. A peer that did not
+// run the request rests, and another one is asked.
 func (g *Gateway) sendElsewhere(ctx context.Context, q *request) (*backend.Response, error, bool) {
 	if q.forwarded {
 		// The first host chose this one for its free slots. They are gone, and
 		// it can queue the request best.
 		return nil, q.service.refusal(), true
 	}
-	host, ok := g.choosePeer(q.service.name)
-	if !ok {
-		return nil, nil, false
+	var last error
+	for range peersTried {
+		host, ok := g.choosePeer(q.service.name, time.Now())
+		if !ok {
+			break
+		}
+		resp, err, asked := g.sendTo(ctx, q, host)
+		if !asked {
+			break
+		}
+		if err == nil {
+			return resp, nil, true
+		}
+		last = err
+		if describe(err).outcome != backend.NotRun || ctx.Err() != nil || q.streamed() {
+			break
+		}
+		g.rest(host, time.Now())
 	}
+	return nil, last, last != nil
+}
+
+// sendTo forwards a request to one peer. It returns false if too many are on
+// their way there.
+func (g *Gateway) sendTo(ctx context.Context, q *request, host member.Host) (*backend.Response, error, bool) {
 	slot, ok := g.peer(host).pool.TryAcquire(nil)
 	if !ok {
 		return nil, nil, false
@@ -104,13 +132,13 @@
 }
 
 // choosePeer returns the one with more free slots of two random members of
-// the region that have some.
-func (g *Gateway) choosePeer(name fleet.Service) (member.Host, bool) {
+// the region that have some and do not rest.
+func (g *Gateway) choosePeer(name fleet.Service, now time.Time) (member.Host, bool) {
 	hosts := g.deps.Members.Hosts()
 	var best member.Host
 	most := 0
 	for range 2 {
-		host, free := g.randomPeer(hosts, name)
+		host, free := g.randomPeer(hosts, name, now)
 		if free > most {
 			most = free
 			best = host
@@ -120,14 +148,14 @@
 }
 
 // randomPeer returns the first host with free slots from a random place on.
-func (g *Gateway) randomPeer(hosts []member.Host, name fleet.Service) (member.Host, int) {
+func (g *Gateway) randomPeer(hosts []member.Host, name fleet.Service, now time.Time) (member.Host, int) {
 	if len(hosts) == 0 {
 		return member.Host{}, 0
 	}
 	start := randomIndex(len(hosts))
 	for i := range hosts {
 		host := hosts[(start+i)%len(hosts)]
-		if host.ID == g.deps.Self.ID || host.Region != g.deps.Self.Region {
+		if host.ID == g.deps.Self.ID || host.Region != g.deps.Self.Region || g.rests(host, now) {
 			continue
 		}
 		sum, ok := g.deps.Members.Summary(host.ID)
@@ -138,8 +166,27 @@
 	return member.Host{}, 0
 }
 
+// rest keeps requests from a peer for a while.
+func (g *Gateway) rest(host member.Host, now time.Time) {
+	p := g.peer(host)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p.restUntil = now.Add(peerRest)
+}
+
+func (g *Gateway) rests(host member.Host, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p, ok := g.peers[keyOf(host)]
+	return ok && now.Before(p.restUntil)
+}
+
+func keyOf(host member.Host) peerKey {
+	return peerKey{host.ID, host.Incarnation, host.HTTPAddress}
+}
+
 func (g *Gateway) peer(host member.Host) *peerPool {
-	key := peerKey{host.ID, host.Incarnation, host.HTTPAddress}
+	key := keyOf(host)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p, ok := g.peers[key]
@@ -156,7 +203,7 @@
 func (g *Gateway) sweepPeers(now time.Time) {
 	for key, p := range g.peers {
 		p.pool.CloseIdle(now.Add(-backend.MaxIdle))
-		if u := p.pool.Usage(); u.Slots == 0 && u.Connections == 0 {
+		if u := p.pool.Usage(); u.Slots == 0 && u.Connections == 0 && now.After(p.restUntil) {
 			p.pool.Close()
 			delete(g.peers, key)
 		}
--- /dev/null
+++ b/gateway/forward_test.go
@@ -0,0 +1,34 @@
+package gateway_test
+
+import (
+	"net"
+	"testing"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/member"
+)
+
+// TestForwardAroundDeadPeer checks that a dead peer, whose record and summary
+// outlive it by a lease, costs callers nothing while another peer has room.
+func TestForwardAroundDeadPeer(t *testing.T) {
+	s := newSite(t, 1, instant)
+	owner := s.start(t, "h1", true)
+	other := s.start(t, "h2", false)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead := member.Host{ID: "h3", Incarnation: 1, Region: "bg", DataCentre: dc, HTTPAddress: ln.Addr().String()}
+	ln.Close()
+	s.mu.Lock()
+	s.hosts = append(s.hosts, dead)
+	many := member.ServiceLoad{Slots: 100, Free: 100}
+	s.sums["h1"] = member.Summary{Host: "h1", Incarnation: 1, Services: owner.Summary()}
+	s.sums["h3"] = member.Summary{Host: "h3", Incarnation: 1, Services: map[fleet.Service]member.ServiceLoad{svc: many}}
+	s.mu.Unlock()
+	for i := range 20 {
+		if r := other.call(t.Context(), "POST", "data"); r.outcome() != "answered" {
+			t.Fatalf("request %d: %s (%s)", i, r.outcome(), r.reason())
+		}
+	}
+}
