--- a/api/client.go
+++ b/api/client.go
@@ -66,18 +66,24 @@
 
 // write makes a call that is idempotent by the ID it carries, and repeats it
 // while its outcome is unknown.
+//
+// After an attempt of unknown outcome, a later one that was refused says
+// nothing about the first: that may still be under way at another host.
 func (c *Client) write(ctx context.Context, method, path string, body, answer any) error {
-	var err error
+	var unknown error
 	for attempt := range writeAttempts {
 		if attempt > 0 && !pause(ctx, writePause) {
-			return err
+			break
 		}
-		err = c.within(ctx, answerTimeout, method, path, body, answer)
-		if !isUnknownOutcome(err) {
+		err := c.within(ctx, answerTimeout, method, path, body, answer)
+		switch {
+		case isUnknownOutcome(err):
+			unknown = err
+		case err == nil || unknown == nil || isReusedID(err):
 			return err
 		}
 	}
-	return err
+	return unknown
 }
 
 func isUnknownOutcome(err error) bool {
@@ -86,6 +92,13 @@
 	return errors.As(err, &unknown) || errors.As(err, &answered) && answered.Code == CodeUnknownOutcome
 }
 
+// isReusedID reports whether the ID of a call belongs to another one, so that
+// no attempt can have succeeded.
+func isReusedID(err error) bool {
+	var answered *Error
+	return errors.As(err, &answered) && answered.Code == CodeReusedID
+}
+
 func pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/command/client.go
+++ b/command/client.go
@@ -105,9 +105,9 @@
 	return id.String(), err
 }
 
-// print writes value as JSON if that is asked for, and else what text
+// printValue writes value as JSON if that is asked for, and else what text
 // writes, with tabs aligned as columns.
-func print(cmd *cli.Command, value any, text func(w io.Writer)) error {
+func printValue(cmd *cli.Command, value any, text func(w io.Writer)) error {
 	out := cmd.Root().Writer
 	if !cmd.Bool(jsonFlag) {
 		table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
--- a/command/command.go
+++ b/command/command.go
@@ -140,7 +140,7 @@
 			value := struct {
 				Version string `json:"version"`
 			}{version}
-			return print(cmd, value, func(w io.Writer) { fmt.Fprintf(w, "fuchsiahill %s\n", version) })
+			return printValue(cmd, value, func(w io.Writer) { fmt.Fprintf(w, "fuchsiahill %s\n", version) })
 		},
 	}
 }
--- a/command/errors.go
+++ b/command/errors.go
@@ -98,11 +98,19 @@
 }
 
 func classifyLocal(err error) (failure, bool) {
-	var usage *UsageError
-	var file *FileError
-	var lagging *LaggingError
-	var invalid *settings.InvalidError
+	var (
+		usage      *UsageError
+		file       *FileError
+		lagging    *LaggingError
+		change     *UnknownChangeError
+		submission *UnknownSubmissionError
+		invalid    *settings.InvalidError
+	)
 	switch {
+	case errors.As(err, &change):
+		return failure{change, ExitUnknown}, true
+	case errors.As(err, &submission):
+		return failure{submission, ExitUnknown}, true
 	case errors.As(err, &usage):
 		return failure{usage, ExitUsage}, true
 	case errors.As(err, &file):
--- a/command/fleet.go
+++ b/command/fleet.go
@@ -60,7 +60,7 @@
 			if err != nil {
 				return err
 			}
-			return print(cmd, value, func(w io.Writer) { text(w, value) })
+			return printValue(cmd, value, func(w io.Writer) { text(w, value) })
 		},
 	}
 }
--- a/command/history.go
+++ b/command/history.go
@@ -34,7 +34,7 @@
 			if err != nil {
 				return err
 			}
-			return print(cmd, page, func(w io.Writer) { historyText(w, page) })
+			return printValue(cmd, page, func(w io.Writer) { historyText(w, page) })
 		},
 	}
 }
@@ -77,7 +77,7 @@
 }
 
 func printWait(cmd *cli.Command, w api.Wait) error {
-	err := print(cmd, w, func(out io.Writer) {
+	err := printValue(cmd, w, func(out io.Writer) {
 		if w.InForce {
 			fmt.Fprintf(out, "revision %d is in force on %d hosts\n", w.Revision, w.Hosts)
 		}
--- a/command/jobs.go
+++ b/command/jobs.go
@@ -54,7 +54,7 @@
 			if err != nil {
 				return withJobID(err, spec.ID)
 			}
-			return print(cmd, status, func(w io.Writer) { jobText(w, status) })
+			return printValue(cmd, status, func(w io.Writer) { jobText(w, status) })
 		},
 	}
 }
@@ -169,7 +169,7 @@
 			if err != nil {
 				return err
 			}
-			return print(cmd, page, func(w io.Writer) { pageText(w, page) })
+			return printValue(cmd, page, func(w io.Writer) { pageText(w, page) })
 		},
 	}
 }
@@ -205,7 +205,7 @@
 			if err != nil {
 				return err
 			}
-			return print(cmd, status, func(w io.Writer) { jobText(w, status) })
+			return printValue(cmd, status, func(w io.Writer) { jobText(w, status) })
 		},
 	}
 }
--- a/command/settings.go
+++ b/command/settings.go
@@ -64,7 +64,7 @@
 			if err != nil {
 				return err
 			}
-			return print(cmd, v, func(w io.Writer) { fmt.Fprintln(w, indented(v.Value)) })
+			return printValue(cmd, v, func(w io.Writer) { fmt.Fprintln(w, indented(v.Value)) })
 		},
 	}
 }
@@ -172,7 +172,7 @@
 	if err != nil {
 		return withChangeID(err, id)
 	}
-	if err := print(cmd, rec, func(w io.Writer) { fmt.Fprintln(w, describeRecord(rec)) }); err != nil {
+	if err := printValue(cmd, rec, func(w io.Writer) { fmt.Fprintln(w, describeRecord(rec)) }); err != nil {
 		return err
 	}
 	if !cmd.IsSet(waitFlag) {
@@ -253,7 +253,7 @@
 			if err != nil {
 				return err
 			}
-			return print(cmd, e, func(w io.Writer) { explainText(w, e) })
+			return printValue(cmd, e, func(w io.Writer) { explainText(w, e) })
 		},
 	}
 }
@@ -288,7 +288,7 @@
 			if _, err := settings.Decode(data); err != nil {
 				return err
 			}
-			return print(cmd, api.Validation{Valid: true}, func(w io.Writer) { fmt.Fprintln(w, "valid") })
+			return printValue(cmd, api.Validation{Valid: true}, func(w io.Writer) { fmt.Fprintln(w, "valid") })
 		},
 	}
 }
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"reflect"
+	"strconv"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -87,8 +88,23 @@
 	return eris.Wrap(&ValueError{Path: path, Reason: fmt.Sprintf(format, args...)}, "strictjson")
 }
 
+const maxNameBytes = 80
+
+// Printable returns a name fit for one line of an error: shortened and, if it
+// has characters that don't print, quoted.
+func Printable(name string) string {
+	if len(name) > maxNameBytes {
+		name = strings.ToValidUTF8(name[:maxNameBytes], "") + "..."
+	}
+	if quoted := strconv.Quote(name); quoted != `"`+name+`"` {
+		return quoted
+	}
+	return name
+}
+
 // Join appends a name to a path.
 func Join(path, name string) string {
+	name = Printable(name)
 	if path == "" {
 		return name
 	}
@@ -148,10 +164,11 @@
 const shownBytes = 40
 
 func shorten(raw []byte) string {
-	if len(raw) <= shownBytes {
-		return string(raw)
+	var flat bytes.Buffer
+	if json.Compact(&flat, raw) != nil || flat.Len() <= shownBytes {
+		return flat.String()
 	}
-	return strings.ToValidUTF8(string(raw[:shownBytes]), "") + "..."
+	return strings.ToValidUTF8(flat.String()[:shownBytes], "") + "..."
 }
 
 func describe(t reflect.Type) string {
--- a/settings/audit.go
+++ b/settings/audit.go
@@ -16,29 +16,49 @@
 
 // idClockMargin is how far the clock that made a change ID may be off from
 // the clocks of audit records.
-const idClockMargin = time.Hour
-
-// roll returns the document that follows cur with rec as its newest record.
-// Before it drops the oldest records, it writes them to their own key. If the
-// change is then not accepted, the records stand in both places, which
-// readers tell by their IDs.
-func (e *Editor) roll(ctx context.Context, cur state, rec Record) (*document, error) {
-	next := &document{Older: cur.doc.Older, Records: append(slices.Clone(cur.doc.Records), rec)}
-	if len(next.Records) <= maxRecords {
-		return next, nil
+const idClockMargin = 10 * time.Minute
+
+// follow returns the value of the document that follows cur, with rec as its
+// newest record. Before it drops the oldest records, it writes them to keys of
+// their own. If the change is then not accepted, the records stand in both
+// places, which does no harm: nothing points to the key yet, and the next
+// change writes it with the same value.
+func (e *Editor) follow(ctx context.Context, cur state, tree *Tree, rec Record) ([]byte, error) {
+	next := &document{Tree: tree, Older: cur.doc.Older, Records: append(slices.Clone(cur.doc.Records), rec)}
+	for {
+		value, err := next.encode()
+		if err != nil || !next.isFull(len(value)) {
+			return value, err
+		}
+		if err := e.roll(ctx, next); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// isFull reports whether the oldest records have to leave a document whose
+// value has size bytes.
+func (d *document) isFull(size int) bool {
+	if len(d.Records) <= chunkRecords {
+		return false
 	}
-	oldest := next.Records[:chunkRecords]
+	return len(d.Records) > maxRecords || size > maxDocumentBytes
+}
+
+// roll moves the oldest records of d to a key of their own.
+func (e *Editor) roll(ctx context.Context, d *document) error {
+	oldest := d.Records[:chunkRecords]
 	key := chunkKey(oldest[0])
-	value, err := json.Marshal(chunk{Records: oldest, Older: cur.doc.Older})
+	value, err := json.Marshal(chunk{Records: oldest, Older: d.Older})
 	if err != nil {
-		return nil, eris.Wrap(&InvalidError{Reason: err.Error()}, "roll")
+		return eris.Wrap(&InvalidError{Reason: err.Error()}, "roll")
 	}
 	if err := e.writeOnce(ctx, key, value); err != nil {
-		return nil, err
+		return err
 	}
-	next.Records = next.Records[chunkRecords:]
-	next.Older = key
-	return next, nil
+	d.Records = d.Records[chunkRecords:]
+	d.Older = key
+	return nil
 }
 
 // writeOnce writes a key that never changes. Any failure means for the change
--- a/settings/change.go
+++ b/settings/change.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"strings"
@@ -26,18 +27,28 @@
 	maxPathLength = 512
 )
 
-func (c Change) check() error {
+// normal returns c with its value as it will be stored, or why c can't be
+// applied to any tree.
+func (c Change) normal() (Change, error) {
 	switch {
 	case c.ID == "" || len(c.ID) > maxIDLength || strings.ContainsAny(c.ID, "/ \n"):
-		return invalidChange("change ID", fmt.Sprintf("must be 1 to %d characters without slash or space", maxIDLength))
+		return c, invalidChange("change ID", fmt.Sprintf("must be 1 to %d characters without slash or space", maxIDLength))
 	case c.Who == "" || len(c.Who) > maxWhoLength:
-		return invalidChange("who", fmt.Sprintf("must be 1 to %d characters", maxWhoLength))
+		return c, invalidChange("who", fmt.Sprintf("must be 1 to %d characters", maxWhoLength))
 	case c.Path == "" || len(c.Path) > maxPathLength:
-		return invalidChange("path", fmt.Sprintf("must be 1 to %d characters", maxPathLength))
-	case len(c.Value) > MaxChangeBytes:
-		return invalidChange(c.Path, fmt.Sprintf("value has %d bytes, the limit is %d", len(c.Value), MaxChangeBytes))
+		return c, invalidChange("path", fmt.Sprintf("must be 1 to %d characters", maxPathLength))
+	case c.Value == nil:
+		return c, nil
 	}
-	return nil
+	value, err := json.Marshal(c.Value)
+	if err != nil {
+		return c, invalidChange(c.Path, "value is not valid JSON")
+	}
+	if len(value) > MaxChangeBytes {
+		return c, invalidChange(c.Path, fmt.Sprintf("value has %d bytes, the limit is %d", len(value), MaxChangeBytes))
+	}
+	c.Value = value
+	return c, nil
 }
 
 func invalidChange(path, reason string) error {
@@ -46,19 +57,7 @@
 
 // same reports whether a record is that of c, so that c was applied before.
 func (c Change) same(r Record) bool {
-	return r.Path == c.Path && compact(r.New) == compact(c.Value)
-}
-
-func compact(value json.RawMessage) string {
-	var v any
-	if json.Unmarshal(value, &v) != nil {
-		return string(value)
-	}
-	data, err := json.Marshal(v)
-	if err != nil {
-		return string(value)
-	}
-	return string(data)
+	return r.Path == c.Path && bytes.Equal(r.New, c.Value)
 }
 
 // apply returns the tree after c, and the audit record.
@@ -67,7 +66,7 @@
 	if err != nil {
 		return nil, Record{}, err
 	}
-	old, err := replace(root, c.Path, c.Value)
+	old, err := replace(root, c.Path, c.Path, c.Value)
 	if err != nil {
 		return nil, Record{}, err
 	}
@@ -124,47 +123,44 @@
 
 // replace sets the value at path below n, or removes it if value is nil, and
 // returns what was there. It creates the levels on the way to a new value.
-func replace(n node, path string, value json.RawMessage) (json.RawMessage, error) {
+// full is the whole path, for errors.
+func replace(n node, path, full string, value json.RawMessage) (json.RawMessage, error) {
 	name, rest, deeper := strings.Cut(path, ".")
 	if name == "" {
-		return nil, invalidChange(path, "empty name in path")
+		return nil, invalidChange(full, "empty name in path")
 	}
 	old, had := n[name]
-	if !had && value == nil {
-		return nil, eris.Wrap(&NotFoundError{Path: path}, "change")
-	}
-	if !deeper {
-		return old, replaceMember(n, name, value, old)
+	switch {
+	case !had && value == nil:
+		return nil, eris.Wrap(&NotFoundError{Path: full}, "change")
+	case deeper:
+		return replaceBelow(n, name, rest, full, value)
+	case len(old) > MaxChangeBytes:
+		reason := fmt.Sprintf("replaces %d bytes, the limit is %d; change a smaller part", len(old), MaxChangeBytes)
+		return nil, invalidChange(full, reason)
+	case value == nil:
+		delete(n, name)
+	default:
+		n[name] = value
 	}
+	return old, nil
+}
+
+func replaceBelow(n node, name, rest, full string, value json.RawMessage) (json.RawMessage, error) {
 	child := node{}
-	if had && json.Unmarshal(old, &child) != nil {
-		return nil, invalidChange(path, "goes below a value")
+	if data, had := n[name]; had && json.Unmarshal(data, &child) != nil {
+		return nil, invalidChange(full, "goes below a value")
 	}
-	below, err := replace(child, rest, value)
+	old, err := replace(child, rest, full, value)
 	if err != nil {
 		return nil, err
 	}
 	data, err := json.Marshal(child)
 	if err != nil {
-		return nil, invalidChange(path, err.Error())
+		return nil, invalidChange(full, err.Error())
 	}
 	n[name] = data
-	return below, nil
-}
-
-func replaceMember(n node, name string, value, old json.RawMessage) error {
-	if len(old) > MaxChangeBytes {
-		return invalidChange(name, fmt.Sprintf("replaces %d bytes, the limit is %d; change a smaller part", len(old), MaxChangeBytes))
-	}
-	if value == nil {
-		delete(n, name)
-		return nil
-	}
-	if !json.Valid(value) {
-		return invalidChange(name, "value is not valid JSON")
-	}
-	n[name] = value
-	return nil
+	return old, nil
 }
 
 // checkImmutable refuses to change or remove what shards are named after:
--- a/settings/document.go
+++ b/settings/document.go
@@ -21,6 +21,9 @@
 	// maxRecords is how many records the tree's value holds before the oldest
 	// chunkRecords are rolled to an audit key.
 	maxRecords = 96
+	// maxDocumentBytes is the size of the tree's value above which records are
+	// rolled earlier.
+	maxDocumentBytes = store.MaxValueBytes / 2
 	// MaxChangeBytes limits the JSON that one change sets or replaces. With
 	// it a chunk stays below store.MaxValueBytes.
 	MaxChangeBytes = 15 << 10
--- a/settings/editor.go
+++ b/settings/editor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -14,10 +15,11 @@
 const (
 	// resolveTimeout bounds how long Apply asks for the result of a write
 	// whose reply was lost.
-	resolveTimeout     = 5 * time.Second
-	resolveRetryFirst  = 20 * time.Millisecond
-	resolveRetryLimit  = 500 * time.Millisecond
-	maxResolveAttempts = 1000
+	resolveTimeout = 5 * time.Second
+	// loadTimeout bounds how long stale reads are tried again.
+	loadTimeout       = 3 * time.Second
+	resolveRetryFirst = 20 * time.Millisecond
+	resolveRetryLimit = 500 * time.Millisecond
 )
 
 // Editor changes the tree in the store. It is safe for concurrent use; any
@@ -26,6 +28,7 @@
 	store   store.Store
 	now     func() time.Time
 	applied func(value []byte, revision store.Revision)
+	seen    atomic.Int64 // highest revision read or written; never decreases
 }
 
 // NewEditor returns an Editor that takes the time of audit records from now.
@@ -50,7 +53,8 @@
 // *store.TooLargeError; only after an *UnknownOutcomeError may the change
 // have been applied.
 func (e *Editor) Apply(ctx context.Context, c Change) (Record, error) {
-	if err := c.check(); err != nil {
+	c, err := c.normal()
+	if err != nil {
 		return Record{}, err
 	}
 	cur, err := e.load(ctx, 0)
@@ -67,12 +71,7 @@
 	if err != nil {
 		return Record{}, err
 	}
-	next, err := e.roll(ctx, cur, rec)
-	if err != nil {
-		return Record{}, err
-	}
-	next.Tree = tree
-	value, err := next.encode()
+	value, err := e.follow(ctx, cur, tree, rec)
 	if err != nil {
 		return Record{}, err
 	}
@@ -83,20 +82,35 @@
 	return eris.Wrap(&ConflictError{Expect: expect, Actual: cur.revision, Winner: cur.doc.newest()}, "apply")
 }
 
-// load reads the document at a revision of at least floor. A read below it
-// is stale and tried again.
+// load reads the document at a revision of at least floor and of what this
+// editor has seen. A read below that is stale and tried again.
 func (e *Editor) load(ctx context.Context, floor store.Revision) (state, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	floor = max(floor, store.Revision(e.seen.Load()))
 	retry := newRetry()
-	for range maxResolveAttempts {
+	for {
 		cur, err := e.read(ctx)
-		if err != nil || cur.revision >= floor {
-			return cur, err
+		if err != nil {
+			return state{}, err
+		}
+		if cur.revision >= floor {
+			e.see(cur.revision)
+			return cur, nil
 		}
-		if err := pause(ctx, retry.NextBackOff()); err != nil {
-			return state{}, unavailable(err)
+		if pause(ctx, retry.NextBackOff()) != nil {
+			return state{}, unavailable(&StaleReadError{Revision: cur.revision, Newer: floor})
+		}
+	}
+}
+
+func (e *Editor) see(revision store.Revision) {
+	for {
+		seen := e.seen.Load()
+		if seen >= int64(revision) || e.seen.CompareAndSwap(seen, int64(revision)) {
+			return
 		}
 	}
-	return state{}, unavailable(&store.ConflictError{Key: TreeKey, Expect: floor})
 }
 
 func (e *Editor) read(ctx context.Context) (state, error) {
@@ -138,21 +152,52 @@
 }
 
 // write swaps the document and resolves a lost reply to the true result.
-//
-// The same bytes are written against the same revision each time, so of the
-// first write, should it be delayed, and its repetitions at most one is
-// applied.
 func (e *Editor) write(ctx context.Context, c Change, expect store.Revision, value []byte, rec Record) (Record, error) {
 	revision, err := e.store.CompareAndSwap(ctx, TreeKey, expect, value, 0)
 	if isUnknown(err) {
-		revision, err = e.resolve(ctx, c, expect, value, err)
+		return e.resolve(ctx, c, expect, value, rec, err)
 	}
-	if err == nil {
-		rec.Revision = revision
+	return e.conclude(ctx, c, expect, value, rec, revision, err)
+}
+
+// conclude explains a write whose outcome the store told.
+func (e *Editor) conclude(ctx context.Context, c Change, expect store.Revision, value []byte, rec Record, revision store.Revision, err error) (Record, error) {
+	var raced *store.ConflictError
+	var down *store.UnavailableError
+	switch {
+	case err == nil:
+		e.see(revision)
 		e.applied(value, revision)
+		rec.Revision = revision
 		return rec, nil
+	case errors.As(err, &raced):
+		return e.raced(ctx, c, expect, raced.Actual)
+	case errors.As(err, &down):
+		return Record{}, unavailable(err)
 	}
-	return e.lost(ctx, c, expect, err)
+	return Record{}, err
+}
+
+// raced explains a write that met a tree at another revision than expected.
+// The other writer may be an earlier delivery of this change, through this
+// host or another.
+func (e *Editor) raced(ctx context.Context, c Change, expect, actual store.Revision) (Record, error) {
+	cur, err := e.load(ctx, actual)
+	if err != nil {
+		return Record{}, unknown(c, err)
+	}
+	rec, done, err := e.recognise(ctx, cur, c)
+	switch {
+	case done:
+		return rec, nil
+	case err != nil:
+		return Record{}, unknown(c, err)
+	}
+	return Record{}, conflict(expect, cur)
+}
+
+func unknown(c Change, cause error) error {
+	return eris.Wrap(&UnknownOutcomeError{ID: c.ID, Cause: cause}, "apply")
 }
 
 // isUnknown reports whether a write that ended with err may have been
@@ -173,9 +218,14 @@
 	return true
 }
 
-// resolve repeats a write with an unknown outcome until the store tells the
-// result or the time is over.
-func (e *Editor) resolve(ctx context.Context, c Change, expect store.Revision, value []byte, cause error) (store.Revision, error) {
+// resolve reads the tree back after a write with an unknown outcome, and
+// repeats the write when it was not applied, until the store tells the result
+// or the time is over.
+//
+// The same bytes are written against the same revision each time, so of the
+// first write, should it arrive late, and its repetitions at most one is
+// applied.
+func (e *Editor) resolve(ctx context.Context, c Change, expect store.Revision, value []byte, rec Record, cause error) (Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
 	defer cancel()
 	retry := newRetry()
@@ -184,35 +234,14 @@
 		if err != nil {
 			continue
 		}
-		if rec, ok := cur.doc.find(c.ID); ok {
-			return rec.Revision, nil
+		if found, ok := cur.doc.find(c.ID); ok {
+			return found, nil
 		}
 		revision, err := e.store.CompareAndSwap(ctx, TreeKey, expect, value, 0)
-		var lost *store.ConflictError
-		if err == nil || errors.As(err, &lost) {
-			return revision, err
+		var raced *store.ConflictError
+		if err == nil || errors.As(err, &raced) {
+			return e.conclude(ctx, c, expect, value, rec, revision, err)
 		}
 	}
-	return 0, eris.Wrap(&UnknownOutcomeError{ID: c.ID, Cause: cause}, "apply")
-}
-
-// lost explains a write that was not applied, or that conflicts with an
-// earlier delivery of itself.
-func (e *Editor) lost(ctx context.Context, c Change, expect store.Revision, err error) (Record, error) {
-	var raced *store.ConflictError
-	var down *store.UnavailableError
-	switch {
-	case errors.As(err, &down):
-		return Record{}, unavailable(err)
-	case !errors.As(err, &raced):
-		return Record{}, err
-	}
-	cur, loadErr := e.load(ctx, raced.Actual)
-	if loadErr != nil {
-		return Record{}, eris.Wrap(&UnknownOutcomeError{ID: c.ID, Cause: loadErr}, "apply")
-	}
-	if rec, done, err := e.recognise(ctx, cur, c); done || err != nil {
-		return rec, err
-	}
-	return Record{}, conflict(expect, cur)
+	return Record{}, unknown(c, cause)
 }
--- /dev/null
+++ b/settings/editor_test.go
@@ -0,0 +1,543 @@
+package settings
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"pgregory.net/rapid"
+
+	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/store"
+)
+
+// hookedStore lets a test act around the writes of the tree's key.
+type hookedStore struct {
+	store.Store
+	// write is called in place of the nth write, from 1; apply makes it.
+	write func(n int, apply func() (store.Revision, error)) (store.Revision, error)
+	n     int
+}
+
+func (h *hookedStore) CompareAndSwap(ctx context.Context, key string, expect store.Revision, value []byte, lease store.LeaseID) (store.Revision, error) {
+	apply := func() (store.Revision, error) { return h.Store.CompareAndSwap(ctx, key, expect, value, lease) }
+	if key != TreeKey || h.write == nil {
+		return apply()
+	}
+	h.n++
+	return h.write(h.n, apply)
+}
+
+func replyLost() error {
+	return eris.Wrap(&store.UnknownOutcomeError{Op: "write", Key: TreeKey, Cause: &standin.ReplyLostError{}}, "test")
+}
+
+func seeded(t testing.TB) *standin.Store {
+	t.Helper()
+	s := standin.NewStore()
+	value, err := (&document{Tree: mustDecode(t, example)}).encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.CompareAndSwap(t.Context(), TreeKey, 0, value, 0); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func newTestEditor(s store.Store) *Editor { return NewEditor(s, time.Now) }
+
+func set(id, path, value string) Change {
+	return Change{ID: id, Who: "ana", Path: path, Value: json.RawMessage(value)}
+}
+
+func valueAt(t testing.TB, s store.Store, path string) string {
+	t.Helper()
+	cur, err := newTestEditor(s).load(t.Context(), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	value, err := cur.doc.Tree.Get(path)
+	var missing *NotFoundError
+	if errors.As(err, &missing) {
+		return "unset"
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(value)
+}
+
+// applications counts the audit records of a change ID.
+func applications(t testing.TB, s store.Store, id string) int {
+	t.Helper()
+	records, err := newTestEditor(s).History(t.Context(), 0, 1000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	for _, r := range records {
+		if r.ID == id {
+			n++
+		}
+	}
+	return n
+}
+
+func TestApply(t *testing.T) {
+	const leaf = "organisations.balkantrans.data_centres.sofia-1.services.reclaim.objective_ms"
+	tests := []struct {
+		name   string
+		change Change
+		old    string
+		want   string // value at the path afterwards, or part of the error
+		err    any
+	}{
+		{"replace", set("1", "values.objective_ms", "70"), "100", "70", nil},
+		{"add", set("1", "values.grace_ms", "10"), "", "10", nil},
+		{"leaf", set("1", leaf, "30"), "40", "30", nil},
+		{"new levels", set("1", "organisations.verband.data_centres.ruse.services.plan.objective_ms", "30"), "", "30", nil},
+		{"subtree", set("1", "organisations.verband", `{ "values": { "priority": 3 } }`), "{}", `{"values":{"priority":3}}`, nil},
+		{"state", set("1", "data_centres.sofia-1.state", `"out"`), `"in"`, `"out"`, nil},
+		{"quota", set("1", "teams.fuel.quota.milli_cores", "1"), "64000", "1", nil},
+		{"unset", Change{ID: "1", Who: "ana", Path: leaf}, "40", "unset", nil},
+		{"unset nothing", Change{ID: "1", Who: "ana", Path: "values.grace_ms"}, "", "values.grace_ms is not set", new(*NotFoundError)},
+		{"out of range", set("1", leaf, "0"), "", leaf + ": 0 is out of range, allowed: 1 to 600000", new(*InvalidError)},
+		{"unknown name", set("1", "values.objective", "1"), "", "values.objective: unknown name", new(*InvalidError)},
+		{"below a value", set("1", "values.objective_ms.x", "1"), "", "goes below a value", new(*InvalidError)},
+		{"empty name", set("1", "values..x", "1"), "", "empty name", new(*InvalidError)},
+		{"no JSON", set("1", "values.objective_ms", "{"), "", "not valid JSON", new(*InvalidError)},
+		{"too long", set("1", "values.objective_ms", `"`+strings.Repeat("<", MaxChangeBytes/6)+`"`), "", "the limit is", new(*InvalidError)},
+		{"no ID", set("", "values.objective_ms", "1"), "", "change ID", new(*InvalidError)},
+		{"no path", set("1", "", "1"), "", "path", new(*InvalidError)},
+		{"cells", set("1", "data_centres.sofia-1.cells", "4"), "", "data_centres.sofia-1.cells cannot change", new(*ImmutableError)},
+		{"cells by subtree", set("1", "data_centres.sofia-1", `{"region": "bulgaria", "state": "in", "cells": 4}`), "", "cells cannot change", new(*ImmutableError)},
+		{"region", set("1", "data_centres.ruse.region", `"x"`), "", "region cannot change", new(*ImmutableError)},
+		{"remove data centre", Change{ID: "1", Who: "ana", Path: "data_centres.ruse"}, "", "data_centres.ruse cannot change", new(*ImmutableError)},
+		{"shards of a team", set("1", "teams.fuel.shards", "3"), "", "teams.fuel.shards cannot change", new(*ImmutableError)},
+		{"remove teams", Change{ID: "1", Who: "ana", Path: "teams"}, "", "teams.fuel cannot change", new(*ImmutableError)},
+		{"stale expectation", Change{ID: "1", Who: "ana", Path: leaf, Expect: 77}, "", "at revision 1, not 77", new(*ConflictError)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := seeded(t)
+			before := valueAt(t, s, "")
+			rec, err := newTestEditor(s).Apply(t.Context(), tt.change)
+			if tt.err != nil {
+				if !errors.As(err, tt.err) || !strings.Contains(err.Error(), tt.want) {
+					t.Errorf("got %v, want %T with %q", err, tt.err, tt.want)
+				}
+				if after := valueAt(t, s, ""); after != before {
+					t.Errorf("a refused change changed the tree to %s", after)
+				}
+				return
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := valueAt(t, s, tt.change.Path); got != tt.want {
+				t.Errorf("value is %s, want %s", got, tt.want)
+			}
+			if string(rec.Old) != tt.old || rec.Predecessor != 1 || rec.Revision != 2 || rec.Who != "ana" || rec.When.IsZero() {
+				t.Errorf("record %+v, want old %s", rec, tt.old)
+			}
+		})
+	}
+}
+
+// A lost reply is resolved to what the store did.
+func TestLostReply(t *testing.T) {
+	const path = "values.objective_ms"
+	type apply = func() (store.Revision, error)
+	tests := []struct {
+		name  string
+		write func(s *standin.Store, n int, apply apply) (store.Revision, error)
+		err   any // nil: the change is accepted
+	}{
+		{"applied", func(_ *standin.Store, n int, apply apply) (store.Revision, error) {
+			rev, err := apply()
+			if n == 1 {
+				return 0, replyLost()
+			}
+			return rev, err
+		}, nil},
+		{"not applied", func(_ *standin.Store, n int, apply apply) (store.Revision, error) {
+			if n == 1 {
+				return 0, replyLost()
+			}
+			return apply()
+		}, nil},
+		{"lost four times, applied at the last", func(_ *standin.Store, n int, apply apply) (store.Revision, error) {
+			if n < 4 {
+				return 0, replyLost()
+			}
+			if _, err := apply(); err != nil {
+				return 0, err
+			}
+			return 0, replyLost()
+		}, nil},
+		{"context error instead of a reply", func(_ *standin.Store, n int, apply apply) (store.Revision, error) {
+			rev, err := apply()
+			if n == 1 {
+				return 0, context.DeadlineExceeded
+			}
+			return rev, err
+		}, nil},
+		{"arrives late, before the repetition", func(_ *standin.Store, n int, apply apply) (store.Revision, error) {
+			if n == 1 {
+				return 0, replyLost()
+			}
+			// The first delivery: the same bytes against the same revision.
+			if _, err := apply(); err != nil {
+				return 0, err
+			}
+			return apply()
+		}, nil},
+		{"not applied and another was first", func(s *standin.Store, n int, apply apply) (store.Revision, error) {
+			if n == 1 {
+				if _, err := newTestEditor(s).Apply(context.Background(), Change{ID: "winner", Who: "boris", Path: path, Value: json.RawMessage("60")}); err != nil {
+					return 0, err
+				}
+				return 0, replyLost()
+			}
+			return apply()
+		}, new(*ConflictError)},
+		{"applied and overwritten", func(s *standin.Store, n int, apply apply) (store.Revision, error) {
+			if _, err := apply(); err != nil {
+				return 0, err
+			}
+			if _, err := newTestEditor(s).Apply(context.Background(), Change{ID: "winner", Who: "boris", Path: path, Value: json.RawMessage("60")}); err != nil {
+				return 0, err
+			}
+			return 0, replyLost()
+		}, nil},
+		{"applied, then the store goes down", func(s *standin.Store, _ int, apply apply) (store.Revision, error) {
+			if _, err := apply(); err != nil {
+				return 0, err
+			}
+			s.SetFaults(standin.StoreFaults{Down: true})
+			return 0, replyLost()
+		}, new(*UnknownOutcomeError)},
+		{"not applied, then the store goes down", func(s *standin.Store, n int, apply apply) (store.Revision, error) {
+			if n > 1 {
+				return apply()
+			}
+			s.SetFaults(standin.StoreFaults{Down: true})
+			return 0, replyLost()
+		}, new(*UnknownOutcomeError)},
+		{"conflict, then the store goes down", func(s *standin.Store, _ int, apply apply) (store.Revision, error) {
+			if _, err := newTestEditor(s).Apply(context.Background(), Change{ID: "winner", Who: "boris", Path: path, Value: json.RawMessage("60")}); err != nil {
+				return 0, err
+			}
+			_, err := apply()
+			s.SetFaults(standin.StoreFaults{Down: true})
+			return 0, err
+		}, new(*UnknownOutcomeError)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := seeded(t)
+				hooked := &hookedStore{Store: s}
+				hooked.write = func(n int, apply apply) (store.Revision, error) { return tt.write(s, n, apply) }
+				change := set("mine", path, "70")
+				rec, err := newTestEditor(hooked).Apply(t.Context(), change)
+				if tt.err != nil {
+					if !errors.As(err, tt.err) {
+						t.Fatalf("got %v, want %T", err, tt.err)
+					}
+					var lost *ConflictError
+					if errors.As(err, &lost) && lost.Winner.ID != "winner" {
+						t.Errorf("winner is %+v", lost.Winner)
+					}
+				} else if err != nil || rec.Revision == 0 || rec.ID != "mine" {
+					t.Fatalf("got %+v, %v, want the record", rec, err)
+				}
+				s.SetFaults(standin.StoreFaults{})
+				want := 1
+				if tt.err != nil {
+					want = applications(t, s, "mine")
+				}
+				// The same change again never has a second effect.
+				repeated, err := newTestEditor(s).Apply(t.Context(), change)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if want == 1 && rec.ID != "" && repeated.Revision != rec.Revision {
+					t.Errorf("repeated at revision %d, first at %d", repeated.Revision, rec.Revision)
+				}
+				if n := applications(t, s, "mine"); n != 1 {
+					t.Errorf("applied %d times", n)
+				}
+			})
+		})
+	}
+}
+
+func TestRace(t *testing.T) {
+	s := seeded(t)
+	hooked := &hookedStore{Store: s}
+	hooked.write = func(n int, apply func() (store.Revision, error)) (store.Revision, error) {
+		if n == 1 {
+			if _, err := newTestEditor(s).Apply(t.Context(), Change{ID: "b", Who: "boris", Path: "values.objective_ms", Value: json.RawMessage("60")}); err != nil {
+				t.Error(err)
+			}
+		}
+		return apply()
+	}
+	_, err := newTestEditor(hooked).Apply(t.Context(), set("a", "values.objective_ms", "70"))
+	var conflict *ConflictError
+	if !errors.As(err, &conflict) {
+		t.Fatalf("got %v, want a ConflictError", err)
+	}
+	if w := conflict.Winner; w.ID != "b" || w.Who != "boris" || string(w.New) != "60" || w.Revision != 2 {
+		t.Errorf("winner %+v", w)
+	}
+	if conflict.Expect != 1 || conflict.Actual != 2 {
+		t.Errorf("expected %d, actual %d", conflict.Expect, conflict.Actual)
+	}
+	if got := valueAt(t, s, "values.objective_ms"); got != "60" {
+		t.Errorf("value is %s, want the winner's", got)
+	}
+}
+
+func TestSameIDAgain(t *testing.T) {
+	s := seeded(t)
+	id := uuid.Must(uuid.NewV7()).String()
+	first, err := newTestEditor(s).Apply(t.Context(), set(id, "values.objective_ms", "70"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 3 * maxRecords {
+		if _, err := newTestEditor(s).Apply(t.Context(), set(fmt.Sprint(i), "values.priority", fmt.Sprint(i%100))); err != nil {
+			t.Fatal(err)
+		}
+		if i != 0 && i != maxRecords && i != 3*maxRecords-1 {
+			continue
+		}
+		again, err := newTestEditor(s).Apply(t.Context(), set(id, "values.objective_ms", " 70 "))
+		if err != nil || again.Revision != first.Revision || !again.When.Equal(first.When) {
+			t.Fatalf("after %d changes: %+v, %v; first %+v", i+1, again, err, first)
+		}
+		_, err = newTestEditor(s).Apply(t.Context(), set(id, "values.objective_ms", "71"))
+		var reused *ReusedIDError
+		if !errors.As(err, &reused) || reused.First.Revision != first.Revision {
+			t.Fatalf("after %d changes: %v, want a ReusedIDError", i+1, err)
+		}
+	}
+	if n := applications(t, s, id); n != 1 {
+		t.Errorf("applied %d times", n)
+	}
+}
+
+func TestHistoryIsWhole(t *testing.T) {
+	s := seeded(t)
+	for i := range 400 {
+		_, err := newTestEditor(s).Apply(t.Context(), set(fmt.Sprint(i), "values.priority", fmt.Sprint(i%100)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if i%50 == 0 {
+			// A change that is refused after older records were rolled.
+			hooked := &hookedStore{Store: s, write: func(int, func() (store.Revision, error)) (store.Revision, error) {
+				return 0, &store.UnavailableError{Op: "write", Cause: &standin.DownError{}}
+			}}
+			if _, err := newTestEditor(hooked).Apply(t.Context(), set("refused", "values.priority", "1")); err == nil {
+				t.Fatal("a change was accepted without a store")
+			}
+		}
+	}
+	records, err := newTestEditor(s).History(t.Context(), 0, 1000)
+	if err != nil || len(records) != 400 {
+		t.Fatalf("%d records, %v; want 400", len(records), err)
+	}
+	for i, r := range records {
+		if want := fmt.Sprint(399 - i); r.ID != want || r.Revision == 0 {
+			t.Fatalf("record %d is %+v, want ID %s", i, r, want)
+		}
+		if i > 0 && records[i-1].Predecessor != r.Revision {
+			t.Fatalf("record %+v does not follow %+v", records[i-1], r)
+		}
+	}
+	page, err := newTestEditor(s).History(t.Context(), records[149].Revision, 5)
+	if err != nil || len(page) != 5 || page[0].ID != records[150].ID {
+		t.Errorf("page %+v, %v", page, err)
+	}
+	entry, err := s.Get(t.Context(), TreeKey)
+	if err != nil || len(entry.Value) > 64<<10 {
+		t.Errorf("value has %d bytes, %v", len(entry.Value), err)
+	}
+}
+
+func TestLargeRecordsAreRolledEarly(t *testing.T) {
+	s := seeded(t)
+	classes := make(map[string]any)
+	for i := range 500 {
+		classes[fmt.Sprintf("class-%03d", i)] = map[string]int{"priority": 1}
+	}
+	value, err := json.Marshal(classes)
+	if err != nil || len(value) > MaxChangeBytes {
+		t.Fatalf("%d bytes, %v", len(value), err)
+	}
+	for i := range 100 {
+		path := fmt.Sprintf("organisations.%s.data_centres.%s.job_classes", []string{"balkantrans", "verband"}[i%2], []string{"sofia-1", "ruse"}[i/2%2])
+		if _, err := newTestEditor(s).Apply(t.Context(), set(fmt.Sprint(i), path, string(value))); err != nil {
+			t.Fatalf("change %d: %v", i, err)
+		}
+	}
+	records, err := newTestEditor(s).History(t.Context(), 0, 1000)
+	if err != nil || len(records) != 100 {
+		t.Errorf("%d records, %v", len(records), err)
+	}
+}
+
+func TestStaleReadIsNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := seeded(t)
+		e := newTestEditor(s)
+		for i := range 3 {
+			s.SetFaults(standin.StoreFaults{StaleReads: 2})
+			if _, err := e.Apply(t.Context(), set(fmt.Sprint(i), "values.priority", fmt.Sprint(i))); err != nil {
+				t.Fatal(err)
+			}
+		}
+		// An editor that has seen nothing yet meets a conflict, not a loss.
+		s.SetFaults(standin.StoreFaults{StaleReads: 1})
+		_, err := newTestEditor(s).Apply(t.Context(), set("new", "values.priority", "9"))
+		var conflict *ConflictError
+		if !errors.As(err, &conflict) || conflict.Winner.ID != "2" {
+			t.Errorf("got %v, want a ConflictError with the newest change", err)
+		}
+	})
+}
+
+func TestOutage(t *testing.T) {
+	s := seeded(t)
+	s.SetFaults(standin.StoreFaults{Down: true})
+	_, err := newTestEditor(s).Apply(t.Context(), set("a", "values.priority", "9"))
+	var down *UnavailableError
+	if !errors.As(err, &down) {
+		t.Fatalf("got %v, want an UnavailableError", err)
+	}
+	if _, err := newTestEditor(s).History(t.Context(), 0, 10); !errors.As(err, &down) {
+		t.Errorf("history: got %v, want an UnavailableError", err)
+	}
+	s.SetFaults(standin.StoreFaults{})
+	if n := applications(t, s, "a"); n != 0 {
+		t.Errorf("applied %d times", n)
+	}
+}
+
+// attempt is a change by one of two editors.
+type attempt struct {
+	editor int
+	id     int
+}
+
+// Random changes by several editors under random faults: what was accepted is
+// in the history once, what was refused is not, and the tree is what the
+// history says.
+func TestEditorsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		fates := rapid.SliceOfN(rapid.SampledFrom([]string{"ok", "lost", "vanished", "refused", "raced"}), 0, 40).Draw(rt, "fates of the writes")
+		attempts := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) attempt {
+			return attempt{rapid.IntRange(0, 1).Draw(rt, "editor"), rapid.IntRange(0, 9).Draw(rt, "ID")}
+		}), 1, 15).Draw(rt, "attempts")
+		var fault string
+		synctest.Test(t, func(t *testing.T) { fault = runAttempts(t, fates, attempts) })
+		if fault != "" {
+			rt.Fatal(fault)
+		}
+	})
+}
+
+// fateful makes the writes of the tree meet one fate after another, then
+// succeed.
+func fateful(t *testing.T, s *standin.Store, fates []string) *hookedStore {
+	racer := 0
+	return &hookedStore{Store: s, write: func(n int, apply func() (store.Revision, error)) (store.Revision, error) {
+		if n > len(fates) {
+			return apply()
+		}
+		switch fates[n-1] {
+		case "lost":
+			if _, err := apply(); err != nil {
+				return 0, err
+			}
+			return 0, replyLost()
+		case "vanished":
+			return 0, replyLost()
+		case "refused":
+			return 0, &store.UnavailableError{Op: "write", Cause: &standin.DownError{}}
+		case "raced":
+			racer++
+			if _, err := newTestEditor(s).Apply(t.Context(), set(fmt.Sprintf("racer-%d", racer), "values.grace_ms", fmt.Sprint(racer))); err != nil {
+				t.Error(err)
+			}
+		}
+		return apply()
+	}}
+}
+
+func runAttempts(t *testing.T, fates []string, attempts []attempt) string {
+	s := seeded(t)
+	hooked := fateful(t, s, fates)
+	editors := []*Editor{newTestEditor(hooked), newTestEditor(hooked)}
+	accepted := make(map[string]Record)
+	unknown := make(map[string]bool)
+	for _, a := range attempts {
+		id := fmt.Sprint(a.id)
+		rec, err := editors[a.editor].Apply(t.Context(), set(id, "values.priority", id))
+		var lost *UnknownOutcomeError
+		switch {
+		case err == nil:
+			if first, ok := accepted[id]; ok && first.Revision != rec.Revision {
+				return fmt.Sprintf("change %s accepted at revisions %d and %d", id, first.Revision, rec.Revision)
+			}
+			accepted[id] = rec
+		case errors.As(err, &lost):
+			unknown[id] = true
+		}
+	}
+	return historyFault(t, s, accepted, unknown)
+}
+
+func historyFault(t *testing.T, s store.Store, accepted map[string]Record, unknown map[string]bool) string {
+	records, err := newTestEditor(s).History(t.Context(), 0, 1000)
+	if err != nil {
+		return err.Error()
+	}
+	seen := make(map[string]bool)
+	priority := "10" // of the example
+	for _, r := range records {
+		if seen[r.ID] {
+			return fmt.Sprintf("change %s is in the history twice", r.ID)
+		}
+		seen[r.ID] = true
+		if r.Path != "values.priority" {
+			continue
+		}
+		if priority == "10" {
+			priority = string(r.New)
+		}
+		if _, ok := accepted[r.ID]; !ok && !unknown[r.ID] {
+			return fmt.Sprintf("change %s was refused and is in the history", r.ID)
+		}
+	}
+	for id, rec := range accepted {
+		if !seen[id] {
+			return fmt.Sprintf("change %s was accepted at revision %d and is not in the history", id, rec.Revision)
+		}
+	}
+	if got := valueAt(t, s, "values.priority"); got != priority {
+		return fmt.Sprintf("priority is %s, the history says %s", got, priority)
+	}
+	return ""
+}
--- a/settings/tracker.go
+++ b/settings/tracker.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fuchsiahill/fuchsiahill/store"
@@ -48,6 +49,7 @@
 	confirmedAt time.Time
 	changed     chan struct{}
 	corrupt     *CorruptError // newest value that can't be decoded, nil if current is newer
+	lapsed      bool          // the last read confirmed nothing
 }
 
 var _ View = (*Tracker)(nil)
@@ -213,44 +215,62 @@
 
 // confirm makes one read that is conditional on the newest revision seen.
 func (t *Tracker) confirm(ctx context.Context) {
-	known := t.newestSeen()
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	sent := time.Now()
-	entry, newer, err := t.store.GetNewer(ctx, TreeKey, known)
-	if !t.Ready() {
-		err = t.crossCheck(ctx, entry, err)
+	revision, err := t.readNewest(ctx)
+	if ctx.Err() != nil && errors.Is(context.Cause(ctx), context.Canceled) {
+		return
 	}
+	t.note(revision, sent, err)
+}
+
+// readNewest returns the newest revision in the store, which is in force
+// then if it can be decoded.
+func (t *Tracker) readNewest(ctx context.Context) (store.Revision, error) {
+	known := t.newestSeen()
+	entry, newer, err := t.store.GetNewer(ctx, TreeKey, known)
 	var missing *store.NotFoundError
-	switch {
-	case errors.As(err, &missing):
+	if errors.As(err, &missing) {
 		// No tree was ever accepted. The key is never deleted, so after a
 		// tree was seen the answer is stale.
-		t.confirmEqual(0, sent)
-	case err != nil:
-		t.vars.unconfirmed.Add(1)
-	case !newer:
-		t.confirmEqual(known, sent)
-	default:
-		t.confirmRead(entry, sent)
+		entry, newer, err = store.Entry{}, known != 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	if !newer {
+		entry.Revision = known
+	}
+	if !t.Ready() {
+		if err := t.crossCheck(ctx, entry.Revision); err != nil {
+			return 0, err
+		}
+	}
+	if !newer {
+		return known, nil
 	}
+	return entry.Revision, t.Offer(entry.Value, entry.Revision)
 }
 
 // crossCheck makes a second read of another kind. A process that has just
 // started knows no revision that would give a stale answer away, so it takes
-// its first one only if both reads agree. It returns err, or else the reason
-// not to use entry.
-func (t *Tracker) crossCheck(ctx context.Context, entry store.Entry, err error) error {
-	listed, _, listErr := t.store.List(ctx, TreeKey)
-	if listErr != nil {
-		return listErr
+// its first one only if both reads agree.
+func (t *Tracker) crossCheck(ctx context.Context, revision store.Revision) error {
+	listed, _, err := t.store.List(ctx, TreeKey)
+	if err != nil {
+		return err
 	}
-	for _, other := range listed {
-		if other.Key == TreeKey && other.Revision != entry.Revision {
-			return &StaleReadError{Revision: entry.Revision, Newer: other.Revision}
+	var other store.Revision
+	for _, entry := range listed {
+		if entry.Key == TreeKey {
+			other = entry.Revision
 		}
 	}
-	return err
+	if other != revision {
+		return eris.Wrap(&StaleReadError{Revision: revision, Newer: other}, "settings")
+	}
+	return nil
 }
 
 // StaleReadError reports two reads of the tree that disagree.
@@ -274,34 +294,39 @@
 	return t.current.Revision()
 }
 
-func (t *Tracker) confirmRead(entry store.Entry, sent time.Time) {
-	if err := t.Offer(entry.Value, entry.Revision); err != nil {
-		t.vars.unconfirmed.Add(1)
-		return
-	}
-	t.confirmEqual(entry.Revision, sent)
-}
-
-// confirmEqual notes that revision was the newest one in the store at some
-// moment after sent.
+// note takes the result of a read that was sent at a time: revision was the
+// newest one in the store at some moment after it.
 //
 // A revision below the current one may stem from before the current one was
 // accepted or from a stale read, which can't be told apart, and confirms
 // nothing. One above it could not be decoded.
-func (t *Tracker) confirmEqual(revision store.Revision, sent time.Time) {
+func (t *Tracker) note(revision store.Revision, sent time.Time, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	switch current := t.current.Revision(); {
-	case revision < current:
+	current := t.current.Revision()
+	switch {
+	case err != nil || revision == current:
+	case t.corrupt != nil && revision > current:
+		err = t.corrupt
+	default:
 		t.vars.stale.Add(1)
+		err = &StaleReadError{Revision: revision, Newer: current}
+	}
+	if err != nil {
 		t.vars.unconfirmed.Add(1)
-	case revision > current:
-		t.vars.unconfirmed.Add(1)
-	default:
-		t.vars.confirmed.Add(1)
-		if sent.After(t.confirmedAt) {
-			t.confirmedAt = sent
+		if !t.lapsed {
+			t.log.Log("event", "settings_unconfirmed", "revision", current, "err", err)
 		}
+		t.lapsed = true
+		return
+	}
+	t.vars.confirmed.Add(1)
+	if t.lapsed || t.confirmedAt.IsZero() {
+		t.log.Log("event", "settings_confirmed", "revision", current)
+	}
+	t.lapsed = false
+	if sent.After(t.confirmedAt) {
+		t.confirmedAt = sent
 	}
 }
 
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -103,7 +103,8 @@
 	case "max":
 		e.Reason = "more than " + field.Param() + " entries"
 	case "name":
-		e.Reason = fmt.Sprintf("%q is not a name", field.Value())
+		e.Path = strictjson.Printable(path)
+		e.Reason = "not a name"
 		e.Allowed = nameForm
 	default:
 		e.Reason = fmt.Sprintf("%v is out of range", field.Value())
