Prove the settings editor and tracker under races, lost replies and outages

Cause: a change must be accepted once, with its audit record, or truly not; the revision in force on a host must never go back.

Ruled out: reading back by change ID after a lost reply before each repetition. The repetition of the same bytes against the same revision answers the question itself: it succeeds or conflicts, and only a conflict needs the read. A mutation that dropped the read-back survived all tests, so it went.

--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -12,6 +12,7 @@
 	"reflect"
 	"strconv"
 	"strings"
+	"sync"
 
 	"github.com/rotisserie/eris"
 )
@@ -245,18 +246,31 @@
 	return w.close(path)
 }
 
+// fieldTypes holds the types of a struct's fields by their JSON name, by the
+// struct's reflect.Type.
+var fieldTypes sync.Map
+
 // structFields finds the type of a struct's field by its JSON name.
 func structFields(t reflect.Type) func(string) (reflect.Type, bool) {
+	known, ok := fieldTypes.Load(t)
+	if !ok {
+		known, _ = fieldTypes.LoadOrStore(t, readFields(t))
+	}
+	fields := known.(map[string]reflect.Type)
+	return func(name string) (reflect.Type, bool) {
+		ft, ok := fields[name]
+		return ft, ok
+	}
+}
+
+func readFields(t reflect.Type) map[string]reflect.Type {
 	fields := make(map[string]reflect.Type)
 	for _, f := range reflect.VisibleFields(t) {
 		if name, ok := FieldName(f); ok {
 			fields[name] = f.Type
 		}
 	}
-	return func(name string) (reflect.Type, bool) {
-		ft, ok := fields[name]
-		return ft, ok
-	}
+	return fields
 }
 
 // FieldName returns the JSON name of a struct's field, and false if the
--- a/settings/editor.go
+++ b/settings/editor.go
@@ -218,9 +218,9 @@
 	return true
 }
 
-// resolve reads the tree back after a write with an unknown outcome, and
-// repeats the write when it was not applied, until the store tells the result
-// or the time is over.
+// resolve repeats a write with an unknown outcome until the store tells the
+// result or the time is over. A conflict makes it read the tree back, where
+// the change ID shows whether the first write was applied.
 //
 // The same bytes are written against the same revision each time, so of the
 // first write, should it arrive late, and its repetitions at most one is
@@ -230,13 +230,6 @@
 	defer cancel()
 	retry := newRetry()
 	for pause(ctx, retry.NextBackOff()) == nil {
-		cur, err := e.read(ctx)
-		if err != nil {
-			continue
-		}
-		if found, ok := cur.doc.find(c.ID); ok {
-			return found, nil
-		}
 		revision, err := e.store.CompareAndSwap(ctx, TreeKey, expect, value, 0)
 		var raced *store.ConflictError
 		if err == nil || errors.As(err, &raced) {
--- /dev/null
+++ b/settings/tracker_test.go
@@ -0,0 +1,424 @@
+package settings
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"pgregory.net/rapid"
+
+	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/store"
+)
+
+// unwatched is a store whose watches stay silent.
+type unwatched struct{ store.Store }
+
+func (unwatched) Watch(ctx context.Context, _ string, _ store.Revision) (<-chan store.Event, error) {
+	events := make(chan store.Event)
+	context.AfterFunc(ctx, func() { close(events) })
+	return events, nil
+}
+
+// betweenReads is half way between two confirming reads, so that what a test
+// does after waiting for it never coincides with one.
+const betweenReads = DefaultConfirmInterval / 2
+
+// inBubble runs f with a served Tracker on an example tree, on a clock that
+// only runs while everything waits.
+func inBubble(t *testing.T, wrap func(store.Store) store.Store, f func(t *testing.T, s *standin.Store, tr *Tracker)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := seeded(t)
+		f(t, s, serve(t, wrap(s), TrackerOptions{}))
+	})
+}
+
+func serve(t *testing.T, s store.Store, opts TrackerOptions) *Tracker {
+	tr := NewTracker(s, opts)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- tr.Serve(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Errorf("Serve returned %v", err)
+		}
+	})
+	return tr
+}
+
+func same(s store.Store) store.Store   { return s }
+func silent(s store.Store) store.Store { return unwatched{s} }
+
+var changeCount int
+
+// change sets the priority at the root and returns the revision.
+func change(t testing.TB, s store.Store, priority int) store.Revision {
+	t.Helper()
+	changeCount++
+	rec, err := newTestEditor(s).Apply(t.Context(), set(fmt.Sprint("change-", changeCount), "values.priority", fmt.Sprint(priority)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return rec.Revision
+}
+
+func priority(tr *Tracker) int { return tr.Current().JobClass("x", "x", "x").Priority }
+
+func TestTrackerLearns(t *testing.T) {
+	tests := []struct {
+		name   string
+		wrap   func(store.Store) store.Store
+		within time.Duration
+	}{
+		{"from the watch, at once", same, 0},
+		{"from the confirming read while the watch is silent", silent, DefaultConfirmInterval},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			inBubble(t, tt.wrap, func(t *testing.T, s *standin.Store, tr *Tracker) {
+				time.Sleep(betweenReads)
+				changed := tr.Changed()
+				revision := change(t, s, 33)
+				start := time.Now()
+				<-changed
+				if took := time.Since(start); took > tt.within {
+					t.Errorf("in force after %s, want %s", took, tt.within)
+				}
+				if tr.Current().Revision() != revision || priority(tr) != 33 {
+					t.Errorf("revision %d, priority %d", tr.Current().Revision(), priority(tr))
+				}
+			})
+		})
+	}
+}
+
+func TestTrackerConfirmsAtTimeOfSending(t *testing.T) {
+	inBubble(t, silent, func(t *testing.T, s *standin.Store, tr *Tracker) {
+		synctest.Wait()
+		if !tr.Ready() || !tr.ConfirmedAt().Equal(time.Now()) {
+			t.Fatalf("confirmed at %s, want %s", tr.ConfirmedAt(), time.Now())
+		}
+		start := time.Now()
+		s.SetFaults(standin.StoreFaults{Delay: 700 * time.Millisecond})
+		time.Sleep(1600 * time.Millisecond)
+		if got := tr.ConfirmedAt().Sub(start); got != 0 {
+			t.Errorf("confirmed at %s before the answer", got)
+		}
+		time.Sleep(200 * time.Millisecond)
+		if got := tr.ConfirmedAt().Sub(start); got != time.Second {
+			t.Errorf("confirmed at %s after the answer, want the time of sending, 1s", got)
+		}
+	})
+}
+
+func TestTrackerInOutage(t *testing.T) {
+	inBubble(t, same, func(t *testing.T, s *standin.Store, tr *Tracker) {
+		time.Sleep(betweenReads)
+		revision := change(t, s, 33)
+		time.Sleep(time.Second)
+		s.SetFaults(standin.StoreFaults{Down: true})
+		last := tr.ConfirmedAt()
+		time.Sleep(2 * time.Hour)
+		if tr.Current().Revision() != revision || tr.ConfirmedAt().Sub(last) > time.Second {
+			t.Errorf("revision %d confirmed at %s, want %d near %s", tr.Current().Revision(), tr.ConfirmedAt(), revision, last)
+		}
+		s.SetFaults(standin.StoreFaults{})
+		newer := change(t, s, 34)
+		time.Sleep(DefaultConfirmInterval)
+		if tr.Current().Revision() != newer || time.Since(tr.ConfirmedAt()) > DefaultConfirmInterval {
+			t.Errorf("revision %d confirmed at %s after the outage", tr.Current().Revision(), tr.ConfirmedAt())
+		}
+	})
+}
+
+func TestTrackerNeverGoesBack(t *testing.T) {
+	inBubble(t, silent, func(t *testing.T, s *standin.Store, tr *Tracker) {
+		time.Sleep(betweenReads)
+		old, oldRevision := tr.Stored()
+		newer := change(t, s, 33)
+		time.Sleep(DefaultConfirmInterval)
+		s.SetFaults(standin.StoreFaults{StaleReads: 3})
+		before := tr.ConfirmedAt()
+		time.Sleep(2 * DefaultConfirmInterval)
+		if tr.Current().Revision() != newer {
+			t.Errorf("a stale read put revision %d in force after %d", tr.Current().Revision(), newer)
+		}
+		if !tr.ConfirmedAt().Equal(before) {
+			t.Error("a stale read confirmed the revision in force")
+		}
+		if err := tr.Offer(old, oldRevision); err != nil || tr.Current().Revision() != newer {
+			t.Errorf("a late message of a peer put revision %d in force after %d, %v", tr.Current().Revision(), newer, err)
+		}
+		time.Sleep(2 * DefaultConfirmInterval)
+		if !tr.ConfirmedAt().After(before) {
+			t.Error("not confirmed after the stale reads")
+		}
+	})
+}
+
+func TestTrackerTakesOffers(t *testing.T) {
+	inBubble(t, silent, func(t *testing.T, s *standin.Store, tr *Tracker) {
+		synctest.Wait()
+		confirmed := tr.ConfirmedAt()
+		revision := change(t, s, 33)
+		entry, err := s.Get(t.Context(), TreeKey)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.SetFaults(standin.StoreFaults{Down: true})
+		if err := tr.Offer(entry.Value, entry.Revision); err != nil {
+			t.Fatal(err)
+		}
+		if tr.Current().Revision() != revision || !tr.ConfirmedAt().Equal(confirmed) {
+			t.Errorf("revision %d confirmed at %s", tr.Current().Revision(), tr.ConfirmedAt())
+		}
+		value, stored := tr.Stored()
+		if stored != revision || !bytes.Equal(value, entry.Value) {
+			t.Errorf("stored %d: %s", stored, value)
+		}
+	})
+}
+
+func TestConcurrentOffers(t *testing.T) {
+	tr := NewTracker(standin.NewStore(), TrackerOptions{})
+	value, err := (&document{Tree: Default()}).encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	const newest = 400
+	var group sync.WaitGroup
+	for first := range 4 {
+		group.Go(func() {
+			for revision := newest - first; revision > 0; revision -= 4 {
+				before := tr.Current().Revision()
+				if err := tr.Offer(value, store.Revision(newest-revision)); err != nil {
+					t.Error(err)
+				}
+				if after := tr.Current().Revision(); after < before {
+					t.Errorf("revision %d after %d", after, before)
+				}
+			}
+		})
+	}
+	group.Wait()
+}
+
+// A process that starts meets a store that is down, then one that answers
+// with an old value.
+func TestTrackerAfterRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := seeded(t)
+		newest := change(t, s, 33)
+		s.SetFaults(standin.StoreFaults{Down: true})
+		tr := serve(t, silent(s), TrackerOptions{})
+		time.Sleep(10*time.Second + betweenReads)
+		if tr.Ready() || tr.Current().Revision() != 0 {
+			t.Errorf("ready %t at revision %d without a store", tr.Ready(), tr.Current().Revision())
+		}
+		s.SetFaults(standin.StoreFaults{StaleReads: 3})
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			if tr.Ready() && tr.Current().Revision() != newest {
+				t.Fatalf("ready at revision %d, the store is at %d", tr.Current().Revision(), newest)
+			}
+		}
+		if !tr.Ready() {
+			t.Error("not ready after the stale reads")
+		}
+	})
+}
+
+func TestTrackerOnEmptyStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore()
+		tr := serve(t, s, TrackerOptions{})
+		synctest.Wait()
+		if !tr.Ready() || tr.Current().Revision() != 0 || priority(tr) != Defaults().Priority {
+			t.Errorf("ready %t, revision %d, priority %d", tr.Ready(), tr.Current().Revision(), priority(tr))
+		}
+		revision := change(t, s, 33)
+		synctest.Wait()
+		if tr.Current().Revision() != revision {
+			t.Errorf("revision %d, want %d", tr.Current().Revision(), revision)
+		}
+	})
+}
+
+func TestTrackerKeepsLastGoodValue(t *testing.T) {
+	for name, broken := range map[string]string{
+		"no JSON":         "{",
+		"no tree":         "{}",
+		"value not valid": `{"tree": {"values": {"priority": 101}}}`,
+		"unknown name":    `{"tree": {"later": {}}}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := seeded(t)
+				var lines bytes.Buffer
+				tr := serve(t, s, TrackerOptions{Logger: log.NewLogfmtLogger(log.NewSyncWriter(&lines))})
+				time.Sleep(betweenReads)
+				good := change(t, s, 33)
+				time.Sleep(DefaultConfirmInterval)
+				bad, err := s.CompareAndSwap(t.Context(), TreeKey, good, []byte(broken), 0)
+				if err != nil {
+					t.Fatal(err)
+				}
+				last := time.Now()
+				time.Sleep(time.Minute)
+				if tr.Current().Revision() != good || priority(tr) != 33 {
+					t.Errorf("revision %d in force, want the last good one, %d", tr.Current().Revision(), good)
+				}
+				if tr.ConfirmedAt().After(last) {
+					t.Error("confirmed while the store held another value")
+				}
+				if c := tr.Corrupt(); c == nil || c.Revision != bad {
+					t.Errorf("corrupt value %v, want one at revision %d", c, bad)
+				}
+				if got := tr.Vars().Get("corrupt_revision").String(); got != fmt.Sprint(bad) {
+					t.Errorf("metric corrupt_revision is %s", got)
+				}
+				if n := strings.Count(lines.String(), "event=settings_corrupt"); n != 1 {
+					t.Errorf("logged %d times", n)
+				}
+				heal(t, s, bad)
+				time.Sleep(DefaultConfirmInterval)
+				if tr.Corrupt() != nil || priority(tr) != 10 || !tr.ConfirmedAt().After(last) {
+					t.Errorf("not healed: %v, priority %d", tr.Corrupt(), priority(tr))
+				}
+			})
+		})
+	}
+}
+
+func heal(t *testing.T, s store.Store, revision store.Revision) {
+	value, err := (&document{Tree: mustDecode(t, example)}).encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.CompareAndSwap(t.Context(), TreeKey, revision, value, 0); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// transfers counts the conditional reads that were answered with a value.
+type transfers struct {
+	store.Store
+	n int
+}
+
+func (c *transfers) GetNewer(ctx context.Context, key string, known store.Revision) (store.Entry, bool, error) {
+	e, newer, err := c.Store.GetNewer(ctx, key, known)
+	if newer {
+		c.n++
+	}
+	return e, newer, err
+}
+
+// An idle tracker costs one read a second, without a value, and one waiting
+// watch.
+func TestTrackerCost(t *testing.T) {
+	counted := &transfers{}
+	count := func(s store.Store) store.Store {
+		counted.Store = s
+		return counted
+	}
+	inBubble(t, count, func(t *testing.T, s *standin.Store, _ *Tracker) {
+		time.Sleep(betweenReads)
+		before, _ := s.Calls()
+		counted.n = 0
+		time.Sleep(time.Minute)
+		after, writes := s.Calls()
+		if after-before != 60 || writes != 1 || counted.n != 0 {
+			t.Errorf("%d reads in a minute, %d with a value, %d writes", after-before, counted.n, writes)
+		}
+	})
+}
+
+type trackerStep struct {
+	Op string
+	N  int
+}
+
+// Random changes, outages, delays and offers: the revision never decreases,
+// and every change that was accepted before ConfirmedAt is in force.
+func TestTrackerInvariants(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) trackerStep {
+			ops := []string{"change", "change", "down", "slow", "heal", "offer", "sleep", "sleep", "restart"}
+			return trackerStep{rapid.SampledFrom(ops).Draw(rt, "op"), rapid.IntRange(0, 2500).Draw(rt, "n")}
+		}), 1, 30).Draw(rt, "steps")
+		var fault string
+		synctest.Test(t, func(t *testing.T) { fault = trackerFault(t, steps) })
+		if fault != "" {
+			rt.Fatal(fault)
+		}
+	})
+}
+
+// acceptance is when the store accepted a revision.
+type acceptance struct {
+	revision store.Revision
+	at       time.Time
+	value    []byte
+}
+
+func trackerFault(t *testing.T, steps []trackerStep) string {
+	s := seeded(t)
+	tr := serve(t, s, TrackerOptions{})
+	accepted := []acceptance{{revision: 1, at: time.Now()}}
+	var inForce store.Revision
+	for _, step := range steps {
+		switch step.Op {
+		case "change":
+			if a, ok := accept(t, s, accepted[len(accepted)-1].revision, step.N); ok {
+				accepted = append(accepted, a)
+			}
+		case "down":
+			s.SetFaults(standin.StoreFaults{Down: true})
+		case "slow":
+			s.SetFaults(standin.StoreFaults{Delay: time.Duration(step.N) * time.Millisecond})
+		case "heal":
+			s.SetFaults(standin.StoreFaults{})
+		case "offer":
+			a := accepted[step.N%len(accepted)]
+			if len(a.value) > 0 && tr.Offer(a.value, a.revision) != nil {
+				return "an offer was refused"
+			}
+		case "restart":
+			tr, inForce = serve(t, s, TrackerOptions{}), 0
+		}
+		time.Sleep(time.Duration(step.N) * time.Millisecond / 2)
+		confirmed := tr.ConfirmedAt()
+		current := tr.Current().Revision()
+		if current < inForce {
+			return fmt.Sprintf("revision %d in force after %d", current, inForce)
+		}
+		inForce = current
+		for _, a := range accepted {
+			if a.at.Before(confirmed) && a.revision > current {
+				return fmt.Sprintf("revision %d, accepted at %s, is not in force, confirmed at %s", a.revision, a.at, confirmed)
+			}
+		}
+	}
+	return ""
+}
+
+// accept writes a tree unless the store is down.
+func accept(t *testing.T, s *standin.Store, expect store.Revision, n int) (acceptance, bool) {
+	priority := n % 101
+	value, err := (&document{Tree: &Tree{Values: Values{Priority: &priority}}}).encode()
+	if err != nil || !json.Valid(value) {
+		t.Error(err)
+	}
+	revision, err := s.CompareAndSwap(t.Context(), TreeKey, expect, value, 0)
+	return acceptance{revision, time.Now(), value}, err == nil
+}
