--- a/settings/bench_test.go
+++ b/settings/bench_test.go
@@ -30,7 +30,7 @@
 		}
 	}
 	for i := range 45 {
-		t.Teams[fleet.Team(fmt.Sprint("team-", i))] = &Team{Organisation: fleet.Organisation(fmt.Sprint("org-", i%2)), Shards: 1}
+		t.Teams[fleet.Team(fmt.Sprint("team-", i))] = &Team{Organisation: fleet.Organisation(fmt.Sprint("org-", i%2)), Region: "r", Shards: 1}
 	}
 	return t
 }
--- a/settings/editor_test.go
+++ b/settings/editor_test.go
@@ -122,6 +122,8 @@
 		{"region", set("1", "data_centres.ruse.region", `"x"`), "", "region cannot change", new(*ImmutableError)},
 		{"remove data centre", Change{ID: "1", Who: "ana", Path: "data_centres.ruse"}, "", "data_centres.ruse cannot change", new(*ImmutableError)},
 		{"shards of a team", set("1", "teams.fuel.shards", "3"), "", "teams.fuel.shards cannot change", new(*ImmutableError)},
+		{"region of a team", set("1", "teams.fuel.region", `"x"`), "", "teams.fuel.region", new(*InvalidError)},
+		{"organisation of a team", set("1", "teams.fuel.organisation", `"verband"`), "", "teams.fuel.organisation cannot change", new(*ImmutableError)},
 		{"remove teams", Change{ID: "1", Who: "ana", Path: "teams"}, "", "teams.fuel cannot change", new(*ImmutableError)},
 		{"stale expectation", Change{ID: "1", Who: "ana", Path: leaf, Expect: 77}, "", "at revision 1, not 77", new(*ConflictError)},
 	}
--- a/settings/tree_test.go
+++ b/settings/tree_test.go
@@ -35,7 +35,7 @@
 		"ruse": {"region": "bulgaria", "state": "out", "cells": 1}
 	},
 	"teams": {
-		"fuel": {"organisation": "balkantrans", "quota": {"milli_cores": 64000, "memory_mb": 1024, "accelerators": 0}, "shards": 2}
+		"fuel": {"organisation": "balkantrans", "region": "bulgaria", "quota": {"milli_cores": 64000, "memory_mb": 1024, "accelerators": 0}, "shards": 2}
 	}
 }`
 
@@ -72,8 +72,10 @@
 		{"no region", `{"data_centres": {"a": {"state": "in", "cells": 1}}}`, "settings: data_centres.a.region: missing"},
 		{"no cells", `{"data_centres": {"a": {"region": "r", "state": "in"}}}`, "settings: data_centres.a.cells: 0 is out of range, allowed: 1 to 64"},
 		{"null data centre", `{"data_centres": {"a": null}}`, "settings: data_centres.a: must be an object"},
-		{"negative quota", `{"organisations": {"o": {}}, "teams": {"t": {"organisation": "o", "quota": {"memory_mb": -1}, "shards": 1}}}`, "settings: teams.t.quota.memory_mb: -1 is out of range, allowed: from 0"},
-		{"team of nobody", `{"teams": {"t": {"organisation": "o", "shards": 1}}}`, `settings: teams.t.organisation: no organisation "o" in organisations`},
+		{"negative quota", `{"organisations": {"o": {}}, "teams": {"t": {"organisation": "o", "region": "r", "quota": {"memory_mb": -1}, "shards": 1}}}`, "settings: teams.t.quota.memory_mb: -1 is out of range, allowed: from 0"},
+		{"team of nobody", `{"teams": {"t": {"organisation": "o", "region": "r", "shards": 1}}}`, `settings: teams.t.organisation: no organisation "o" in organisations`},
+		{"team without a region", `{"organisations": {"o": {}}, "teams": {"t": {"organisation": "o", "shards": 1}}}`, "settings: teams.t.region: missing"},
+		{"team in no region", `{"organisations": {"o": {}}, "teams": {"t": {"organisation": "o", "region": "r", "shards": 1}}}`, `settings: teams.t.region: no data centre of region "r" in data_centres`},
 		{"leaf", strings.Replace(location, "%s", `{"services": {"s": {"concurrency": 0}}}`, 1), "settings: organisations.o.data_centres.a.services.s.concurrency: 0 is out of range, allowed: 1 to 100000"},
 		{"values below a leaf", strings.Replace(location, "%s", `{"services": {"s": {"values": {}}}}`, 1), "settings: organisations.o.data_centres.a.services.s.values: unknown name"},
 		{"data centre of nobody", `{"organisations": {"o": {"data_centres": {"a": {}}}}}`, "settings: organisations.o.data_centres.a: no such data centre in data_centres"},
