Play whole sessions of operators and callers against the command line

Golden files by testscript, with the API in process over the stand-in of the store: a first set-up, races, mistakes, an outage with lost replies, the jobs of two organisations, help.

The tests need golang.org/x/tools/txtar (a dependency of testscript), for which go.sum has no line yet: go mod tidy adds it.

--- a/api/errors.go
+++ b/api/errors.go
@@ -83,6 +83,13 @@
 	return &Error{Status: http.StatusBadRequest, Code: CodeInvalid, Path: path, Reason: reason, Message: path + ": " + reason}
 }
 
+// outOfRange is a call with a value that is not allowed.
+func outOfRange(path, reason, allowed string) *Error {
+	e := invalidRequest(path, reason+", allowed: "+allowed)
+	e.Allowed = allowed
+	return e
+}
+
 // describe turns an error into the answer for it. It never tells the text of
 // an error that it does not know.
 func describe(err error) *Error {
--- a/api/handler.go
+++ b/api/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -189,9 +190,7 @@
 	}
 	n, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || n < least || n > most {
-		e := invalidRequest(name, "not a whole number in range")
-		e.Allowed = strconv.FormatInt(least, 10) + " to " + strconv.FormatInt(most, 10)
-		return 0, e
+		return 0, outOfRange(name, "not a whole number in range", fmt.Sprintf("%d to %d", least, most))
 	}
 	return n, nil
 }
--- a/api/jobs.go
+++ b/api/jobs.go
@@ -1,14 +1,17 @@
 package api
 
 import (
+	"fmt"
 	"net/http"
 	"net/url"
 	"regexp"
+	"sync"
 
 	"github.com/gorilla/mux"
 
 	"github.com/fuchsiahill/fuchsiahill/auth"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/strictjson"
 	"github.com/fuchsiahill/fuchsiahill/job"
 )
 
@@ -35,14 +38,11 @@
 	if err := decodeBody(r, &spec); err != nil {
 		return nil, err
 	}
-	identity := auth.FromContext(r.Context())
-	if !identity.MaySubmit(spec.Organisation) {
-		return nil, &auth.ForbiddenError{Action: "submit jobs of organisation " + string(spec.Organisation)}
+	if err := checkSpec(spec); err != nil {
+		return nil, err
 	}
-	if !jobIDPattern.MatchString(string(spec.ID)) {
-		e := invalidRequest("id", "not a job ID")
-		e.Allowed = jobIDForm
-		return nil, e
+	if !auth.FromContext(r.Context()).MaySubmit(spec.Organisation) {
+		return nil, &auth.ForbiddenError{Action: "submit jobs of organisation " + string(spec.Organisation)}
 	}
 	// The settings, not the caller, say whose a team is: a caller must not
 	// reach another organisation's team by naming its own organisation.
@@ -58,6 +58,27 @@
 	return status, nil
 }
 
+var specValidator = sync.OnceValue(strictjson.NewValidator)
+
+// checkSpec refuses what no settings could allow.
+func checkSpec(spec job.Spec) error {
+	if !jobIDPattern.MatchString(string(spec.ID)) {
+		return outOfRange("id", "not a job ID", jobIDForm)
+	}
+	err := specValidator().Struct(spec)
+	fault, ok := strictjson.FirstFault(err)
+	switch {
+	case err == nil:
+		return nil
+	case !ok:
+		return invalidRequest("job", err.Error())
+	case fault.Rule == "required":
+		return invalidRequest(fault.Path, "missing")
+	default:
+		return invalidRequest(fault.Path, fmt.Sprintf("breaks the limit %s %s", fault.Rule, fault.Param))
+	}
+}
+
 // ownTeam returns the team of a call if the identity may act on it. A
 // caller is not told whether a team of others exists.
 func (h *handler) ownTeam(r *http.Request, allowed func(auth.Identity, fleet.Organisation) bool) (fleet.Team, error) {
--- a/command/command.go
+++ b/command/command.go
@@ -83,7 +83,9 @@
 func returnErrors(cmd *cli.Command) {
 	cmd.ExitErrHandler = func(context.Context, *cli.Command, error) {}
 	cmd.OnUsageError = func(_ context.Context, cmd *cli.Command, err error, _ bool) error {
-		return &UsageError{Command: cmd.FullName(), Reason: err.Error()}
+		// Parsers of numbers add the name of their function.
+		reason, _, _ := strings.Cut(err.Error(), ": strconv.")
+		return &UsageError{Command: cmd.FullName(), Reason: reason}
 	}
 	for _, sub := range cmd.Commands {
 		returnErrors(sub)
@@ -110,6 +112,11 @@
 	return &UsageError{Command: cmd.FullName(), Reason: reason}
 }
 
+// examples is the description of a command by examples.
+func examples(lines ...string) string {
+	return "EXAMPLES:\n   " + strings.Join(lines, "\n   ")
+}
+
 // arguments returns the positional arguments if there are as many as names.
 func arguments(cmd *cli.Command, names ...string) ([]string, error) {
 	args := cmd.Args().Slice()
@@ -123,7 +130,7 @@
 	return nil, &UsageError{Command: cmd.FullName(), Reason: reason}
 }
 
-// flags returns the flags of a read and its own.
+// readFlags returns the flags of a read and its own.
 func readFlags(own ...cli.Flag) []cli.Flag {
 	return slices.Concat(own, []cli.Flag{&cli.BoolFlag{Name: jsonFlag, Usage: "print JSON"}})
 }
--- a/command/fleet.go
+++ b/command/fleet.go
@@ -25,11 +25,11 @@
 
 func setState(name, usage string, state settings.DataCentreState) *cli.Command {
 	return &cli.Command{
-		Name:      name,
-		Usage:     usage,
-		ArgsUsage: "NAME",
-		UsageText: "fuchsiahill dc " + name + " sofia-1 --wait 5s",
-		Flags:     changeFlags(),
+		Name:        name,
+		Usage:       usage,
+		ArgsUsage:   "NAME",
+		Description: examples("fuchsiahill dc " + name + " sofia-1 --wait 5s"),
+		Flags:       changeFlags(),
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			args, err := arguments(cmd, "NAME")
 			if err != nil {
--- a/command/history.go
+++ b/command/history.go
@@ -16,8 +16,8 @@
 	return &cli.Command{
 		Name:  "history",
 		Usage: "list the audit records, newest first",
-		UsageText: "fuchsiahill settings history --limit 5\n" +
-			"fuchsiahill settings history --before 120 --json",
+		Description: examples("fuchsiahill settings history --limit 5",
+			"fuchsiahill settings history --before 120 --json"),
 		Flags: readFlags(
 			&cli.IntFlag{Name: "limit", Usage: "at most `N` records", Value: defaultRecords},
 			&cli.Int64Flag{Name: "before", Usage: "only records below this `REVISION`"},
@@ -43,18 +43,29 @@
 	fmt.Fprintf(w, "REVISION\tWHEN\tWHO\tPATH\tOLD\tNEW\tCHANGE\n")
 	for _, r := range page.Records {
 		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%s\t%s\n", r.Revision, r.When.UTC().Format(time.RFC3339), r.Who,
-			r.Path, valueText(r.Old), valueText(r.New), r.ID)
+			r.Path, shorten(valueText(r.Old)), shorten(valueText(r.New)), r.ID)
 	}
 	if page.Next != 0 {
 		fmt.Fprintf(w, "older: --before %d\n", page.Next)
 	}
 }
 
+const shownCharacters = 40
+
+// shorten keeps a value within a column; --json prints it whole.
+func shorten(text string) string {
+	runes := []rune(text)
+	if len(runes) <= shownCharacters {
+		return text
+	}
+	return string(runes[:shownCharacters]) + "..."
+}
+
 func settingsWait() *cli.Command {
 	return &cli.Command{
-		Name:      "wait",
-		Usage:     "wait until a revision or a higher one is in force on all hosts",
-		UsageText: "fuchsiahill settings wait --revision 120 --timeout 5s",
+		Name:        "wait",
+		Usage:       "wait until a revision or a higher one is in force on all hosts",
+		Description: examples("fuchsiahill settings wait --revision 120 --timeout 5s"),
 		Flags: readFlags(
 			&cli.Int64Flag{Name: revisionFlag, Usage: "`REVISION` to wait for", DefaultText: "the one in force on the host asked"},
 			&cli.DurationFlag{Name: timeoutFlag, Usage: "longest `TIME` to wait, at most 1m", Value: defaultTimeout},
--- a/command/jobs.go
+++ b/command/jobs.go
@@ -25,9 +25,9 @@
 		Name:      "submit",
 		Usage:     "submit a job; the same job under the same ID is accepted once",
 		ArgsUsage: "[COMMAND]",
-		UsageText: "fuchsiahill jobs submit --organisation balkantrans --team fuel --class invoice-check \\\n" +
-			"   --tasks 10 --milli-cores 500 --memory-mb 256 'check march'\n" +
-			"fuchsiahill jobs submit --file job.json",
+		Description: examples("fuchsiahill jobs submit --organisation balkantrans --team fuel --class invoice-check \\",
+			"   --tasks 10 --milli-cores 500 --memory-mb 256 'check march'",
+			"fuchsiahill jobs submit --file job.json"),
 		Flags: readFlags(
 			&cli.StringFlag{Name: "id", Usage: "`ID` of the job; give the same one to repeat", DefaultText: "a new one"},
 			&cli.StringFlag{Name: "organisation", Usage: "`NAME`"},
@@ -148,10 +148,10 @@
 
 func jobsList() *cli.Command {
 	return &cli.Command{
-		Name:      "list",
-		Usage:     "list the jobs of a team",
-		ArgsUsage: "TEAM",
-		UsageText: "fuchsiahill jobs list fuel --limit 20",
+		Name:        "list",
+		Usage:       "list the jobs of a team",
+		ArgsUsage:   "TEAM",
+		Description: examples("fuchsiahill jobs list fuel --limit 20"),
 		Flags: readFlags(
 			&cli.StringFlag{Name: "after", Usage: "continue after a page, `NEXT`"},
 			&cli.IntFlag{Name: "limit", Usage: "at most `N` jobs", Value: 100},
@@ -187,11 +187,11 @@
 
 func oneJob(name, usage string, call func(*api.Client, context.Context, fleet.Team, fleet.JobID) (job.Status, error)) *cli.Command {
 	return &cli.Command{
-		Name:      name,
-		Usage:     usage,
-		ArgsUsage: "TEAM JOB",
-		UsageText: "fuchsiahill jobs " + name + " fuel march-7",
-		Flags:     readFlags(),
+		Name:        name,
+		Usage:       usage,
+		ArgsUsage:   "TEAM JOB",
+		Description: examples("fuchsiahill jobs " + name + " fuel march-7"),
+		Flags:       readFlags(),
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			args, err := arguments(cmd, "TEAM", "JOB")
 			if err != nil {
--- /dev/null
+++ b/command/script_test.go
@@ -0,0 +1,329 @@
+package command_test
+
+import (
+	"context"
+	"flag"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/fuchsiahill/fuchsiahill/api"
+	"github.com/fuchsiahill/fuchsiahill/auth"
+	"github.com/fuchsiahill/fuchsiahill/command"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/job"
+	"github.com/fuchsiahill/fuchsiahill/member"
+	"github.com/fuchsiahill/fuchsiahill/settings"
+	"github.com/fuchsiahill/fuchsiahill/shard"
+	"github.com/fuchsiahill/fuchsiahill/store"
+)
+
+var update = flag.Bool("update", false, "write the output of the sessions into their scripts")
+
+// The scripts in testdata are whole sessions of operators and callers with a
+// host in this process, which keeps its settings in a stand-in of the store.
+// Besides the commands of testscript they have:
+//
+//	fuchsiahill ARGS     the command line, which must succeed
+//	exits CODE ARGS      the command line, which must exit with CODE
+//	token NAME           use the token of operator, viewer, caller, other or nobody
+//	store up|down|lose N|stale N
+//	jobs up|down|lost    what the job interface answers
+//	lag HOST REVISION    a host's revision stays where it is
+//	host up|gone         whether anything listens at the address
+func TestSessions(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:           "testdata",
+		UpdateScripts: *update,
+		Setup:         setup,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"fuchsiahill": func(ts *testscript.TestScript, neg bool, args []string) {
+				if code := run(ts, args); (code != command.ExitOK) != neg {
+					ts.Fatalf("exit code %d", code)
+				}
+			},
+			"exits": func(ts *testscript.TestScript, _ bool, args []string) {
+				if code := run(ts, args[1:]); strconv.Itoa(code) != args[0] {
+					ts.Fatalf("exit code %d, want %s", code, args[0])
+				}
+			},
+			"token": func(ts *testscript.TestScript, _ bool, args []string) { ts.Setenv("TOKEN", args[0]) },
+			"store": storeFaults,
+			"jobs":  func(ts *testscript.TestScript, _ bool, args []string) { siteOf(ts).jobs.fault = args[0] },
+			"lag":   lag,
+			"host":  func(ts *testscript.TestScript, _ bool, args []string) { siteOf(ts).gone = args[0] == "gone" },
+		},
+	})
+}
+
+// run runs the command line in this process.
+func run(ts *testscript.TestScript, args []string) int {
+	root := command.New("1.2.3")
+	root.Reader = strings.NewReader(ts.ReadFile("stdin"))
+	root.Writer = ts.Stdout()
+	root.ErrWriter = ts.Stderr()
+	address := siteOf(ts).address()
+	all := []string{"fuchsiahill", "--address", address, "--token", ts.Getenv("TOKEN")}
+	for _, arg := range args {
+		all = append(all, strings.ReplaceAll(arg, "WORK/", ts.Getenv("WORK")+"/"))
+	}
+	return command.Run(context.Background(), root, all)
+}
+
+type siteKey struct{}
+
+func siteOf(ts *testscript.TestScript) *site { return ts.Value(siteKey{}).(*site) }
+
+func storeFaults(ts *testscript.TestScript, _ bool, args []string) {
+	n := 0
+	if len(args) > 1 {
+		n, _ = strconv.Atoi(args[1])
+	}
+	s := siteOf(ts)
+	s.store.SetFaults(map[string]standin.StoreFaults{
+		"down":  {Down: true},
+		"lose":  {LoseReply: n},
+		"stale": {StaleReads: n},
+	}[args[0]])
+}
+
+func lag(ts *testscript.TestScript, _ bool, args []string) {
+	n, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	siteOf(ts).members.lag(fleet.HostID(args[0]), store.Revision(n))
+}
+
+// site is a host with all that it needs.
+type site struct {
+	store   *standin.Store
+	members *members
+	jobs    *jobs
+	server  *httptest.Server
+	gone    bool
+}
+
+// address returns where the host listens, or a port where nothing does.
+func (s *site) address() string {
+	if s.gone {
+		return "http://127.0.0.1:1"
+	}
+	return s.server.URL
+}
+
+func setup(env *testscript.Env) error {
+	if err := os.WriteFile(env.WorkDir+"/stdin", nil, 0o600); err != nil {
+		return err
+	}
+	env.Setenv("TOKEN", "operator")
+	tokens, err := auth.NewTokens([]auth.Token{
+		{Name: "ana", SHA256: auth.Hash("operator"), Role: auth.RoleOperator},
+		{Name: "vera", SHA256: auth.Hash("viewer"), Role: auth.RoleReadOnly},
+		{Name: "clerk", SHA256: auth.Hash("caller"), Role: auth.RoleCaller, Organisation: "balkantrans"},
+		{Name: "planner", SHA256: auth.Hash("other"), Role: auth.RoleCaller, Organisation: "verband"},
+	})
+	if err != nil {
+		return err
+	}
+	s := &site{store: standin.NewStore(), jobs: &jobs{}}
+	editor := settings.NewEditor(s.store, func() time.Time { return time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC) })
+	view := fixedView{settings.NewTracker(s.store, settings.TrackerOptions{})}
+	editor.OnApplied(func(value []byte, revision store.Revision) { _ = view.Offer(value, revision) })
+	s.members = &members{view: view, lagging: make(map[fleet.HostID]store.Revision)}
+	s.server = httptest.NewServer(api.NewHandler(api.Deps{
+		Self: "host-1", Jobs: s.jobs, Editor: editor, View: view, Members: s.members,
+		Shards: shards{}, Health: healthy{}, Tokens: tokens,
+	}))
+	env.Defer(s.server.Close)
+	env.Values[siteKey{}] = s
+	return nil
+}
+
+// fixedView is a Tracker that is always confirmed at the same time.
+type fixedView struct{ *settings.Tracker }
+
+func (fixedView) ConfirmedAt() time.Time { return time.Date(2026, 3, 1, 8, 0, 1, 0, time.UTC) }
+
+type healthy struct{}
+
+func (healthy) Live() error  { return nil }
+func (healthy) Ready() error { return nil }
+
+type shards struct{}
+
+func (shards) Shards() []api.Shard {
+	return []api.Shard{
+		{ID: shard.NewID(shard.KindQueue, "fuel", 0), Owner: &shard.Owner{Host: "host-2", Incarnation: 12, Epoch: 3}},
+		{ID: shard.NewID(shard.KindCell, "sofia-1", 0), Owner: &shard.Owner{Host: "host-1", Incarnation: 11, Epoch: 1}},
+		{ID: shard.NewID(shard.KindFront, "sofia-1", 0)},
+	}
+}
+
+// members is a directory of three hosts, of which the last is silent.
+type members struct {
+	view settings.View
+
+	mu      sync.Mutex
+	lagging map[fleet.HostID]store.Revision
+}
+
+func (m *members) lag(id fleet.HostID, revision store.Revision) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lagging[id] = revision
+}
+
+func (m *members) Hosts() []member.Host {
+	return []member.Host{
+		{ID: "host-1", Incarnation: 11, Region: "bulgaria", DataCentre: "sofia-1", HTTPAddress: "10.0.0.1:7400", PeerAddress: "10.0.0.1:7401"},
+		{ID: "host-2", Incarnation: 12, Region: "bulgaria", DataCentre: "ruse", HTTPAddress: "10.0.0.2:7400", PeerAddress: "10.0.0.2:7401"},
+	}
+}
+
+func (m *members) Host(id fleet.HostID) (member.Host, bool) {
+	i := slices.IndexFunc(m.Hosts(), func(h member.Host) bool { return h.ID == id })
+	return m.Hosts()[max(i, 0)], i >= 0
+}
+
+func (m *members) Summary(id fleet.HostID) (member.Summary, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	host, ok := m.Host(id)
+	s := member.Summary{Host: id, Incarnation: host.Incarnation, Settings: m.view.Current().Revision(), StoreOK: true}
+	if revision, lags := m.lagging[id]; lags {
+		s.Settings = revision
+	}
+	s.Services = map[fleet.Service]member.ServiceLoad{"reclaim": {Slots: 80, Free: 30, Waiting: 2}}
+	s.Cells = map[string]member.CellLoad{"cell/sofia-1/0": {Waiting: 4}}
+	return s, ok
+}
+
+// jobs is a job.Service that keeps jobs as they were submitted.
+type jobs struct {
+	mu    sync.Mutex
+	fault string
+	all   []job.Status
+}
+
+func (j *jobs) fail() error {
+	switch j.fault {
+	case "down":
+		return &job.UnavailableError{Reason: "store_unavailable", RetryAfter: 1500 * time.Millisecond}
+	case "lost":
+		return &job.UnknownError{Cause: context.DeadlineExceeded}
+	}
+	return nil
+}
+
+const largestMemoryMB = 64_000
+
+func (j *jobs) Submit(_ context.Context, spec job.Spec) (job.Status, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if spec.Resources.MemoryMB > largestMemoryMB {
+		return job.Status{}, &job.TooLargeError{Resource: "memory_mb", Need: spec.Resources.MemoryMB, Largest: largestMemoryMB}
+	}
+	if i := j.find(spec.Team, spec.ID); i >= 0 {
+		if j.all[i].Spec.Command != spec.Command {
+			return job.Status{}, &job.ConflictError{ID: spec.ID}
+		}
+		return j.all[i], j.fail()
+	}
+	if err := j.fail(); err != nil {
+		return job.Status{}, err
+	}
+	submitted := time.Date(2026, 3, 1, 8, 0, 2, 0, time.UTC)
+	j.all = append(j.all, job.Status{Spec: spec, State: job.StateQueued, Queued: spec.Tasks, Submitted: submitted})
+	return j.all[len(j.all)-1], nil
+}
+
+func (j *jobs) find(team fleet.Team, id fleet.JobID) int {
+	return slices.IndexFunc(j.all, func(s job.Status) bool { return s.Spec.ID == id && s.Spec.Team == team })
+}
+
+func (j *jobs) Get(_ context.Context, team fleet.Team, id fleet.JobID) (job.Status, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if err := j.fail(); err != nil {
+		return job.Status{}, err
+	}
+	if i := j.find(team, id); i >= 0 {
+		return j.all[i], nil
+	}
+	return job.Status{}, &job.NotFoundError{ID: id}
+}
+
+func (j *jobs) List(_ context.Context, q job.ListQuery) (job.Page, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	page := job.Page{Jobs: []job.Status{}}
+	for _, s := range j.all {
+		if s.Spec.Team != q.Team || string(s.Spec.ID) <= q.After {
+			continue
+		}
+		if len(page.Jobs) == q.Limit {
+			page.Next = string(page.Jobs[len(page.Jobs)-1].Spec.ID)
+			break
+		}
+		page.Jobs = append(page.Jobs, s)
+	}
+	return page, j.fail()
+}
+
+func (j *jobs) Cancel(ctx context.Context, team fleet.Team, id fleet.JobID) (job.Status, error) {
+	if _, err := j.Get(ctx, team, id); err != nil {
+		return job.Status{}, err
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	s := &j.all[j.find(team, id)]
+	s.State, s.Queued, s.Cancelled = job.StateCancelled, 0, s.Spec.Tasks
+	return *s, nil
+}
+
+// A host that takes a change and never answers leaves the outcome unknown,
+// which a later refusal by another host does not settle.
+func TestUnknownOutcomeStaysUnknown(t *testing.T) {
+	tests := []struct {
+		name string
+		args string
+		want string
+	}{
+		{"settings", "settings set values.priority 1 --change-id a", "; repeat it with --change-id a\n"},
+		{"job", "jobs submit --id a --organisation o --team t --class c", "; repeat it with --id a\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			calls := 0
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				calls++
+				if _, err := io.ReadAll(r.Body); err != nil {
+					t.Error(err)
+				}
+				if calls == 1 {
+					panic(http.ErrAbortHandler)
+				}
+				w.WriteHeader(http.StatusServiceUnavailable)
+				io.WriteString(w, `{"code": "unavailable", "message": "down"}`)
+			}))
+			defer server.Close()
+			var stderr strings.Builder
+			root := command.New("1.2.3")
+			root.ErrWriter = &stderr
+			args := append([]string{"fuchsiahill", "--address", server.URL}, strings.Fields(tt.args)...)
+			code := command.Run(t.Context(), root, args)
+			if code != command.ExitUnknown || calls != 3 || !strings.HasSuffix(stderr.String(), tt.want) {
+				t.Errorf("exit code %d after %d calls: %s", code, calls, stderr.String())
+			}
+		})
+	}
+}
--- a/command/settings.go
+++ b/command/settings.go
@@ -48,9 +48,9 @@
 		Name:      "get",
 		Usage:     "print the tree in force, or a part of it",
 		ArgsUsage: "[PATH]",
-		UsageText: "fuchsiahill settings get\n" +
-			"fuchsiahill settings get values.objective_ms\n" +
-			"fuchsiahill settings get organisations.balkantrans --json",
+		Description: examples("fuchsiahill settings get",
+			"fuchsiahill settings get values.objective_ms",
+			"fuchsiahill settings get organisations.balkantrans --json"),
 		Flags: readFlags(),
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			if cmd.Args().Len() > 1 {
@@ -86,9 +86,9 @@
 		Name:      "set",
 		Usage:     "set a path to a JSON value or a word",
 		ArgsUsage: "PATH VALUE",
-		UsageText: "fuchsiahill settings set values.objective_ms 80\n" +
-			"fuchsiahill settings set organisations.balkantrans.data_centres.sofia-1.services.reclaim.objective_ms 40 --wait 5s\n" +
-			"fuchsiahill settings set teams.fuel --file fuel.json",
+		Description: examples("fuchsiahill settings set values.objective_ms 80",
+			"fuchsiahill settings set organisations.balkantrans.data_centres.sofia-1.services.reclaim.objective_ms 40 --wait 5s",
+			"fuchsiahill settings set teams.fuel --file fuel.json"),
 		Flags: changeFlags(&cli.StringFlag{Name: fileFlag, Usage: "take the value from `FILE`, - for standard input"}),
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			path, value, err := setArguments(cmd)
@@ -141,11 +141,11 @@
 
 func settingsUnset() *cli.Command {
 	return &cli.Command{
-		Name:      "unset",
-		Usage:     "remove a path, so that it inherits from the level above",
-		ArgsUsage: "PATH",
-		UsageText: "fuchsiahill settings unset organisations.balkantrans.values.priority",
-		Flags:     changeFlags(),
+		Name:        "unset",
+		Usage:       "remove a path, so that it inherits from the level above",
+		ArgsUsage:   "PATH",
+		Description: examples("fuchsiahill settings unset organisations.balkantrans.values.priority"),
+		Flags:       changeFlags(),
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			args, err := arguments(cmd, "PATH")
 			if err != nil {
@@ -227,9 +227,9 @@
 
 func settingsExplain() *cli.Command {
 	return &cli.Command{
-		Name:      "explain",
-		Usage:     "tell which level each value in force at a leaf comes from",
-		UsageText: "fuchsiahill settings explain --organisation balkantrans --data-centre sofia-1 --service reclaim",
+		Name:        "explain",
+		Usage:       "tell which level each value in force at a leaf comes from",
+		Description: examples("fuchsiahill settings explain --organisation balkantrans --data-centre sofia-1 --service reclaim"),
 		Flags: readFlags(
 			&cli.StringFlag{Name: "organisation", Usage: "`NAME`"},
 			&cli.StringFlag{Name: "data-centre", Usage: "`NAME`"},
@@ -271,11 +271,11 @@
 
 func settingsValidate() *cli.Command {
 	return &cli.Command{
-		Name:      "validate",
-		Usage:     "check a file with a whole tree, without a host",
-		ArgsUsage: "FILE",
-		UsageText: "fuchsiahill settings validate tree.json",
-		Flags:     readFlags(),
+		Name:        "validate",
+		Usage:       "check a file with a whole tree, without a host",
+		ArgsUsage:   "FILE",
+		Description: examples("fuchsiahill settings validate tree.json"),
+		Flags:       readFlags(),
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			args, err := arguments(cmd, "FILE")
 			if err != nil {
--- a/config/config.go
+++ b/config/config.go
@@ -10,7 +10,6 @@
 
 	"github.com/go-playground/validator/v10"
 	"github.com/rotisserie/eris"
-	"reflect"
 
 	"github.com/fuchsiahill/fuchsiahill/auth"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
@@ -182,11 +181,7 @@
 }
 
 func newValidator() *validator.Validate {
-	v := validator.New()
-	v.RegisterTagNameFunc(func(f reflect.StructField) string {
-		name, _ := strictjson.FieldName(f)
-		return name
-	})
+	v := strictjson.NewValidator()
 	// Registration fails only for an empty tag or function.
 	_ = v.RegisterValidation("hostport", func(fl validator.FieldLevel) bool {
 		_, err := netip.ParseAddrPort(fl.Field().String())
@@ -196,37 +191,30 @@
 }
 
 func validationError(err error) error {
-	var fields validator.ValidationErrors
-	if !errors.As(err, &fields) || len(fields) == 0 {
+	fault, ok := strictjson.FirstFault(err)
+	if !ok {
 		return invalid("", err.Error())
 	}
-	return invalid(pathOf(fields[0].Namespace()), reasonOf(fields[0]))
-}
-
-func pathOf(namespace string) string {
-	for i, c := range namespace {
-		if c == '.' {
-			return namespace[i+1:]
-		}
-	}
-	return namespace
+	return invalid(fault.Path, reasonOf(fault))
 }
 
-func reasonOf(f validator.FieldError) string {
-	switch f.Tag() {
+func reasonOf(f strictjson.Fault) string {
+	switch f.Rule {
 	case "required", "required_if":
 		return "missing"
 	case "hostport":
-		return fmt.Sprintf("%q is not IP:port", f.Value())
+		return fmt.Sprintf("%q is not IP:port", f.Value)
 	case "http_url":
-		return fmt.Sprintf("%q is not an http or https URL", f.Value())
+		return fmt.Sprintf("%q is not an http or https URL", f.Value)
 	case "oneof":
-		return fmt.Sprintf("%v is not one of: %s", f.Value(), f.Param())
+		return fmt.Sprintf("%q is not one of: %s", f.Value, f.Param)
 	case "max", "lte":
-		return "above the limit of " + f.Param()
+		return "above the limit of " + f.Param
 	case "gte":
-		return "below " + f.Param()
+		return "below " + f.Param
+	case "len", "hexadecimal":
+		return "not a SHA-256 in 64 hex digits"
 	default:
-		return "not valid (" + f.Tag() + " " + f.Param() + ")"
+		return "not valid: " + f.Rule + " " + f.Param
 	}
 }
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -61,7 +61,7 @@
 	dec := json.NewDecoder(bytes.NewReader(data))
 	var raw json.RawMessage
 	if err := dec.Decode(&raw); err != nil {
-		return syntaxError(dec, err)
+		return syntaxError(err, int64(len(data)))
 	}
 	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
 		return eris.Wrap(&SyntaxError{Offset: dec.InputOffset(), Reason: "data after the value"}, "strictjson")
@@ -69,17 +69,13 @@
 	return nil
 }
 
-func syntaxError(dec *json.Decoder, err error) error {
-	offset := dec.InputOffset()
-	reason := err.Error()
+func syntaxError(err error, size int64) error {
+	e := &SyntaxError{Offset: size, Reason: "unexpected end"}
 	var syntax *json.SyntaxError
 	if errors.As(err, &syntax) {
-		offset = syntax.Offset
+		e.Offset, e.Reason = syntax.Offset, syntax.Error()
 	}
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-		reason = "unexpected end"
-	}
-	return eris.Wrap(&SyntaxError{Offset: offset, Reason: reason}, "strictjson")
+	return eris.Wrap(e, "strictjson")
 }
 
 // walker compares the tokens of a value with the type that it is meant for.
--- /dev/null
+++ b/internal/strictjson/validator.go
@@ -0,0 +1,63 @@
+package strictjson
+
+import (
+	"errors"
+	"reflect"
+	"regexp"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+)
+
+// NewValidator returns a validator that names values by their JSON names.
+func NewValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		name, _ := FieldName(f)
+		return name
+	})
+	return v
+}
+
+// Fault is a rule that a value breaks.
+type Fault struct {
+	Path  string // as in ValueError
+	Rule  string // name of the rule in the validate tag
+	Param string // of the rule
+	Value any
+}
+
+// FirstFault returns the first fault in an error of a validator, and false
+// if the error is of another kind.
+func FirstFault(err error) (Fault, bool) {
+	var fields validator.ValidationErrors
+	if !errors.As(err, &fields) || len(fields) == 0 {
+		return Fault{}, false
+	}
+	f := fields[0]
+	return Fault{Path: pathOf(f.Namespace()), Rule: f.Tag(), Param: f.Param(), Value: f.Value()}, true
+}
+
+var listIndex = regexp.MustCompile(`^[0-9]+$`)
+
+// pathOf turns a validator's namespace, "Tree.teams[fuel].shards", into a
+// path, "teams.fuel.shards". An index of a list stays in brackets.
+func pathOf(namespace string) string {
+	_, rest, _ := strings.Cut(namespace, ".")
+	var path strings.Builder
+	for rest != "" {
+		before, after, found := strings.Cut(rest, "[")
+		path.WriteString(before)
+		if !found {
+			break
+		}
+		key, tail, _ := strings.Cut(after, "]")
+		if listIndex.MatchString(key) {
+			path.WriteString("[" + key + "]")
+		} else {
+			path.WriteString("." + key)
+		}
+		rest = tail
+	}
+	return path.String()
+}
--- a/settings/errors.go
+++ b/settings/errors.go
@@ -67,7 +67,7 @@
 type UnavailableError struct{ Cause error }
 
 func (e *UnavailableError) Error() string {
-	return "settings: not applied, store unavailable: " + e.Cause.Error()
+	return "settings: not applied, store unavailable: " + rootMessage(e.Cause)
 }
 
 // Unwrap returns the cause.
@@ -82,7 +82,7 @@
 }
 
 func (e *UnknownOutcomeError) Error() string {
-	return fmt.Sprintf("settings: outcome of change %s unknown, repeat it under the same ID: %v", e.ID, e.Cause)
+	return fmt.Sprintf("settings: outcome of change %s unknown, repeat it under the same ID: %s", e.ID, rootMessage(e.Cause))
 }
 
 // Unwrap returns the cause.
@@ -110,6 +110,8 @@
 	return eris.Wrap(&InvalidError{Path: value.Path, Reason: value.Reason, Allowed: allowedAt(value.Path)}, "decode")
 }
 
+// rootMessage returns the text of the innermost cause, without what each
+// layer adds.
 func rootMessage(err error) string {
 	return eris.Cause(err).Error()
 }
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"errors"
 	"fmt"
 	"reflect"
 	"regexp"
@@ -22,11 +21,7 @@
 const nameForm = "1 to 63 of a-z, 0-9, - and _, beginning with a letter or digit"
 
 var newValidator = sync.OnceValue(func() *validator.Validate {
-	v := validator.New()
-	v.RegisterTagNameFunc(func(f reflect.StructField) string {
-		name, _ := strictjson.FieldName(f)
-		return name
-	})
+	v := strictjson.NewValidator()
 	// Registration fails only for an empty tag or function.
 	_ = v.RegisterValidation("name", func(fl validator.FieldLevel) bool {
 		return namePattern.MatchString(fl.Field().String())
@@ -90,36 +85,26 @@
 }
 
 func validationError(err error) error {
-	var fields validator.ValidationErrors
-	if !errors.As(err, &fields) || len(fields) == 0 {
+	fault, ok := strictjson.FirstFault(err)
+	if !ok {
 		return eris.Wrap(&InvalidError{Reason: err.Error()}, "validate")
 	}
-	field := fields[0]
-	path := pathOf(field.Namespace())
-	e := &InvalidError{Path: path, Allowed: allowedAt(path)}
-	switch field.Tag() {
+	e := &InvalidError{Path: fault.Path, Allowed: allowedAt(fault.Path)}
+	switch fault.Rule {
 	case "required":
 		e.Reason = "missing"
 	case "max":
-		e.Reason = "more than " + field.Param() + " entries"
+		e.Reason = "more than " + fault.Param + " entries"
 	case "name":
-		e.Path = strictjson.Printable(path)
+		e.Path = strictjson.Printable(fault.Path)
 		e.Reason = "not a name"
 		e.Allowed = nameForm
 	default:
-		e.Reason = fmt.Sprintf("%v is out of range", field.Value())
+		e.Reason = fmt.Sprintf("%v is out of range", fault.Value)
 	}
 	return eris.Wrap(e, "validate")
 }
 
-// pathOf turns a validator's namespace, "Tree.teams[fuel].shards", into a
-// path, "teams.fuel.shards".
-func pathOf(namespace string) string {
-	_, path, _ := strings.Cut(namespace, ".")
-	path = strings.ReplaceAll(path, "[", ".")
-	return strings.ReplaceAll(path, "]", "")
-}
-
 // checkReferences refuses names that nothing defines: a misspelt one would
 // never be in force.
 func (t *Tree) checkReferences() error {
