--- a/command/command.go
+++ b/command/command.go
@@ -99,7 +99,11 @@
 
 // groupAction is called when no command of a group matches.
 func groupAction(_ context.Context, cmd *cli.Command) error {
-	if !cmd.Args().Present() {
+	switch {
+	case cmd.Args().Present():
+	case cmd == cmd.Root():
+		return cli.ShowRootCommandHelp(cmd)
+	default:
 		return cli.ShowSubcommandHelp(cmd)
 	}
 	var names []string
