--- a/api/fleet.go
+++ b/api/fleet.go
@@ -14,10 +14,10 @@
 )
 
 func (h *handler) routeFleet(r *mux.Router) {
-	r.HandleFunc("/hosts", h.wrap(h.listHosts)).Methods(http.MethodGet)
-	r.HandleFunc("/shards", h.wrap(h.listShards)).Methods(http.MethodGet)
-	r.HandleFunc("/services", h.wrap(h.listServices)).Methods(http.MethodGet)
-	r.HandleFunc("/status", h.wrap(h.status)).Methods(http.MethodGet)
+	r.Handle("/v1/hosts", h.wrap(h.listHosts)).Methods(http.MethodGet)
+	r.Handle("/v1/shards", h.wrap(h.listShards)).Methods(http.MethodGet)
+	r.Handle("/v1/services", h.wrap(h.listServices)).Methods(http.MethodGet)
+	r.Handle("/v1/status", h.wrap(h.status)).Methods(http.MethodGet)
 }
 
 func (h *handler) listHosts(r *http.Request) (any, error) {
--- a/api/handler.go
+++ b/api/handler.go
@@ -75,15 +75,13 @@
 	}
 	h := &handler{d}
 	root := mux.NewRouter().UseEncodedPath()
-	root.NotFoundHandler = h.wrap(noSuchResource)
-	root.MethodNotAllowedHandler = h.wrap(methodNotAllowed)
+	root.NotFoundHandler = h.open(maxBodyBytes, callTimeout, noSuchResource)
+	root.MethodNotAllowedHandler = h.open(maxBodyBytes, callTimeout, methodNotAllowed)
 	root.HandleFunc("/livez", h.live).Methods(http.MethodGet)
 	root.HandleFunc("/readyz", h.ready).Methods(http.MethodGet)
-	v1 := root.PathPrefix("/v1").Subrouter()
-	v1.Use(d.Tokens.Middleware(h.fail))
-	h.routeSettings(v1)
-	h.routeFleet(v1)
-	h.routeJobs(v1)
+	h.routeSettings(root)
+	h.routeFleet(root)
+	h.routeJobs(root)
 	return withRequestID(root)
 }
 
@@ -102,13 +100,18 @@
 // action answers one call with a value to encode or an error.
 type action func(r *http.Request) (any, error)
 
-// wrap makes an action an http.Handler: body limit, time limit, encoding,
-// log.
-func (h *handler) wrap(a action) http.HandlerFunc {
+// wrap makes an action a handler of calls with a known token.
+func (h *handler) wrap(a action) http.Handler {
 	return h.limited(maxBodyBytes, callTimeout, a)
 }
 
-func (h *handler) limited(bytes int64, timeout time.Duration, a action) http.HandlerFunc {
+// limited is wrap with limits on the size of the body and on the time.
+func (h *handler) limited(bytes int64, timeout time.Duration, a action) http.Handler {
+	return h.Tokens.Middleware(h.fail)(h.open(bytes, timeout, a))
+}
+
+// open is limited for calls without a token.
+func (h *handler) open(bytes int64, timeout time.Duration, a action) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := context.WithTimeout(r.Context(), timeout)
 		defer cancel()
--- a/api/jobs.go
+++ b/api/jobs.go
@@ -27,10 +27,10 @@
 const jobIDForm = "1 to 64 of A-Z, a-z, 0-9, '.', '_' and '-', beginning with a letter or digit"
 
 func (h *handler) routeJobs(r *mux.Router) {
-	r.HandleFunc("/jobs", h.wrap(h.submit)).Methods(http.MethodPost)
-	r.HandleFunc("/teams/{team}/jobs", h.wrap(h.listJobs)).Methods(http.MethodGet)
-	r.HandleFunc("/teams/{team}/jobs/{id}", h.wrap(h.getJob)).Methods(http.MethodGet)
-	r.HandleFunc("/teams/{team}/jobs/{id}/cancel", h.wrap(h.cancelJob)).Methods(http.MethodPost)
+	r.Handle("/v1/jobs", h.wrap(h.submit)).Methods(http.MethodPost)
+	r.Handle("/v1/teams/{team}/jobs", h.wrap(h.listJobs)).Methods(http.MethodGet)
+	r.Handle("/v1/teams/{team}/jobs/{id}", h.wrap(h.getJob)).Methods(http.MethodGet)
+	r.Handle("/v1/teams/{team}/jobs/{id}/cancel", h.wrap(h.cancelJob)).Methods(http.MethodPost)
 }
 
 func (h *handler) submit(r *http.Request) (any, error) {
--- a/api/settings.go
+++ b/api/settings.go
@@ -21,15 +21,15 @@
 )
 
 func (h *handler) routeSettings(r *mux.Router) {
-	r.HandleFunc("/settings", h.wrap(h.getSettings)).Methods(http.MethodGet)
-	r.HandleFunc("/settings", h.wrap(h.setSettings)).Methods(http.MethodPut)
-	r.HandleFunc("/settings/unset", h.wrap(h.unsetSettings)).Methods(http.MethodPost)
-	r.HandleFunc("/settings/explain", h.wrap(h.explainSettings)).Methods(http.MethodGet)
-	r.HandleFunc("/settings/validate", h.limited(maxTreeBytes, callTimeout, h.validateSettings)).Methods(http.MethodPost)
-	r.HandleFunc("/settings/history", h.wrap(h.settingsHistory)).Methods(http.MethodGet)
-	r.HandleFunc("/settings/wait", h.limited(maxBodyBytes, maxWait+callTimeout, h.wait)).Methods(http.MethodGet)
-	r.HandleFunc("/data_centres", h.wrap(h.listDataCentres)).Methods(http.MethodGet)
-	r.HandleFunc("/data_centres/{name}/state", h.wrap(h.setState)).Methods(http.MethodPut)
+	r.Handle("/v1/settings", h.wrap(h.getSettings)).Methods(http.MethodGet)
+	r.Handle("/v1/settings", h.wrap(h.setSettings)).Methods(http.MethodPut)
+	r.Handle("/v1/settings/unset", h.wrap(h.unsetSettings)).Methods(http.MethodPost)
+	r.Handle("/v1/settings/explain", h.wrap(h.explainSettings)).Methods(http.MethodGet)
+	r.Handle("/v1/settings/validate", h.limited(maxTreeBytes, callTimeout, h.validateSettings)).Methods(http.MethodPost)
+	r.Handle("/v1/settings/history", h.wrap(h.settingsHistory)).Methods(http.MethodGet)
+	r.Handle("/v1/settings/wait", h.limited(maxBodyBytes, maxWait+callTimeout, h.wait)).Methods(http.MethodGet)
+	r.Handle("/v1/data_centres", h.wrap(h.listDataCentres)).Methods(http.MethodGet)
+	r.Handle("/v1/data_centres/{name}/state", h.wrap(h.setState)).Methods(http.MethodPut)
 }
 
 func mayRead(r *http.Request) error {
