--- a/queue/rig_test.go
+++ b/queue/rig_test.go
@@ -24,9 +24,12 @@
 )
 
 const (
-	testHost  = fleet.HostID("h1")
-	testTeam  = fleet.Team("claims")
-	testOrg   = fleet.Organisation("balkantrans")
+	testHost = fleet.HostID("h1")
+	testTeam = fleet.Team("claims")
+	testOrg  = fleet.Organisation("balkantrans")
+	// testRetainFor is how long the shards of tests keep ended jobs.
+	testRetainFor = 30 * time.Minute
+
 	testShard = shard.ID("queue/claims/0")
 )
 
@@ -72,7 +75,7 @@
 		return err
 	}
 	reply, err := h(ctx, testHost, params)
-	if after || ctx.Err() != nil {
+	if after || lost(err) || ctx.Err() != nil {
 		return unknown
 	}
 	if err != nil {
@@ -209,9 +212,11 @@
 	world  *world
 	cells  *fakeCells
 	client *Client
-	epoch  fleet.Epoch
-	stop   func()
-	server *Server
+	points *crashPoint
+
+	mu    sync.Mutex
+	epoch fleet.Epoch
+	end   func() // of the present owner
 }
 
 func newRig(t *testing.T) *rig {
@@ -221,39 +226,63 @@
 		net:   newNetwork(),
 		world: newWorld(),
 	}
-	r.cells = newFakeCells(r.net)
+	r.points = &crashPoint{crash: r.crash}
+	r.cells = newFakeCells(r.net, t.Context().Done())
 	r.client = NewClient(ClientDeps{Peers: r.net, Shards: r.world, Settings: r.world})
 	return r
 }
 
-// start runs the shard under the next epoch, after stopping the last owner
-// without notice.
+// restartAfter is how long a shard has no owner after a crash.
+const restartAfter = 2 * time.Second
+
+// crash stops the owner and starts the next one later.
+func (r *rig) crash() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	go r.end()
+	time.AfterFunc(restartAfter, r.start)
+}
+
+// start runs the shard under the next epoch.
 func (r *rig) start() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.epoch++
-	r.server = NewServer(Deps{
+	p := &process{Store: r.store, net: r.net, points: r.points}
+	server := NewServer(Deps{
 		Region:   "bg",
-		Store:    r.store,
-		Peers:    r.net,
-		Registry: r.net,
+		Store:    p,
+		Peers:    p,
+		Registry: p,
 		Members:  r.world,
 		Shards:   r.world,
 		Settings: r.world,
 		Platform: platformView{r.world},
 		Logger:   log.NewNopLogger(),
+
+		RetainFor: testRetainFor,
 	})
 	ctx, cancel := context.WithCancel(r.t.Context())
 	owner := shard.Owner{Host: testHost, Incarnation: 1, Epoch: r.epoch}
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		_ = r.server.Run(ctx, testShard, owner)
+		_ = server.Run(ctx, testShard, owner)
 	}()
-	r.stop = func() {
+	r.end = func() {
 		cancel()
 		<-ended
 	}
 }
 
+// stop ends the present owner in good order.
+func (r *rig) stop() {
+	r.mu.Lock()
+	end := r.end
+	r.mu.Unlock()
+	end()
+}
+
 func (r *rig) submit(id fleet.JobID, tasks int, change ...func(*job.Spec)) (job.Status, error) {
 	s := spec(id, tasks)
 	for _, c := range change {
@@ -284,14 +313,15 @@
 // remembers them durably, and returns each until the queue has acknowledged.
 // It judges what it saw.
 type fakeCells struct {
-	net *network
+	net  *network
+	done <-chan struct{} // closed at the end of the test
 
 	mu       sync.Mutex
 	attempts map[platform.AttemptRef]*fakeAttempt
 	running  map[fleet.TaskID]platform.AttemptRef
 	finished map[fleet.TaskID]int
 	doubled  []platform.AttemptRef // offered while another attempt was running or after the end
-	runtime  time.Duration
+	runtime  func(delegation.Task) time.Duration
 	end      func(delegation.Task) delegation.Outcome // nil: finished
 	refuse   func(shard.ID, delegation.Task) string   // reason, "" to accept
 }
@@ -304,20 +334,21 @@
 	reason string // refused
 }
 
-func newFakeCells(net *network) *fakeCells {
+func newFakeCells(net *network, done <-chan struct{}) *fakeCells {
 	c := &fakeCells{
 		net:      net,
+		done:     done,
 		attempts: make(map[platform.AttemptRef]*fakeAttempt),
 		running:  make(map[fleet.TaskID]platform.AttemptRef),
 		finished: make(map[fleet.TaskID]int),
-		runtime:  time.Second,
+		runtime:  func(delegation.Task) time.Duration { return time.Second },
 	}
-	net.Handle(delegation.MethodOffer, handler(c.offer))
-	net.Handle(delegation.MethodCancel, handler(c.cancel))
+	peer.Register(net, delegation.MethodOffer, c.offer)
+	peer.Register(net, delegation.MethodCancel, c.cancel)
 	return c
 }
 
-func (c *fakeCells) offer(_ context.Context, o delegation.Offer) (delegation.OfferReply, error) {
+func (c *fakeCells) offer(_ context.Context, _ fleet.HostID, o delegation.Offer) (delegation.OfferReply, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var reply delegation.OfferReply
@@ -346,7 +377,7 @@
 	}
 	if a.reason == "" {
 		c.running[task.Task] = task.AttemptRef
-		time.AfterFunc(c.runtime, func() { c.finish(a) })
+		time.AfterFunc(c.runtime(task), func() { c.finish(a) })
 	}
 	return a
 }
@@ -387,11 +418,15 @@
 			c.mu.Unlock()
 			return
 		}
-		time.Sleep(200 * time.Millisecond)
+		select {
+		case <-c.done:
+			return
+		case <-time.After(200 * time.Millisecond):
+		}
 	}
 }
 
-func (c *fakeCells) cancel(_ context.Context, req delegation.Cancel) (delegation.CancelReply, error) {
+func (c *fakeCells) cancel(_ context.Context, _ fleet.HostID, req delegation.Cancel) (delegation.CancelReply, error) {
 	c.mu.Lock()
 	var stop []*fakeAttempt
 	for _, ref := range req.Tasks {
@@ -406,6 +441,18 @@
 	return delegation.CancelReply{}, nil
 }
 
+// restart gives back again all that the queue is not known to have taken, as
+// a cell's new owner does.
+func (c *fakeCells) restart() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, a := range c.attempts {
+		if a.out != nil && !a.acked {
+			go c.giveBack(a)
+		}
+	}
+}
+
 // check fails the test if a task ran twice at once or finished twice.
 func (c *fakeCells) check(t *testing.T) {
 	t.Helper()
