Let an organisation set values of a service or job class for all data centres

Cause: the queue decides priority, ageing and attempts of a job before any data centre is chosen and asks for the values without one. Leaves existed only below a data centre, so a job class could not set these values at all: JobClass(organisation, "", class) never reached a leaf.

Ruled out: taking the class's values from the data centres where they agree (nothing an operator can predict), refusing these values below a data centre only (the class could still not set them).

Change: services and job classes may also stand at the organisation. A leaf goes before the levels, and a leaf in a data centre before one at the organisation: root, organisation, data centre, organisation's leaf, data centre's leaf. Explain shows the path.

A mutation that turned the two leaves round survived the first tests; the table now has both set and fails.

--- a/internal/strictjson/validator.go
+++ b/internal/strictjson/validator.go
@@ -9,10 +9,16 @@
 	"github.com/go-playground/validator/v10"
 )
 
+// embedded stands for the name of an embedded struct, which JSON leaves out.
+const embedded = "\x00"
+
 // NewValidator returns a validator that names values by their JSON names.
 func NewValidator() *validator.Validate {
 	v := validator.New(validator.WithRequiredStructEnabled())
 	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		if f.Anonymous {
+			return embedded
+		}
 		name, _ := FieldName(f)
 		return name
 	})
@@ -44,6 +50,7 @@
 // path, "teams.fuel.shards". An index of a list stays in brackets.
 func pathOf(namespace string) string {
 	_, rest, _ := strings.Cut(namespace, ".")
+	rest = strings.ReplaceAll(rest, embedded+".", "")
 	var path strings.Builder
 	for rest != "" {
 		before, after, found := strings.Cut(rest, "[")
--- a/settings/bench_test.go
+++ b/settings/bench_test.go
@@ -36,7 +36,7 @@
 }
 
 func targetLocation() *Location {
-	l := &Location{Services: make(map[fleet.Service]*Values), JobClasses: make(map[fleet.JobClass]*Values)}
+	l := &Location{Leaves: Leaves{Services: make(map[fleet.Service]*Values), JobClasses: make(map[fleet.JobClass]*Values)}}
 	for i := range 4 {
 		n := int64(i + 1)
 		l.Services[fleet.Service(fmt.Sprint("service-", i))] = &Values{ObjectiveMS: &n}
--- a/settings/explain.go
+++ b/settings/explain.go
@@ -100,7 +100,8 @@
 	return origins
 }
 
-// steps returns the levels above and at leaf that the tree has.
+// steps returns the levels above and at leaf that the tree has, each going
+// before the ones ahead of it.
 func (t *Tree) steps(leaf Leaf) []step {
 	steps := []step{{LevelRoot, "values", &t.Values}}
 	org := t.Organisations[leaf.Organisation]
@@ -108,17 +109,22 @@
 		return steps
 	}
 	path := "organisations." + string(leaf.Organisation)
+	leaves := org.steps(leaf, path)
 	steps = append(steps, step{LevelOrganisation, path + ".values", &org.Values})
-	location := org.DataCentres[leaf.DataCentre]
-	if location == nil {
-		return steps
+	if location := org.DataCentres[leaf.DataCentre]; location != nil {
+		path += ".data_centres." + string(leaf.DataCentre)
+		steps = append(steps, step{LevelDataCentre, path + ".values", &location.Values})
+		leaves = append(leaves, location.steps(leaf, path)...)
 	}
-	path += ".data_centres." + string(leaf.DataCentre)
-	steps = append(steps, step{LevelDataCentre, path + ".values", &location.Values})
-	if v := location.Services[leaf.Service]; v != nil {
+	return append(steps, leaves...)
+}
+
+func (l *Leaves) steps(leaf Leaf, path string) []step {
+	var steps []step
+	if v := l.Services[leaf.Service]; v != nil {
 		steps = append(steps, step{LevelService, fmt.Sprintf("%s.services.%s", path, leaf.Service), v})
 	}
-	if v := location.JobClasses[leaf.JobClass]; v != nil {
+	if v := l.JobClasses[leaf.JobClass]; v != nil {
 		steps = append(steps, step{LevelJobClass, fmt.Sprintf("%s.job_classes.%s", path, leaf.JobClass), v})
 	}
 	return steps
--- a/settings/snapshot.go
+++ b/settings/snapshot.go
@@ -7,6 +7,8 @@
 	"github.com/fuchsiahill/fuchsiahill/store"
 )
 
+// locationKey names an organisation's level for a data centre, or, without
+// one, the organisation's level.
 type locationKey struct {
 	organisation fleet.Organisation
 	dataCentre   fleet.DataCentre
@@ -26,30 +28,28 @@
 // that a lookup costs at most a few map reads. It is never changed after
 // NewSnapshot.
 type snapshot struct {
-	revision      store.Revision
-	tree          *Tree
-	dataCentres   map[fleet.DataCentre]DataCentre
-	teams         map[fleet.Team]Team
-	root          Resolved
-	organisations map[fleet.Organisation]*Resolved
-	locations     map[locationKey]*Resolved
-	services      map[serviceKey]*Resolved
-	jobClasses    map[jobClassKey]*Resolved
+	revision    store.Revision
+	tree        *Tree
+	dataCentres map[fleet.DataCentre]DataCentre
+	teams       map[fleet.Team]Team
+	root        Resolved
+	locations   map[locationKey]*Resolved
+	services    map[serviceKey]*Resolved
+	jobClasses  map[jobClassKey]*Resolved
 }
 
 // NewSnapshot resolves every level of a valid tree. The tree must not change
 // afterwards.
 func NewSnapshot(t *Tree, revision store.Revision) Snapshot {
 	s := &snapshot{
-		revision:      revision,
-		tree:          t,
-		dataCentres:   make(map[fleet.DataCentre]DataCentre, len(t.DataCentres)),
-		teams:         make(map[fleet.Team]Team, len(t.Teams)),
-		root:          t.Values.over(Defaults()),
-		organisations: make(map[fleet.Organisation]*Resolved, len(t.Organisations)),
-		locations:     make(map[locationKey]*Resolved),
-		services:      make(map[serviceKey]*Resolved),
-		jobClasses:    make(map[jobClassKey]*Resolved),
+		revision:    revision,
+		tree:        t,
+		dataCentres: make(map[fleet.DataCentre]DataCentre, len(t.DataCentres)),
+		teams:       make(map[fleet.Team]Team, len(t.Teams)),
+		root:        t.Values.over(Defaults()),
+		locations:   make(map[locationKey]*Resolved),
+		services:    make(map[serviceKey]*Resolved),
+		jobClasses:  make(map[jobClassKey]*Resolved),
 	}
 	for name, dc := range t.DataCentres {
 		s.dataCentres[name] = *dc
@@ -65,25 +65,42 @@
 
 func (s *snapshot) addOrganisation(name fleet.Organisation, org *Organisation) {
 	values := org.Values.over(s.root)
-	s.organisations[name] = &values
+	s.addLocation(locationKey{organisation: name}, values, &org.Leaves, &Leaves{})
 	for dc, location := range org.DataCentres {
-		s.addLocation(locationKey{name, dc}, location, values)
+		s.addLocation(locationKey{name, dc}, location.Values.over(values), &org.Leaves, &location.Leaves)
 	}
 }
 
-func (s *snapshot) addLocation(key locationKey, location *Location, above Resolved) {
-	values := location.Values.over(above)
+// addLocation adds the values of a location and of each leaf that the
+// organisation or the location names.
+func (s *snapshot) addLocation(key locationKey, values Resolved, above, own *Leaves) {
 	s.locations[key] = &values
-	for name, leaf := range location.Services {
-		resolved := leaf.over(values)
+	for name := range union(above.Services, own.Services) {
+		resolved := over(own.Services[name], over(above.Services[name], values))
 		s.services[serviceKey{key, name}] = &resolved
 	}
-	for name, leaf := range location.JobClasses {
-		resolved := leaf.over(values)
+	for name := range union(above.JobClasses, own.JobClasses) {
+		resolved := over(own.JobClasses[name], over(above.JobClasses[name], values))
 		s.jobClasses[jobClassKey{key, name}] = &resolved
 	}
 }
 
+func union[K comparable, V any](a, b map[K]V) map[K]V {
+	both := maps.Clone(a)
+	if both == nil {
+		return b
+	}
+	maps.Copy(both, b)
+	return both
+}
+
+func over(v *Values, above Resolved) Resolved {
+	if v == nil {
+		return above
+	}
+	return v.over(above)
+}
+
 // Revision implements Snapshot.
 func (s *snapshot) Revision() store.Revision { return s.revision }
 
@@ -95,7 +112,10 @@
 
 // Service implements Snapshot.
 func (s *snapshot) Service(org fleet.Organisation, dc fleet.DataCentre, service fleet.Service) Resolved {
-	key := locationKey{org, dc}
+	if r, ok := s.services[serviceKey{locationKey{org, dc}, service}]; ok {
+		return *r
+	}
+	key := s.nearest(org, dc)
 	if r, ok := s.services[serviceKey{key, service}]; ok {
 		return *r
 	}
@@ -104,20 +124,30 @@
 
 // JobClass implements Snapshot.
 func (s *snapshot) JobClass(org fleet.Organisation, dc fleet.DataCentre, class fleet.JobClass) Resolved {
-	key := locationKey{org, dc}
+	if r, ok := s.jobClasses[jobClassKey{locationKey{org, dc}, class}]; ok {
+		return *r
+	}
+	key := s.nearest(org, dc)
 	if r, ok := s.jobClasses[jobClassKey{key, class}]; ok {
 		return *r
 	}
 	return s.location(key)
 }
 
+// nearest returns the key of an organisation's level for a data centre, or of
+// the organisation itself if it has none.
+func (s *snapshot) nearest(org fleet.Organisation, dc fleet.DataCentre) locationKey {
+	key := locationKey{org, dc}
+	if _, ok := s.locations[key]; ok {
+		return key
+	}
+	return locationKey{organisation: org}
+}
+
 func (s *snapshot) location(key locationKey) Resolved {
 	if r, ok := s.locations[key]; ok {
 		return *r
 	}
-	if r, ok := s.organisations[key.organisation]; ok {
-		return *r
-	}
 	return s.root
 }
 
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -43,18 +43,26 @@
 	Teams         map[fleet.Team]*Team                 `json:"teams,omitempty" validate:"max=1000,dive,keys,name,endkeys,required"`
 }
 
-// Organisation is an organisation's level of the tree.
+// Leaves holds the values of single services and job classes. They go before
+// the values of the levels above, also those of a data centre.
+type Leaves struct {
+	Services   map[fleet.Service]*Values  `json:"services,omitempty" validate:"max=1000,dive,keys,name,endkeys,required"`
+	JobClasses map[fleet.JobClass]*Values `json:"job_classes,omitempty" validate:"max=1000,dive,keys,name,endkeys,required"`
+}
+
+// Organisation is an organisation's level of the tree. Its leaves hold in all
+// data centres.
 type Organisation struct {
-	Values      Values                         `json:"values,omitzero"`
+	Values Values `json:"values,omitzero"`
+	Leaves
 	DataCentres map[fleet.DataCentre]*Location `json:"data_centres,omitempty" validate:"max=64,dive,keys,name,endkeys,required"`
 }
 
-// Location is an organisation's level for one data centre, with the services
-// and job classes as its leaves.
+// Location is an organisation's level for one data centre. Its leaves hold
+// there and inherit from those of the organisation.
 type Location struct {
-	Values     Values                     `json:"values,omitzero"`
-	Services   map[fleet.Service]*Values  `json:"services,omitempty" validate:"max=1000,dive,keys,name,endkeys,required"`
-	JobClasses map[fleet.JobClass]*Values `json:"job_classes,omitempty" validate:"max=1000,dive,keys,name,endkeys,required"`
+	Values Values `json:"values,omitzero"`
+	Leaves
 }
 
 // Default returns the tree that is in force when the store holds none: no
--- a/settings/tree_test.go
+++ b/settings/tree_test.go
@@ -20,6 +20,8 @@
 	"organisations": {
 		"balkantrans": {
 			"values": {"objective_ms": 90, "queue_length": 0},
+			"services": {"reclaim": {"queue_length": 7, "objective_ms": 60}, "claims": {"objective_ms": 50}},
+			"job_classes": {"invoice-check": {"priority": 93, "max_attempts": 9}},
 			"data_centres": {
 				"sofia-1": {
 					"values": {"objective_ms": 80},
@@ -136,9 +138,11 @@
 		objective int64
 		queue     int
 	}{
-		{"leaf", "balkantrans", "sofia-1", "reclaim", 40, 0},
+		{"leaf in a data centre over leaf of the organisation", "balkantrans", "sofia-1", "reclaim", 40, 7},
+		{"leaf of the organisation over data centre", "balkantrans", "sofia-1", "claims", 50, 0},
 		{"unknown service", "balkantrans", "sofia-1", "other", 80, 0},
-		{"data centre without a level", "balkantrans", "ruse", "reclaim", 90, 0},
+		{"data centre without a level", "balkantrans", "ruse", "reclaim", 60, 7},
+		{"no data centre", "balkantrans", "", "reclaim", 60, 7},
 		{"organisation without values", "verband", "sofia-1", "reclaim", 100, 256},
 		{"unknown organisation", "nobody", "sofia-1", "reclaim", 100, 256},
 	}
@@ -150,8 +154,11 @@
 			}
 		})
 	}
-	if got := s.JobClass("balkantrans", "sofia-1", "invoice-check").Priority; got != 95 {
-		t.Errorf("priority %d of the job class, want 95", got)
+	if got := s.JobClass("balkantrans", "sofia-1", "invoice-check"); got.Priority != 95 || got.MaxAttempts != 9 {
+		t.Errorf("priority %d, %d attempts of the job class, want 95, 9", got.Priority, got.MaxAttempts)
+	}
+	if got := s.JobClass("balkantrans", "", "invoice-check"); got.Priority != 93 || got.MaxAttempts != 9 {
+		t.Errorf("priority %d, %d attempts without a data centre, want 93, 9", got.Priority, got.MaxAttempts)
 	}
 	s.Teams()["fuel"] = Team{}
 	s.DataCentres()["ruse"] = DataCentre{}
@@ -185,21 +192,26 @@
 		Organisations: map[fleet.Organisation]*Organisation{},
 		DataCentres:   map[fleet.DataCentre]*DataCentre{},
 	}
-	for _, dc := range names.Draw(t, "data centres") {
+	centres := names.Draw(t, "data centres")
+	for _, dc := range centres {
 		tree.DataCentres[fleet.DataCentre(dc)] = &DataCentre{Region: "r", State: DataCentreIn, Cells: 1}
 	}
 	for _, org := range names.Draw(t, "organisations") {
-		o := &Organisation{Values: genValues(t, org), DataCentres: map[fleet.DataCentre]*Location{}}
+		o := &Organisation{
+			Values: genValues(t, org), Leaves: genLeaves(t, org, names),
+			DataCentres: map[fleet.DataCentre]*Location{},
+		}
 		tree.Organisations[fleet.Organisation(org)] = o
-		for dc := range tree.DataCentres {
-			o.DataCentres[dc] = genLocation(t, org+" "+string(dc), names)
+		for _, dc := range centres {
+			label := org + " " + dc
+			o.DataCentres[fleet.DataCentre(dc)] = &Location{Values: genValues(t, label), Leaves: genLeaves(t, label, names)}
 		}
 	}
 	return tree
 }
 
-func genLocation(t *rapid.T, label string, names *rapid.Generator[[]string]) *Location {
-	l := &Location{Values: genValues(t, label), Services: map[fleet.Service]*Values{}, JobClasses: map[fleet.JobClass]*Values{}}
+func genLeaves(t *rapid.T, label string, names *rapid.Generator[[]string]) Leaves {
+	l := Leaves{Services: map[fleet.Service]*Values{}, JobClasses: map[fleet.JobClass]*Values{}}
 	for _, name := range names.Draw(t, label+" leaves") {
 		service, class := genValues(t, label+" service "+name), genValues(t, label+" class "+name)
 		l.Services[fleet.Service(name)] = &service
@@ -213,7 +225,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		tree := genTree(t)
 		s := NewSnapshot(tree, 1)
-		name := rapid.SampledFrom([]string{"a", "b", "c", "d"})
+		name := rapid.SampledFrom([]string{"a", "b", "c", "d", ""})
 		leaf := Leaf{Organisation: fleet.Organisation(name.Draw(t, "organisation")), DataCentre: fleet.DataCentre(name.Draw(t, "data centre"))}
 		var want Resolved
 		if rapid.Bool().Draw(t, "is service") {
--- a/settings/values.go
+++ b/settings/values.go
@@ -64,7 +64,9 @@
 	DataCentres() map[fleet.DataCentre]DataCentre
 	Teams() map[fleet.Team]Team
 	// Service returns the values for a service of an organisation in a data
-	// centre; unknown names inherit from the level above.
+	// centre; unknown names inherit from the level above. Without a data
+	// centre they are those that hold where no data centre's level overrides
+	// them.
 	Service(fleet.Organisation, fleet.DataCentre, fleet.Service) Resolved
 	// JobClass is Service for a job class.
 	JobClass(fleet.Organisation, fleet.DataCentre, fleet.JobClass) Resolved
