Cell: take offers only once the workers are known

An offer that came before the host list was read was refused as too large. Evictions from a data centre that is out are spread evenly over the grace, and a worker that fails tasks of one job alone is suspected before it is quarantined.

--- a/cell/control.go
+++ b/cell/control.go
@@ -135,7 +135,7 @@
 		left = append(left, a)
 		grace = max(grace, s.grace(a))
 	}
-	due := evictionsDue(now, s.gate.since, grace, controlInterval, len(left))
+	due := s.gate.evictionsDue(now, grace, len(left))
 	for _, a := range left[:due] {
 		s.stop(a, now, reasonOut)
 	}
--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -279,3 +279,86 @@
 		b.check()
 	})
 }
+
+// TestDelayedCalls delays calls on their way so long that their sender has
+// given up on them, but not so long that the worker's lease lapses meanwhile.
+func TestDelayedCalls(t *testing.T) {
+	tests := map[string]map[string]time.Duration{
+		"renewals": {"renew": 5 * time.Second, "throttle": time.Minute},
+		"starts":   {"start": 2300 * time.Millisecond},
+	}
+	for name, delays := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, 3, 2*time.Minute)
+				o := b.start("a")
+				time.Sleep(500 * time.Millisecond)
+				b.queue.add(2, small)
+				if name == "starts" {
+					o.set(func() { o.delays = delays })
+				}
+				o.offer()
+				time.Sleep(4 * time.Second)
+				o.set(func() { o.delays = delays })
+				o.finish(time.Minute)
+				o.set(func() { o.delays = nil })
+				if !o.finish(10 * time.Minute) {
+					t.Error("tasks are not done")
+				}
+				o.stop()
+				b.check()
+			})
+		})
+	}
+}
+
+// TestLateOffer repeats offers of attempts that were returned meanwhile.
+func TestLateOffer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2, time.Second)
+		o := b.start("a")
+		time.Sleep(500 * time.Millisecond)
+		b.queue.add(3, small)
+		late := b.queue.pending()
+		if !o.finish(time.Minute) {
+			t.Fatal("tasks are not done")
+		}
+		time.Sleep(time.Second)
+		o.stop()
+		o = b.start("b")
+		time.Sleep(time.Second)
+		reply := o.send(late)
+		if len(reply.Accepted) != 3 {
+			t.Errorf("reply %+v, want the answer given before", reply)
+		}
+		time.Sleep(10 * time.Second)
+		o.stop()
+		b.check()
+		if got := len(b.records.Runs()); got != 3 {
+			t.Errorf("%d runs, want 3", got)
+		}
+	})
+}
+
+// TestCancel cancels tasks that wait, run and were never offered.
+func TestCancel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1, time.Hour)
+		o := b.start("a")
+		defer o.stop()
+		time.Sleep(500 * time.Millisecond)
+		b.queue.add(6, small) // four run, two wait
+		tasks := b.queue.pending()
+		o.send(tasks[:5])
+		time.Sleep(time.Second)
+		o.cancelTasks(tasks)
+		if reply := o.send(tasks[5:]); len(reply.Refused) != 1 {
+			t.Errorf("reply %+v to an offer after its cancellation, want a refusal", reply)
+		}
+		time.Sleep(3 * time.Second)
+		if got := b.queue.outcomes(delegation.EndStopped); got != 5 {
+			t.Errorf("%d outcomes stopped, want 5", got)
+		}
+		b.check()
+	})
+}
--- a/cell/fixture_test.go
+++ b/cell/fixture_test.go
@@ -27,6 +27,7 @@
 	testCell  = shard.ID("cell/sofia-1/0")
 	testQueue = shard.ID("queue/refunds/0")
 	testDC    = fleet.DataCentre("sofia-1")
+	testJobs  = 5 // that the tasks of a test belong to
 )
 
 // sharedLog is the journal in the store: it outlives owners.
@@ -244,7 +245,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for range n {
-		id := fleet.TaskID(fmt.Sprintf("job/%03d", len(q.tasks)))
+		id := fleet.TaskID(fmt.Sprintf("job%d/%03d", len(q.tasks)%testJobs, len(q.tasks)))
 		task := delegation.Task{
 			AttemptRef: platform.AttemptRef{Task: id, Attempt: 1},
 			Queue:      testQueue,
@@ -437,9 +438,10 @@
 
 	mu       sync.Mutex
 	dead     bool
-	noStore  bool                    // the store can't be reached
-	noWorker map[fleet.WorkerID]bool // nor can these workers
-	resume   chan struct{}           // closed when a pause ends; nil if there is none
+	noStore  bool                     // the store can't be reached
+	noWorker map[fleet.WorkerID]bool  // nor can these workers
+	resume   chan struct{}            // closed when a pause ends; nil if there is none
+	delays   map[string]time.Duration // on the way to workers, by op
 }
 
 func (o *owner) is(flag *bool) bool {
@@ -499,9 +501,7 @@
 			return platform.WorkerReport{}, unanswered
 		}
 	}
-	sent, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout) // what was sent arrives
-	defer cancel()
-	report, err := do(sent)
+	report, err := o.deliver(ctx, op, do)
 	if o.b.hook != nil {
 		o.b.hook(n, true)
 	}
@@ -511,6 +511,26 @@
 	return report, err
 }
 
+// deliver makes the call after the delay for its op. What was sent arrives,
+// also when the caller has given up.
+func (o *owner) deliver(ctx context.Context, op string, do func(context.Context) (platform.WorkerReport, error)) (platform.WorkerReport, error) {
+	o.mu.Lock()
+	delay := o.delays[op]
+	o.mu.Unlock()
+	sent, cancel := context.WithTimeout(context.WithoutCancel(ctx), delay+callTimeout)
+	if delay < callTimeout {
+		defer cancel()
+		time.Sleep(delay)
+		return do(sent)
+	}
+	time.AfterFunc(delay, func() {
+		defer cancel()
+		_, _ = do(sent)
+	})
+	<-ctx.Done()
+	return platform.WorkerReport{}, &platform.WorkerUnknownError{Op: op, Cause: ctx.Err()}
+}
+
 func (o *owner) Start(ctx context.Context, address string, req platform.StartRequest) (platform.WorkerReport, error) {
 	return o.call(ctx, address, "start", func(ctx context.Context) (platform.WorkerReport, error) {
 		return o.b.control.Start(ctx, address, req)
@@ -582,19 +602,36 @@
 
 // offer sends what the queue has to offer, as its pump would.
 func (o *owner) offer() {
-	tasks := o.b.queue.pending()
-	if len(tasks) == 0 {
-		return
+	if tasks := o.b.queue.pending(); len(tasks) > 0 {
+		o.b.queue.reply(o.send(tasks))
 	}
-	params, err := json.Marshal(delegation.Offer{Cell: testCell, Tasks: tasks})
+}
+
+// send offers tasks; without an answer the reply is empty.
+func (o *owner) send(tasks []delegation.Task) delegation.OfferReply {
+	reply, err := o.handle(delegation.MethodOffer, delegation.Offer{Cell: testCell, Tasks: tasks})
 	if err != nil {
-		o.b.t.Fatal(err)
+		return delegation.OfferReply{}
+	}
+	return reply.(delegation.OfferReply)
+}
+
+func (o *owner) cancelTasks(tasks []delegation.Task) {
+	c := delegation.Cancel{Cell: testCell}
+	for _, t := range tasks {
+		c.Tasks = append(c.Tasks, t.AttemptRef)
+	}
+	if _, err := o.handle(delegation.MethodCancel, c); err != nil {
+		o.b.t.Error(err)
 	}
-	reply, err := o.handlers[delegation.MethodOffer](context.Background(), "queue-host", params)
+}
+
+func (o *owner) handle(method string, request any) (any, error) {
+	params, err := json.Marshal(request)
 	if err != nil {
-		return
+		o.b.t.Fatal(err)
 	}
-	o.b.queue.reply(reply.(delegation.OfferReply))
+	return o.handlers[method](context.Background(), "queue-host", params)
 }
 
 // finish pumps offers until every task is done or the time is over.
--- a/cell/gate.go
+++ b/cell/gate.go
@@ -25,6 +25,7 @@
 	known bool
 	in    bool
 	since time.Time // of the change seen; zero for the state at the start
+	paced time.Time // up to here evictions were spread
 }
 
 // update takes the state seen at now.
@@ -35,6 +36,7 @@
 	}
 	if g.known || !in {
 		g.since = now
+		g.paced = now
 	}
 	g.known = true
 	g.in = in
@@ -66,14 +68,16 @@
 	return &free
 }
 
-// evictionsDue returns how many of the tasks left are to be stopped in the
-// step that begins at now, so that all are stopped evenly within the grace
-// that began at since.
-func evictionsDue(now, since time.Time, grace, step time.Duration, left int) int {
-	end := since.Add(time.Duration(evacuationShare * float64(grace)))
-	remaining := end.Sub(now)
-	if remaining <= step {
+// evictionsDue returns how many of the tasks left are to be stopped at now, so
+// that all are stopped evenly within the grace that began when the data centre
+// was taken out.
+func (g *gate) evictionsDue(now time.Time, grace time.Duration, left int) int {
+	end := g.since.Add(time.Duration(evacuationShare * float64(grace)))
+	interval := end.Sub(g.paced) / time.Duration(max(left, 1))
+	if !now.Before(end) || interval <= 0 {
 		return left
 	}
-	return int(math.Ceil(float64(left) * float64(step) / float64(remaining)))
+	due := min(left, int(now.Sub(g.paced)/interval))
+	g.paced = g.paced.Add(time.Duration(due) * interval)
+	return due
 }
--- a/cell/health.go
+++ b/cell/health.go
@@ -17,8 +17,9 @@
 	trackedWorkers = 8           // kept per job
 	probeDelay     = time.Minute // from quarantine to the first probe; doubles with each failed one
 	maxProbeDelay  = 32 * time.Minute
-	healthMemory   = time.Hour // without an end, a job or sound worker is forgotten
-	sizeWindow     = 20        // latest observations of a class that count
+	suspectDelay   = 5 * time.Second // before the first probe of a worker that may not be at fault
+	healthMemory   = time.Hour       // without an end, a job or sound worker is forgotten
+	sizeWindow     = 20              // latest observations of a class that count
 	sizeQuantile   = 0.9
 )
 
@@ -34,6 +35,9 @@
 	AtMS          int64    `cbor:"2,keyasint"`           // of the last end
 	QuarantinedMS int64    `cbor:"3,keyasint,omitempty"` // since; 0 if not quarantined
 	Probes        int      `cbor:"4,keyasint,omitempty"` // failed ones
+	// Suspected says that the quarantine rests on one job alone, which may be
+	// at fault itself.
+	Suspected bool `cbor:"5,keyasint,omitempty"`
 }
 
 // jobHealth is where the tasks of a job failed and finished.
@@ -105,7 +109,8 @@
 // a job was found to be at fault.
 func (m *Machine) clearWorkers() {
 	for id, h := range m.state.Health {
-		if h.QuarantinedMS != 0 && !m.isFaulty(id) {
+		failing, _ := m.judgeWorker(id)
+		if h.QuarantinedMS != 0 && !failing {
 			h.QuarantinedMS = 0
 			h.Probes = 0
 		}
@@ -120,20 +125,26 @@
 	}
 	h.AtMS = atMS
 	if h.QuarantinedMS != 0 {
-		m.observeProbe(h, end, atMS)
+		m.observeProbe(id, h, end, atMS)
 		return
 	}
+	m.addEnd(h, end)
+	if failing, suspected := m.judgeWorker(id); failing {
+		h.QuarantinedMS = atMS
+		h.Suspected = suspected
+	}
+}
+
+func (m *Machine) addEnd(h *workerHealth, end jobEnd) {
 	h.Ends = append(h.Ends, end)
 	if len(h.Ends) > healthWindow {
 		h.Ends = slices.Delete(h.Ends, 0, len(h.Ends)-healthWindow)
 	}
-	if m.isFaulty(id) {
-		h.QuarantinedMS = atMS
-	}
 }
 
 // observeProbe judges an end on a quarantined worker: one success clears it.
-func (m *Machine) observeProbe(h *workerHealth, end jobEnd, atMS int64) {
+// Ends of tasks that were placed before the quarantine are no probes.
+func (m *Machine) observeProbe(id fleet.WorkerID, h *workerHealth, end jobEnd, atMS int64) {
 	if !end.Failed {
 		*h = workerHealth{AtMS: atMS}
 		return
@@ -141,14 +152,29 @@
 	if m.state.Jobs[end.Job].isBlamed() {
 		return
 	}
+	m.addEnd(h, end)
+	wasSuspected := h.Suspected
+	_, h.Suspected = m.judgeWorker(id)
+	if wasSuspected || atMS < h.QuarantinedMS+h.delay().Milliseconds() {
+		h.QuarantinedMS = atMS
+		return
+	}
 	h.QuarantinedMS = atMS
 	h.Probes++
 }
 
-// isFaulty reports whether a worker fails what it starts. Failures of jobs
-// that are at fault themselves do not count. The failures of a single job
-// count only if it has finished tasks elsewhere.
-func (m *Machine) isFaulty(id fleet.WorkerID) bool {
+// delay returns the time from the quarantine to its next probe.
+func (h *workerHealth) delay() time.Duration {
+	if h.Suspected {
+		return suspectDelay
+	}
+	return min(probeDelay<<min(h.Probes, 8), maxProbeDelay)
+}
+
+// judgeWorker reports whether a worker fails what it starts. Failures of jobs
+// that are at fault themselves do not count. It is only suspected if all
+// failures are of one job that has finished no task elsewhere.
+func (m *Machine) judgeWorker(id fleet.WorkerID) (failing, suspected bool) {
 	failures, counted := 0, 0
 	jobs := make(map[fleet.JobID]bool)
 	sound := false
@@ -166,9 +192,9 @@
 		sound = sound || finishedElsewhere(j, id)
 	}
 	if failures < minFailures || float64(failures) < failureRate*float64(counted) {
-		return false
+		return false, false
 	}
-	return sound || len(jobs) >= minFailedJobs
+	return true, !sound && len(jobs) < minFailedJobs
 }
 
 func finishedElsewhere(j *jobHealth, id fleet.WorkerID) bool {
@@ -182,8 +208,7 @@
 	if h == nil || h.QuarantinedMS == 0 {
 		return false, false
 	}
-	delay := min(probeDelay<<min(h.Probes, 8), maxProbeDelay)
-	return true, now.UnixMilli() >= h.QuarantinedMS+delay.Milliseconds()
+	return true, now.UnixMilli() >= h.QuarantinedMS+h.delay().Milliseconds()
 }
 
 func (m *Machine) expireHealth(nowMS int64) {
--- a/cell/offer.go
+++ b/cell/offer.go
@@ -85,8 +85,12 @@
 	}
 }
 
-// couldHold reports whether some worker of the cell, empty, holds the task.
+// couldHold reports whether some worker of the cell, empty, holds the task. A
+// cell without workers can't tell.
 func (s *session) couldHold(t *delegation.Task) bool {
+	if len(s.members.workers) == 0 {
+		return true
+	}
 	for id := range s.members.workers {
 		if !s.members.isGone(id) && t.Resources.Fits(s.members.capacity(id)) {
 			return true
--- /dev/null
+++ b/cell/out_test.go
@@ -0,0 +1,173 @@
+package cell
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/delegation"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+)
+
+// TestNoStartAfterOut takes a data centre out while this host's view of the
+// settings stands still and starts are slow on their way.
+func TestNoStartAfterOut(t *testing.T) {
+	for _, delay := range []time.Duration{0, time.Second, 1900 * time.Millisecond, 10 * time.Second} {
+		t.Run(delay.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, 10, time.Second)
+				o := b.start("a")
+				defer o.stop()
+				b.queue.add(10, small)
+				o.finish(5 * time.Second)
+				b.records.SetOut(testDC, true)
+				b.settings.set(func(f *fakeSettings) {
+					f.out, f.staleness, f.frozen = true, true, time.Now()
+				})
+				o.set(func() { o.delays = map[string]time.Duration{"start": delay} })
+				b.queue.add(200, small)
+				o.finish(15 * time.Second)
+				b.check()
+				after := 0
+				for _, run := range b.records.Runs()[10:] {
+					after = max(after, int(run.Started.Sub(time.Now().Add(-15*time.Second)).Milliseconds()))
+				}
+				if delay == 0 && after == 0 {
+					t.Error("no task started after the view stood still: the test shows nothing")
+				}
+			})
+		})
+	}
+}
+
+func running(records *standin.Records) int {
+	n := 0
+	for _, r := range records.Runs() {
+		if r.State == platform.TaskRunning {
+			n++
+		}
+	}
+	return n
+}
+
+// TestDataCentreOutAndIn takes a full data centre out and in again.
+func TestDataCentreOutAndIn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 10, 10*time.Minute)
+		o := b.start("a")
+		defer o.stop()
+		time.Sleep(500 * time.Millisecond)
+		b.queue.add(40, small)
+		o.finish(5 * time.Second)
+		if got := running(b.records); got != 40 {
+			t.Fatalf("%d tasks run, want 40", got)
+		}
+		b.records.SetOut(testDC, true)
+		b.settings.set(func(f *fakeSettings) { f.out = true })
+		o.finish(4 * time.Second)
+		if got := running(b.records); got < 10 || got > 30 {
+			t.Errorf("%d tasks run 4 s after the data centre was taken out, want about half", got)
+		}
+		o.finish(6 * time.Second)
+		if got := running(b.records); got != 0 {
+			t.Errorf("%d tasks run after the grace, want none", got)
+		}
+		if got := b.queue.outcomes(delegation.EndEvicted); got != 40 {
+			t.Errorf("%d tasks evicted, want 40", got)
+		}
+		b.records.SetOut(testDC, false)
+		b.settings.set(func(f *fakeSettings) { f.out = false })
+		o.finish(10 * time.Second)
+		if got := running(b.records); got < 2 || got > 20 {
+			t.Errorf("%d tasks run 10 s after the return, want a few", got)
+		}
+		o.finish(time.Minute)
+		if got := running(b.records); got != 40 {
+			t.Errorf("%d tasks run after the refill, want 40", got)
+		}
+		for _, r := range b.records.Runs()[40:] {
+			if r.Checkpoint == "" {
+				t.Errorf("%v resumed without its checkpoint", r.AttemptRef)
+			}
+		}
+		b.check()
+	})
+}
+
+// TestQuarantine lets one worker fail everything that it starts.
+func TestQuarantine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 3, 2*time.Second)
+		bad := b.workers[0]
+		bad.SetFaults(standin.WorkerFaults{FailStarts: true})
+		o := b.start("a")
+		defer o.stop()
+		b.queue.add(120, small)
+		o.finish(2 * time.Minute)
+		failed := b.queue.outcomes(delegation.EndFailed)
+		if failed == 0 || failed > 12 {
+			t.Errorf("%d tasks failed, want a few before the quarantine and one a probe", failed)
+		}
+		bad.SetFaults(standin.WorkerFaults{})
+		time.Sleep(maxProbeDelay)
+		before := len(b.records.Runs())
+		b.queue.add(60, small)
+		o.finish(2 * time.Minute)
+		returned := 0
+		for _, r := range b.records.Runs()[before:] {
+			if r.Worker == bad.Info().ID {
+				returned++
+			}
+		}
+		if returned < 10 {
+			t.Errorf("%d tasks ran on the worker after its probe, want it back in use", returned)
+		}
+		b.check()
+	})
+}
+
+// throttleThenEvict is a Sharing that throttles every task and evicts it once
+// the throttle is in force.
+type throttleThenEvict struct{ throttled int }
+
+func (*throttleThenEvict) Cost(fleet.JobClass, fleet.Service) float64 { return 0 }
+
+func (p *throttleThenEvict) Decide(_ time.Time, workers []SharedWorker) []Action {
+	var actions []Action
+	for _, w := range workers {
+		for _, task := range w.Tasks {
+			action := Action{AttemptRef: task.AttemptRef, Kind: ActionThrottle, Share: 0.5}
+			if task.Share == 0.5 {
+				p.throttled++
+				action.Kind = ActionEvict
+			}
+			if task.Attempt == 1 {
+				actions = append(actions, action)
+			}
+		}
+	}
+	return actions
+}
+
+func TestThrottleAndEvict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2, 20*time.Second)
+		policy := &throttleThenEvict{}
+		b.sharing = policy
+		o := b.start("a")
+		defer o.stop()
+		b.queue.add(4, small)
+		if !o.finish(2 * time.Minute) {
+			t.Error("tasks are not done")
+		}
+		if policy.throttled < 4 {
+			t.Errorf("%d tasks were seen throttled, want 4", policy.throttled)
+		}
+		if got := b.queue.outcomes(delegation.EndEvicted); got != 4 {
+			t.Errorf("%d tasks evicted, want 4", got)
+		}
+		b.check()
+	})
+}
--- a/cell/server.go
+++ b/cell/server.go
@@ -87,6 +87,9 @@
 	if !ok {
 		return nil, &peer.RemoteError{Kind: peer.KindNotOwner, Message: "cell " + string(id) + " is not owned here"}
 	}
+	if !session.ready.Load() {
+		return nil, &peer.RemoteError{Kind: peer.KindUnavailable, Message: "cell " + string(id) + " is being opened"}
+	}
 	return session, nil
 }
 
--- a/cell/session.go
+++ b/cell/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -38,6 +39,7 @@
 	calls   sync.WaitGroup // agents and calls to queues
 	wake    chan struct{}  // the journal loop has work
 	fenced  chan error     // a worker knows a later owner
+	ready   atomic.Bool    // offers are taken: the owner is journaled and the workers are known
 
 	mu        sync.Mutex // guards what follows
 	machine   *Machine
@@ -152,6 +154,8 @@
 		if err := s.open(ctx); err != nil {
 			return err
 		}
+		s.control(ctx, time.Now())
+		s.ready.Store(true)
 		group.Go(func() error { return s.journalLoop(ctx) })
 		group.Go(func() error { return s.controlLoop(ctx) })
 		group.Go(func() error { return s.returnLoop(ctx) })
