--- /dev/null
+++ b/cell/lease_test.go
@@ -0,0 +1,162 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+)
+
+// message is a renewal on its way to the model's worker.
+type message struct {
+	arrive   time.Time
+	deadline time.Time
+	ttl      time.Duration
+	token    fleet.Epoch
+	answer   bool // the answer gets through
+	owner    *modelOwner
+	sentAt   time.Time
+}
+
+type modelOwner struct {
+	record ownerRecord
+	lease  lease
+	ended  bool // its process has ended
+	held   time.Time
+	reach  bool // its calls get to the worker
+}
+
+// leaseModel is one worker with one task whose lease passes from owner to
+// owner, over a network that delays and loses messages.
+type leaseModel struct {
+	now      time.Time
+	skew     time.Duration // worker's clock less the owners'
+	end      time.Time     // of the task's lease at the worker
+	token    fleet.Epoch
+	network  []message
+	owners   []*modelOwner
+	previous []ownerRecord
+}
+
+const modelTTL = 6 * time.Second
+
+func newLeaseModel(t *rapid.T) *leaseModel {
+	m := &leaseModel{now: time.Unix(1_000_000, 0)}
+	skew := rapid.Int64Range(-ClockMargin.Milliseconds(), ClockMargin.Milliseconds()).Draw(t, "skew")
+	m.skew = time.Duration(skew) * time.Millisecond
+	m.end = m.now.Add(modelTTL)
+	m.take()
+	return m
+}
+
+// take begins the term of a new owner.
+func (m *leaseModel) take() {
+	if n := len(m.owners); n > 0 {
+		last := m.owners[n-1]
+		last.record.EndMS = m.now.UnixMilli()
+		if !last.record.Released {
+			m.previous = append(m.previous, last.record)
+		}
+	}
+	epoch := fleet.Epoch(len(m.owners) + 1)
+	ended := func(o ownerRecord) bool { return m.owners[o.Epoch-1].ended }
+	o := &modelOwner{record: ownerRecord{Epoch: epoch}, held: m.now, reach: true}
+	o.lease = newLease(m.now, othersUntil(m.now, m.previous, ended))
+	m.owners = append(m.owners, o)
+}
+
+// advance lets d pass: messages arrive in order and owners renew.
+func (m *leaseModel) advance(t *rapid.T, d time.Duration) {
+	const tick = 500 * time.Millisecond
+	for until := m.now.Add(d); m.now.Before(until); m.now = m.now.Add(tick) {
+		m.deliver()
+		for _, o := range m.owners {
+			m.renew(t, o)
+		}
+		m.check(t)
+	}
+}
+
+func (m *leaseModel) deliver() {
+	var waiting []message
+	for _, msg := range m.network {
+		if msg.arrive.After(m.now) {
+			waiting = append(waiting, msg)
+			continue
+		}
+		m.arrive(msg)
+	}
+	m.network = waiting
+}
+
+func (m *leaseModel) arrive(msg message) {
+	late := m.now.Add(m.skew).After(msg.deadline)
+	if msg.token < m.token {
+		return
+	}
+	m.token = msg.token
+	if !late && m.now.Before(m.end) {
+		m.end = m.now.Add(msg.ttl)
+	}
+	if msg.answer && !msg.owner.ended && m.now.Sub(msg.sentAt) <= callTimeout {
+		msg.owner.lease.answer(msg.sentAt, m.now)
+	}
+}
+
+func (m *leaseModel) renew(t *rapid.T, o *modelOwner) {
+	l := &o.lease
+	isCurrent := o == m.owners[len(m.owners)-1]
+	if isCurrent && m.now.Sub(o.held) > holdInterval {
+		o.held = m.now
+	}
+	may := !o.ended && !o.record.Released && m.now.Sub(o.held) < MaxUnconfirmed
+	if !may || m.now.Before(l.nextRenewal) || !l.mayRenew(m.now, modelTTL, true) {
+		return
+	}
+	msg := message{ttl: modelTTL, token: o.record.Epoch, owner: o, sentAt: m.now}
+	msg.deadline = l.renewing(m.now, modelTTL)
+	delay := rapid.SampledFrom([]time.Duration{0, 0, time.Second, 4 * time.Second, time.Minute}).Draw(t, "delay")
+	msg.arrive = m.now.Add(delay)
+	msg.answer = rapid.IntRange(0, 3).Draw(t, "answer") > 0
+	if o.reach {
+		m.network = append(m.network, msg)
+	}
+}
+
+// check fails if the newest owner believes the lease to have run out while
+// the task may run.
+func (m *leaseModel) check(t *rapid.T) {
+	o := m.owners[len(m.owners)-1]
+	if m.now.After(o.lease.lapsed()) && m.now.Before(m.end) {
+		t.Fatalf("owner %d believes at %v that the lease has run out; it ends at %v", o.record.Epoch, m.now, m.end)
+	}
+}
+
+// TestLeaseModel hands a lease over between owners that end, release, lose
+// the store or the worker, over a network that delays and loses renewals.
+func TestLeaseModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newLeaseModel(t)
+		last := func() *modelOwner { return m.owners[len(m.owners)-1] }
+		t.Repeat(map[string]func(*rapid.T){
+			"time passes": func(t *rapid.T) {
+				m.advance(t, time.Duration(rapid.IntRange(1, 40).Draw(t, "seconds"))*time.Second)
+			},
+			"owner is superseded": func(*rapid.T) { m.take() },
+			"owner ends": func(*rapid.T) {
+				last().ended = true
+				m.take()
+			},
+			"owner releases": func(*rapid.T) {
+				last().record.Released = true
+				m.take()
+			},
+			"worker can't be reached": func(t *rapid.T) {
+				o := rapid.SampledFrom(m.owners).Draw(t, "owner")
+				o.reach = !o.reach
+			},
+		})
+	})
+}
