--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -16,7 +16,11 @@
 // tables stop the owner at.
 const crashPoints = 14
 
-// runCrash runs four tasks while arm's hook may end the first owner, and lets
+// inheritedOver is when leases that a predecessor may have extended no longer
+// make an owner wait.
+const inheritedOver = MaxWorkerLease + 10*time.Second
+
+// runCrash runs six tasks while arm's hook may end the first owner, and lets
 // a second owner on another host finish them.
 func runCrash(t *testing.T, arm func(b *bench, crash func())) {
 	synctest.Test(t, func(t *testing.T) {
@@ -215,7 +219,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				b := newBench(t, 3, tt.runTime)
 				first := b.start("a")
-				time.Sleep(500 * time.Millisecond)
+				time.Sleep(inheritedOver)
 				b.queue.add(6, small)
 				last := tt.faults(b, first)
 				if !last.finish(10 * time.Minute) {
@@ -294,7 +298,7 @@
 // given up on them, but not so long that the worker's lease lapses meanwhile.
 func TestDelayedCalls(t *testing.T) {
 	tests := map[string]map[string]time.Duration{
-		"renewals": {"renew": 3900 * time.Millisecond, "throttle": time.Minute},
+		"renewals": {"renew": 3500 * time.Millisecond, "throttle": time.Minute},
 		"starts":   {"start": 2300 * time.Millisecond},
 	}
 	for name, delays := range tests {
@@ -302,7 +306,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				b := newBench(t, 3, 2*time.Minute)
 				o := b.start("a")
-				time.Sleep(500 * time.Millisecond)
+				time.Sleep(inheritedOver)
 				b.queue.add(2, small)
 				if name == "starts" {
 					o.set(func() { o.delays = delays })
@@ -336,6 +340,10 @@
 		time.Sleep(time.Second)
 		o.stop()
 		o = b.start("b")
+		for _, w := range b.workers {
+			w.Kill() // so that it is not the worker that recognises them
+			w.Restart()
+		}
 		time.Sleep(time.Second)
 		reply := o.send(late)
 		if len(reply.Accepted) != 3 {
--- a/cell/fixture_test.go
+++ b/cell/fixture_test.go
@@ -102,6 +102,11 @@
 func (j *memJournal) Do(ctx context.Context, fn func(journal.Tx) error) error {
 	j.turn <- struct{}{}
 	defer func() { <-j.turn }()
+	select {
+	case <-j.stopped: // the state may hold what was not written
+		return &journal.StoppedError{Shard: string(testCell), Cause: context.Canceled}
+	default:
+	}
 	tx := &memTx{j: j}
 	if err := fn(tx); err != nil {
 		return err
