--- a/cell/control.go
+++ b/cell/control.go
@@ -33,6 +33,7 @@
 	}
 	s.members.update(s.deps.Hosts.Hosts(), s.dc, s.number, dc.Cells)
 	s.updateWorkers(ctx, now)
+	s.updateOthers(now)
 	placed := s.machine.inPhase(phasePlaced)
 	s.judgeUnreported(placed, now)
 	s.stopCancelled(placed, now)
@@ -53,6 +54,22 @@
 	}
 }
 
+// updateOthers learns when a predecessor whose end was not known has ended:
+// the host list lags.
+func (s *session) updateOthers(now time.Time) {
+	if !now.Before(s.others) {
+		return
+	}
+	until := othersUntil(now, s.machine.state.Previous, s.hasEnded)
+	if !until.Before(s.others) {
+		return
+	}
+	s.others = until
+	for _, w := range s.workers {
+		w.lease.predecessorsEnd(until)
+	}
+}
+
 // worker returns the knowledge of a worker, new if there is none.
 func (s *session) worker(id fleet.WorkerID, now time.Time) *worker {
 	w := s.workers[id]
@@ -114,8 +131,7 @@
 
 // grace returns how long a task may take for its checkpoint.
 func (s *session) grace(a *attempt) time.Duration {
-	values := s.deps.Settings.Current().JobClass(a.Task.Organisation, s.dc, a.Task.Class)
-	return time.Duration(values.GraceMS) * time.Millisecond
+	return time.Duration(s.resolved(a).GraceMS) * time.Millisecond
 }
 
 // evacuate stops the tasks of a data centre that is out, spread evenly over
@@ -126,21 +142,40 @@
 		return
 	}
 	var left []*attempt
-	grace := time.Duration(0)
 	for _, a := range placed {
 		r := s.runs[a.Task.AttemptRef]
 		if r == nil || r.stopping {
 			continue
 		}
 		left = append(left, a)
-		grace = max(grace, s.grace(a))
 	}
+	grace := s.longestGrace(placed)
 	due := s.gate.evictionsDue(now, grace, len(left))
+	s.reportOverdue(placed, now.Add(-grace))
 	for _, a := range left[:due] {
 		s.stop(a, now, reasonOut)
 	}
 }
 
+// reportOverdue logs once that tasks are left when the grace is over.
+func (s *session) reportOverdue(placed []*attempt, graceBegan time.Time) {
+	if len(placed) == 0 || s.gate.overdue || graceBegan.Before(s.gate.since) {
+		return
+	}
+	s.gate.overdue = true
+	for _, a := range placed {
+		s.logger.Log("event", "evacuation_overdue", "worker", a.Placement.Worker, "task", a.Task.Task, "attempt", a.Task.Attempt)
+	}
+}
+
+func (s *session) longestGrace(placed []*attempt) time.Duration {
+	longest := time.Duration(0)
+	for _, a := range placed {
+		longest = max(longest, s.grace(a))
+	}
+	return longest
+}
+
 // relieve evicts tasks from workers whose backend servers have come to
 // reserve more than was left.
 func (s *session) relieve(placed []*attempt, now time.Time) {
--- a/cell/gate.go
+++ b/cell/gate.go
@@ -26,6 +26,8 @@
 	in    bool
 	since time.Time // of the change seen; zero for the state at the start
 	paced time.Time // up to here evictions were spread
+	// overdue says that tasks left after the grace were reported.
+	overdue bool
 }
 
 // update takes the state seen at now.
@@ -38,6 +40,7 @@
 		g.since = now
 		g.paced = now
 	}
+	g.overdue = false
 	g.known = true
 	g.in = in
 	return true
--- a/cell/journal.go
+++ b/cell/journal.go
@@ -20,12 +20,24 @@
 		case <-s.wake:
 		case <-ticker.C:
 		}
+		if !s.hasWork() {
+			continue
+		}
 		if err := s.commit(ctx, s.endDecided, s.endWaiting, s.placeWaiting, s.hold); err != nil {
 			return err
 		}
 	}
 }
 
+// hasWork reports whether a step of the journal loop may have something to do.
+func (s *session) hasWork() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.ends)+len(s.acked)+s.machine.waiting() > 0 || s.isHoldDue()
+}
+
+func (s *session) isHoldDue() bool { return time.Since(s.durableAt) >= holdInterval }
+
 // endDecided is a commit step: it journals the ends that were decided and the
 // returns that were acknowledged.
 func (s *session) endDecided() *record {
@@ -46,7 +58,7 @@
 // hold is a commit step: it proves from time to time that this owner still
 // holds the cell, which allows it to go on renewing.
 func (s *session) hold() *record {
-	if time.Since(s.durableAt) < holdInterval {
+	if !s.isHoldDue() {
 		return nil
 	}
 	return &record{}
--- a/cell/lease.go
+++ b/cell/lease.go
@@ -53,6 +53,14 @@
 	}
 }
 
+// predecessorsEnd notes that predecessors stop sending at the given time,
+// which may be earlier than was known.
+func (l *lease) predecessorsEnd(at time.Time) {
+	if end := at.Add(MaxWorkerLease); end.Before(l.inherited) {
+		l.inherited = end
+	}
+}
+
 // sent notes a renewal or start that is about to be sent. It must be called
 // before the call is made.
 func (l *lease) sent(deadline time.Time, ttl time.Duration) {
@@ -77,9 +85,7 @@
 	if sentAt.After(l.answered) {
 		l.answered = sentAt
 	}
-	if end := now.Add(MaxWorkerLease); end.Before(l.inherited) {
-		l.inherited = end
-	}
+	l.predecessorsEnd(now)
 }
 
 // isAdopted reports whether the worker has answered this owner.
--- a/cell/load.go
+++ b/cell/load.go
@@ -12,7 +12,7 @@
 func (s *session) load() member.CellLoad {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	load := member.CellLoad{DataCentre: s.dc, Waiting: len(s.machine.inPhase(phaseWaiting))}
+	load := member.CellLoad{DataCentre: s.dc, Waiting: s.machine.waiting()}
 	in := s.isIn()
 	emptiest := int64(-1)
 	for _, w := range s.schedulable(time.Now()) {
--- a/cell/machine.go
+++ b/cell/machine.go
@@ -67,8 +67,9 @@
 // Machine is the state machine of one cell. It does no I/O, has no clock and
 // is used by one goroutine.
 type Machine struct {
-	codec codec
-	state state
+	codec  codec
+	state  state
+	placed map[fleet.WorkerID][]*attempt // in phasePlaced, by worker, in order of placing
 }
 
 var _ journal.Machine = (*Machine)(nil)
@@ -77,6 +78,7 @@
 func NewMachine() *Machine {
 	m := &Machine{codec: newCodec(), state: state{Version: recordVersion}}
 	m.state.fill()
+	m.placed = make(map[fleet.WorkerID][]*attempt)
 	return m
 }
 
@@ -121,6 +123,10 @@
 	}
 	s.fill()
 	m.state = s
+	m.placed = make(map[fleet.WorkerID][]*attempt)
+	for _, a := range m.inPhase(phasePlaced) {
+		m.placed[a.Placement.Worker] = append(m.placed[a.Placement.Worker], a)
+	}
 	return nil
 }
 
@@ -213,6 +219,7 @@
 	}
 	a.Phase = phasePlaced
 	a.Placement = p
+	m.placed[p.Worker] = append(m.placed[p.Worker], a)
 	return nil
 }
 
@@ -221,12 +228,25 @@
 	if a == nil || a.Phase == phaseEnded {
 		return eris.Wrap(&ContradictionError{AttemptRef: o.AttemptRef, Record: "end"}, "journal")
 	}
+	if a.Phase == phasePlaced {
+		m.unplace(a)
+	}
 	a.Phase = phaseEnded
 	a.Outcome = o
 	m.observe(a, atMS)
 	return nil
 }
 
+func (m *Machine) unplace(a *attempt) {
+	id := a.Placement.Worker
+	left := slices.DeleteFunc(m.placed[id], func(other *attempt) bool { return other == a })
+	if len(left) == 0 {
+		delete(m.placed, id)
+		return
+	}
+	m.placed[id] = left
+}
+
 func (m *Machine) acknowledge(ref platform.AttemptRef, atMS int64) {
 	a := m.find(ref)
 	if a == nil || a.Phase != phaseEnded {
@@ -276,9 +296,17 @@
 	return found
 }
 
-// onWorker returns the placed attempts of a worker in order of acceptance.
-func (m *Machine) onWorker(id fleet.WorkerID) []*attempt {
-	return slices.DeleteFunc(m.inPhase(phasePlaced), func(a *attempt) bool {
-		return a.Placement.Worker != id
-	})
+// onWorker returns the placed attempts of a worker. The caller must not keep
+// the slice over a change of the state.
+func (m *Machine) onWorker(id fleet.WorkerID) []*attempt { return m.placed[id] }
+
+// waiting returns how many attempts wait for a worker.
+func (m *Machine) waiting() int {
+	n := 0
+	for _, a := range m.state.Attempts {
+		if a.Phase == phaseWaiting {
+			n++
+		}
+	}
+	return n
 }
--- a/cell/membership.go
+++ b/cell/membership.go
@@ -53,6 +53,12 @@
 	return listed && w.State == platform.StateGone
 }
 
+// isCallable reports whether a worker without tasks is worth a call.
+func (m *membership) isCallable(id fleet.WorkerID) bool {
+	w, listed := m.workers[id]
+	return listed && w.State != platform.StateGone
+}
+
 // hasEnded reports whether the process of an owner has surely ended: its host
 // runs a later incarnation, the platform lists it as gone, or it is this very
 // process, whose earlier term of ownership returned before this one began.
--- a/cell/offer.go
+++ b/cell/offer.go
@@ -32,7 +32,7 @@
 func (s *session) decideOffer(tasks []delegation.Task) (*record, delegation.OfferReply) {
 	var reply delegation.OfferReply
 	r := &record{}
-	waiting := len(s.machine.inPhase(phaseWaiting))
+	waiting := s.machine.waiting()
 	seen := make(map[platform.AttemptRef]bool, len(tasks))
 	for _, t := range tasks {
 		if seen[t.AttemptRef] {
@@ -112,6 +112,9 @@
 				r.Refuse = append(r.Refuse, delegation.Refusal{AttemptRef: ref, Reason: reasonCancelled})
 			}
 		}
+		if len(r.Cancel)+len(r.Refuse) == 0 {
+			return nil
+		}
 		return r
 	}, s.endWaiting)
 }
--- a/cell/place.go
+++ b/cell/place.go
@@ -15,17 +15,38 @@
 	return s.deps.Settings.Current().DataCentres()[s.dc].State == settings.DataCentreIn
 }
 
+// resolvedKey names a leaf of the settings.
+type resolvedKey struct {
+	organisation fleet.Organisation
+	class        fleet.JobClass
+}
+
+// resolved returns the settings of an attempt's job class. Lookups are kept
+// until the settings change, since every round of decisions asks for them.
+func (s *session) resolved(a *attempt) settings.Resolved {
+	current := s.deps.Settings.Current()
+	if s.values == nil || current.Revision() != s.valuesAt {
+		s.values = make(map[resolvedKey]settings.Resolved)
+		s.valuesAt = current.Revision()
+	}
+	key := resolvedKey{organisation: a.Task.Organisation, class: a.Task.Class}
+	values, known := s.values[key]
+	if !known {
+		values = current.JobClass(key.organisation, s.dc, key.class)
+		s.values[key] = values
+	}
+	return values
+}
+
 // leaseTTL returns the lease of tasks on a worker: the longest that the
 // settings give for any of them.
 func (s *session) leaseTTL(placed []*attempt) time.Duration {
-	current := s.deps.Settings.Current()
 	if len(placed) == 0 {
-		return clampLease(current.JobClass("", s.dc, "").WorkerLeaseMS)
+		return clampLease(s.resolved(&attempt{}).WorkerLeaseMS)
 	}
 	longest := time.Duration(0)
 	for _, a := range placed {
-		values := current.JobClass(a.Task.Organisation, s.dc, a.Task.Class)
-		longest = max(longest, clampLease(values.WorkerLeaseMS))
+		longest = max(longest, clampLease(s.resolved(a).WorkerLeaseMS))
 	}
 	return longest
 }
--- a/cell/report.go
+++ b/cell/report.go
@@ -10,6 +10,7 @@
 // answered takes the result of a call that was sent at sentAt.
 func (s *session) answered(w *worker, c *call, report platform.WorkerReport, err error, sentAt, now time.Time) {
 	var refused *platform.RefusedError
+	defer s.logReturn(w, w.silent)
 	switch {
 	case errors.As(err, &refused):
 		s.refused(w, c, refused, sentAt, now)
@@ -18,6 +19,7 @@
 		// later report.
 		s.unanswered(w, c, now)
 	default:
+		w.silent = false
 		w.lease.answer(sentAt, now)
 		if c.renew != nil {
 			for _, ref := range c.renew.Forget {
@@ -28,8 +30,18 @@
 	}
 }
 
+// logReturn logs that a silent worker has answered.
+func (s *session) logReturn(w *worker, wasSilent bool) {
+	if wasSilent && !w.silent {
+		s.logger.Log("event", "worker_answers", "worker", w.id)
+	}
+}
+
 func (s *session) unanswered(w *worker, c *call, now time.Time) {
-	s.logger.Log("event", "worker_call_unanswered", "worker", w.id, "op", c.op())
+	if !w.silent {
+		w.silent = true
+		s.logger.Log("event", "worker_silent", "worker", w.id, "op", c.op())
+	}
 	if next := now.Add(resolveDelay); next.Before(w.lease.nextRenewal) {
 		w.lease.nextRenewal = next
 	}
@@ -57,6 +69,7 @@
 		}
 		return
 	}
+	w.silent = false
 	w.lease.answer(sentAt, now)
 	if c.start != nil {
 		s.startRefused(c.start, refused.Reason)
--- a/cell/session.go
+++ b/cell/session.go
@@ -14,7 +14,9 @@
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/journal"
 	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/shard"
+	"github.com/fuchsiahill/fuchsiahill/store"
 )
 
 const (
@@ -56,6 +58,8 @@
 	gate      gate
 	members   membership
 	sharedAt  time.Time // when Sharing was last asked
+	values    map[resolvedKey]settings.Resolved
+	valuesAt  store.Revision
 }
 
 // returning is an outcome on its way to its queue.
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -23,6 +23,7 @@
 	forget  map[platform.AttemptRef]bool // durable ends
 	foreign map[platform.AttemptRef]bool // running there, not in the journal
 	probeAt time.Time                    // next probe while silent
+	silent  bool                         // the last call was not answered
 	wake    chan struct{}
 }
 
@@ -129,6 +130,9 @@
 
 func (s *session) nextRenewal(w *worker, now time.Time, ttl time.Duration, hasTasks bool) *call {
 	confirmed := now.Sub(s.durableAt) < MaxUnconfirmed
+	if !hasTasks && !s.members.isCallable(w.id) {
+		return nil
+	}
 	if !confirmed || now.Before(w.lease.nextRenewal) || !w.lease.mayRenew(now, ttl, hasTasks) {
 		return nil
 	}
