--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -16,11 +16,16 @@
 // tables stop the owner at.
 const crashPoints = 14
 
-// runCrash runs four tasks while arm's hook may end the first owner, and lets
+// inheritedOver is when leases that a predecessor may have extended no longer
+// make an owner wait.
+const inheritedOver = MaxWorkerLease + 10*time.Second
+
+// runCrash runs six tasks while arm's hook may end the first owner, and lets
 // a second owner on another host finish them.
 func runCrash(t *testing.T, arm func(b *bench, crash func())) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 2, 3*time.Second)
+		b.log.delay = 300 * time.Millisecond // agents look at the state during a write
 		first := b.start("a")
 		crashed := make(chan struct{})
 		arm(b, func() {
@@ -123,6 +128,15 @@
 				return o
 			},
 		},
+		"answers of a worker are lost for good": {
+			runTime: long,
+			faults: func(b *bench, o *owner) *owner {
+				o.offer()
+				time.Sleep(4 * time.Second)
+				b.workers[0].SetFaults(standin.WorkerFaults{LoseReply: 1 << 20})
+				return o
+			},
+		},
 		"worker dies and returns empty": {
 			runTime: long,
 			faults: func(b *bench, o *owner) *owner {
@@ -205,7 +219,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				b := newBench(t, 3, tt.runTime)
 				first := b.start("a")
-				time.Sleep(500 * time.Millisecond)
+				time.Sleep(inheritedOver)
 				b.queue.add(6, small)
 				last := tt.faults(b, first)
 				if !last.finish(10 * time.Minute) {
@@ -238,7 +252,7 @@
 		first.set(func() { first.noStore = true })
 		second := b.start("b")
 		second.set(func() { second.noWorker = map[fleet.WorkerID]bool{b.records.Runs()[0].Worker: true} })
-		time.Sleep(10 * time.Minute)
+		second.finish(10 * time.Minute)
 		if got := len(b.records.Runs()); got != 1 {
 			t.Errorf("%d runs while the first may go on, want 1", got)
 		}
@@ -279,3 +293,90 @@
 		b.check()
 	})
 }
+
+// TestDelayedCalls delays calls on their way so long that their sender has
+// given up on them, but not so long that the worker's lease lapses meanwhile.
+func TestDelayedCalls(t *testing.T) {
+	tests := map[string]map[string]time.Duration{
+		"renewals": {"renew": 3500 * time.Millisecond, "throttle": time.Minute},
+		"starts":   {"start": 2300 * time.Millisecond},
+	}
+	for name, delays := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, 3, 2*time.Minute)
+				o := b.start("a")
+				time.Sleep(inheritedOver)
+				b.queue.add(2, small)
+				if name == "starts" {
+					o.set(func() { o.delays = delays })
+				}
+				o.offer()
+				time.Sleep(4 * time.Second)
+				o.set(func() { o.delays, o.slow = delays, b.workers[0].Info().Address })
+				o.finish(time.Minute)
+				o.set(func() { o.delays = nil })
+				if !o.finish(10 * time.Minute) {
+					t.Error("tasks are not done")
+				}
+				o.stop()
+				b.check()
+			})
+		})
+	}
+}
+
+// TestLateOffer repeats offers of attempts that were returned meanwhile.
+func TestLateOffer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2, time.Second)
+		o := b.start("a")
+		time.Sleep(500 * time.Millisecond)
+		b.queue.add(3, small)
+		late := b.queue.pending()
+		if !o.finish(time.Minute) {
+			t.Fatal("tasks are not done")
+		}
+		time.Sleep(time.Second)
+		o.stop()
+		o = b.start("b")
+		for _, w := range b.workers {
+			w.Kill() // so that it is not the worker that recognises them
+			w.Restart()
+		}
+		time.Sleep(time.Second)
+		reply := o.send(late)
+		if len(reply.Accepted) != 3 {
+			t.Errorf("reply %+v, want the answer given before", reply)
+		}
+		time.Sleep(10 * time.Second)
+		o.stop()
+		b.check()
+		if got := len(b.records.Runs()); got != 3 {
+			t.Errorf("%d runs, want 3", got)
+		}
+	})
+}
+
+// TestCancel cancels tasks that wait, run and were never offered.
+func TestCancel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1, time.Hour)
+		o := b.start("a")
+		defer o.stop()
+		time.Sleep(500 * time.Millisecond)
+		b.queue.add(6, small) // four run, two wait
+		tasks := b.queue.pending()
+		o.send(tasks[:5])
+		time.Sleep(time.Second)
+		o.cancelTasks(tasks)
+		if reply := o.send(tasks[5:]); len(reply.Refused) != 1 {
+			t.Errorf("reply %+v to an offer after its cancellation, want a refusal", reply)
+		}
+		time.Sleep(3 * time.Second)
+		if got := b.queue.outcomes(delegation.EndStopped); got != 5 {
+			t.Errorf("%d outcomes stopped, want 5", got)
+		}
+		b.check()
+	})
+}
--- a/cell/session.go
+++ b/cell/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -13,7 +14,9 @@
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/journal"
 	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/shard"
+	"github.com/fuchsiahill/fuchsiahill/store"
 )
 
 const (
@@ -38,6 +41,7 @@
 	calls   sync.WaitGroup // agents and calls to queues
 	wake    chan struct{}  // the journal loop has work
 	fenced  chan error     // a worker knows a later owner
+	ready   atomic.Bool    // offers are taken: the owner is journaled and the workers are known
 
 	mu        sync.Mutex // guards what follows
 	machine   *Machine
@@ -54,6 +58,8 @@
 	gate      gate
 	members   membership
 	sharedAt  time.Time // when Sharing was last asked
+	values    map[resolvedKey]settings.Resolved
+	valuesAt  store.Revision
 }
 
 // returning is an outcome on its way to its queue.
@@ -152,6 +158,8 @@
 		if err := s.open(ctx); err != nil {
 			return err
 		}
+		s.control(ctx, time.Now())
+		s.ready.Store(true)
 		group.Go(func() error { return s.journalLoop(ctx) })
 		group.Go(func() error { return s.controlLoop(ctx) })
 		group.Go(func() error { return s.returnLoop(ctx) })
