Delegation: order a queue's offers, so that a late one is recognised

Cause: a cell forgets an attempt once its return is acknowledged. An offer of it that arrives later (a paused owner of the queue goes on, or the first of two sends was slow) looked new, and the task ran again: with offers that arrive 30 s late the random crash test saw j2/1 finish twice. Ruled out: remembering every attempt for ever (grows without bound), and an expiry by clock (pauses and drift have no bound).

Change: an Offer carries the epoch of the queue's owner and a sequence, a ReturnReply too. The sequence is given in the transaction that collects the offer, so every offer of a returned attempt is at most that of the reply. A cell refuses offers that are not above the highest it knows of the queue.

--- a/delegation/delegation.go
+++ b/delegation/delegation.go
@@ -3,7 +3,11 @@
 //
 // The queue journals a delegation before it sends it, repeats it until the
 // cell answers, and does not give the task to anyone else until that cell
-// has durably returned it. The cell recognises an attempt that it has seen.
+// has durably returned it. The cell recognises an attempt that it holds.
+//
+// An attempt that the queue has taken back is forgotten by the cell, so an
+// offer of it that arrives late, from a paused owner or over a slow
+// connection, must not be taken for a new one: see Offer.
 package delegation
 
 import (
@@ -35,9 +39,19 @@
 }
 
 // Offer gives tasks to a cell.
+//
+// The offers of a queue to a cell are ordered by Epoch, then Sequence. A cell
+// remembers the highest of each queue durably (it is journaled with what is
+// accepted and forgotten) and answers one that is not higher with a
+// *peer.RemoteError of kind refused: its sender is superseded or has sent a
+// later one with the same tasks. A ReturnReply raises what the cell remembers
+// in the same way, in the record that forgets the attempts.
 type Offer struct {
-	Cell  shard.ID `json:"cell"`
-	Tasks []Task   `json:"tasks"`
+	Cell     shard.ID    `json:"cell"`
+	Queue    shard.ID    `json:"queue"`
+	Epoch    fleet.Epoch `json:"epoch"`    // of the queue's owner
+	Sequence uint64      `json:"sequence"` // rises with each offer of that owner
+	Tasks    []Task      `json:"tasks"`
 }
 
 // OfferReply tells for each task whether the cell has accepted it. A task in
@@ -93,8 +107,13 @@
 	Outcomes []Outcome `json:"outcomes"`
 }
 
-// ReturnReply acknowledges a Return: the cell may forget the attempts.
-type ReturnReply struct{}
+// ReturnReply acknowledges a Return: the cell may forget the attempts. Every
+// offer of them has at most this Epoch and Sequence, so the cell first raises
+// what it remembers of the queue's offers to them.
+type ReturnReply struct {
+	Epoch    fleet.Epoch `json:"epoch"`
+	Sequence uint64      `json:"sequence"`
+}
 
 // Started reports attempts that a worker was seen running, for status only.
 type Started struct {
--- /dev/null
+++ b/queue/cells_test.go
@@ -0,0 +1,209 @@
+package queue
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/delegation"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/peer"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/shard"
+)
+
+// fakeCells keeps the cells' side of delegation: it recognises the attempts
+// that it holds, returns each until the queue has acknowledged that, and then
+// forgets it. It judges what it saw.
+type fakeCells struct {
+	net  *network
+	done <-chan struct{} // closed at the end of the test
+
+	mu       sync.Mutex
+	newest   map[shard.ID]delegation.Offer // of each cell
+	stale    int                           // offers that were refused as such
+	attempts map[platform.AttemptRef]*fakeAttempt
+	running  map[fleet.TaskID]platform.AttemptRef
+	finished map[fleet.TaskID]int
+	tried    map[fleet.TaskID]int  // attempts
+	doubled  []platform.AttemptRef // offered while another attempt was running or after the end
+	runtime  func(delegation.Task) time.Duration
+	end      func(delegation.Task) delegation.Outcome // nil: finished
+	refuse   func(shard.ID, delegation.Task) string   // reason, "" to accept
+}
+
+type fakeAttempt struct {
+	cell   shard.ID
+	task   delegation.Task
+	out    *delegation.Outcome
+	reason string // refused
+}
+
+func newFakeCells(net *network, done <-chan struct{}) *fakeCells {
+	c := &fakeCells{
+		net:      net,
+		done:     done,
+		newest:   make(map[shard.ID]delegation.Offer),
+		tried:    make(map[fleet.TaskID]int),
+		attempts: make(map[platform.AttemptRef]*fakeAttempt),
+		running:  make(map[fleet.TaskID]platform.AttemptRef),
+		finished: make(map[fleet.TaskID]int),
+		runtime:  func(delegation.Task) time.Duration { return time.Second },
+	}
+	peer.Register(net, delegation.MethodOffer, c.offer)
+	peer.Register(net, delegation.MethodCancel, c.cancel)
+	return c
+}
+
+func (c *fakeCells) offer(_ context.Context, _ fleet.HostID, o delegation.Offer) (delegation.OfferReply, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var reply delegation.OfferReply
+	if !newer(o, c.newest[o.Cell]) {
+		c.stale++
+		return reply, &peer.RemoteError{Kind: peer.KindRefused, Reason: "stale"}
+	}
+	c.newest[o.Cell] = o
+	for _, task := range o.Tasks {
+		a := c.attempts[task.AttemptRef]
+		if a == nil {
+			a = c.take(o.Cell, task)
+		}
+		if a.reason != "" {
+			reply.Refused = append(reply.Refused, delegation.Refusal{AttemptRef: task.AttemptRef, Reason: a.reason})
+		} else {
+			reply.Accepted = append(reply.Accepted, task.AttemptRef)
+		}
+	}
+	return reply, nil
+}
+
+func (c *fakeCells) take(cell shard.ID, task delegation.Task) *fakeAttempt {
+	a := &fakeAttempt{cell: cell, task: task}
+	c.attempts[task.AttemptRef] = a
+	c.tried[task.Task]++
+	if _, busy := c.running[task.Task]; busy || c.finished[task.Task] > 0 {
+		c.doubled = append(c.doubled, task.AttemptRef)
+	}
+	if c.refuse != nil {
+		a.reason = c.refuse(cell, task)
+	}
+	if a.reason == "" {
+		c.running[task.Task] = task.AttemptRef
+		time.AfterFunc(c.runtime(task), func() { c.finish(a) })
+	}
+	return a
+}
+
+func (c *fakeCells) finish(a *fakeAttempt) {
+	out := delegation.Outcome{AttemptRef: a.task.AttemptRef, End: delegation.EndFinished}
+	if c.end != nil {
+		out = c.end(a.task)
+		out.AttemptRef = a.task.AttemptRef
+	}
+	c.conclude(a, out)
+}
+
+func (c *fakeCells) conclude(a *fakeAttempt, out delegation.Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a.out != nil {
+		return
+	}
+	a.out = &out
+	delete(c.running, a.task.Task)
+	if out.End == delegation.EndFinished {
+		c.finished[a.task.Task]++
+	}
+	go c.giveBack(a)
+}
+
+// giveBack repeats the return until the queue has acknowledged it.
+func (c *fakeCells) giveBack(a *fakeAttempt) {
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		req := delegation.Return{Queue: a.task.Queue, Cell: a.cell, Outcomes: []delegation.Outcome{*a.out}}
+		var reply delegation.ReturnReply
+		err := c.net.Call(ctx, testHost, delegation.MethodReturn, req, &reply)
+		cancel()
+		if err == nil {
+			c.forget(a, reply)
+			return
+		}
+		select {
+		case <-c.done:
+			return
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
+
+func (c *fakeCells) cancel(_ context.Context, _ fleet.HostID, req delegation.Cancel) (delegation.CancelReply, error) {
+	c.mu.Lock()
+	var stop []*fakeAttempt
+	for _, ref := range req.Tasks {
+		if a := c.attempts[ref]; a != nil && a.out == nil {
+			stop = append(stop, a)
+		}
+	}
+	c.mu.Unlock()
+	for _, a := range stop {
+		c.conclude(a, delegation.Outcome{AttemptRef: a.task.AttemptRef, End: delegation.EndStopped})
+	}
+	return delegation.CancelReply{}, nil
+}
+
+func (c *fakeCells) forget(a *fakeAttempt, reply delegation.ReturnReply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at := delegation.Offer{Epoch: reply.Epoch, Sequence: reply.Sequence}
+	if newer(at, c.newest[a.cell]) {
+		c.newest[a.cell] = at
+	}
+	delete(c.attempts, a.task.AttemptRef)
+}
+
+func newer(a, b delegation.Offer) bool {
+	return a.Epoch > b.Epoch || a.Epoch == b.Epoch && a.Sequence > b.Sequence
+}
+
+// restart gives back again all that the queue is not known to have taken, as
+// a cell's new owner does.
+func (c *fakeCells) restart() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, a := range c.attempts {
+		if a.out != nil {
+			go c.giveBack(a)
+		}
+	}
+}
+
+// check fails the test if a task ran twice at once or finished twice.
+func (c *fakeCells) check(t *testing.T) {
+	t.Helper()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.doubled) > 0 {
+		t.Errorf("offered twice: %v", c.doubled)
+	}
+	for task, n := range c.finished {
+		if n > 1 {
+			t.Errorf("%s finished %d times", task, n)
+		}
+	}
+}
+
+// runs returns the tasks that have finished, sorted.
+func (c *fakeCells) runs() []fleet.TaskID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var ids []fleet.TaskID
+	for id := range c.finished {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- a/queue/client.go
+++ b/queue/client.go
@@ -109,25 +109,36 @@
 	if q.Limit < 1 || q.Limit > maxPage {
 		return job.Page{}, invalid("limit", "is not from 1 to "+strconv.Itoa(maxPage))
 	}
-	var all job.Page
-	more := false
+	var pages []job.Page
 	for n := range c.shards(q.Team) {
 		page, err := c.listShard(ctx, shard.NewID(shard.KindQueue, string(q.Team), n), q)
 		if err != nil {
 			return job.Page{}, err
 		}
-		all.Jobs = append(all.Jobs, page.Jobs...)
-		more = more || page.Next != ""
+		pages = append(pages, page)
+	}
+	return mergePages(pages, q.Limit), nil
+}
+
+// mergePages joins the pages of a team's shards. Jobs beyond the end of a
+// shard's unfinished page are left to the next one, so that none is skipped.
+func mergePages(pages []job.Page, limit int) job.Page {
+	var all job.Page
+	for _, p := range pages {
+		all.Jobs = append(all.Jobs, p.Jobs...)
+		if p.Next != "" && (all.Next == "" || p.Next < all.Next) {
+			all.Next = p.Next
+		}
 	}
 	slices.SortFunc(all.Jobs, func(a, b job.Status) int { return cmp.Compare(a.Spec.ID, b.Spec.ID) })
-	if len(all.Jobs) > q.Limit {
-		all.Jobs = all.Jobs[:q.Limit]
-		more = true
+	if all.Next != "" {
+		all.Jobs = slices.DeleteFunc(all.Jobs, func(s job.Status) bool { return string(s.Spec.ID) > all.Next })
 	}
-	if more && len(all.Jobs) > 0 {
-		all.Next = string(all.Jobs[len(all.Jobs)-1].Spec.ID)
+	if len(all.Jobs) > limit {
+		all.Jobs = all.Jobs[:limit]
+		all.Next = string(all.Jobs[limit-1].Spec.ID)
 	}
-	return all, nil
+	return all
 }
 
 func (c *Client) listShard(ctx context.Context, id shard.ID, q job.ListQuery) (job.Page, error) {
--- a/queue/crash_test.go
+++ b/queue/crash_test.go
@@ -63,14 +63,14 @@
 		if s := r.mustEnd("long"); s.State != job.StateCancelled || s.Cancelled != 4 {
 			t.Errorf("cancelled job: %+v", s)
 		}
+		events = r.points.seen()
+		time.Sleep(2 * restartAfter) // a crash at the very end
+		r.stop()
+		time.Sleep(5 * lateAfter)
 		r.cells.check(t)
 		if got, want := fmt.Sprint(r.cells.runs()), "[j1/0 j1/1 j1/2 j2/0 j2/1]"; got != want {
 			t.Errorf("finished %s, want %s", got, want)
 		}
-		events = r.points.seen()
-		time.Sleep(2 * restartAfter) // a crash at the very end
-		r.stop()
-		time.Sleep(time.Minute)
 	})
 	return events
 }
--- a/queue/process_test.go
+++ b/queue/process_test.go
@@ -73,12 +73,19 @@
 	return rev, err
 }
 
-// Call implements peer.Caller.
+// Call implements peer.Caller. The message with which the process dies is sent
+// late, as if it had been paused and then went on.
 func (p *process) Call(ctx context.Context, host fleet.HostID, method string, request, response any) error {
-	return p.act(
-		func() error { return p.net.Call(ctx, host, method, request, response) },
-		&peer.UnknownError{Host: host, Method: method, Cause: &lostError{}},
-	)
+	alive := !p.dead.Load()
+	sent := false
+	err := p.act(func() error {
+		sent = true
+		return p.net.Call(ctx, host, method, request, response)
+	}, &peer.UnknownError{Host: host, Method: method, Cause: &lostError{}})
+	if alive && !sent {
+		p.net.sendLate(host, method, request)
+	}
+	return err
 }
 
 // Handle implements peer.Registry: messages to the process are events too.
--- a/queue/rig_test.go
+++ b/queue/rig_test.go
@@ -4,14 +4,12 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
 
-	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
 	"github.com/fuchsiahill/fuchsiahill/job"
@@ -67,13 +65,16 @@
 		before, after = lose(method)
 	}
 	unknown := &peer.UnknownError{Host: host, Method: method, Cause: &lostError{}}
-	if before || h == nil {
-		return unknown
-	}
 	params, err := json.Marshal(request)
 	if err != nil {
 		return err
 	}
+	if before {
+		n.sendLate(host, method, request)
+	}
+	if before || h == nil {
+		return unknown
+	}
 	reply, err := h(ctx, testHost, params)
 	if after || lost(err) || ctx.Err() != nil {
 		return unknown
@@ -88,6 +89,17 @@
 	return json.Unmarshal(data, response)
 }
 
+// lateAfter is when a message arrives of which its sender had given up the
+// answer, or whose sender was paused and is no longer the owner.
+const lateAfter = 30 * time.Second
+
+func (n *network) sendLate(host fleet.HostID, method string, request any) {
+	time.AfterFunc(lateAfter, func() {
+		var reply json.RawMessage
+		_ = n.Call(context.Background(), host, method, request, &reply)
+	})
+}
+
 func remote(err error) error {
 	var e *peer.RemoteError
 	if errors.As(err, &e) {
@@ -308,174 +320,3 @@
 	r.t.Fatalf("job %s has not ended", id)
 	return job.Status{}
 }
-
-// fakeCells keeps the cells' side of delegation: it recognises attempts,
-// remembers them durably, and returns each until the queue has acknowledged.
-// It judges what it saw.
-type fakeCells struct {
-	net  *network
-	done <-chan struct{} // closed at the end of the test
-
-	mu       sync.Mutex
-	attempts map[platform.AttemptRef]*fakeAttempt
-	running  map[fleet.TaskID]platform.AttemptRef
-	finished map[fleet.TaskID]int
-	doubled  []platform.AttemptRef // offered while another attempt was running or after the end
-	runtime  func(delegation.Task) time.Duration
-	end      func(delegation.Task) delegation.Outcome // nil: finished
-	refuse   func(shard.ID, delegation.Task) string   // reason, "" to accept
-}
-
-type fakeAttempt struct {
-	cell   shard.ID
-	task   delegation.Task
-	out    *delegation.Outcome
-	acked  bool
-	reason string // refused
-}
-
-func newFakeCells(net *network, done <-chan struct{}) *fakeCells {
-	c := &fakeCells{
-		net:      net,
-		done:     done,
-		attempts: make(map[platform.AttemptRef]*fakeAttempt),
-		running:  make(map[fleet.TaskID]platform.AttemptRef),
-		finished: make(map[fleet.TaskID]int),
-		runtime:  func(delegation.Task) time.Duration { return time.Second },
-	}
-	peer.Register(net, delegation.MethodOffer, c.offer)
-	peer.Register(net, delegation.MethodCancel, c.cancel)
-	return c
-}
-
-func (c *fakeCells) offer(_ context.Context, _ fleet.HostID, o delegation.Offer) (delegation.OfferReply, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var reply delegation.OfferReply
-	for _, task := range o.Tasks {
-		a := c.attempts[task.AttemptRef]
-		if a == nil {
-			a = c.take(o.Cell, task)
-		}
-		if a.reason != "" {
-			reply.Refused = append(reply.Refused, delegation.Refusal{AttemptRef: task.AttemptRef, Reason: a.reason})
-		} else {
-			reply.Accepted = append(reply.Accepted, task.AttemptRef)
-		}
-	}
-	return reply, nil
-}
-
-func (c *fakeCells) take(cell shard.ID, task delegation.Task) *fakeAttempt {
-	a := &fakeAttempt{cell: cell, task: task}
-	c.attempts[task.AttemptRef] = a
-	if _, busy := c.running[task.Task]; busy || c.finished[task.Task] > 0 {
-		c.doubled = append(c.doubled, task.AttemptRef)
-	}
-	if c.refuse != nil {
-		a.reason = c.refuse(cell, task)
-	}
-	if a.reason == "" {
-		c.running[task.Task] = task.AttemptRef
-		time.AfterFunc(c.runtime(task), func() { c.finish(a) })
-	}
-	return a
-}
-
-func (c *fakeCells) finish(a *fakeAttempt) {
-	out := delegation.Outcome{AttemptRef: a.task.AttemptRef, End: delegation.EndFinished}
-	if c.end != nil {
-		out = c.end(a.task)
-		out.AttemptRef = a.task.AttemptRef
-	}
-	c.conclude(a, out)
-}
-
-func (c *fakeCells) conclude(a *fakeAttempt, out delegation.Outcome) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if a.out != nil {
-		return
-	}
-	a.out = &out
-	delete(c.running, a.task.Task)
-	if out.End == delegation.EndFinished {
-		c.finished[a.task.Task]++
-	}
-	go c.giveBack(a)
-}
-
-// giveBack repeats the return until the queue has acknowledged it.
-func (c *fakeCells) giveBack(a *fakeAttempt) {
-	for {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		req := delegation.Return{Queue: a.task.Queue, Cell: a.cell, Outcomes: []delegation.Outcome{*a.out}}
-		err := c.net.Call(ctx, testHost, delegation.MethodReturn, req, &delegation.ReturnReply{})
-		cancel()
-		if err == nil {
-			c.mu.Lock()
-			a.acked = true
-			c.mu.Unlock()
-			return
-		}
-		select {
-		case <-c.done:
-			return
-		case <-time.After(200 * time.Millisecond):
-		}
-	}
-}
-
-func (c *fakeCells) cancel(_ context.Context, _ fleet.HostID, req delegation.Cancel) (delegation.CancelReply, error) {
-	c.mu.Lock()
-	var stop []*fakeAttempt
-	for _, ref := range req.Tasks {
-		if a := c.attempts[ref]; a != nil && a.out == nil {
-			stop = append(stop, a)
-		}
-	}
-	c.mu.Unlock()
-	for _, a := range stop {
-		c.conclude(a, delegation.Outcome{AttemptRef: a.task.AttemptRef, End: delegation.EndStopped})
-	}
-	return delegation.CancelReply{}, nil
-}
-
-// restart gives back again all that the queue is not known to have taken, as
-// a cell's new owner does.
-func (c *fakeCells) restart() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, a := range c.attempts {
-		if a.out != nil && !a.acked {
-			go c.giveBack(a)
-		}
-	}
-}
-
-// check fails the test if a task ran twice at once or finished twice.
-func (c *fakeCells) check(t *testing.T) {
-	t.Helper()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.doubled) > 0 {
-		t.Errorf("offered twice: %v", c.doubled)
-	}
-	for task, n := range c.finished {
-		if n > 1 {
-			t.Errorf("%s finished %d times", task, n)
-		}
-	}
-}
-
-// runs returns the tasks that have finished, sorted.
-func (c *fakeCells) runs() []fleet.TaskID {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var ids []fleet.TaskID
-	for id := range c.finished {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
--- a/queue/sender.go
+++ b/queue/sender.go
@@ -42,15 +42,20 @@
 
 // message is what one cell is to be told.
 type message struct {
-	cell    shard.ID
-	offers  []delegation.Task
-	cancels []platform.AttemptRef
-}
-
-// from names the queue to which the outcomes go.
-func (m *message) from(queue shard.ID) {
+	cell     shard.ID
+	sequence uint64
+	offers   []delegation.Task
+	cancels  []platform.AttemptRef
+}
+
+// address names the queue to which the outcomes go and numbers the message.
+// It runs in the transaction that collects the offers, so that a message with
+// a higher sequence is collected from a later state.
+func (q *ownedShard) address(m *message) {
+	q.offers++
+	m.sequence = q.offers
 	for i := range m.offers {
-		m.offers[i].Queue = queue
+		m.offers[i].Queue = q.id
 	}
 }
 
@@ -93,7 +98,7 @@
 	err := s.shard.journal.Do(ctx, func(journal.Tx) error {
 		for _, m := range s.shard.machine.messages() {
 			if s.begin(m.cell, time.Now()) {
-				m.from(s.shard.id)
+				s.shard.address(&m)
 				messages = append(messages, m)
 			}
 		}
@@ -183,7 +188,13 @@
 
 func (s *sender) offer(ctx context.Context, m message) error {
 	var reply delegation.OfferReply
-	request := delegation.Offer{Cell: m.cell, Tasks: m.offers}
+	request := delegation.Offer{
+		Cell:     m.cell,
+		Queue:    s.shard.id,
+		Epoch:    s.shard.journal.Owner().Epoch,
+		Sequence: m.sequence,
+		Tasks:    m.offers,
+	}
 	if err := s.call(ctx, m.cell, delegation.MethodOffer, request, &reply); err != nil {
 		return err
 	}
--- a/queue/server_test.go
+++ b/queue/server_test.go
@@ -173,13 +173,7 @@
 func (c *fakeCells) attemptsOf(id fleet.TaskID) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := 0
-	for ref := range c.attempts {
-		if ref.Task == id {
-			n++
-		}
-	}
-	return n
+	return c.tried[id]
 }
 
 // TestEvictedTaskResumes wants the next attempt to get the checkpoint, also
--- a/queue/shard.go
+++ b/queue/shard.go
@@ -55,6 +55,7 @@
 	machine *Machine
 	sent    *recentlySent
 	rand    *rand.Rand
+	offers  uint64 // sequence of the newest offer
 
 	kicked chan struct{} // asks for a release
 }
@@ -303,18 +304,25 @@
 }
 
 // takeBack ends the attempts that a cell gave back. It returns once that is
-// durable, so the cell may forget them.
-func (q *ownedShard) takeBack(ctx context.Context, cell shard.ID, outcomes []delegation.Outcome) error {
+// durable, so the cell may forget them. An offer of them that is still under
+// way has at most the sequence of the reply: later ones are collected from a
+// state without them.
+func (q *ownedShard) takeBack(ctx context.Context, cell shard.ID, outcomes []delegation.Outcome) (delegation.ReturnReply, error) {
+	reply := delegation.ReturnReply{Epoch: q.journal.Owner().Epoch}
 	err := q.commit(ctx, func(tx journal.Tx) error {
 		q.end(tx, cell, outcomes)
+		reply.Sequence = q.offers
 		return nil
 	})
 	var unknown *job.UnknownError
 	var unavailable *job.UnavailableError
 	if errors.As(err, &unknown) || errors.As(err, &unavailable) {
-		return eris.Wrap(&peer.RemoteError{Kind: peer.KindUnavailable, Message: err.Error()}, "return")
+		err = eris.Wrap(&peer.RemoteError{Kind: peer.KindUnavailable, Message: err.Error()}, "return")
 	}
-	return err
+	if err != nil {
+		return delegation.ReturnReply{}, err
+	}
+	return reply, nil
 }
 
 func (q *ownedShard) end(tx journal.Tx, cell shard.ID, outcomes []delegation.Outcome) {
--- a/queue/status.go
+++ b/queue/status.go
@@ -89,7 +89,14 @@
 	return j.status(), true
 }
 
-// List returns up to limit jobs in order of ID, after the given one.
+const (
+	// maxPageBytes bounds a page well below the largest message.
+	maxPageBytes = 2 << 20
+	statusBytes  = 1 << 10 // of a job's status without its command
+)
+
+// List returns up to limit jobs in order of ID, after the given one; fewer if
+// they are large.
 func (m *Machine) List(after fleet.JobID, limit int) job.Page {
 	at, found := slices.BinarySearch(m.ids, after)
 	if found {
@@ -97,7 +104,13 @@
 	}
 	end := min(at+limit, len(m.ids))
 	page := job.Page{Jobs: make([]job.Status, 0, end-at)}
-	for _, id := range m.ids[at:end] {
+	size := 0
+	for i, id := range m.ids[at:end] {
+		size += statusBytes + len(m.jobs[id].Command)
+		if size > maxPageBytes && i > 0 {
+			end = at + i
+			break
+		}
 		page.Jobs = append(page.Jobs, m.jobs[id].status())
 	}
 	if end < len(m.ids) {
