--- a/journal/shard.go
+++ b/journal/shard.go
@@ -204,6 +204,9 @@
 	ended := ctx.Done()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	drain := time.AfterFunc(time.Hour, cancel)
+	drain.Stop()
+	defer drain.Stop()
 	for {
 		s.startWrite(io, timer, ended == nil)
 		if ended == nil && !s.busy {
@@ -212,7 +215,7 @@
 		select {
 		case <-ended:
 			ended = nil
-			time.AfterFunc(drainTimeout, cancel)
+			drain.Reset(drainTimeout)
 		case c := <-s.accepting(ended):
 			s.run(c)
 			if s.failure != nil {
--- a/queue/cells_test.go
+++ b/queue/cells_test.go
@@ -18,8 +18,7 @@
 // that it holds, returns each until the queue has acknowledged that, and then
 // forgets it. It judges what it saw.
 type fakeCells struct {
-	net  *network
-	done <-chan struct{} // closed at the end of the test
+	net *network
 
 	mu       sync.Mutex
 	newest   map[shard.ID]delegation.Offer // of each cell
@@ -41,10 +40,9 @@
 	reason string // refused
 }
 
-func newFakeCells(net *network, done <-chan struct{}) *fakeCells {
+func newFakeCells(net *network) *fakeCells {
 	c := &fakeCells{
 		net:      net,
-		done:     done,
 		newest:   make(map[shard.ID]delegation.Offer),
 		tried:    make(map[fleet.TaskID]int),
 		attempts: make(map[platform.AttemptRef]*fakeAttempt),
@@ -57,6 +55,12 @@
 	return c
 }
 
+func (c *fakeCells) update(change func(*fakeCells)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change(c)
+}
+
 func (c *fakeCells) offer(_ context.Context, _ fleet.HostID, o delegation.Offer) (delegation.OfferReply, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -92,7 +96,7 @@
 	}
 	if a.reason == "" {
 		c.running[task.Task] = task.AttemptRef
-		time.AfterFunc(c.runtime(task), func() { c.finish(a) })
+		c.net.after(c.runtime(task), func() { c.finish(a) })
 	}
 	return a
 }
@@ -133,7 +137,7 @@
 			return
 		}
 		select {
-		case <-c.done:
+		case <-c.net.done:
 			return
 		case <-time.After(200 * time.Millisecond):
 		}
--- a/queue/rig_test.go
+++ b/queue/rig_test.go
@@ -39,6 +39,8 @@
 // network delivers calls between hosts in this process, over JSON as the real
 // one does. lose, if set, may drop a call (before) or its reply (after).
 type network struct {
+	done <-chan struct{} // closed at the end of the test
+
 	mu       sync.Mutex
 	handlers map[string]peer.Handler
 	lose     func(method string) (before, after bool)
@@ -48,7 +50,23 @@
 
 func (*lostError) Error() string { return "lost" }
 
-func newNetwork() *network { return &network{handlers: make(map[string]peer.Handler)} }
+func newNetwork(done <-chan struct{}) *network {
+	return &network{done: done, handlers: make(map[string]peer.Handler)}
+}
+
+// after runs f later unless the test ends before. It leaves no timer behind
+// at the end of the test.
+func (n *network) after(d time.Duration, f func()) {
+	timer := time.NewTimer(d)
+	go func() {
+		defer timer.Stop()
+		select {
+		case <-n.done:
+		case <-timer.C:
+			f()
+		}
+	}()
+}
 
 func (n *network) Handle(method string, h peer.Handler) {
 	n.mu.Lock()
@@ -94,7 +112,7 @@
 const lateAfter = 30 * time.Second
 
 func (n *network) sendLate(host fleet.HostID, method string, request any) {
-	time.AfterFunc(lateAfter, func() {
+	n.after(lateAfter, func() {
 		var reply json.RawMessage
 		_ = n.Call(context.Background(), host, method, request, &reply)
 	})
@@ -235,11 +253,11 @@
 	r := &rig{
 		t:     t,
 		store: standin.NewStore(),
-		net:   newNetwork(),
+		net:   newNetwork(t.Context().Done()),
 		world: newWorld(),
 	}
 	r.points = &crashPoint{crash: r.crash}
-	r.cells = newFakeCells(r.net, t.Context().Done())
+	r.cells = newFakeCells(r.net)
 	r.client = NewClient(ClientDeps{Peers: r.net, Shards: r.world, Settings: r.world})
 	return r
 }
@@ -252,7 +270,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	go r.end()
-	time.AfterFunc(restartAfter, r.start)
+	r.net.after(restartAfter, r.start)
 }
 
 // start runs the shard under the next epoch.
--- a/queue/server_test.go
+++ b/queue/server_test.go
@@ -100,7 +100,9 @@
 		}
 		time.Sleep(3 * time.Second)
 		began := time.Now()
-		r.cells.runtime = func(delegation.Task) time.Duration { return time.Hour }
+		r.cells.update(func(c *fakeCells) {
+			c.runtime = func(delegation.Task) time.Duration { return time.Hour }
+		})
 		r.must(r.submit("urgent", 1, withPriority(95)))
 		for r.get("urgent").Queued > 0 || !r.cells.has("urgent/0") {
 			time.Sleep(time.Millisecond)
