--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -19,7 +19,7 @@
 		t.Fatal(err)
 	}
 	dead := member.Host{ID: "h3", Incarnation: 1, Region: "bg", DataCentre: dc, HTTPAddress: ln.Addr().String()}
-	ln.Close()
+	_ = ln.Close()
 	s.mu.Lock()
 	s.hosts = append(s.hosts, dead)
 	many := member.ServiceLoad{Slots: 100, Free: 100}
--- a/host/host.go
+++ b/host/host.go
@@ -262,7 +262,7 @@
 func (l listeners) close() {
 	for _, ln := range []net.Listener{l.callers, l.peers, l.operators} {
 		if ln != nil {
-			ln.Close()
+			_ = ln.Close()
 		}
 	}
 }
--- a/host/serve.go
+++ b/host/serve.go
@@ -31,17 +31,17 @@
 		h.drain()
 	case failure = <-base:
 	case <-h.abort:
-		h.callers.Close()
+		_ = h.callers.Close() // the host ends anyway
 		stopBase()
 	}
 	// Shards are released while store, peers and membership still work.
 	stopWork()
-	<-work
+	workErr := <-work
 	stopBase()
 	if failure == nil {
-		<-base
+		failure = <-base
 	}
-	h.log("event", "stopped")
+	h.log("event", "stopped", "work", workErr, "base", failure)
 	var superseded *member.SupersededError
 	if errors.As(failure, &superseded) {
 		return superseded
@@ -110,7 +110,7 @@
 
 // serveListener serves until ctx ends.
 func serveListener(ctx context.Context, server *http.Server, ln net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { server.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	err := server.Serve(ln)
 	if errors.Is(err, http.ErrServerClosed) || ctx.Err() != nil {
--- a/internal/dev/entry.go
+++ b/internal/dev/entry.go
@@ -49,7 +49,7 @@
 
 // start runs a host under a new ID. The n-th is in the n-th data centre,
 // round robin.
-func (e *entries) start() (*entry, error) {
+func (e *entries) start() error {
 	e.mu.Lock()
 	e.next++
 	id := fleet.HostID(fmt.Sprintf("entry-%d", e.next))
@@ -63,7 +63,7 @@
 		Logger:  e.logger,
 	})
 	if err != nil {
-		return nil, err
+		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	started := &entry{cfg: cfg, host: h, cut: cut, cancel: cancel, done: make(chan struct{})}
@@ -74,7 +74,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.up = append(e.up, started)
-	return started, nil
+	return nil
 }
 
 // kill ends a host as a crash does: its store, workers and listeners are cut
--- a/internal/dev/faults.go
+++ b/internal/dev/faults.go
@@ -81,7 +81,7 @@
 		})
 	})
 	pause(ctx, hostBack)
-	_, _ = r.hosts.start() // fewer hosts carry the load if it fails
+	_ = r.hosts.start() // fewer hosts carry the load if it fails
 }
 
 // workerDeath kills a worker without backend servers and brings it back.
--- a/internal/dev/report.go
+++ b/internal/dev/report.go
@@ -1,6 +1,7 @@
 package dev
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -18,6 +19,7 @@
 	Tasks                 Tasks    `json:"tasks"`
 	OverCapacity          int      `json:"over_capacity"`
 	StartsInDataCentreOut int      `json:"starts_in_data_centre_out"`
+	Violations            []string `json:"violations,omitempty"` // the first of each kind, in words
 	Faults                []string `json:"faults,omitempty"`
 	Drained               bool     `json:"drained"`  // every job ended within the bound
 	DrainMS               int64    `json:"drain_ms"` // from the end of the load
@@ -82,9 +84,45 @@
 		Tasks:                 judgeTasks(site.Records.Runs(), violations, jobs.tasks()),
 		OverCapacity:          len(violations.OverCapacity) + overfullBackends(site.Backends),
 		StartsInDataCentreOut: len(violations.StartedOut),
+		Violations:            describe(violations, site.Records.Runs()),
 	}
 }
 
+// maxDescribed bounds the violations of one kind that a report describes.
+const maxDescribed = 5
+
+// describe lists violations with all runs of the tasks concerned.
+func describe(v standin.Violations, runs []standin.Record) []string {
+	var lines []string
+	kinds := []struct {
+		name    string
+		records []standin.Record
+	}{
+		{"overlapping", v.Overlapping},
+		{"doubled", v.Doubled},
+		{"over capacity", v.OverCapacity},
+		{"started in a data centre out", v.StartedOut},
+	}
+	for _, kind := range kinds {
+		for _, rec := range kind.records[:min(len(kind.records), maxDescribed)] {
+			lines = append(lines, kind.name+": "+history(rec.Task, runs))
+		}
+	}
+	return lines
+}
+
+// history tells the runs of one task.
+func history(id fleet.TaskID, runs []standin.Record) string {
+	text := string(id)
+	for _, r := range runs {
+		if r.Task == id {
+			text += fmt.Sprintf("; attempt %d on %s %s from %q, %s to %s", r.Attempt, r.Worker, r.State, r.Checkpoint,
+				r.Started.Format(time.StampMilli), r.Ended.Format(time.StampMilli))
+		}
+	}
+	return text
+}
+
 func judgeTasks(runs []standin.Record, v standin.Violations, submitted []fleet.TaskID) Tasks {
 	finished := make(map[fleet.TaskID]int)
 	for _, r := range runs {
--- a/internal/dev/run.go
+++ b/internal/dev/run.go
@@ -80,7 +80,7 @@
 		jobs:  &submissions{service: hosts.jobs, org: organisation, team: team},
 	}
 	for range entryHosts {
-		if _, err := hosts.start(); err != nil {
+		if err := hosts.start(); err != nil {
 			return r.fail("entry host", err)
 		}
 	}
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -187,9 +187,9 @@
 // Close ends every stand-in.
 func (s *Site) Close() {
 	for _, b := range s.Backends {
-		b.Close()
+		_ = b.Close()
 	}
 	for _, server := range s.servers {
-		server.Close()
+		_ = server.Close()
 	}
 }
--- a/queue/model_test.go
+++ b/queue/model_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/job"
 	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 )
@@ -397,5 +396,5 @@
 	if !bytes.Equal(snapshotOf(t, again), data) {
 		t.Fatal("the restored state has another snapshot")
 	}
-	var _ job.Page = again.List("", 10)
+	_ = again.List("", 10)
 }
