--- a/internal/dev/process_test.go
+++ b/internal/dev/process_test.go
@@ -32,7 +32,7 @@
 
 var startedLine = regexp.MustCompile(`event=started http=(\S+) peers=\S+ operators=(\S+)`)
 
-func buildDaemon(t *testing.T) string {
+func buildDaemon(t testing.TB) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "fuchsiahilld")
 	out, err := exec.Command("go", "build", "-o", path, "github.com/fuchsiahill/fuchsiahill/cmd/fuchsiahilld").CombinedOutput()
@@ -42,7 +42,7 @@
 	return path
 }
 
-func startDaemon(t *testing.T, binary string, site *standin.Site, id fleet.HostID, dc fleet.DataCentre) *daemon {
+func startDaemon(t testing.TB, binary string, site *standin.Site, id fleet.HostID, dc fleet.DataCentre) *daemon {
 	t.Helper()
 	cmd := exec.Command(binary, "--id", string(id), "--region", string(region), "--data-centre", string(dc),
 		"--http-address", "127.0.0.1:0", "--peer-address", "127.0.0.1:0", "--operators-address", "127.0.0.1:0",
--- a/internal/dev/run.go
+++ b/internal/dev/run.go
@@ -13,6 +13,7 @@
 
 	"github.com/fuchsiahill/fuchsiahill/api"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/settings"
 )
 
 const (
@@ -99,10 +100,14 @@
 	return nil, &StartError{Step: step, Cause: err}
 }
 
-// writeTree sets the parts of the tree in the order in which they refer to
-// one another.
+// writeTree sets the tree that a run starts with.
 func writeTree(ctx context.Context, client *api.Client) error {
-	t := tree()
+	return setTree(ctx, client, tree())
+}
+
+// setTree sets the parts of a tree in the order in which they refer to one
+// another.
+func setTree(ctx context.Context, client *api.Client, t *settings.Tree) error {
 	parts := []struct {
 		path  string
 		value any
