--- a/api/handler_test.go
+++ b/api/handler_test.go
@@ -310,6 +310,22 @@
 	}
 }
 
+func TestReaders(t *testing.T) {
+	f := newFixture(t)
+	h := Readers(f.Tokens)(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	for token, want := range map[string]int{
+		"operator": http.StatusOK, "viewer": http.StatusOK, "caller": http.StatusForbidden, "unknown": http.StatusUnauthorized,
+	} {
+		r := httptest.NewRequest(http.MethodGet, "/debug/vars", nil)
+		r.Header.Set("Authorization", "Bearer "+token)
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		if w.Code != want {
+			t.Errorf("%s got %d, want %d", token, w.Code, want)
+		}
+	}
+}
+
 func TestUnknownErrorIsNotTold(t *testing.T) {
 	f := newFixture(t)
 	f.jobs.err = io.ErrNoProgress
