--- a/command/command.go
+++ b/command/command.go
@@ -62,14 +62,14 @@
 		Action: groupAction,
 	}
 	root.Commands = append(root.Commands, extra...)
-	returnErrors(root)
 	return root
 }
 
-// Run runs the command line with args, the first of which is the program's
-// name. It writes a failure as one line to the command's ErrWriter and
-// returns the exit code.
+// Run runs a command line, that of New or a daemon's, with args, the first of
+// which is the program's name. It writes a failure as one line to the
+// command's ErrWriter and returns the exit code.
 func Run(ctx context.Context, root *cli.Command, args []string) int {
+	returnErrors(root)
 	err := root.Run(ctx, args)
 	if err == nil {
 		return ExitOK
--- a/command/errors.go
+++ b/command/errors.go
@@ -5,6 +5,8 @@
 	"fmt"
 
 	"github.com/fuchsiahill/fuchsiahill/api"
+	"github.com/fuchsiahill/fuchsiahill/auth"
+	"github.com/fuchsiahill/fuchsiahill/config"
 	"github.com/fuchsiahill/fuchsiahill/job"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/store"
@@ -89,7 +91,7 @@
 func message(err error) string { return classify(err).shown.Error() }
 
 func classify(err error) failure {
-	for _, f := range []func(error) (failure, bool){classifyLocal, classifyAnswer, classifyJob} {
+	for _, f := range []func(error) (failure, bool){classifyLocal, classifyConfig, classifyAnswer, classifyJob} {
 		if found, ok := f(err); ok {
 			return found
 		}
@@ -123,6 +125,26 @@
 	return failure{}, false
 }
 
+func classifyConfig(err error) (failure, bool) {
+	var (
+		file    *config.FileError
+		invalid *config.InvalidError
+		exposed *config.ExposedError
+		token   *auth.InvalidTokenError
+	)
+	switch {
+	case errors.As(err, &file):
+		return failure{file, ExitUsage}, true
+	case errors.As(err, &invalid):
+		return failure{invalid, ExitUsage}, true
+	case errors.As(err, &exposed):
+		return failure{exposed, ExitUsage}, true
+	case errors.As(err, &token):
+		return failure{token, ExitUsage}, true
+	}
+	return failure{}, false
+}
+
 func classifyAnswer(err error) (failure, bool) {
 	var unreachable *api.UnreachableError
 	var unknown *api.UnknownOutcomeError
--- a/command/script_test.go
+++ b/command/script_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -15,10 +16,12 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/urfave/cli/v3"
 
 	"github.com/fuchsiahill/fuchsiahill/api"
 	"github.com/fuchsiahill/fuchsiahill/auth"
 	"github.com/fuchsiahill/fuchsiahill/command"
+	"github.com/fuchsiahill/fuchsiahill/config"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
 	"github.com/fuchsiahill/fuchsiahill/job"
@@ -35,6 +38,7 @@
 // Besides the commands of testscript they have:
 //
 //	fuchsiahill ARGS     the command line, which must succeed
+//	fuchsiahilld ARGS    the daemon's command line up to its configuration
 //	exits CODE ARGS      the command line, which must exit with CODE
 //	token NAME           use the token of operator, viewer, caller, other or nobody
 //	store up|down|lose N|stale N
@@ -52,6 +56,11 @@
 					ts.Fatalf("exit code %d", code)
 				}
 			},
+			"fuchsiahilld": func(ts *testscript.TestScript, neg bool, args []string) {
+				if code := runDaemon(ts, args); (code != command.ExitOK) != neg {
+					ts.Fatalf("exit code %d", code)
+				}
+			},
 			"exits": func(ts *testscript.TestScript, _ bool, args []string) {
 				if code := run(ts, args[1:]); strconv.Itoa(code) != args[0] {
 					ts.Fatalf("exit code %d, want %s", code, args[0])
@@ -80,6 +89,29 @@
 	return command.Run(context.Background(), root, all)
 }
 
+// runDaemon runs the daemon's command line, which prints the host's ID in
+// place of serving.
+func runDaemon(ts *testscript.TestScript, args []string) int {
+	root := &cli.Command{
+		Name:      "fuchsiahilld",
+		Flags:     config.Flags(),
+		Writer:    ts.Stdout(),
+		ErrWriter: ts.Stderr(),
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			host, err := config.Load(cmd)
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintln(cmd.Root().Writer, host.ID)
+			return err
+		},
+	}
+	for i := range args {
+		args[i] = strings.ReplaceAll(args[i], "WORK/", ts.Getenv("WORK")+"/")
+	}
+	return command.Run(context.Background(), root, append([]string{"fuchsiahilld"}, args...))
+}
+
 type siteKey struct{}
 
 func siteOf(ts *testscript.TestScript) *site { return ts.Value(siteKey{}).(*site) }
--- a/config/config.go
+++ b/config/config.go
@@ -134,6 +134,10 @@
 func ReadFile(path string) (*Host, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
+		var own *os.PathError
+		if errors.As(err, &own) {
+			err = own.Err // without the path, which FileError has
+		}
 		return nil, eris.Wrap(&FileError{Path: path, Cause: err}, "config")
 	}
 	return Decode(data)
