Tell an unknown team from an empty one

Cause: listing the jobs of a team that does not exist gave an empty list, and a host that had not learned any settings refused a submission with 'no such team', which it could not know. Now 404 for those who may know, and 503 until settings are confirmed; a caller still sees 403 as for any other team.

--- a/api/client_jobs.go
+++ b/api/client_jobs.go
@@ -67,7 +67,7 @@
 	case !errors.As(err, &answered):
 		return err
 	}
-	if typed := answered.jobError(id); typed != nil {
+	if typed := answered.jobError(id); typed != nil && (id != "" || answered.Code != CodeNotFound) {
 		return eris.Wrap(typed, "api")
 	}
 	return err
--- a/api/jobs.go
+++ b/api/jobs.go
@@ -13,6 +13,7 @@
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/strictjson"
 	"github.com/fuchsiahill/fuchsiahill/job"
+	"github.com/fuchsiahill/fuchsiahill/settings"
 )
 
 const (
@@ -46,8 +47,11 @@
 	}
 	// The settings, not the caller, say whose a team is: a caller must not
 	// reach another organisation's team by naming its own organisation.
-	team, ok := h.View.Current().Teams()[spec.Team]
-	if !ok || team.Organisation != spec.Organisation {
+	team, ok, err := h.team(spec.Team)
+	switch {
+	case err != nil:
+		return nil, err
+	case !ok || team.Organisation != spec.Organisation:
 		return nil, invalidRequest("team", "no such team of organisation "+string(spec.Organisation))
 	}
 	status, err := h.Jobs.Submit(r.Context(), spec)
@@ -58,6 +62,18 @@
 	return status, nil
 }
 
+// team returns a team of the settings in force. A host that does not know
+// any yet can't tell that there is none.
+func (h *handler) team(name fleet.Team) (settings.Team, bool, error) {
+	// Read before the settings, so that they are at least as new.
+	unconfirmed := h.View.ConfirmedAt().IsZero()
+	team, ok := h.View.Current().Teams()[name]
+	if !ok && unconfirmed {
+		return team, false, &job.UnavailableError{Reason: "settings not known yet", RetryAfter: defaultRetryAfter}
+	}
+	return team, ok, nil
+}
+
 var specValidator = sync.OnceValue(strictjson.NewValidator)
 
 // checkSpec refuses what no settings could allow.
@@ -86,12 +102,16 @@
 	if err != nil {
 		return "", err
 	}
-	team := fleet.Team(name)
-	owner := h.View.Current().Teams()[team].Organisation
-	if !allowed(auth.FromContext(r.Context()), owner) {
+	team, ok, err := h.team(fleet.Team(name))
+	switch {
+	case err != nil:
+		return "", err
+	case !allowed(auth.FromContext(r.Context()), team.Organisation):
 		return "", &auth.ForbiddenError{Action: "act on jobs of team " + name}
+	case !ok:
+		return "", &Error{Status: http.StatusNotFound, Code: CodeNotFound, Message: "no team " + name}
 	}
-	return team, nil
+	return fleet.Team(name), nil
 }
 
 func pathVar(r *http.Request, name string) (string, error) {
--- a/settings/bench_test.go
+++ b/settings/bench_test.go
@@ -57,6 +57,19 @@
 	}
 }
 
+// BenchmarkCurrent is what every request does, on all processors at once.
+func BenchmarkCurrent(b *testing.B) {
+	tr := NewTracker(standin.NewStore(), TrackerOptions{})
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if tr.Current().Revision() != 0 || !tr.ConfirmedAt().IsZero() {
+				b.Error("changed")
+			}
+		}
+	})
+}
+
 func BenchmarkNewSnapshot(b *testing.B) {
 	t := targetTree()
 	b.ReportAllocs()
