--- a/settings/tracker.go
+++ b/settings/tracker.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -40,16 +41,24 @@
 	interval time.Duration
 	vars     trackerVars
 
-	// Invariants: current's revision never decreases; value is what current
-	// was decoded from; confirmedAt never decreases, and every change that
-	// the store accepted before confirmedAt is in current.
-	mu          sync.Mutex
-	current     Snapshot
-	value       []byte
-	confirmedAt time.Time
-	changed     chan struct{}
-	corrupt     *CorruptError // newest value that can't be decoded, nil if current is newer
-	lapsed      bool          // the last read confirmed nothing
+	// Invariants: current's revision never decreases; confirmedAt never
+	// decreases, and every change that the store accepted before confirmedAt
+	// is in current. Both are written under mu, current first, and read
+	// without it: a reader that takes confirmedAt before current can't see it
+	// with an older snapshot than the one it was written for.
+	current     atomic.Pointer[inForce]
+	confirmedAt atomic.Pointer[time.Time]
+
+	mu      sync.Mutex
+	changed chan struct{}
+	corrupt *CorruptError // newest value that can't be decoded, nil if current is newer
+	lapsed  bool          // the last read confirmed nothing
+}
+
+// inForce is a snapshot with the value in the store that it was decoded from.
+type inForce struct {
+	snapshot Snapshot
+	value    []byte
 }
 
 var _ View = (*Tracker)(nil)
@@ -88,9 +97,10 @@
 		log:      opts.Logger,
 		interval: opts.ConfirmInterval,
 		vars:     newTrackerVars(),
-		current:  NewSnapshot(Default(), 0),
 		changed:  make(chan struct{}),
 	}
+	t.current.Store(&inForce{snapshot: NewSnapshot(Default(), 0)})
+	t.confirmedAt.Store(&time.Time{})
 	if t.log == nil {
 		t.log = log.NewNopLogger()
 	}
@@ -101,19 +111,11 @@
 }
 
 // Current implements View.
-func (t *Tracker) Current() Snapshot {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.current
-}
+func (t *Tracker) Current() Snapshot { return t.current.Load().snapshot }
 
 // ConfirmedAt implements View. It is the time before the confirming read was
 // sent, and zero before the first one.
-func (t *Tracker) ConfirmedAt() time.Time {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.confirmedAt
-}
+func (t *Tracker) ConfirmedAt() time.Time { return *t.confirmedAt.Load() }
 
 // Ready reports whether the store has confirmed a snapshot to this process.
 func (t *Tracker) Ready() bool { return !t.ConfirmedAt().IsZero() }
@@ -127,9 +129,8 @@
 
 // Stored returns what the store holds of Current, for Offer at a peer.
 func (t *Tracker) Stored() ([]byte, store.Revision) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.value, t.current.Revision()
+	current := t.current.Load()
+	return current.value, current.snapshot.Revision()
 }
 
 // Corrupt returns the error of a newer value in the store that can't be
@@ -163,11 +164,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	// Another goroutine may have advanced since the caller looked.
-	if next.Revision() <= t.current.Revision() {
+	previous := t.Current().Revision()
+	if next.Revision() <= previous {
 		return
 	}
-	t.log.Log("event", "settings_in_force", "revision", next.Revision(), "previous", t.current.Revision())
-	t.current, t.value = next, value
+	t.log.Log("event", "settings_in_force", "revision", next.Revision(), "previous", previous)
+	t.current.Store(&inForce{next, value})
 	t.vars.revision.Set(int64(next.Revision()))
 	if t.corrupt != nil && t.corrupt.Revision <= next.Revision() {
 		t.corrupt = nil
@@ -189,7 +191,7 @@
 	}
 	t.corrupt = corrupt
 	t.vars.corrupt.Set(int64(corrupt.Revision))
-	t.log.Log("event", "settings_corrupt", "revision", corrupt.Revision, "in_force", t.current.Revision(), "err", corrupt.Cause)
+	t.log.Log("event", "settings_corrupt", "revision", corrupt.Revision, "in_force", t.Current().Revision(), "err", corrupt.Cause)
 }
 
 // Serve follows the store until ctx ends.
@@ -289,9 +291,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.corrupt != nil {
-		return max(t.corrupt.Revision, t.current.Revision())
+		return max(t.corrupt.Revision, t.Current().Revision())
 	}
-	return t.current.Revision()
+	return t.Current().Revision()
 }
 
 // note takes the result of a read that was sent at a time: revision was the
@@ -303,7 +305,7 @@
 func (t *Tracker) note(revision store.Revision, sent time.Time, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	current := t.current.Revision()
+	current := t.Current().Revision()
 	switch {
 	case err != nil || revision == current:
 	case t.corrupt != nil && revision > current:
@@ -321,12 +323,12 @@
 		return
 	}
 	t.vars.confirmed.Add(1)
-	if t.lapsed || t.confirmedAt.IsZero() {
+	if t.lapsed || !t.Ready() {
 		t.log.Log("event", "settings_confirmed", "revision", current)
 	}
 	t.lapsed = false
-	if sent.After(t.confirmedAt) {
-		t.confirmedAt = sent
+	if sent.After(t.ConfirmedAt()) {
+		t.confirmedAt.Store(&sent)
 	}
 }
 
