--- /dev/null
+++ b/settings/editor_faults_test.go
@@ -0,0 +1,120 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+
+	"pgregory.net/rapid"
+
+	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/store"
+)
+
+// attempt is a change by one of two editors.
+type attempt struct {
+	editor int
+	id     int
+}
+
+// Random changes by several editors under random faults: what was accepted is
+// in the history once, what was refused is not, and the tree is what the
+// history says.
+func TestEditorsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		fates := rapid.SliceOfN(rapid.SampledFrom([]string{"ok", "lost", "vanished", "refused", "raced"}), 0, 40).Draw(rt, "fates of the writes")
+		attempts := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) attempt {
+			return attempt{rapid.IntRange(0, 1).Draw(rt, "editor"), rapid.IntRange(0, 9).Draw(rt, "ID")}
+		}), 1, 15).Draw(rt, "attempts")
+		var fault string
+		synctest.Test(t, func(t *testing.T) { fault = runAttempts(t, fates, attempts) })
+		if fault != "" {
+			rt.Fatal(fault)
+		}
+	})
+}
+
+// fateful makes the writes of the tree meet one fate after another, then
+// succeed.
+func fateful(t *testing.T, s *standin.Store, fates []string) *hookedStore {
+	racer := 0
+	return &hookedStore{Store: s, write: func(n int, apply func() (store.Revision, error)) (store.Revision, error) {
+		if n > len(fates) {
+			return apply()
+		}
+		switch fates[n-1] {
+		case "lost":
+			if _, err := apply(); err != nil {
+				return 0, err
+			}
+			return 0, replyLost()
+		case "vanished":
+			return 0, replyLost()
+		case "refused":
+			return 0, &store.UnavailableError{Op: "write", Cause: &standin.DownError{}}
+		case "raced":
+			racer++
+			if _, err := newTestEditor(s).Apply(t.Context(), set(fmt.Sprintf("racer-%d", racer), "values.grace_ms", fmt.Sprint(racer))); err != nil {
+				t.Error(err)
+			}
+		}
+		return apply()
+	}}
+}
+
+func runAttempts(t *testing.T, fates []string, attempts []attempt) string {
+	s := seeded(t)
+	hooked := fateful(t, s, fates)
+	editors := []*Editor{newTestEditor(hooked), newTestEditor(hooked)}
+	accepted := make(map[string]Record)
+	unknown := make(map[string]bool)
+	for _, a := range attempts {
+		id := fmt.Sprint(a.id)
+		rec, err := editors[a.editor].Apply(t.Context(), set(id, "values.priority", id))
+		var lost *UnknownOutcomeError
+		switch {
+		case err == nil:
+			if first, ok := accepted[id]; ok && first.Revision != rec.Revision {
+				return fmt.Sprintf("change %s accepted at revisions %d and %d", id, first.Revision, rec.Revision)
+			}
+			accepted[id] = rec
+		case errors.As(err, &lost):
+			unknown[id] = true
+		}
+	}
+	return historyFault(t, s, accepted, unknown)
+}
+
+func historyFault(t *testing.T, s store.Store, accepted map[string]Record, unknown map[string]bool) string {
+	records, err := newTestEditor(s).History(t.Context(), 0, 1000)
+	if err != nil {
+		return err.Error()
+	}
+	seen := make(map[string]bool)
+	priority := "10" // of the example
+	for _, r := range records {
+		if seen[r.ID] {
+			return fmt.Sprintf("change %s is in the history twice", r.ID)
+		}
+		seen[r.ID] = true
+		if r.Path != "values.priority" {
+			continue
+		}
+		if priority == "10" {
+			priority = string(r.New)
+		}
+		if _, ok := accepted[r.ID]; !ok && !unknown[r.ID] {
+			return fmt.Sprintf("change %s was refused and is in the history", r.ID)
+		}
+	}
+	for id, rec := range accepted {
+		if !seen[id] {
+			return fmt.Sprintf("change %s was accepted at revision %d and is not in the history", id, rec.Revision)
+		}
+	}
+	if got := valueAt(t, s, "values.priority"); got != priority {
+		return fmt.Sprintf("priority is %s, the history says %s", got, priority)
+	}
+	return ""
+}
