--- a/queue/server_test.go
+++ b/queue/server_test.go
@@ -100,7 +100,9 @@
 		}
 		time.Sleep(3 * time.Second)
 		began := time.Now()
-		r.cells.runtime = func(delegation.Task) time.Duration { return time.Hour }
+		r.cells.update(func(c *fakeCells) {
+			c.runtime = func(delegation.Task) time.Duration { return time.Hour }
+		})
 		r.must(r.submit("urgent", 1, withPriority(95)))
 		for r.get("urgent").Queued > 0 || !r.cells.has("urgent/0") {
 			time.Sleep(time.Millisecond)
@@ -173,13 +175,7 @@
 func (c *fakeCells) attemptsOf(id fleet.TaskID) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := 0
-	for ref := range c.attempts {
-		if ref.Task == id {
-			n++
-		}
-	}
-	return n
+	return c.tried[id]
 }
 
 // TestEvictedTaskResumes wants the next attempt to get the checkpoint, also
