--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -10,7 +10,9 @@
 	"fmt"
 	"io"
 	"reflect"
+	"strconv"
 	"strings"
+	"sync"
 
 	"github.com/rotisserie/eris"
 )
@@ -59,7 +61,7 @@
 	dec := json.NewDecoder(bytes.NewReader(data))
 	var raw json.RawMessage
 	if err := dec.Decode(&raw); err != nil {
-		return syntaxError(dec, err)
+		return syntaxError(err, int64(len(data)))
 	}
 	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
 		return eris.Wrap(&SyntaxError{Offset: dec.InputOffset(), Reason: "data after the value"}, "strictjson")
@@ -67,17 +69,13 @@
 	return nil
 }
 
-func syntaxError(dec *json.Decoder, err error) error {
-	offset := dec.InputOffset()
-	reason := err.Error()
+func syntaxError(err error, size int64) error {
+	e := &SyntaxError{Offset: size, Reason: "unexpected end"}
 	var syntax *json.SyntaxError
 	if errors.As(err, &syntax) {
-		offset = syntax.Offset
+		e.Offset, e.Reason = syntax.Offset, syntax.Error()
 	}
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-		reason = "unexpected end"
-	}
-	return eris.Wrap(&SyntaxError{Offset: offset, Reason: reason}, "strictjson")
+	return eris.Wrap(e, "strictjson")
 }
 
 // walker compares the tokens of a value with the type that it is meant for.
@@ -87,8 +85,23 @@
 	return eris.Wrap(&ValueError{Path: path, Reason: fmt.Sprintf(format, args...)}, "strictjson")
 }
 
+const maxNameBytes = 80
+
+// Printable returns a name fit for one line of an error: shortened and, if it
+// has characters that don't print, quoted.
+func Printable(name string) string {
+	if len(name) > maxNameBytes {
+		name = strings.ToValidUTF8(name[:maxNameBytes], "") + "..."
+	}
+	if quoted := strconv.Quote(name); quoted != `"`+name+`"` {
+		return quoted
+	}
+	return name
+}
+
 // Join appends a name to a path.
 func Join(path, name string) string {
+	name = Printable(name)
 	if path == "" {
 		return name
 	}
@@ -148,10 +161,11 @@
 const shownBytes = 40
 
 func shorten(raw []byte) string {
-	if len(raw) <= shownBytes {
-		return string(raw)
+	var flat bytes.Buffer
+	if json.Compact(&flat, raw) != nil || flat.Len() <= shownBytes {
+		return flat.String()
 	}
-	return strings.ToValidUTF8(string(raw[:shownBytes]), "") + "..."
+	return strings.ToValidUTF8(flat.String()[:shownBytes], "") + "..."
 }
 
 func describe(t reflect.Type) string {
@@ -228,18 +242,31 @@
 	return w.close(path)
 }
 
+// fieldTypes holds the types of a struct's fields by their JSON name, by the
+// struct's reflect.Type.
+var fieldTypes sync.Map
+
 // structFields finds the type of a struct's field by its JSON name.
 func structFields(t reflect.Type) func(string) (reflect.Type, bool) {
+	known, ok := fieldTypes.Load(t)
+	if !ok {
+		known, _ = fieldTypes.LoadOrStore(t, readFields(t))
+	}
+	fields := known.(map[string]reflect.Type)
+	return func(name string) (reflect.Type, bool) {
+		ft, ok := fields[name]
+		return ft, ok
+	}
+}
+
+func readFields(t reflect.Type) map[string]reflect.Type {
 	fields := make(map[string]reflect.Type)
 	for _, f := range reflect.VisibleFields(t) {
 		if name, ok := FieldName(f); ok {
 			fields[name] = f.Type
 		}
 	}
-	return func(name string) (reflect.Type, bool) {
-		ft, ok := fields[name]
-		return ft, ok
-	}
+	return fields
 }
 
 // FieldName returns the JSON name of a struct's field, and false if the
