--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -269,7 +269,7 @@
 // start runs a gateway. It owns the front if owner.
 func (s *site) start(t testing.TB, id fleet.HostID, owner bool) *host {
 	t.Helper()
-	h := &host{port: &port{network: s.net, self: id}, ended: make(chan struct{})}
+	h := &host{port: &port{network: s.net, self: id}}
 	server := httptest.NewUnstartedServer(nil)
 	address := server.Listener.Addr().String()
 	self := member.Host{ID: id, Incarnation: 1, Region: "bg", DataCentre: dc, HTTPAddress: address}
@@ -300,7 +300,7 @@
 		for _, b := range s.backends {
 			_ = b.Close()
 		}
-		if owner {
+		if h.ended != nil {
 			<-h.ended
 		}
 		cancel()
@@ -317,8 +317,10 @@
 	h.port.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
+	ended := make(chan struct{})
+	h.ended = ended
 	go func() {
-		defer close(h.ended)
+		defer close(ended)
 		_ = h.Run(ctx, id, shard.Owner{Host: h.port.self, Epoch: 1})
 	}()
 	for h.Summary()[svc].Slots == 0 {
