--- a/journal/shard.go
+++ b/journal/shard.go
@@ -10,7 +10,6 @@
 	"github.com/go-kit/log"
 	"github.com/rotisserie/eris"
 
-	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/store"
 )
 
@@ -63,32 +62,6 @@
 
 var _ Committer = (*Shard)(nil)
 
-// batch is the content of one entry.
-type batch struct {
-	records [][]byte
-	bytes   int
-	waiters []chan<- error
-	effects []func()
-}
-
-type call struct {
-	fn    func(Tx) error
-	view  bool
-	ran   chan struct{} // closed when fn has returned
-	reply chan error
-}
-
-func newCall(fn func(Tx) error, view bool) *call {
-	return &call{fn: fn, view: view, ran: make(chan struct{}), reply: make(chan error, 1)}
-}
-
-// result is the end of a write. done runs on the goroutine of Serve.
-type result struct {
-	err  error
-	took time.Duration
-	done func()
-}
-
 func newShard(deps Deps, name string, owner Owner, m Machine, ring int) *Shard {
 	s := &Shard{
 		name:    name,
@@ -403,48 +376,3 @@
 func (s *Shard) encode(n Sequence, records [][]byte) ([]byte, error) {
 	return Encode(entry{Version: formatVersion, Sequence: n, Owner: s.owner, Records: records})
 }
-
-// tx is one transaction. It is valid until its function returns.
-type tx struct{ shard *Shard }
-
-// Append implements Tx.
-func (t *tx) Append(record []byte) {
-	s := t.shard
-	if s.failure != nil {
-		return
-	}
-	if len(record) > MaxRecordBytes {
-		s.failure = eris.Wrap(&SizeError{What: "record", Bytes: len(record), Limit: MaxRecordBytes}, s.name)
-		return
-	}
-	if err := s.machine.Apply(record); err != nil {
-		s.failure = eris.Wrap(&DecodeError{Key: ringPrefix(s.name), Cause: err}, "append")
-		return
-	}
-	s.add(record)
-}
-
-// add puts a record into the last batch, or into a new one if that is full.
-func (s *Shard) add(record []byte) {
-	n := len(s.queue)
-	if n == 0 || s.queue[n-1].bytes+len(record) > entryLimitBytes && s.queue[n-1].bytes > 0 {
-		s.queue = append(s.queue, &batch{})
-		n++
-	}
-	b := s.queue[n-1]
-	b.records = append(b.records, record)
-	b.bytes += len(record)
-}
-
-// OnDurable implements Tx.
-func (t *tx) OnDurable(effect func()) {
-	b := t.shard.newest()
-	if b == nil {
-		t.shard.effects.Go(effect)
-		return
-	}
-	b.effects = append(b.effects, effect)
-}
-
-// Epoch implements Tx.
-func (t *tx) Epoch() fleet.Epoch { return t.shard.owner.Epoch }
