--- a/queue/placement.go
+++ b/queue/placement.go
@@ -151,10 +151,16 @@
 // recentlySent remembers what was delegated to each cell lately and which
 // sizes it refused. It is used by one goroutine.
 type recentlySent struct {
-	sent    map[shard.ID][]sentTask
+	sent    map[shard.ID]*sentTasks
 	refused map[shard.ID]refusal
 }
 
+// sentTasks are the tasks sent to one cell, oldest first, and their sum.
+type sentTasks struct {
+	tasks []sentTask
+	sum   fleet.Resources
+}
+
 type sentTask struct {
 	at   time.Time
 	size fleet.Resources
@@ -168,28 +174,32 @@
 
 func newRecentlySent() *recentlySent {
 	return &recentlySent{
-		sent:    make(map[shard.ID][]sentTask),
+		sent:    make(map[shard.ID]*sentTasks),
 		refused: make(map[shard.ID]refusal),
 	}
 }
 
 func (r *recentlySent) add(cell shard.ID, size fleet.Resources, now time.Time) {
-	r.sent[cell] = append(r.sent[cell], sentTask{at: now, size: size})
+	s := r.sent[cell]
+	if s == nil {
+		s = &sentTasks{}
+		r.sent[cell] = s
+	}
+	s.tasks = append(s.tasks, sentTask{at: now, size: size})
+	s.sum = s.sum.Add(size)
 }
 
 // since returns the sum of what was sent within sentMemory.
 func (r *recentlySent) since(cell shard.ID, now time.Time) fleet.Resources {
-	tasks := r.sent[cell]
-	old := 0
-	for old < len(tasks) && now.Sub(tasks[old].at) > sentMemory {
-		old++
+	s := r.sent[cell]
+	if s == nil {
+		return fleet.Resources{}
 	}
-	r.sent[cell] = tasks[old:]
-	var sum fleet.Resources
-	for _, t := range tasks[old:] {
-		sum = sum.Add(t.size)
+	for len(s.tasks) > 0 && now.Sub(s.tasks[0].at) > sentMemory {
+		s.sum = s.sum.Sub(s.tasks[0].size)
+		s.tasks = s.tasks[1:]
 	}
-	return sum
+	return s.sum
 }
 
 // refuse notes that a cell has refused a task of a size.
