Queue: jobs that no cell can take hold back nobody, log lines of jobs

A release stopped looking after 256 jobs, so that many jobs of high priority without room held back those behind them; the new test fails before. It now stops after 256 kinds of tasks for which it finds no cell.

--- a/queue/client.go
+++ b/queue/client.go
@@ -19,9 +19,14 @@
 	"github.com/fuchsiahill/fuchsiahill/shard"
 )
 
-// ownerWait is how long a call waits for a shard to find its new owner before
-// it is made again.
-const ownerWait = 500 * time.Millisecond
+const (
+	// ownerWait is how long a call waits for a shard to find its new owner
+	// before it is made again.
+	ownerWait = 500 * time.Millisecond
+	// clientTimeout bounds a call, so that the owner gives up first and can
+	// still tell what it knows.
+	clientTimeout = commitTimeout + 2*time.Second
+)
 
 // ClientDeps are what a Client needs.
 type ClientDeps struct {
@@ -160,6 +165,8 @@
 // call calls the owner of a shard, a second time if the first host was not
 // the owner or could not be reached.
 func (c *Client) call(ctx context.Context, id shard.ID, method string, request, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+	defer cancel()
 	err := c.callOwner(ctx, id, method, request, reply)
 	if !undelivered(err) {
 		return callError(err)
--- a/queue/decide_test.go
+++ b/queue/decide_test.go
@@ -173,6 +173,21 @@
 	}
 }
 
+// TestManyJobsWithoutRoomHoldBackNobody queues more jobs without room than one
+// release tries to place before one that fits.
+func TestManyJobsWithoutRoomHoldBackNobody(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	var jobs []queued
+	for i := range 2 * maxChoices {
+		jobs = append(jobs, queued{id: fleet.JobID(fmt.Sprintf("large%d", i)), priority: 60, cores: 9})
+	}
+	m := machineWith(t, now, append(jobs, queued{id: "small", priority: 40, cores: 1}))
+	plan := m.releasePlan(now, unlimited, roomFor(8))
+	if plan == nil || plan.Runs[0].Job != "small" {
+		t.Fatalf("released %+v, want the small job", plan)
+	}
+}
+
 func TestChooseCell(t *testing.T) {
 	full := member.CellLoad{Capacity: big, LargestFit: resources(100, 100, 0), Free: resources(100, 100, 0)}
 	empty := member.CellLoad{Capacity: big, LargestFit: big, Free: big}
--- a/queue/release.go
+++ b/queue/release.go
@@ -11,8 +11,8 @@
 const (
 	// maxReleased bounds the tasks of one release.
 	maxReleased = 512
-	// maxLooked bounds the jobs that one release looks at.
-	maxLooked = 256
+	// maxChoices bounds the kinds of tasks for which one release finds no cell.
+	maxChoices = 256
 )
 
 // Reasons why a job waits, as callers see them.
@@ -36,11 +36,14 @@
 // quota can't take now holds back those behind it, so that small tasks don't
 // starve large ones; one that no cell can take does not.
 func (m *Machine) releasePlan(now time.Time, quota fleet.Resources, cells Chooser) *delegated {
-	p := &planner{quota: quota, used: m.used, cells: cells}
-	looked := 0
+	p := &planner{
+		quota:  quota,
+		used:   m.used,
+		cells:  cells,
+		failed: make(map[shape]string),
+	}
 	m.order.byPriority(now, func(j *jobState) bool {
-		looked++
-		return p.take(j) && looked < maxLooked && p.count < maxReleased
+		return p.take(j) && len(p.failed) < maxChoices && p.count < maxReleased
 	})
 	if p.count == 0 {
 		return nil
@@ -49,11 +52,27 @@
 }
 
 type planner struct {
-	quota fleet.Resources
-	used  fleet.Resources
-	cells Chooser
-	plan  delegated
-	count int
+	quota  fleet.Resources
+	used   fleet.Resources
+	cells  Chooser
+	plan   delegated
+	count  int
+	failed map[shape]string // why no cell was found
+}
+
+// shape is all of a task that the choice of a cell depends on.
+type shape struct {
+	need        fleet.Resources
+	dataCentres string
+	urgent      bool
+}
+
+func (j *jobState) shape() shape {
+	s := shape{need: j.Resources, urgent: j.urgent()}
+	for _, dc := range j.DataCentres {
+		s.dataCentres += string(dc) + "\n"
+	}
+	return s
 }
 
 // take plans as many tasks of a job as it can and reports whether jobs behind
@@ -63,7 +82,11 @@
 		j.waiting = waitOverQuot
 		return true
 	}
-	j.waiting = ""
+	kind := j.shape()
+	j.waiting = p.failed[kind]
+	if j.waiting != "" {
+		return true
+	}
 	for i := j.nextQueued(0); i >= 0 && p.count < maxReleased; i = j.nextQueued(i + 1) {
 		used := p.used.Add(j.Resources)
 		if !used.Fits(p.quota) {
@@ -73,6 +96,7 @@
 		cell, wait := p.cells.Choose(j.Resources, j.DataCentres, j.urgent())
 		if wait != "" {
 			j.waiting = wait
+			p.failed[kind] = wait
 			return true
 		}
 		p.used = used
--- a/queue/shard.go
+++ b/queue/shard.go
@@ -222,6 +222,9 @@
 	values := snapshot.JobClass(spec.Organisation, "", spec.Class)
 	s := newSubmitted(spec, values, time.Now())
 	tx.Append(record{Submitted: &s}.encode())
+	tx.OnDurable(func() {
+		q.logger.Log("event", "job_submitted", "job", s.ID, "tasks", s.Tasks, "priority", s.Priority)
+	})
 	q.server.vars.Add(varSubmitted, 1)
 	if s.Priority >= job.UrgentPriority {
 		return q.release(tx)
@@ -294,7 +297,10 @@
 		if !j.cancelled && !j.final() {
 			c := &cancelled{At: time.Now().UnixMilli(), Jobs: []fleet.JobID{id}}
 			tx.Append(record{Cancelled: c}.encode())
-			tx.OnDurable(q.sender.kick)
+			tx.OnDurable(func() {
+				q.logger.Log("event", "job_cancelled", "job", id)
+				q.sender.kick()
+			})
 			q.server.vars.Add(varCancelled, 1)
 		}
 		status = j.status()
@@ -331,12 +337,25 @@
 		return
 	}
 	tx.Append(record{Returned: r}.encode())
+	ended := make(map[fleet.JobID]job.Status)
 	for _, run := range r.Runs {
 		q.server.vars.Add(varReturned, int64(run.Count))
+		if j := q.machine.jobs[run.Job]; j.ended != 0 {
+			ended[run.Job] = j.status()
+		}
+	}
+	for _, status := range ended {
+		q.logEnd(tx, status)
 	}
 	kick(q.kicked)
 }
 
+func (q *ownedShard) logEnd(tx journal.Tx, s job.Status) {
+	tx.OnDurable(func() {
+		q.logger.Log("event", "job_ended", "job", s.Spec.ID, "state", s.State, "finished", s.Finished, "failed", s.Failed)
+	})
+}
+
 func (q *ownedShard) limits(j *jobState) attemptLimit {
 	values := q.server.deps.Settings.Current().JobClass(j.Organisation, "", j.Class)
 	attempts := values.MaxAttempts
