--- a/cell/control.go
+++ b/cell/control.go
@@ -148,6 +148,10 @@
 		if r == nil || r.stopping {
 			continue
 		}
+		if r.own && !r.sent {
+			s.stop(a, now, reasonOut) // nothing to save
+			continue
+		}
 		left = append(left, a)
 	}
 	grace := s.longestGrace(placed)
--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -158,6 +158,29 @@
 			},
 			wantEnd: map[delegation.End]int{delegation.EndFinished: 6, delegation.EndEvicted: 0},
 		},
+		"planned hand-over while a worker dies": {
+			runTime: long,
+			faults: func(b *bench, o *owner) *owner {
+				o.offer()
+				time.Sleep(4 * time.Second)
+				o.stop()
+				b.workers[0].Kill()
+				return b.start("b")
+			},
+		},
+		"host list comes late": {
+			runTime: 5 * time.Second,
+			faults: func(b *bench, o *owner) *owner {
+				o.stop()
+				b.hosts.Update(func(l *platform.HostList) { l.Workers = nil })
+				o = b.start("b")
+				time.Sleep(500 * time.Millisecond)
+				o.offer()
+				b.listWorkers()
+				return o
+			},
+			wantEnd: map[delegation.End]int{delegation.EndFinished: 6, delegation.EndNotRun: 0},
+		},
 		"owner is killed and replaced": {
 			runTime: long,
 			faults: func(b *bench, o *owner) *owner {
@@ -234,6 +257,9 @@
 						t.Errorf("%d outcomes %s, want %d", got, end, want)
 					}
 				}
+				if refused := b.queue.refused; refused > 0 {
+					t.Errorf("%d tasks were refused", refused)
+				}
 			})
 		})
 	}
@@ -266,6 +292,23 @@
 	})
 }
 
+// TestRenewalsEndWithoutTheStore lets an owner be without a durable entry for
+// so long that a successor counts on its silence.
+func TestRenewalsEndWithoutTheStore(t *testing.T) {
+	for _, silent := range []time.Duration{MaxUnconfirmed - time.Second, MaxUnconfirmed} {
+		s := benchSession(t)
+		runTasks(t, s, 0, 1)
+		now := time.Now()
+		s.durableAt = now.Add(-silent)
+		w := s.workers["w00"]
+		w.lease.nextRenewal = now
+		c := s.nextCall(w, now)
+		if renews := c != nil && c.renew != nil; renews != (silent < MaxUnconfirmed) {
+			t.Errorf("owner renews: %v, %v after its last durable entry", renews, silent)
+		}
+	}
+}
+
 // TestPredecessorEnded tells the second owner late, by the host list, that the
 // first has ended: it need not wait any longer.
 func TestPredecessorEnded(t *testing.T) {
--- a/cell/fixture_test.go
+++ b/cell/fixture_test.go
@@ -73,6 +73,12 @@
 	l.down = down
 }
 
+func (l *sharedLog) setDelay(delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = delay
+}
+
 func (j *memJournal) stop() { j.once.Do(func() { close(j.stopped) }) }
 
 func (j *memJournal) Serve(ctx context.Context) error {
@@ -234,6 +240,7 @@
 	tasks    map[fleet.TaskID]*queued
 	problems []string
 	down     bool
+	refused  int
 	lose     int // the next replies to returns are lost
 }
 
@@ -282,6 +289,7 @@
 		}
 	}
 	for _, ref := range r.Refused {
+		q.refused++
 		q.next(ref.AttemptRef)
 	}
 }
--- a/cell/out_test.go
+++ b/cell/out_test.go
@@ -42,6 +42,32 @@
 	}
 }
 
+// TestPlacedBeforeOut makes placements durable only after the data centre was
+// taken out.
+func TestPlacedBeforeOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 3, time.Minute)
+		o := b.start("a")
+		defer o.stop()
+		time.Sleep(500 * time.Millisecond)
+		b.log.setDelay(4500 * time.Millisecond)
+		b.queue.add(6, small)
+		tasks := b.queue.pending()
+		go o.send(tasks)
+		time.Sleep(time.Second)
+		b.records.SetOut(testDC, true)
+		b.settings.set(func(f *fakeSettings) { f.out = true })
+		time.Sleep(20 * time.Second)
+		if got := len(b.records.Runs()); got != 0 {
+			t.Errorf("%d tasks started after the data centre was taken out", got)
+		}
+		if got := b.queue.outcomes(delegation.EndNotRun); got != 6 {
+			t.Errorf("%d tasks came back as not run, want 6", got)
+		}
+		b.check()
+	})
+}
+
 func running(records *standin.Records) int {
 	n := 0
 	for _, r := range records.Runs() {
