--- a/cell/bench_test.go
+++ b/cell/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"runtime"
 	"testing"
@@ -290,8 +291,8 @@
 		return nil
 	})
 	cancel()
-	<-served
-	if err != nil {
-		b.Fatal(err)
+	var stopped *journal.StoppedError
+	if serveErr := <-served; err != nil || !errors.As(serveErr, &stopped) {
+		b.Fatal(err, serveErr)
 	}
 }
--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,19 +54,18 @@
 	for point := 1; point <= crashPoints; point++ {
 		for _, after := range []bool{false, true} {
 			hook := func(crash func()) func(int, bool) {
-				done := false
+				var once sync.Once
 				return func(n int, isAfter bool) {
-					if n == point && isAfter == after && !done {
-						done = true
-						crash()
+					if n == point && isAfter == after {
+						once.Do(crash)
 					}
 				}
 			}
 			t.Run(fmt.Sprintf("journal write %d, after=%v", point, after), func(t *testing.T) {
-				runCrash(t, func(b *bench, crash func()) { b.log.hook = hook(crash) })
+				runCrash(t, func(b *bench, crash func()) { b.log.setHook(hook(crash)) })
 			})
 			t.Run(fmt.Sprintf("worker call %d, after=%v", point, after), func(t *testing.T) {
-				runCrash(t, func(b *bench, crash func()) { b.hook = hook(crash) })
+				runCrash(t, func(b *bench, crash func()) { b.setHook(hook(crash)) })
 			})
 		}
 	}
@@ -91,7 +91,7 @@
 		"replies of the queue are lost": {
 			runTime: 5 * time.Second,
 			faults: func(b *bench, o *owner) *owner {
-				b.queue.lose = 3
+				b.queue.loseReplies(3)
 				return o
 			},
 			wantEnd: map[delegation.End]int{delegation.EndFinished: 6},
--- a/cell/fixture_test.go
+++ b/cell/fixture_test.go
@@ -73,6 +73,12 @@
 	l.down = down
 }
 
+func (l *sharedLog) setHook(hook func(write int, after bool)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hook = hook
+}
+
 func (l *sharedLog) setDelay(delay time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -351,6 +357,12 @@
 	return n
 }
 
+func (q *fakeQueue) loseReplies(n int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.lose = n
+}
+
 func (q *fakeQueue) setDown(down bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -430,6 +442,12 @@
 	return b
 }
 
+func (b *bench) setHook(hook func(call int, after bool)) {
+	b.queue.mu.Lock()
+	defer b.queue.mu.Unlock()
+	b.hook = hook
+}
+
 func (b *bench) listWorkers() {
 	b.hosts.Update(func(l *platform.HostList) {
 		l.Workers = nil
@@ -507,17 +525,17 @@
 	}
 	o.b.queue.mu.Lock()
 	o.b.calls++
-	n := o.b.calls
+	n, hook := o.b.calls, o.b.hook
 	o.b.queue.mu.Unlock()
-	if o.b.hook != nil {
-		o.b.hook(n, false)
+	if hook != nil {
+		hook(n, false)
 		if o.is(&o.dead) {
 			return platform.WorkerReport{}, unanswered
 		}
 	}
 	report, err := o.deliver(ctx, address, op, do)
-	if o.b.hook != nil {
-		o.b.hook(n, true)
+	if hook != nil {
+		hook(n, true)
 	}
 	if o.is(&o.dead) {
 		return platform.WorkerReport{}, unanswered
--- a/cell/lease.go
+++ b/cell/lease.go
@@ -128,7 +128,7 @@
 	// deadline.
 	until := now.Add(max(callTimeout, placeWindow))
 	for _, o := range previous {
-		if o.Released || hasEnded(o) {
+		if hasEnded(o) {
 			continue
 		}
 		end := time.UnixMilli(o.EndMS).Add(MaxUnconfirmed + ClockMargin)
--- /dev/null
+++ b/cell/worker_test.go
@@ -0,0 +1,125 @@
+package cell
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/delegation"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+)
+
+// runningOn returns how many tasks run on a worker.
+func (b *bench) runningOn(id fleet.WorkerID) int {
+	n := 0
+	for _, r := range b.records.Runs() {
+		if r.Worker == id && r.State == platform.TaskRunning {
+			n++
+		}
+	}
+	return n
+}
+
+// reserve lists a backend server on the first worker.
+func (b *bench) reserve(milliCores int64) {
+	b.hosts.Update(func(l *platform.HostList) {
+		l.Servers = []platform.Server{{
+			ID: "s1", Service: "reclaim", DataCentre: testDC, Worker: b.workers[0].Info().ID,
+			Reserved: fleet.Resources{MilliCores: milliCores}, State: platform.StateLive,
+		}}
+	})
+}
+
+// TestUnknownAttemptIsStopped lets a worker run an attempt of the cell that
+// the journal does not know.
+func TestUnknownAttemptIsStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1, time.Hour)
+		_, err := b.control.Start(context.Background(), b.workers[0].Info().Address, platform.StartRequest{
+			Task: "stray/0", Attempt: 1, Cell: string(testCell), LeaseMS: 3_600_000,
+			DeadlineMS: time.Now().Add(time.Minute).UnixMilli(), Resources: fleet.Resources{MilliCores: 4000},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		o := b.start("a")
+		defer o.stop()
+		b.queue.add(4, small)
+		o.finish(10 * time.Second)
+		if b.records.Runs()[0].State != platform.TaskStopped {
+			t.Error("unknown attempt goes on")
+		}
+		if got := b.runningOn("w00"); got != 4 {
+			t.Errorf("%d tasks run once the unknown one was stopped, want 4", got)
+		}
+		b.check() // nothing was started beside it
+	})
+}
+
+func TestReservedResources(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2, time.Hour)
+		b.reserve(3000)
+		o := b.start("a")
+		defer o.stop()
+		b.queue.add(8, small)
+		o.finish(10 * time.Second)
+		if got := b.runningOn("w00"); got != 1 {
+			t.Errorf("%d tasks run beside a server that reserves all but one core, want 1", got)
+		}
+		b.reserve(1000)
+		o.finish(10 * time.Second)
+		if got := b.runningOn("w00"); got != 3 {
+			t.Errorf("%d tasks run when the server reserves less, want 3", got)
+		}
+		b.reserve(2000)
+		o.finish(10 * time.Second)
+		if got := b.runningOn("w00"); got != 2 {
+			t.Errorf("%d tasks run when the server reserves more, want 2", got)
+		}
+		if got := b.queue.outcomes(delegation.EndEvicted); got != 1 {
+			t.Errorf("%d tasks evicted, want 1", got)
+		}
+	})
+}
+
+func TestGoneWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2, time.Hour)
+		o := b.start("a")
+		defer o.stop()
+		b.queue.add(2, small)
+		o.finish(5 * time.Second)
+		b.workers[0].Kill()
+		b.hosts.Update(func(l *platform.HostList) { l.Workers[0].State = platform.StateGone })
+		o.finish(2 * time.Second)
+		if got := b.runningOn("w01"); got != 2 {
+			t.Errorf("%d tasks run 2 s after their worker was listed as gone, want 2", got)
+		}
+		b.check()
+	})
+}
+
+func TestLeavingWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2, 20*time.Second)
+		o := b.start("a")
+		defer o.stop()
+		b.queue.add(2, small)
+		o.finish(5 * time.Second)
+		before := b.runningOn("w00")
+		b.hosts.Update(func(l *platform.HostList) { l.Workers[0].State = platform.StateLeaving })
+		time.Sleep(time.Second)
+		b.queue.add(4, small)
+		o.finish(5 * time.Second)
+		if got := b.runningOn("w00"); got != before {
+			t.Errorf("%d tasks run on a leaving worker, want the %d it had", got, before)
+		}
+		if !o.finish(time.Minute) || b.queue.outcomes(delegation.EndFinished) != 6 {
+			t.Error("tasks did not finish")
+		}
+		b.check()
+	})
+}
