--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,19 +54,18 @@
 	for point := 1; point <= crashPoints; point++ {
 		for _, after := range []bool{false, true} {
 			hook := func(crash func()) func(int, bool) {
-				done := false
+				var once sync.Once
 				return func(n int, isAfter bool) {
-					if n == point && isAfter == after && !done {
-						done = true
-						crash()
+					if n == point && isAfter == after {
+						once.Do(crash)
 					}
 				}
 			}
 			t.Run(fmt.Sprintf("journal write %d, after=%v", point, after), func(t *testing.T) {
-				runCrash(t, func(b *bench, crash func()) { b.log.hook = hook(crash) })
+				runCrash(t, func(b *bench, crash func()) { b.log.setHook(hook(crash)) })
 			})
 			t.Run(fmt.Sprintf("worker call %d, after=%v", point, after), func(t *testing.T) {
-				runCrash(t, func(b *bench, crash func()) { b.hook = hook(crash) })
+				runCrash(t, func(b *bench, crash func()) { b.setHook(hook(crash)) })
 			})
 		}
 	}
@@ -91,7 +91,7 @@
 		"replies of the queue are lost": {
 			runTime: 5 * time.Second,
 			faults: func(b *bench, o *owner) *owner {
-				b.queue.lose = 3
+				b.queue.loseReplies(3)
 				return o
 			},
 			wantEnd: map[delegation.End]int{delegation.EndFinished: 6},
@@ -158,6 +158,29 @@
 			},
 			wantEnd: map[delegation.End]int{delegation.EndFinished: 6, delegation.EndEvicted: 0},
 		},
+		"planned hand-over while a worker dies": {
+			runTime: long,
+			faults: func(b *bench, o *owner) *owner {
+				o.offer()
+				time.Sleep(4 * time.Second)
+				o.stop()
+				b.workers[0].Kill()
+				return b.start("b")
+			},
+		},
+		"host list comes late": {
+			runTime: 5 * time.Second,
+			faults: func(b *bench, o *owner) *owner {
+				o.stop()
+				b.hosts.Update(func(l *platform.HostList) { l.Workers = nil })
+				o = b.start("b")
+				time.Sleep(500 * time.Millisecond)
+				o.offer()
+				b.listWorkers()
+				return o
+			},
+			wantEnd: map[delegation.End]int{delegation.EndFinished: 6, delegation.EndNotRun: 0},
+		},
 		"owner is killed and replaced": {
 			runTime: long,
 			faults: func(b *bench, o *owner) *owner {
@@ -234,6 +257,9 @@
 						t.Errorf("%d outcomes %s, want %d", got, end, want)
 					}
 				}
+				if refused := b.queue.refused; refused > 0 {
+					t.Errorf("%d tasks were refused", refused)
+				}
 			})
 		})
 	}
@@ -266,8 +292,25 @@
 	})
 }
 
-// TestPredecessorEnded tells the second owner by the host list that the first
-// has ended: it need not wait.
+// TestRenewalsEndWithoutTheStore lets an owner be without a durable entry for
+// so long that a successor counts on its silence.
+func TestRenewalsEndWithoutTheStore(t *testing.T) {
+	for _, silent := range []time.Duration{MaxUnconfirmed - time.Second, MaxUnconfirmed} {
+		s := benchSession(t)
+		runTasks(t, s, 0, 1)
+		now := time.Now()
+		s.durableAt = now.Add(-silent)
+		w := s.workers["w00"]
+		w.lease.nextRenewal = now
+		c := s.nextCall(w, now)
+		if renews := c != nil && c.renew != nil; renews != (silent < MaxUnconfirmed) {
+			t.Errorf("owner renews: %v, %v after its last durable entry", renews, silent)
+		}
+	}
+}
+
+// TestPredecessorEnded tells the second owner late, by the host list, that the
+// first has ended: it need not wait any longer.
 func TestPredecessorEnded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 2, 2*time.Minute)
@@ -282,12 +325,15 @@
 				w.Kill()
 			}
 		}
+		second := b.start("b")
+		defer second.stop()
+		if second.finish(5 * time.Minute) {
+			t.Error("task was started again while its first owner may renew its lease")
+		}
 		b.hosts.Update(func(l *platform.HostList) {
 			l.EntryHosts = []platform.EntryHost{{ID: "a", State: platform.StateGone}}
 		})
-		second := b.start("b")
-		defer second.stop()
-		if !second.finish(5 * time.Minute) {
+		if !second.finish(4 * time.Minute) {
 			t.Error("task is not done")
 		}
 		b.check()
