--- a/backend/conn.go
+++ b/backend/conn.go
@@ -33,12 +33,14 @@
 	readAt   atomic.Int64 // Unix nanoseconds of the last byte of the present answer, 0 for none
 	headLeft int          // bytes the head may still have; negative: no limit
 	sawEOF   bool         // the server closed the connection
+	probe    prober
 }
 
 func newConn(nc net.Conn) *conn {
 	c := &conn{Conn: nc, headLeft: -1}
 	c.br = bufio.NewReaderSize(readerFunc(c.read), connBuffer)
 	c.bw = bufio.NewWriterSize(writerFunc(c.write), connBuffer)
+	c.probe.init(nc)
 	return c
 }
 
@@ -57,7 +59,7 @@
 	if c.headLeft > 0 && len(b) > c.headLeft {
 		b = b[:c.headLeft]
 	}
-	n, err := c.Conn.Read(b)
+	n, err := c.Read(b)
 	if n > 0 {
 		c.readAt.Store(time.Now().UnixNano())
 	}
@@ -71,7 +73,7 @@
 }
 
 func (c *conn) write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
+	n, err := c.Write(b)
 	c.written.Add(int64(n))
 	return n, err
 }
--- a/command/command.go
+++ b/command/command.go
@@ -62,14 +62,14 @@
 		Action: groupAction,
 	}
 	root.Commands = append(root.Commands, extra...)
-	returnErrors(root)
 	return root
 }
 
-// Run runs the command line with args, the first of which is the program's
-// name. It writes a failure as one line to the command's ErrWriter and
-// returns the exit code.
+// Run runs a command line, that of New or a daemon's, with args, the first of
+// which is the program's name. It writes a failure as one line to the
+// command's ErrWriter and returns the exit code.
 func Run(ctx context.Context, root *cli.Command, args []string) int {
+	returnErrors(root)
 	err := root.Run(ctx, args)
 	if err == nil {
 		return ExitOK
@@ -83,7 +83,9 @@
 func returnErrors(cmd *cli.Command) {
 	cmd.ExitErrHandler = func(context.Context, *cli.Command, error) {}
 	cmd.OnUsageError = func(_ context.Context, cmd *cli.Command, err error, _ bool) error {
-		return &UsageError{Command: cmd.FullName(), Reason: err.Error()}
+		// Parsers of numbers add the name of their function.
+		reason, _, _ := strings.Cut(err.Error(), ": strconv.")
+		return &UsageError{Command: cmd.FullName(), Reason: reason}
 	}
 	for _, sub := range cmd.Commands {
 		returnErrors(sub)
@@ -97,7 +99,11 @@
 
 // groupAction is called when no command of a group matches.
 func groupAction(_ context.Context, cmd *cli.Command) error {
-	if !cmd.Args().Present() {
+	switch {
+	case cmd.Args().Present():
+	case cmd == cmd.Root():
+		return cli.ShowRootCommandHelp(cmd)
+	default:
 		return cli.ShowSubcommandHelp(cmd)
 	}
 	var names []string
@@ -110,6 +116,11 @@
 	return &UsageError{Command: cmd.FullName(), Reason: reason}
 }
 
+// examples is the description of a command by examples.
+func examples(lines ...string) string {
+	return "EXAMPLES:\n   " + strings.Join(lines, "\n   ")
+}
+
 // arguments returns the positional arguments if there are as many as names.
 func arguments(cmd *cli.Command, names ...string) ([]string, error) {
 	args := cmd.Args().Slice()
@@ -123,7 +134,7 @@
 	return nil, &UsageError{Command: cmd.FullName(), Reason: reason}
 }
 
-// flags returns the flags of a read and its own.
+// readFlags returns the flags of a read and its own.
 func readFlags(own ...cli.Flag) []cli.Flag {
 	return slices.Concat(own, []cli.Flag{&cli.BoolFlag{Name: jsonFlag, Usage: "print JSON"}})
 }
@@ -140,7 +151,7 @@
 			value := struct {
 				Version string `json:"version"`
 			}{version}
-			return print(cmd, value, func(w io.Writer) { fmt.Fprintf(w, "fuchsiahill %s\n", version) })
+			return printValue(cmd, value, func(w io.Writer) { fmt.Fprintf(w, "fuchsiahill %s\n", version) })
 		},
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"expvar"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/fuchsiahill/fuchsiahill/backend"
 	"github.com/fuchsiahill/fuchsiahill/dedupe"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/member"
@@ -41,6 +43,8 @@
 	Caller   peer.Caller
 	Registry peer.Registry
 	Logger   log.Logger
+	Margins  dedupe.Margins   // dedupe.DefaultMargins if zero
+	Dial     backend.DialFunc // TCP if nil
 }
 
 // Gateway serves requests. It is safe for concurrent use.
@@ -72,6 +76,7 @@
 			Directory: d.Shards,
 			Caller:    d.Caller,
 			Registry:  d.Registry,
+			Margins:   d.Margins,
 		}),
 		fronts:   make(map[shard.ID]*front),
 		services: make(map[fleet.Service]*service),
@@ -80,7 +85,7 @@
 	}
 	g.version.Store(-1)
 	g.revision.Store(-1)
-	g.metrics.init()
+	g.metrics.init(expvar.Func(g.serviceMetrics))
 	g.refresh(time.Now())
 	return g
 }
@@ -164,6 +169,16 @@
 	return s.latency()
 }
 
+// LongestRequest returns the longest time that a backend server may work on
+// a request: the largest request timeout of any service.
+func (g *Gateway) LongestRequest() time.Duration {
+	var longest int64
+	for _, s := range g.allServices() {
+		longest = max(longest, s.settings().RequestTimeoutMS)
+	}
+	return time.Duration(longest) * time.Millisecond
+}
+
 func (g *Gateway) service(name fleet.Service) (*service, bool) {
 	g.mu.RLock()
 	defer g.mu.RUnlock()
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,306 @@
+package gateway_test
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/gateway"
+	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/settings"
+)
+
+func instant() time.Duration { return 0 }
+
+// TestFaultTable brings about each fault at each point of the exchange, for
+// idempotent and other requests, and judges by what the servers saw.
+func TestFaultTable(t *testing.T) {
+	const (
+		answered = "answered"
+		notRun   = "not-run"
+		unknown  = "unknown"
+	)
+	cases := []struct {
+		point, name string
+		faults      standin.BackendFaults
+		down        bool // the servers are gone
+		outcome     string
+		runs        int // of a request that is not idempotent
+	}{
+		{"before dial", "servers gone", standin.BackendFaults{}, true, notRun, 0},
+		{"after dial", "closed at accept", standin.BackendFaults{RefuseDials: true}, false, unknown, 0},
+		{"after dial", "lost connections", standin.BackendFaults{GoSilent: true}, false, unknown, 0},
+		{"after request", "closed", standin.BackendFaults{DropBefore: true}, false, unknown, 1},
+		{"after request", "slow", standin.BackendFaults{Delay: 250 * time.Millisecond}, false, unknown, 1},
+		{"after request", "garbage", standin.BackendFaults{Garbage: true}, false, unknown, 1},
+		{"after headers", "another request's answer", standin.BackendFaults{WrongID: true}, false, unknown, 1},
+		{"after headers", "undelimited body", standin.BackendFaults{Undelimited: true}, false, unknown, 1},
+		{"in body", "cut", standin.BackendFaults{CutBody: true}, false, unknown, 1},
+		{"in body", "silent", standin.BackendFaults{SilentAfterHead: true}, false, unknown, 1},
+		{"in body", "overlong", standin.BackendFaults{Overlong: true}, false, unknown, 1},
+		{"after answer", "second answer", standin.BackendFaults{Leftover: true}, false, unknown, 1},
+		{"after answer", "closed", standin.BackendFaults{CloseAfter: true}, false, answered, 1},
+	}
+	for _, c := range cases {
+		for _, method := range []string{"POST", "GET"} {
+			t.Run(c.point+"/"+c.name+"/"+method, func(t *testing.T) {
+				t.Parallel()
+				s := newSite(t, 2, instant)
+				h := s.start(t, "h1", true)
+				if !c.faults.RefuseDials {
+					warm(t, h)
+				}
+				s.setFaults(c.faults)
+				if c.down {
+					for _, b := range s.backends {
+						_ = b.Close()
+					}
+				}
+				r := h.call(t.Context(), method, "", "X-Request-Id", "r1")
+				if r.err != nil {
+					t.Fatal(r.err)
+				}
+				if method == "GET" && c.faults.GoSilent {
+					c.outcome = answered // on a new connection
+				}
+				if r.outcome() != c.outcome {
+					t.Errorf("outcome %s (%s), want %s", r.outcome(), r.reason(), c.outcome)
+				}
+				checkStatus(t, r)
+				if c.faults.GoSilent {
+					// A server that answers on new connections is not condemned.
+					for range 6 {
+						if next := h.call(t.Context(), "GET", ""); next.outcome() != answered {
+							t.Errorf("next: %s (%s)", next.outcome(), next.reason())
+						}
+					}
+				}
+				n := s.seen("r1")
+				if method == "POST" && n != c.runs {
+					t.Errorf("ran %d times, want %d", n, c.runs)
+				}
+				if method == "GET" && c.outcome == unknown && c.runs == 1 && n < 2 {
+					t.Errorf("an idempotent request was not retried")
+				}
+			})
+		}
+	}
+}
+
+// warm opens a connection to both servers.
+func warm(t *testing.T, h *host) {
+	t.Helper()
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() { h.call(t.Context(), "GET", "", "X-Request-Id", "warm") })
+	}
+	wg.Wait()
+}
+
+// checkStatus checks that status and headers agree with the outcome.
+func checkStatus(t *testing.T, r reply) {
+	t.Helper()
+	allowed := map[string][]int{"answered": {200}, "not-run": {429, 503}, "unknown": {502, 504}}[r.outcome()]
+	for _, s := range allowed {
+		if s == r.status {
+			return
+		}
+	}
+	t.Errorf("status %d with outcome %q", r.status, r.outcome())
+}
+
+// TestRetryOnAnotherServer checks that one bad server costs an idempotent
+// request nothing but a retry, at every point of the exchange.
+func TestRetryOnAnotherServer(t *testing.T) {
+	for name, f := range map[string]standin.BackendFaults{
+		"closed": {DropBefore: true}, "cut": {CutBody: true}, "garbage": {Garbage: true}, "silent": {SilentAfterHead: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 2, instant)
+			h := s.start(t, "h1", true)
+			s.backends[0].SetFaults(f)
+			for range 4 {
+				if r := h.call(t.Context(), "GET", "", "X-Request-Id", "r1"); r.outcome() != "answered" {
+					t.Errorf("outcome %s (%s)", r.outcome(), r.reason())
+				}
+			}
+		})
+	}
+}
+
+// TestStreamCut checks that a large answer that is cut never looks whole, and
+// that one that is whole arrives.
+func TestStreamCut(t *testing.T) {
+	for _, chunked := range []bool{false, true} {
+		s := newSite(t, 1, instant)
+		h := s.start(t, "h1", true)
+		s.setFaults(standin.BackendFaults{Chunked: chunked})
+		r := h.call(t.Context(), "GET", "", "X-Answer-Bytes", "500000")
+		if r.err != nil || len(r.body) != 500000 {
+			t.Fatalf("%d bytes, %v", len(r.body), r.err)
+		}
+		s.setFaults(standin.BackendFaults{CutBody: true, Chunked: chunked})
+		r = h.call(t.Context(), "GET", "", "X-Answer-Bytes", "500000")
+		if r.err == nil {
+			t.Errorf("chunked %v: a cut answer of %d bytes looked whole", chunked, len(r.body))
+		}
+	}
+}
+
+// TestSlowReader checks that a caller that does not read its answer holds no
+// slot beyond its deadline.
+func TestSlowReader(t *testing.T) {
+	s := newSite(t, 1, instant)
+	s.setSettings(func(v *settings.Resolved, _ map[fleet.DataCentre]settings.DataCentre) { v.RequestTimeoutMS = 600 })
+	h := s.start(t, "h1", true)
+	conn, err := net.Dial("tcp", strings.TrimSuffix(strings.TrimPrefix(h.url, "http://"), "/svc/reclaim/x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.(*net.TCPConn).SetReadBuffer(4096)
+	for range 40 { // pipelined, to fill the buffers on the way
+		if _, err := conn.Write([]byte("GET /svc/reclaim/x HTTP/1.1\r\nHost: h\r\nX-Answer-Bytes: 900000\r\n\r\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for n := -1; n != s.seen("") || h.Summary()[svc].Free == 8; time.Sleep(150 * time.Millisecond) {
+		n = s.seen("")
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	if err := h.Drain(ctx); err != nil {
+		t.Error(err)
+	}
+	for end := time.Now().Add(time.Second); h.Summary()[svc].Free < 8; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the slot is still taken")
+		}
+	}
+}
+
+func TestPathAndHeaders(t *testing.T) {
+	s := newSite(t, 1, instant)
+	h := s.start(t, "h1", true)
+	for _, c := range []struct {
+		name, value string
+		status      int
+	}{
+		{gateway.HeaderTimeout, "0", 400},
+		{gateway.HeaderTimeout, "abc", 400},
+		{gateway.HeaderTimeout, "500", 200},
+		{gateway.HeaderIdempotent, "maybe", 400},
+		{gateway.HeaderRequestID, "r1", 400},
+		{gateway.HeaderRequestID, uuid.NewString(), 400},
+		{gateway.HeaderCaller, strings.Repeat("x", 65), 400},
+	} {
+		if r := h.call(t.Context(), "GET", "", c.name, c.value); r.status != c.status {
+			t.Errorf("%s: %q: status %d, want %d", c.name, c.value, r.status, c.status)
+		}
+	}
+	h.url = strings.Replace(h.url, "reclaim", "nothing", 1)
+	if r := h.call(t.Context(), "GET", ""); r.status != 503 || r.outcome() != "not-run" {
+		t.Errorf("unknown service: %d %s", r.status, r.outcome())
+	}
+}
+
+// TestOutAndLeaving checks that a data centre taken out and a leaving server
+// get no new request once the host's view shows it.
+func TestOutAndLeaving(t *testing.T) {
+	out := func(_ *settings.Resolved, c map[fleet.DataCentre]settings.DataCentre) {
+		c[dc] = settings.DataCentre{Region: "bg", State: settings.DataCentreOut, Cells: 1}
+	}
+	for name, change := range map[string]func(*site){
+		"data centre out": func(s *site) { s.setSettings(out) },
+		"server leaving":  func(s *site) { s.setList(func(l *platform.HostList) { l.Servers[0].State = platform.StateLeaving }) },
+		"server unlisted": func(s *site) { s.setList(func(l *platform.HostList) { l.Servers = nil }) },
+		"right lost":      nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 1, instant)
+			h := s.start(t, "h1", true)
+			warm(t, h)
+			if change != nil {
+				change(s)
+			} else {
+				h.port.denied.Store(true)
+			}
+			before := s.seen("")
+			for range 3 {
+				if r := h.call(t.Context(), "POST", ""); r.outcome() != "not-run" {
+					t.Errorf("outcome %s (%s)", r.outcome(), r.reason())
+				}
+			}
+			if n := s.seen(""); n != before {
+				t.Errorf("the server got %d requests", n-before)
+			}
+		})
+	}
+}
+
+// TestHandover checks that Run lets requests in progress finish, starts none,
+// and returns only when the server has surely stopped.
+func TestHandover(t *testing.T) {
+	s := newSite(t, 1, func() time.Duration { return 60 * time.Millisecond })
+	h := s.start(t, "h1", true)
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			ctx := t.Context()
+			if i < 4 { // callers that leave
+				var cancel context.CancelFunc
+				ctx, cancel = context.WithTimeout(ctx, 30*time.Millisecond)
+				defer cancel()
+			}
+			if r := h.call(ctx, "POST", ""); i >= 4 && r.outcome() != "answered" {
+				t.Errorf("cut off: %s (%s) %v", r.outcome(), r.reason(), r.err)
+			}
+		})
+	}
+	for s.seen("") < 8 {
+		time.Sleep(time.Millisecond)
+	}
+	h.stop()
+	<-h.ended
+	for _, r := range s.backends[0].Stats().Requests {
+		if r.Ended.IsZero() {
+			t.Error("the front was handed over while the server worked")
+		}
+	}
+	wg.Wait()
+	if r := h.call(t.Context(), "POST", ""); r.outcome() != "not-run" {
+		t.Errorf("outcome after the front's end: %s", r.outcome())
+	}
+}
+
+// TestDrain checks that a graceful shutdown cuts off nothing.
+func TestDrain(t *testing.T) {
+	s := newSite(t, 1, func() time.Duration { return 50 * time.Millisecond })
+	h := s.start(t, "h1", true)
+	var wg sync.WaitGroup
+	for range 16 { // half of them wait
+		wg.Go(func() {
+			if r := h.call(t.Context(), "POST", ""); r.outcome() != "answered" {
+				t.Errorf("cut off: %s (%s) %v", r.outcome(), r.reason(), r.err)
+			}
+		})
+	}
+	for s.seen("") < 8 || h.Summary()[svc].Waiting < 8 {
+		time.Sleep(time.Millisecond)
+	}
+	if err := h.Drain(t.Context()); err != nil {
+		t.Error(err)
+	}
+	if r := h.call(t.Context(), "POST", ""); r.outcome() != "not-run" || r.reason() != "draining" {
+		t.Errorf("after drain: %s (%s)", r.outcome(), r.reason())
+	}
+	wg.Wait()
+}
--- a/queue/shard.go
+++ b/queue/shard.go
@@ -27,8 +27,8 @@
 	// confirmedFor is how long after its confirmation the settings view lets
 	// tasks be given out.
 	confirmedFor = 2 * time.Second
-	// RetainFor is how long ended jobs are kept, and their IDs recognised.
-	RetainFor = 24 * time.Hour
+	// DefaultRetainFor is how long ended jobs are kept.
+	DefaultRetainFor = 24 * time.Hour
 	// MaxJobs bounds the jobs of one shard, ended ones included.
 	MaxJobs = 20_000
 
@@ -55,6 +55,7 @@
 	machine *Machine
 	sent    *recentlySent
 	rand    *rand.Rand
+	offers  uint64 // sequence of the newest offer
 
 	kicked chan struct{} // asks for a release
 }
@@ -76,17 +77,13 @@
 	return q
 }
 
-// run runs the shard until ctx ends or the shard is lost.
+// run runs the shard until ctx ends or the shard is lost, and returns why.
 func (q *ownedShard) run(ctx context.Context) error {
 	group, inner := errgroup.WithContext(ctx)
 	group.Go(func() error { return q.journal.Serve(inner) })
 	group.Go(func() error { return q.releaseLoop(inner) })
 	group.Go(func() error { return q.sender.loop(inner) })
-	err := group.Wait()
-	if ctx.Err() != nil {
-		return nil
-	}
-	return err
+	return group.Wait()
 }
 
 func kick(c chan struct{}) {
@@ -168,7 +165,7 @@
 }
 
 func (q *ownedShard) expire(tx journal.Tx) error {
-	before := time.Now().Add(-RetainFor).UnixMilli()
+	before := time.Now().Add(-q.server.deps.RetainFor).UnixMilli()
 	if q.machine.expirable(before) {
 		tx.Append(record{Expired: &expired{Before: before}}.encode())
 	}
@@ -225,6 +222,9 @@
 	values := snapshot.JobClass(spec.Organisation, "", spec.Class)
 	s := newSubmitted(spec, values, time.Now())
 	tx.Append(record{Submitted: &s}.encode())
+	tx.OnDurable(func() {
+		q.logger.Log("event", "job_submitted", "job", s.ID, "tasks", s.Tasks, "priority", s.Priority)
+	})
 	q.server.vars.Add(varSubmitted, 1)
 	if s.Priority >= job.UrgentPriority {
 		return q.release(tx)
@@ -258,11 +258,11 @@
 func (q *ownedShard) get(ctx context.Context, id fleet.JobID) (job.Status, error) {
 	var status job.Status
 	err := q.commit(ctx, func(journal.Tx) error {
-		known := false
-		status, known = q.machine.Status(id)
-		if !known {
+		j := q.machine.jobs[id]
+		if j == nil {
 			return eris.Wrap(&job.NotFoundError{ID: id}, "get")
 		}
+		status = j.status()
 		return nil
 	})
 	return status, readError(err)
@@ -297,7 +297,10 @@
 		if !j.cancelled && !j.final() {
 			c := &cancelled{At: time.Now().UnixMilli(), Jobs: []fleet.JobID{id}}
 			tx.Append(record{Cancelled: c}.encode())
-			tx.OnDurable(q.sender.kick)
+			tx.OnDurable(func() {
+				q.logger.Log("event", "job_cancelled", "job", id)
+				q.sender.kick()
+			})
 			q.server.vars.Add(varCancelled, 1)
 		}
 		status = j.status()
@@ -307,18 +310,25 @@
 }
 
 // takeBack ends the attempts that a cell gave back. It returns once that is
-// durable, so the cell may forget them.
-func (q *ownedShard) takeBack(ctx context.Context, cell shard.ID, outcomes []delegation.Outcome) error {
+// durable, so the cell may forget them. An offer of them that is still under
+// way has at most the sequence of the reply: later ones are collected from a
+// state without them.
+func (q *ownedShard) takeBack(ctx context.Context, cell shard.ID, outcomes []delegation.Outcome) (delegation.ReturnReply, error) {
+	reply := delegation.ReturnReply{Epoch: q.journal.Owner().Epoch}
 	err := q.commit(ctx, func(tx journal.Tx) error {
 		q.end(tx, cell, outcomes)
+		reply.Sequence = q.offers
 		return nil
 	})
 	var unknown *job.UnknownError
 	var unavailable *job.UnavailableError
 	if errors.As(err, &unknown) || errors.As(err, &unavailable) {
-		return eris.Wrap(&peer.RemoteError{Kind: peer.KindUnavailable, Message: err.Error()}, "return")
+		err = eris.Wrap(&peer.RemoteError{Kind: peer.KindUnavailable, Message: err.Error()}, "return")
 	}
-	return err
+	if err != nil {
+		return delegation.ReturnReply{}, err
+	}
+	return reply, nil
 }
 
 func (q *ownedShard) end(tx journal.Tx, cell shard.ID, outcomes []delegation.Outcome) {
@@ -327,12 +337,25 @@
 		return
 	}
 	tx.Append(record{Returned: r}.encode())
+	ended := make(map[fleet.JobID]job.Status)
 	for _, run := range r.Runs {
 		q.server.vars.Add(varReturned, int64(run.Count))
+		if j := q.machine.jobs[run.Job]; j.ended != 0 {
+			ended[run.Job] = j.status()
+		}
+	}
+	for _, status := range ended {
+		q.logEnd(tx, status)
 	}
 	kick(q.kicked)
 }
 
+func (q *ownedShard) logEnd(tx journal.Tx, s job.Status) {
+	tx.OnDurable(func() {
+		q.logger.Log("event", "job_ended", "job", s.Spec.ID, "state", s.State, "finished", s.Finished, "failed", s.Failed)
+	})
+}
+
 func (q *ownedShard) limits(j *jobState) attemptLimit {
 	values := q.server.deps.Settings.Current().JobClass(j.Organisation, "", j.Class)
 	attempts := values.MaxAttempts
--- a/settings/tracker.go
+++ b/settings/tracker.go
@@ -6,9 +6,11 @@
 	"expvar"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fuchsiahill/fuchsiahill/store"
@@ -39,15 +41,24 @@
 	interval time.Duration
 	vars     trackerVars
 
-	// Invariants: current's revision never decreases; value is what current
-	// was decoded from; confirmedAt never decreases, and every change that
-	// the store accepted before confirmedAt is in current.
-	mu          sync.Mutex
-	current     Snapshot
-	value       []byte
-	confirmedAt time.Time
-	changed     chan struct{}
-	corrupt     *CorruptError // newest value that can't be decoded, nil if current is newer
+	// Invariants: current's revision never decreases; confirmedAt never
+	// decreases, and every change that the store accepted before confirmedAt
+	// is in current. Both are written under mu, current first, and read
+	// without it: a reader that takes confirmedAt before current can't see it
+	// with an older snapshot than the one it was written for.
+	current     atomic.Pointer[inForce]
+	confirmedAt atomic.Pointer[time.Time]
+
+	mu      sync.Mutex
+	changed chan struct{}
+	corrupt *CorruptError // newest value that can't be decoded, nil if current is newer
+	lapsed  bool          // the last read confirmed nothing
+}
+
+// inForce is a snapshot with the value in the store that it was decoded from.
+type inForce struct {
+	snapshot Snapshot
+	value    []byte
 }
 
 var _ View = (*Tracker)(nil)
@@ -86,9 +97,10 @@
 		log:      opts.Logger,
 		interval: opts.ConfirmInterval,
 		vars:     newTrackerVars(),
-		current:  NewSnapshot(Default(), 0),
 		changed:  make(chan struct{}),
 	}
+	t.current.Store(&inForce{snapshot: NewSnapshot(Default(), 0)})
+	t.confirmedAt.Store(&time.Time{})
 	if t.log == nil {
 		t.log = log.NewNopLogger()
 	}
@@ -99,19 +111,11 @@
 }
 
 // Current implements View.
-func (t *Tracker) Current() Snapshot {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.current
-}
+func (t *Tracker) Current() Snapshot { return t.current.Load().snapshot }
 
 // ConfirmedAt implements View. It is the time before the confirming read was
 // sent, and zero before the first one.
-func (t *Tracker) ConfirmedAt() time.Time {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.confirmedAt
-}
+func (t *Tracker) ConfirmedAt() time.Time { return *t.confirmedAt.Load() }
 
 // Ready reports whether the store has confirmed a snapshot to this process.
 func (t *Tracker) Ready() bool { return !t.ConfirmedAt().IsZero() }
@@ -125,9 +129,8 @@
 
 // Stored returns what the store holds of Current, for Offer at a peer.
 func (t *Tracker) Stored() ([]byte, store.Revision) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.value, t.current.Revision()
+	current := t.current.Load()
+	return current.value, current.snapshot.Revision()
 }
 
 // Corrupt returns the error of a newer value in the store that can't be
@@ -161,11 +164,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	// Another goroutine may have advanced since the caller looked.
-	if next.Revision() <= t.current.Revision() {
+	previous := t.Current().Revision()
+	if next.Revision() <= previous {
 		return
 	}
-	t.log.Log("event", "settings_in_force", "revision", next.Revision(), "previous", t.current.Revision())
-	t.current, t.value = next, value
+	t.log.Log("event", "settings_in_force", "revision", next.Revision(), "previous", previous)
+	t.current.Store(&inForce{next, value})
 	t.vars.revision.Set(int64(next.Revision()))
 	if t.corrupt != nil && t.corrupt.Revision <= next.Revision() {
 		t.corrupt = nil
@@ -187,7 +191,7 @@
 	}
 	t.corrupt = corrupt
 	t.vars.corrupt.Set(int64(corrupt.Revision))
-	t.log.Log("event", "settings_corrupt", "revision", corrupt.Revision, "in_force", t.current.Revision(), "err", corrupt.Cause)
+	t.log.Log("event", "settings_corrupt", "revision", corrupt.Revision, "in_force", t.Current().Revision(), "err", corrupt.Cause)
 }
 
 // Serve follows the store until ctx ends.
@@ -213,44 +217,62 @@
 
 // confirm makes one read that is conditional on the newest revision seen.
 func (t *Tracker) confirm(ctx context.Context) {
-	known := t.newestSeen()
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	sent := time.Now()
-	entry, newer, err := t.store.GetNewer(ctx, TreeKey, known)
-	if !t.Ready() {
-		err = t.crossCheck(ctx, entry, err)
+	revision, err := t.readNewest(ctx)
+	if ctx.Err() != nil && errors.Is(context.Cause(ctx), context.Canceled) {
+		return
 	}
+	t.note(revision, sent, err)
+}
+
+// readNewest returns the newest revision in the store, which is in force
+// then if it can be decoded.
+func (t *Tracker) readNewest(ctx context.Context) (store.Revision, error) {
+	known := t.newestSeen()
+	entry, newer, err := t.store.GetNewer(ctx, TreeKey, known)
 	var missing *store.NotFoundError
-	switch {
-	case errors.As(err, &missing):
+	if errors.As(err, &missing) {
 		// No tree was ever accepted. The key is never deleted, so after a
 		// tree was seen the answer is stale.
-		t.confirmEqual(0, sent)
-	case err != nil:
-		t.vars.unconfirmed.Add(1)
-	case !newer:
-		t.confirmEqual(known, sent)
-	default:
-		t.confirmRead(entry, sent)
+		entry, newer, err = store.Entry{}, known != 0, nil
+	}
+	if err != nil {
+		return 0, err
 	}
+	if !newer {
+		entry.Revision = known
+	}
+	if !t.Ready() {
+		if err := t.crossCheck(ctx, entry.Revision); err != nil {
+			return 0, err
+		}
+	}
+	if !newer {
+		return known, nil
+	}
+	return entry.Revision, t.Offer(entry.Value, entry.Revision)
 }
 
 // crossCheck makes a second read of another kind. A process that has just
 // started knows no revision that would give a stale answer away, so it takes
-// its first one only if both reads agree. It returns err, or else the reason
-// not to use entry.
-func (t *Tracker) crossCheck(ctx context.Context, entry store.Entry, err error) error {
-	listed, _, listErr := t.store.List(ctx, TreeKey)
-	if listErr != nil {
-		return listErr
+// its first one only if both reads agree.
+func (t *Tracker) crossCheck(ctx context.Context, revision store.Revision) error {
+	listed, _, err := t.store.List(ctx, TreeKey)
+	if err != nil {
+		return err
 	}
-	for _, other := range listed {
-		if other.Key == TreeKey && other.Revision != entry.Revision {
-			return &StaleReadError{Revision: entry.Revision, Newer: other.Revision}
+	var other store.Revision
+	for _, entry := range listed {
+		if entry.Key == TreeKey {
+			other = entry.Revision
 		}
 	}
-	return err
+	if other != revision {
+		return eris.Wrap(&StaleReadError{Revision: revision, Newer: other}, "settings")
+	}
+	return nil
 }
 
 // StaleReadError reports two reads of the tree that disagree.
@@ -269,39 +291,44 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.corrupt != nil {
-		return max(t.corrupt.Revision, t.current.Revision())
+		return max(t.corrupt.Revision, t.Current().Revision())
 	}
-	return t.current.Revision()
+	return t.Current().Revision()
 }
 
-func (t *Tracker) confirmRead(entry store.Entry, sent time.Time) {
-	if err := t.Offer(entry.Value, entry.Revision); err != nil {
-		t.vars.unconfirmed.Add(1)
-		return
-	}
-	t.confirmEqual(entry.Revision, sent)
-}
-
-// confirmEqual notes that revision was the newest one in the store at some
-// moment after sent.
+// note takes the result of a read that was sent at a time: revision was the
+// newest one in the store at some moment after it.
 //
 // A revision below the current one may stem from before the current one was
 // accepted or from a stale read, which can't be told apart, and confirms
 // nothing. One above it could not be decoded.
-func (t *Tracker) confirmEqual(revision store.Revision, sent time.Time) {
+func (t *Tracker) note(revision store.Revision, sent time.Time, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	switch current := t.current.Revision(); {
-	case revision < current:
+	current := t.Current().Revision()
+	switch {
+	case err != nil || revision == current:
+	case t.corrupt != nil && revision > current:
+		err = t.corrupt
+	default:
 		t.vars.stale.Add(1)
+		err = &StaleReadError{Revision: revision, Newer: current}
+	}
+	if err != nil {
 		t.vars.unconfirmed.Add(1)
-	case revision > current:
-		t.vars.unconfirmed.Add(1)
-	default:
-		t.vars.confirmed.Add(1)
-		if sent.After(t.confirmedAt) {
-			t.confirmedAt = sent
+		if !t.lapsed {
+			t.log.Log("event", "settings_unconfirmed", "revision", current, "err", err)
 		}
+		t.lapsed = true
+		return
+	}
+	t.vars.confirmed.Add(1)
+	if t.lapsed || !t.Ready() {
+		t.log.Log("event", "settings_confirmed", "revision", current)
+	}
+	t.lapsed = false
+	if sent.After(t.ConfirmedAt()) {
+		t.confirmedAt.Store(&sent)
 	}
 }
 
