--- a/peer/client.go
+++ b/peer/client.go
@@ -67,6 +67,7 @@
 	mu       sync.Mutex
 	links    map[fleet.HostID]*link
 	closed   bool
+	closing  chan struct{} // closed with the client
 	monitors sync.WaitGroup
 }
 
@@ -79,6 +80,7 @@
 		addressOf: addressOf,
 		opts:      opts.withDefaults(),
 		links:     make(map[fleet.HostID]*link),
+		closing:   make(chan struct{}),
 		dialer: net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     tcpKeepAlive,
@@ -92,11 +94,9 @@
 // later ones with *UnreachableError.
 func (c *Client) Close() error {
 	c.mu.Lock()
-	c.closed = true
-	for _, l := range c.links {
-		if conn := l.current(); conn != nil {
-			_ = conn.rpc.Close()
-		}
+	if !c.closed {
+		c.closed = true
+		close(c.closing)
 	}
 	c.mu.Unlock()
 	c.monitors.Wait()
--- a/peer/link.go
+++ b/peer/link.go
@@ -156,6 +156,10 @@
 		case <-conn.rpc.DisconnectNotify():
 			l.retire(conn)
 			return
+		case <-l.client.closing:
+			l.retire(conn)
+			_ = conn.rpc.Close()
+			return
 		case <-ticker.C:
 		}
 		if conn.idle(time.Now(), opts.IdleTimeout) {
