--- a/member/exchange.go
+++ b/member/exchange.go
@@ -23,9 +23,7 @@
 	// A host publishes changes of its load no more often than this, and less
 	// often the more hosts there are, which keeps the bytes per host constant.
 	publishInterval = time.Second
-	publishPerHost  = 110 * time.Millisecond
-	// quietRounds is for how many times that long a change is news.
-	quietRounds = 2
+	publishPerHost  = 70 * time.Millisecond
 )
 
 // exchangeMessage carries changed summaries to a peer, as request and as
@@ -133,7 +131,7 @@
 func (r *Registry) request(now time.Time, id fleet.HostID) ([]Summary, exchangeMessage, error) {
 	r.mu.Lock()
 	p := r.summary.peer(id, r.hosts[id].host.Incarnation)
-	batch := r.summary.changes(now, id, p, batchLimit, quietRounds*r.publishAfter())
+	batch := r.summary.changes(now, id, p, batchLimit)
 	msg := exchangeMessage{Incarnation: r.deps.Self.Incarnation, Ack: p.lastReply}
 	r.mu.Unlock()
 	data, err := r.batches.encode(batch)
@@ -166,6 +164,6 @@
 	p := r.summary.peer(from, req.Incarnation)
 	p.acknowledge(req.Ack)
 	r.summary.take(now, p, news)
-	batch := r.summary.changes(now, from, p, batchLimit, quietRounds*r.publishAfter())
+	batch := r.summary.changes(now, from, p, batchLimit)
 	return batch, r.summary.replied(p, batch), nil
 }
--- a/member/lease.go
+++ b/member/lease.go
@@ -42,9 +42,14 @@
 	}
 }
 
-// refresh renews the lease, or registers anew if there is none.
+// refresh renews the lease, or registers anew if there is none or another
+// process has written the record.
 func (r *Registry) refresh(ctx context.Context, lease *store.LeaseID) error {
-	if *lease == 0 {
+	seen, ok := r.Host(r.deps.Self.ID)
+	if ok && seen.Incarnation > r.deps.Self.Incarnation {
+		return eris.Wrap(&SupersededError{Host: seen.ID, By: seen.Incarnation}, "member")
+	}
+	if *lease == 0 || ok && seen.Incarnation < r.deps.Self.Incarnation {
 		return r.register(ctx, lease)
 	}
 	began := time.Now()
--- a/member/registry.go
+++ b/member/registry.go
@@ -62,9 +62,6 @@
 type record struct {
 	host     Host
 	revision store.Revision
-	// lapsed is set when the record was seen to be gone while the store was
-	// not steady: the host is kept until it had time to register again.
-	lapsed bool
 }
 
 var _ Directory = (*Registry)(nil)
--- a/member/summaries.go
+++ b/member/summaries.go
@@ -8,8 +8,12 @@
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 )
 
-// rumourSends is how often a host passes on another host's change.
-const rumourSends = 2
+const (
+	// rumourSends is how often a host passes on another host's change.
+	rumourSends = 3
+	// startTime is for how long a host counts as just started.
+	startTime = 30 * time.Second
+)
 
 // version orders the summaries of one host.
 type version struct {
@@ -143,12 +147,11 @@
 }
 
 // changes returns at most limit summaries that a peer may lack: the own one
-// first, then the latest news. quiet is the age from which on a summary no
-// longer counts as news.
-func (s *summaries) changes(now time.Time, to fleet.HostID, p *peerState, limit int, quiet time.Duration) []Summary {
+// first, then the latest news.
+func (s *summaries) changes(now time.Time, to fleet.HostID, p *peerState, limit int) []Summary {
 	var due []entry
 	for id, e := range s.newest {
-		if id != to && s.wanted(now, p, e, quiet) {
+		if id != to && s.wanted(now, p, e) {
 			due = append(due, e)
 		}
 	}
@@ -169,18 +172,17 @@
 }
 
 // wanted reports whether a peer should be sent a summary. Most peers hear of
-// a change from others, so each host passes it on only rumourSends times. A
-// host that is new to the peer, or has been quiet since, is sent all the same,
-// so that nothing is missed for good.
-func (s *summaries) wanted(now time.Time, p *peerState, e entry, quiet time.Duration) bool {
+// a change from others, so each host passes it on only rumourSends times; what
+// a peer misses it gets from the host itself when the two meet. A peer that
+// has just started is sent everything.
+func (s *summaries) wanted(now time.Time, p *peerState, e entry) bool {
 	has := p.has[e.Host]
 	if !versionOf(e.Summary).newer(has) {
 		return false
 	}
 	return e.Host == s.self ||
 		e.sends < rumourSends ||
-		has.Incarnation != e.Incarnation ||
-		now.Sub(e.learned) >= quiet
+		now.Sub(time.Unix(0, int64(p.incarnation))) < startTime
 }
 
 func (s *summaries) rank(e entry) int {
--- a/member/watch.go
+++ b/member/watch.go
@@ -49,18 +49,8 @@
 		_ = sleep(ctx, retryInterval)
 		return
 	}
-	ticker := time.NewTicker(retryInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case ev, ok := <-events:
-			if !ok {
-				return
-			}
-			r.apply(ev)
-		case <-ticker.C:
-			r.sweep()
-		}
+	for ev := range events {
+		r.apply(ev)
 	}
 }
 
@@ -122,17 +112,14 @@
 
 // drop removes a record that was deleted at a revision. After an outage every
 // lease may have lapsed at once, so until the store has been steady for a
-// lease time the host is kept: it had no chance to register again. The mutex
-// is held.
+// lease time the host is kept: it had no chance to register again. A later
+// listing drops it. The mutex is held.
 func (r *Registry) drop(id fleet.HostID, revision store.Revision) {
 	old, known := r.hosts[id]
 	if !known || old.revision > revision {
 		return
 	}
 	if !r.settled(time.Now()) {
-		old.lapsed = true
-		old.revision = revision
-		r.hosts[id] = old
 		return
 	}
 	r.remove(id)
@@ -151,17 +138,3 @@
 	since, ok := r.steady.since(now)
 	return ok && now.Sub(since) >= LeaseTTL
 }
-
-// sweep removes the lapsed hosts that did not register again.
-func (r *Registry) sweep() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.settled(time.Now()) {
-		return
-	}
-	for id, rec := range r.hosts {
-		if rec.lapsed {
-			r.remove(id)
-		}
-	}
-}
--- a/shard/timing.go
+++ b/shard/timing.go
@@ -32,7 +32,7 @@
 	DefaultFrontBound     = 6 * time.Hour
 	DefaultFrontMargin    = 5 * time.Minute
 	DefaultRenewInterval  = time.Minute
-	DefaultPauseThreshold = 3 * time.Second
+	DefaultPauseThreshold = 5 * time.Second
 	DefaultLongestRequest = time.Minute
 )
 
