--- a/internal/dev/faults.go
+++ b/internal/dev/faults.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/api"
@@ -14,61 +14,111 @@
 )
 
 const (
-	storeOutage  = 2 * time.Second
-	hostBack     = time.Second
-	workerBack   = 3 * time.Second
-	lostReplies  = 2
+	slowStore    = 300 * time.Millisecond
+	slowBackend  = 500 * time.Millisecond
+	lostReplies  = 5
 	defaultScale = 15 * time.Second // of the fault plan, for a run without an end
 )
 
-// fault is one failure at a moment of the run, as a share of its length.
+// fault is a failure of the site. bring causes it and returns what repairs
+// it.
 type fault struct {
 	name  string
-	at    float64
-	bring func(r *run, ctx context.Context, random *rand.Rand)
+	bring func(r *run, ctx context.Context, random *rand.Rand) (repair func(ctx context.Context))
 }
 
-// plan is the order in which faults come.
-func plan() []fault {
+// faults are all failures that a run can bring about.
+func faults() []fault {
 	return []fault{
-		{"store outage", 0.15, (*run).storeOutage},
-		{"host death", 0.35, (*run).hostDeath},
-		{"worker death", 0.50, (*run).workerDeath},
-		{"data centre out", 0.60, (*run).dataCentreOut},
-		{"data centre in", 0.85, (*run).dataCentreIn},
+		{"store down", storeFault(standin.StoreFaults{Down: true})},
+		{"store slow", storeFault(standin.StoreFaults{Delay: slowStore})},
+		{"store replies lost", storeFault(standin.StoreFaults{LoseReply: lostReplies})},
+		{"store leases lapsed", (*run).lapseLeases},
+		{"host list down", (*run).hostListDown},
+		{"host killed", (*run).killHost},
+		{"host terminated", (*run).terminateHost},
+		{"worker killed", (*run).killWorker},
+		{"worker silent", workerFault(standin.WorkerFaults{Silent: true})},
+		{"worker fails starts", workerFault(standin.WorkerFaults{FailStarts: true})},
+		{"worker replies lost", workerFault(standin.WorkerFaults{LoseReply: lostReplies})},
+		{"backend cuts answers", backendFault(standin.BackendFaults{CutBody: true})},
+		{"backend connections silent", backendFault(standin.BackendFaults{GoSilent: true})},
+		{"backend drops connections", backendFault(standin.BackendFaults{DropBefore: true})},
+		{"backend slow", backendFault(standin.BackendFaults{Delay: slowBackend})},
+		{"backend leaving", (*run).backendLeaving},
+		{"data centre out", (*run).dataCentreOut},
+		{"operators race", (*run).operatorsRace},
 	}
 }
 
-// bringFaults brings the plan about and returns what it did.
-func (r *run) bringFaults(ctx context.Context) []string {
+// faultNamed returns one of them.
+func faultNamed(name string) fault {
+	all := faults()
+	i := slices.IndexFunc(all, func(f fault) bool { return f.name == name })
+	return all[i]
+}
+
+// episode is a fault between two moments of a run, as shares of its length.
+type episode struct {
+	fault       fault
+	from, until float64
+}
+
+// plan is the order in which `dev --faults` brings faults.
+func plan() []episode {
+	return []episode{
+		{faultNamed("store down"), 0.15, 0.28},
+		{faultNamed("store replies lost"), 0.28, 0.32},
+		{faultNamed("host killed"), 0.35, 0.40},
+		{faultNamed("worker killed"), 0.50, 0.60},
+		{faultNamed("data centre out"), 0.60, 0.85},
+	}
+}
+
+// bringFaults plays the episodes over the length of the load, one after the
+// other, and returns the names of those brought about.
+func (r *run) bringFaults(ctx context.Context, episodes []episode) []string {
 	scale := r.opts.For
 	if scale == 0 {
 		scale = defaultScale
 	}
 	random := rand.New(rand.NewPCG(r.opts.Seed, r.opts.Seed+1))
 	began := time.Now()
+	at := func(share float64) { pause(ctx, time.Until(began.Add(time.Duration(share*float64(scale))))) }
 	var brought []string
-	for _, f := range plan() {
-		pause(ctx, time.Until(began.Add(time.Duration(f.at*float64(scale)))))
+	for _, e := range episodes {
+		at(e.from)
 		if ctx.Err() != nil {
 			return brought
 		}
-		f.bring(r, ctx, random)
-		brought = append(brought, f.name)
+		repair := e.fault.bring(r, ctx, random)
+		brought = append(brought, e.fault.name)
+		at(e.until)
+		repair(context.WithoutCancel(ctx))
 	}
 	return brought
 }
 
-// storeOutage takes the store down and loses replies when it returns.
-func (r *run) storeOutage(ctx context.Context, _ *rand.Rand) {
-	r.site.Store.SetFaults(standin.StoreFaults{Down: true})
-	pause(ctx, storeOutage)
-	r.site.Store.SetFaults(standin.StoreFaults{LoseReply: lostReplies})
+func storeFault(f standin.StoreFaults) func(*run, context.Context, *rand.Rand) func(context.Context) {
+	return func(r *run, _ context.Context, _ *rand.Rand) func(context.Context) {
+		r.site.Store.SetFaults(f)
+		return func(context.Context) { r.site.Store.SetFaults(standin.StoreFaults{}) }
+	}
+}
+
+func (r *run) lapseLeases(context.Context, *rand.Rand) func(context.Context) {
+	r.site.Store.ExpireAllLeases()
+	return func(context.Context) {}
 }
 
-// hostDeath kills a host and starts another one. The platform's list shows
-// the end after its lag.
-func (r *run) hostDeath(ctx context.Context, random *rand.Rand) {
+func (r *run) hostListDown(context.Context, *rand.Rand) func(context.Context) {
+	r.site.HostList.SetDown(true)
+	return func(context.Context) { r.site.HostList.SetDown(false) }
+}
+
+// killHost ends a host without a word; the platform's list shows the end
+// after its lag. The repair starts another one.
+func (r *run) killHost(_ context.Context, random *rand.Rand) func(context.Context) {
 	up := r.hosts.list()
 	victim := up[random.IntN(len(up))]
 	r.hosts.kill(victim)
@@ -80,19 +130,39 @@
 			State:       platform.StateGone,
 		})
 	})
-	pause(ctx, hostBack)
+	return r.replaceHost
+}
+
+// terminateHost shuts a host down gracefully. The repair starts another one.
+func (r *run) terminateHost(_ context.Context, random *rand.Rand) func(context.Context) {
+	up := r.hosts.list()
+	victim := up[random.IntN(len(up))]
+	r.hosts.remove(victim)
+	victim.cancel()
+	return func(ctx context.Context) {
+		<-victim.done
+		r.replaceHost(ctx)
+	}
+}
+
+func (r *run) replaceHost(context.Context) {
 	_ = r.hosts.start() // fewer hosts carry the load if it fails
 }
 
-// workerDeath kills a worker without backend servers and brings it back.
-func (r *run) workerDeath(ctx context.Context, random *rand.Rand) {
-	victim := r.site.Workers[serversPerDataCentre+random.IntN(workersPerDataCentre-serversPerDataCentre)]
+// batchWorker returns a worker without backend servers, which is busiest with
+// tasks.
+func (r *run) batchWorker(random *rand.Rand) *standin.Worker {
+	return r.site.Workers[serversPerDataCentre+random.IntN(workersPerDataCentre-serversPerDataCentre)]
+}
+
+func (r *run) killWorker(_ context.Context, random *rand.Rand) func(context.Context) {
+	victim := r.batchWorker(random)
 	victim.Kill()
 	r.setWorker(victim.Info().ID, platform.StateGone)
-	time.AfterFunc(workerBack, func() {
+	return func(context.Context) {
 		victim.Restart()
 		r.setWorker(victim.Info().ID, platform.StateLive)
-	})
+	}
 }
 
 func (r *run) setWorker(id fleet.WorkerID, state platform.HostState) {
@@ -105,16 +175,46 @@
 	})
 }
 
-func (r *run) dataCentreOut(ctx context.Context, _ *rand.Rand) {
-	r.setDataCentre(ctx, settings.DataCentreOut)
+func workerFault(f standin.WorkerFaults) func(*run, context.Context, *rand.Rand) func(context.Context) {
+	return func(r *run, _ context.Context, random *rand.Rand) func(context.Context) {
+		victim := r.batchWorker(random)
+		victim.SetFaults(f)
+		return func(context.Context) { victim.SetFaults(standin.WorkerFaults{}) }
+	}
 }
 
-func (r *run) dataCentreIn(ctx context.Context, _ *rand.Rand) {
-	r.setDataCentre(ctx, settings.DataCentreIn)
+func backendFault(f standin.BackendFaults) func(*run, context.Context, *rand.Rand) func(context.Context) {
+	return func(r *run, _ context.Context, random *rand.Rand) func(context.Context) {
+		victim := r.site.Backends[random.IntN(len(r.site.Backends))]
+		victim.SetFaults(f)
+		return func(context.Context) { victim.SetFaults(standin.BackendFaults{}) }
+	}
+}
+
+func (r *run) backendLeaving(_ context.Context, random *rand.Rand) func(context.Context) {
+	victim := r.site.Backends[random.IntN(len(r.site.Backends))].Info().ID
+	r.setBackend(victim, platform.StateLeaving)
+	return func(context.Context) { r.setBackend(victim, platform.StateLive) }
 }
 
-// setDataCentre takes the last data centre out or in, repeating the call under
-// one change ID until its outcome is known.
+func (r *run) setBackend(id fleet.ServerID, state platform.HostState) {
+	r.site.HostList.Update(func(l *platform.HostList) {
+		for i := range l.Servers {
+			if l.Servers[i].ID == id {
+				l.Servers[i].State = state
+			}
+		}
+	})
+}
+
+// dataCentreOut takes the last data centre out; the repair takes it in.
+func (r *run) dataCentreOut(ctx context.Context, _ *rand.Rand) func(context.Context) {
+	r.setDataCentre(ctx, settings.DataCentreOut)
+	return func(ctx context.Context) { r.setDataCentre(ctx, settings.DataCentreIn) }
+}
+
+// setDataCentre repeats the call under one change ID until its outcome is
+// known or ctx ends.
 func (r *run) setDataCentre(ctx context.Context, state settings.DataCentreState) {
 	dc := dataCentres[len(dataCentres)-1]
 	req := api.StateRequest{ID: changeID(), State: state}
@@ -130,5 +230,18 @@
 	}
 }
 
-// String names a fault in logs.
-func (f fault) String() string { return fmt.Sprintf("%s at %.0f%%", f.name, f.at*100) }
+// operatorsRace makes two operators change settings at once, against the same
+// revision, at different hosts.
+func (r *run) operatorsRace(ctx context.Context, _ *rand.Rand) func(context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i, h := range r.hosts.list() {
+			client := api.NewClient("http://"+h.host.OperatorsAddress(), "")
+			value := []byte{'1', '0', byte('0' + i)}
+			_, _ = client.Set(ctx, api.SetRequest{ID: changeID(), Path: "values.queue_length", Value: value}) // one may lose
+		}
+	}()
+	_, _ = r.hosts.client().Set(ctx, api.SetRequest{ID: changeID(), Path: "values.queue_length", Value: []byte("200")})
+	return func(context.Context) { <-done }
+}
--- a/internal/dev/run.go
+++ b/internal/dev/run.go
@@ -174,7 +174,7 @@
 	group.Go(func() { r.jobs.run(loadCtx) })
 	var faults []string
 	if r.opts.Faults {
-		group.Go(func() { faults = r.bringFaults(loadCtx) })
+		group.Go(func() { faults = r.bringFaults(loadCtx, plan()) })
 	}
 	group.Go(func() { r.progress(loadCtx) })
 	group.Wait()
