Keep confirming the settings when one read goes silent

Cause: the confirming reads went one after another, so a read on a connection that nothing answers any more held them up for its whole time limit of 2 s, and a host stopped starting tasks for a second although new connections worked.

Change: a read starts in every interval, also while up to two others are unanswered. The cost stays one read a second.

Before: the new test finds no confirmation for more than 2 s (seen with reads in turn, and with one read at once); after: passes.

--- a/settings/tracker.go
+++ b/settings/tracker.go
@@ -23,7 +23,9 @@
 	// confirmTimeout bounds one such read. A later answer confirms nothing
 	// that is still of use.
 	confirmTimeout = 2 * time.Second
-	watchRetry     = time.Second
+	// maxReads is how many such reads may be under way at once.
+	maxReads   = 3
+	watchRetry = time.Second
 )
 
 // TrackerOptions configure a Tracker.
@@ -202,11 +204,20 @@
 	return group.Wait()
 }
 
+// confirmLoop starts a read in every interval, also while earlier ones are
+// not answered: a connection that went silent costs one read, and a slow
+// store delays the confirmation but does not make it rarer.
 func (t *Tracker) confirmLoop(ctx context.Context) error {
+	var reads errgroup.Group
+	reads.SetLimit(maxReads)
+	defer func() { _ = reads.Wait() }()
 	ticker := time.NewTicker(t.interval)
 	defer ticker.Stop()
 	for {
-		t.confirm(ctx)
+		reads.TryGo(func() error {
+			t.confirm(ctx)
+			return nil
+		})
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- a/settings/tracker_test.go
+++ b/settings/tracker_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -307,6 +308,40 @@
 	}
 }
 
+// hanging is a store whose next conditional read goes silent, as on a
+// connection that nothing answers any more.
+type hanging struct {
+	store.Store
+	hang atomic.Bool
+}
+
+func (h *hanging) GetNewer(ctx context.Context, key string, known store.Revision) (store.Entry, bool, error) {
+	if h.hang.CompareAndSwap(true, false) {
+		<-ctx.Done()
+		return store.Entry{}, false, &store.UnavailableError{Op: "read", Cause: ctx.Err()}
+	}
+	return h.Store.GetNewer(ctx, key, known)
+}
+
+// A read that is never answered does not keep the next ones from confirming.
+func TestTrackerWithSilentConnection(t *testing.T) {
+	h := &hanging{}
+	wrap := func(s store.Store) store.Store {
+		h.Store = s
+		return h
+	}
+	inBubble(t, wrap, func(t *testing.T, _ *standin.Store, tr *Tracker) {
+		time.Sleep(betweenReads)
+		h.hang.Store(true)
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			if age := time.Since(tr.ConfirmedAt()); age > 2*DefaultConfirmInterval {
+				t.Fatalf("not confirmed for %s", age)
+			}
+		}
+	})
+}
+
 // transfers counts the conditional reads that were answered with a value.
 type transfers struct {
 	store.Store
