Count the API's answers, refuse a token hash given twice

Of two tokens with one hash the later one won silently. The fault test of the editors also checks that what OnApplied reports is what the store holds at that revision.

--- a/api/handler.go
+++ b/api/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"expvar"
 	"fmt"
 	"io"
 	"net/http"
@@ -52,7 +53,7 @@
 	Ready() error
 }
 
-// Deps is what the handler acts on. All fields but Logger are needed.
+// Deps is what the handler acts on. All fields but the last two are needed.
 type Deps struct {
 	Self    fleet.HostID
 	Jobs    job.Service
@@ -62,7 +63,8 @@
 	Shards  ShardLister
 	Health  Health
 	Tokens  *auth.Tokens
-	Logger  log.Logger // nil: no logs
+	Logger  log.Logger  // nil: no logs
+	Calls   *expvar.Map // answers by code, "ok" for successes; nil: not counted
 }
 
 type handler struct{ Deps }
@@ -73,6 +75,9 @@
 	if d.Logger == nil {
 		d.Logger = log.NewNopLogger()
 	}
+	if d.Calls == nil {
+		d.Calls = new(expvar.Map).Init()
+	}
 	h := &handler{d}
 	root := mux.NewRouter().UseEncodedPath()
 	root.NotFoundHandler = h.open(maxBodyBytes, callTimeout, noSuchResource)
@@ -122,6 +127,7 @@
 			h.fail(w, r, err)
 			return
 		}
+		h.Calls.Add("ok", 1)
 		h.logCall(r, http.StatusOK, nil)
 		writeJSON(w, http.StatusOK, value)
 	}
@@ -131,6 +137,7 @@
 func (h *handler) fail(w http.ResponseWriter, r *http.Request, err error) {
 	e := *describe(err)
 	e.RequestID = w.Header().Get(requestIDHeader)
+	h.Calls.Add(string(e.Code), 1)
 	h.logCall(r, e.Status, err)
 	switch e.Status {
 	case http.StatusUnauthorized:
--- a/api/handler_test.go
+++ b/api/handler_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"expvar"
 	"fmt"
 	"io"
 	"net/http"
@@ -251,6 +252,14 @@
 	if w, e := f.call("GET", "/readyz", "", ""); w.Code != http.StatusServiceUnavailable || e.Message != "no settings" {
 		t.Errorf("/readyz answered %d %+v", w.Code, e)
 	}
+	f.Calls = new(expvar.Map).Init()
+	for range 2 {
+		f.call("GET", "/v1/status", "viewer", "")
+		f.call("GET", "/v1/status", "caller", "")
+	}
+	if got := f.Calls.String(); got != `{"forbidden": 2, "ok": 2}` {
+		t.Errorf("counted %s", got)
+	}
 	if w, _ := f.call("GET", "/livez", "", ""); w.Code != http.StatusOK {
 		t.Errorf("/livez answered %d", w.Code)
 	}
--- a/api/refuse.go
+++ b/api/refuse.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"expvar"
 	"net/http"
 
 	"github.com/go-kit/log"
@@ -11,7 +12,7 @@
 // Refuse is an auth.ErrorWriter that answers in the form of this interface,
 // for handlers beside it.
 func Refuse(w http.ResponseWriter, r *http.Request, err error) {
-	h := &handler{Deps{Logger: log.NewNopLogger()}}
+	h := &handler{Deps{Logger: log.NewNopLogger(), Calls: new(expvar.Map).Init()}}
 	h.fail(w, r, err)
 }
 
--- a/auth/auth.go
+++ b/auth/auth.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -96,6 +97,9 @@
 			return nil, eris.Wrap(&InvalidTokenError{Name: token.Name, Reason: "sha256 is not 64 hex digits"}, "tokens")
 		}
 		copy(e.hash[:], hash)
+		if t.knows(e.hash) {
+			return nil, eris.Wrap(&InvalidTokenError{Name: token.Name, Reason: "another token has the same sha256"}, "tokens")
+		}
 		if reason := token.fault(); reason != "" {
 			return nil, eris.Wrap(&InvalidTokenError{Name: token.Name, Reason: reason}, "tokens")
 		}
@@ -104,6 +108,10 @@
 	return t, nil
 }
 
+func (t *Tokens) knows(hash [sha256.Size]byte) bool {
+	return slices.ContainsFunc(t.entries, func(e entry) bool { return e.hash == hash })
+}
+
 func (t Token) fault() string {
 	switch t.Role {
 	case RoleOperator, RoleReadOnly:
--- a/auth/auth_test.go
+++ b/auth/auth_test.go
@@ -72,13 +72,15 @@
 	}{
 		{"token in place of its hash", Token{Name: "a", SHA256: "secret", Role: RoleOperator}, "64 hex digits"},
 		{"short hash", Token{Name: "a", SHA256: hash[:62], Role: RoleOperator}, "64 hex digits"},
+		{"hash of another token", Token{Name: "a", SHA256: strings.ToUpper(Hash("another")), Role: RoleOperator}, "same sha256"},
 		{"role", Token{Name: "a", SHA256: hash, Role: "admin"}, `no such role "admin"`},
 		{"caller of nobody", Token{Name: "a", SHA256: hash, Role: RoleCaller}, "needs an organisation"},
 		{"operator of an organisation", Token{Name: "a", SHA256: hash, Role: RoleOperator, Organisation: "o"}, "only a caller"},
 	}
+	first := Token{Name: "first", SHA256: Hash("another"), Role: RoleReadOnly}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			_, err := NewTokens([]Token{tt.token})
+			_, err := NewTokens([]Token{first, tt.token})
 			var invalid *InvalidTokenError
 			if !errors.As(err, &invalid) || !strings.Contains(invalid.Error(), tt.want) {
 				t.Errorf("got %v, want %q", err, tt.want)
--- a/settings/editor_faults_test.go
+++ b/settings/editor_faults_test.go
@@ -66,7 +66,15 @@
 func runAttempts(t *testing.T, fates []string, attempts []attempt) string {
 	s := seeded(t)
 	hooked := fateful(t, s, fates)
+	hooked.accepted = make(map[store.Revision]string)
 	editors := []*Editor{newTestEditor(hooked), newTestEditor(hooked)}
+	for _, e := range editors {
+		e.OnApplied(func(value []byte, revision store.Revision) {
+			if hooked.accepted[revision] != string(value) {
+				t.Errorf("reported %s at revision %d, the store has %s", value, revision, hooked.accepted[revision])
+			}
+		})
+	}
 	accepted := make(map[string]Record)
 	unknown := make(map[string]bool)
 	for _, a := range attempts {
--- a/settings/editor_test.go
+++ b/settings/editor_test.go
@@ -22,10 +22,18 @@
 	// write is called in place of the nth write, from 1; apply makes it.
 	write func(n int, apply func() (store.Revision, error)) (store.Revision, error)
 	n     int
+	// accepted holds the values that the store accepted.
+	accepted map[store.Revision]string
 }
 
 func (h *hookedStore) CompareAndSwap(ctx context.Context, key string, expect store.Revision, value []byte, lease store.LeaseID) (store.Revision, error) {
-	apply := func() (store.Revision, error) { return h.Store.CompareAndSwap(ctx, key, expect, value, lease) }
+	apply := func() (store.Revision, error) {
+		revision, err := h.Store.CompareAndSwap(ctx, key, expect, value, lease)
+		if err == nil && h.accepted != nil {
+			h.accepted[revision] = string(value)
+		}
+		return revision, err
+	}
 	if key != TreeKey || h.write == nil {
 		return apply()
 	}
