Take a data centre out although others change other things

Cause: dc out failed with a conflict when any change of settings was accepted between its read and its write. Now it is tried again, at most four times, unless the winner touched the same data centre.

--- a/api/settings.go
+++ b/api/settings.go
@@ -18,6 +18,7 @@
 	defaultHistory = 20
 	maxHistory     = 1000
 	maxRevision    = 1<<63 - 1
+	urgentAttempts = 4
 )
 
 func (h *handler) routeSettings(r *mux.Router) {
@@ -94,6 +95,20 @@
 	return rec, nil
 }
 
+// applyUrgently is apply for a change that should not fail because someone
+// changed something else at the same moment. A race about the same part of
+// the tree stays a conflict, and so does any if the change expects a revision.
+func (h *handler) applyUrgently(r *http.Request, c settings.Change) (any, error) {
+	for range urgentAttempts {
+		rec, err := h.apply(r, c)
+		var conflict *settings.ConflictError
+		if !errors.As(err, &conflict) || settings.Overlap(conflict.Winner.Path, c.Path) {
+			return rec, err
+		}
+	}
+	return h.apply(r, c)
+}
+
 func (h *handler) explainSettings(r *http.Request) (any, error) {
 	if err := mayRead(r); err != nil {
 		return nil, err
@@ -170,7 +185,7 @@
 	if err != nil {
 		return nil, err
 	}
-	rec, err := h.apply(r, settings.Change{ID: req.ID, Path: path + ".state", Value: value, Expect: req.Expect})
+	rec, err := h.applyUrgently(r, settings.Change{ID: req.ID, Path: path + ".state", Value: value, Expect: req.Expect})
 	var invalid *settings.InvalidError
 	if errors.As(err, &invalid) && invalid.Path == path+".region" {
 		// The change would have created the data centre.
--- a/settings/change.go
+++ b/settings/change.go
@@ -85,6 +85,12 @@
 	return next, rec, nil
 }
 
+// Overlap reports whether a change of one path can change what is at the
+// other.
+func Overlap(a, b string) bool {
+	return strings.HasPrefix(a+".", b+".") || strings.HasPrefix(b+".", a+".")
+}
+
 // node is a JSON object whose members are not decoded further.
 type node map[string]json.RawMessage
 
