Keep the slots of a server that leaves the list and returns

A server that was listed again while requests of before still held slots was taken for idle, so requests were sent its way and refused although others had room.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -169,16 +169,6 @@
 	return s.latency()
 }
 
-// LongestRequest returns the longest time that a backend server may work on
-// a request: the largest request timeout of any service.
-func (g *Gateway) LongestRequest() time.Duration {
-	var longest int64
-	for _, s := range g.allServices() {
-		longest = max(longest, s.settings().RequestTimeoutMS)
-	}
-	return time.Duration(longest) * time.Millisecond
-}
-
 func (g *Gateway) service(name fleet.Service) (*service, bool) {
 	g.mu.RLock()
 	defer g.mu.RUnlock()
--- /dev/null
+++ b/route/eject.go
@@ -0,0 +1,96 @@
+package route
+
+import (
+	"container/heap"
+	"time"
+)
+
+const (
+	failureMemory  = 0.8  // share of the old failure rate kept at each report
+	ejectionRate   = 0.67 // failure rate that ejects: 5 failures in a row from 0
+	ejectionBase   = time.Second
+	ejectionMax    = time.Minute
+	ejectionForget = 2 * time.Minute // without ejection, after which times start again at the base
+
+	// MaxEjected is the largest share of servers that may be ejected at once.
+	// Failures beyond it are more likely to be the network's or the
+	// requests', so they eject nobody.
+	MaxEjected = 0.3
+)
+
+// maybeEject takes a server that keeps failing out of the choice for a while.
+func (p *Picker) maybeEject(now time.Time, s *Server) {
+	if s.ejected || s.gone || s.failures < ejectionRate {
+		return
+	}
+	if len(p.ejected)+1 > p.ejectionCap() {
+		return
+	}
+	if now.Sub(s.ejectUntil) > ejectionForget {
+		s.ejections = 0
+	}
+	span := min(ejectionBase<<min(s.ejections, 6), ejectionMax)
+	s.ejections++
+	s.ejectUntil = now.Add(span)
+	s.ejected = true
+	p.leave(s)
+	p.capacity -= s.slots
+	p.stranded += s.outstanding
+	heap.Push(&p.ejected, s)
+}
+
+// ejectionCap is how many servers may be ejected. Two servers or more can
+// spare one.
+func (p *Picker) ejectionCap() int {
+	n := len(p.servers)
+	if n < 2 {
+		return 0
+	}
+	return max(1, int(MaxEjected*float64(n)))
+}
+
+// returnEjected takes servers back whose time is over, or which the cap no
+// longer allows to be ejected.
+func (p *Picker) returnEjected(now time.Time) {
+	for len(p.ejected) > 0 {
+		s := p.ejected[0]
+		if now.Before(s.ejectUntil) && len(p.ejected) <= p.ejectionCap() {
+			return
+		}
+		heap.Pop(&p.ejected)
+		s.ejected = false
+		s.failures = 0
+		s.since = now
+		p.capacity += s.slots
+		p.stranded -= s.outstanding
+		p.enter(s)
+	}
+}
+
+// ejectedHeap orders ejected servers by the end of their time.
+type ejectedHeap []*Server
+
+func (h ejectedHeap) Len() int           { return len(h) }
+func (h ejectedHeap) Less(i, j int) bool { return h[i].ejectUntil.Before(h[j].ejectUntil) }
+func (h ejectedHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].heapIndex = i
+	h[j].heapIndex = j
+}
+
+// Push implements heap.Interface.
+func (h *ejectedHeap) Push(x any) {
+	s := x.(*Server)
+	s.heapIndex = len(*h)
+	*h = append(*h, s)
+}
+
+// Pop implements heap.Interface.
+func (h *ejectedHeap) Pop() any {
+	old := *h
+	last := len(old) - 1
+	s := old[last]
+	old[last] = nil
+	*h = old[:last]
+	return s
+}
--- a/route/picker.go
+++ b/route/picker.go
@@ -23,17 +23,6 @@
 
 	latencyMemory = 5 * time.Second // time constant of the decayed latency
 	latencyFloor  = 100 * time.Microsecond
-
-	failureMemory  = 0.8  // share of the old failure rate kept at each report
-	ejectionRate   = 0.67 // failure rate that ejects: 5 failures in a row from 0
-	ejectionBase   = time.Second
-	ejectionMax    = time.Minute
-	ejectionForget = 2 * time.Minute // without ejection, after which times start again at the base
-
-	// MaxEjected is the largest share of servers that may be ejected at once.
-	// Failures beyond it are more likely to be the network's or the
-	// requests', so they eject nobody.
-	MaxEjected = 0.3
 )
 
 // Candidate is a server that may get requests.
@@ -78,12 +67,14 @@
 //
 // Invariants: a server is in one of the groups if and only if it is a
 // candidate, not ejected and has a free slot; the ejected heap holds exactly
-// the ejected candidates; capacity is the sum of the slots of the candidates
+// the ejected candidates; leaving holds exactly the servers that are no
+// candidates and have slots taken; capacity is the sum of the slots of the candidates
 // that are not ejected; stranded is the sum of the slots taken of servers that
 // are ejected or no longer candidates.
 type Picker struct {
 	rng      *rand.Rand
 	servers  map[fleet.ServerID]*Server
+	leaving  map[fleet.ServerID]*Server // no candidates, with slots taken
 	local    []*Server
 	remote   []*Server
 	ejected  ejectedHeap
@@ -94,7 +85,11 @@
 
 // NewPicker returns a picker without candidates.
 func NewPicker(rng *rand.Rand) *Picker {
-	return &Picker{rng: rng, servers: make(map[fleet.ServerID]*Server)}
+	return &Picker{
+		rng:     rng,
+		servers: make(map[fleet.ServerID]*Server),
+		leaving: make(map[fleet.ServerID]*Server),
+	}
 }
 
 // Update replaces the candidates. Servers that stay keep their record.
@@ -117,7 +112,17 @@
 }
 
 func (p *Picker) add(now time.Time, c Candidate) {
-	s := &Server{id: c.ID, local: c.Local, slots: c.Slots, room: -1, since: now}
+	s, ok := p.leaving[c.ID]
+	if ok { // it is back before its slots are free
+		delete(p.leaving, c.ID)
+		p.stranded -= s.outstanding
+		s.gone = false
+	} else {
+		s = &Server{id: c.ID, room: -1}
+	}
+	s.local = c.Local
+	s.slots = c.Slots
+	s.since = now
 	p.servers[c.ID] = s
 	p.capacity += s.slots
 	p.enter(s)
@@ -147,6 +152,9 @@
 	}
 	s.gone = true
 	delete(p.servers, s.id)
+	if s.outstanding > 0 {
+		p.leaving[s.id] = s
+	}
 }
 
 // Get returns the record of a candidate.
@@ -238,6 +246,9 @@
 	if s.ejected || s.gone {
 		p.stranded--
 	}
+	if s.gone && s.outstanding == 0 {
+		delete(p.leaving, s.id)
+	}
 	p.enter(s)
 }
 
@@ -271,54 +282,6 @@
 	s.latencyAt = now
 }
 
-func (p *Picker) maybeEject(now time.Time, s *Server) {
-	if s.ejected || s.gone || s.failures < ejectionRate {
-		return
-	}
-	if len(p.ejected)+1 > p.ejectionCap() {
-		return
-	}
-	if now.Sub(s.ejectUntil) > ejectionForget {
-		s.ejections = 0
-	}
-	span := min(ejectionBase<<min(s.ejections, 6), ejectionMax)
-	s.ejections++
-	s.ejectUntil = now.Add(span)
-	s.ejected = true
-	p.leave(s)
-	p.capacity -= s.slots
-	p.stranded += s.outstanding
-	heap.Push(&p.ejected, s)
-}
-
-// ejectionCap is how many servers may be ejected. Two servers or more can
-// spare one.
-func (p *Picker) ejectionCap() int {
-	n := len(p.servers)
-	if n < 2 {
-		return 0
-	}
-	return max(1, int(MaxEjected*float64(n)))
-}
-
-// returnEjected takes servers back whose time is over, or which the cap no
-// longer allows to be ejected.
-func (p *Picker) returnEjected(now time.Time) {
-	for len(p.ejected) > 0 {
-		s := p.ejected[0]
-		if now.Before(s.ejectUntil) && len(p.ejected) <= p.ejectionCap() {
-			return
-		}
-		heap.Pop(&p.ejected)
-		s.ejected = false
-		s.failures = 0
-		s.since = now
-		p.capacity += s.slots
-		p.stranded -= s.outstanding
-		p.enter(s)
-	}
-}
-
 func (p *Picker) group(s *Server) *[]*Server {
 	if s.local {
 		return &p.local
@@ -349,31 +312,3 @@
 	*g = (*g)[:last]
 	s.room = -1
 }
-
-// ejectedHeap orders ejected servers by the end of their time.
-type ejectedHeap []*Server
-
-func (h ejectedHeap) Len() int           { return len(h) }
-func (h ejectedHeap) Less(i, j int) bool { return h[i].ejectUntil.Before(h[j].ejectUntil) }
-func (h ejectedHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].heapIndex = i
-	h[j].heapIndex = j
-}
-
-// Push implements heap.Interface.
-func (h *ejectedHeap) Push(x any) {
-	s := x.(*Server)
-	s.heapIndex = len(*h)
-	*h = append(*h, s)
-}
-
-// Pop implements heap.Interface.
-func (h *ejectedHeap) Pop() any {
-	old := *h
-	last := len(old) - 1
-	s := old[last]
-	old[last] = nil
-	*h = old[:last]
-	return s
-}
--- a/route/picker_test.go
+++ b/route/picker_test.go
@@ -85,6 +85,11 @@
 				for _, s := range taken {
 					count[s.ID()]++
 				}
+				for id, n := range count {
+					if n > 2 {
+						t.Fatalf("%d slots of %s are taken", n, id)
+					}
+				}
 				capacity, ejected, inChoice := 0, 0, 0
 				for id := range listed {
 					s, ok := p.Get(id)
