Share limits among organisations first, and keep tokens from servers

An organisation gains nothing by naming more classes of callers. A caller's token for the entry hosts reached the backend servers (TestWhatTheServerSees, seen to fail without the removal).

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -98,6 +98,9 @@
 	}
 	out.Header = q.header.Clone()
 	out.Header.Set(HeaderHop, "1")
+	if token, ok := q.in.Header[headerAuthorization]; ok {
+		out.Header[headerAuthorization] = token
+	}
 	out.Header.Set(HeaderTimeout, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	out.Header.Set(HeaderIdempotent, strconv.FormatBool(q.idempotent))
 	t := timeouts(&q.values)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -98,6 +98,7 @@
 	q.header = maps.Clone(r.Header)
 	stripHopByHop(q.header)
 	delete(q.header, HeaderHop)
+	delete(q.header, headerAuthorization)
 	delete(q.header, "Expect") // the body is sent in any case
 	q.header[backend.RequestIDHeader] = q.idValue[:]
 	if _, ok := q.header["User-Agent"]; !ok {
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/fuchsiahill/fuchsiahill/auth"
 	"github.com/fuchsiahill/fuchsiahill/backend"
 	"github.com/fuchsiahill/fuchsiahill/route"
 )
@@ -29,6 +30,10 @@
 
 var answeredValue = []string{string(backend.Answered)}
 
+// headerAuthorization carries a token for entry hosts; backend servers do not
+// get it.
+const headerAuthorization = "Authorization"
+
 // Headers of answers.
 const (
 	HeaderOutcome      = "Fuchsiahill-Outcome"
@@ -61,12 +66,12 @@
 func parseOptions(r *http.Request) (options, error) {
 	o := options{
 		idempotent: idempotentMethod(r.Method),
-		caller:     route.Class(r.Header.Get(HeaderCaller)),
+		caller:     callerClass(r),
 		forwarded:  r.Header.Get(HeaderHop) != "",
 		requestID:  r.Header.Get(backend.RequestIDHeader),
 	}
-	if len(o.caller) > maxCallerBytes {
-		return o, &BadRequestError{Header: HeaderCaller, Value: string(o.caller[:maxCallerBytes])}
+	if len(o.caller.Name) > maxCallerBytes {
+		return o, &BadRequestError{Header: HeaderCaller, Value: o.caller.Name[:maxCallerBytes]}
 	}
 	if v := r.Header.Get(HeaderTimeout); v != "" {
 		ms, err := strconv.ParseInt(v, 10, 64)
@@ -87,6 +92,15 @@
 	return o, o.parseID(r.Header.Get(HeaderRequestID))
 }
 
+// callerClass returns the class that a caller names, within the organisation
+// of its token.
+func callerClass(r *http.Request) route.Class {
+	return route.Class{
+		Organisation: auth.FromContext(r.Context()).Organisation,
+		Name:         r.Header.Get(HeaderCaller),
+	}
+}
+
 // parseID reads the request ID, and makes one up for the exchange if the
 // caller gave none at all.
 func (o *options) parseID(v string) error {
--- a/route/limiter.go
+++ b/route/limiter.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
 )
 
 const (
@@ -12,8 +14,42 @@
 	maxRetryAfter = 5 * time.Second
 )
 
-// Class is a class of callers among which a limiter shares fairly.
-type Class string
+// Class is a class of callers. A limiter shares fairly among organisations,
+// and among the classes of each.
+type Class struct {
+	Organisation fleet.Organisation
+	Name         string
+}
+
+// usage counts requests by organisation and class.
+type usage struct {
+	organisations map[fleet.Organisation]int
+	classes       map[Class]int
+}
+
+func newUsage() usage {
+	return usage{organisations: make(map[fleet.Organisation]int), classes: make(map[Class]int)}
+}
+
+func (u usage) add(c Class, n int) {
+	u.organisations[c.Organisation] += n
+	if u.organisations[c.Organisation] == 0 {
+		delete(u.organisations, c.Organisation)
+	}
+	u.classes[c] += n
+	if u.classes[c] == 0 {
+		delete(u.classes, c)
+	}
+}
+
+// less reports whether a uses less than b: its organisation does, or within
+// the same one the class does.
+func (u usage) less(a, b Class) bool {
+	if a.Organisation != b.Organisation {
+		return u.organisations[a.Organisation] < u.organisations[b.Organisation]
+	}
+	return u.classes[a] < u.classes[b]
+}
 
 // Limits of one service on one entry host.
 type Limits struct {
@@ -79,12 +115,12 @@
 // Invariants: running <= limits.Concurrency, except after the limits were
 // lowered; queue is ordered by deadline and holds exactly the waiting
 // tickets; while a ticket waits, running >= limits.Concurrency; load counts
-// the running and waiting tickets of each class.
+// the running and waiting tickets, and runs the running ones, of each class.
 type Limiter struct {
 	limits     Limits
 	running    int
-	runningOf  map[Class]int
-	load       map[Class]int
+	runs       usage // of the running
+	load       usage // of the running and waiting
 	queue      []*Ticket
 	startedSum time.Duration // of the running, since epoch
 	epoch      time.Time
@@ -94,10 +130,10 @@
 // NewLimiter returns a limiter. epoch is any time near now.
 func NewLimiter(epoch time.Time, limits Limits) *Limiter {
 	return &Limiter{
-		limits:    limits,
-		runningOf: make(map[Class]int),
-		load:      make(map[Class]int),
-		epoch:     epoch,
+		limits: limits,
+		runs:   newUsage(),
+		load:   newUsage(),
+		epoch:  epoch,
 	}
 }
 
@@ -128,7 +164,7 @@
 		return nil, false
 	}
 	t := &Ticket{class: class, decided: closedChan}
-	l.load[class]++
+	l.load.add(class, 1)
 	l.start(now, t)
 	return t, true
 }
@@ -142,7 +178,7 @@
 		return t
 	}
 	t := &Ticket{class: class, deadline: deadline, decided: make(chan struct{})}
-	l.load[class]++
+	l.load.add(class, 1)
 	reason, ok := l.fits(now, t)
 	for !ok {
 		victim := l.victim(class)
@@ -210,10 +246,11 @@
 // if that class uses more than the given one would.
 func (l *Limiter) victim(class Class) *Ticket {
 	var found *Ticket
-	most := l.load[class]
 	for _, t := range l.queue {
-		if n := l.load[t.class]; t.class != class && (n > most || found != nil && n == most) {
-			most = n
+		if !l.load.less(class, t.class) {
+			continue
+		}
+		if found == nil || !l.load.less(t.class, found.class) {
 			found = t
 		}
 	}
@@ -224,7 +261,7 @@
 	t.state = ticketRunning
 	t.started = now
 	l.running++
-	l.runningOf[t.class]++
+	l.runs.add(t.class, 1)
 	l.startedSum += now.Sub(l.epoch)
 }
 
@@ -232,7 +269,7 @@
 	l.dequeue(t)
 	t.state = ticketRefused
 	t.refusal = &RefusedError{Reason: reason, RetryAfter: l.RetryAfter(now)}
-	l.unload(t.class)
+	l.load.add(t.class, -1)
 	close(t.decided)
 }
 
@@ -242,13 +279,6 @@
 	}
 }
 
-func (l *Limiter) unload(class Class) {
-	l.load[class]--
-	if l.load[class] == 0 {
-		delete(l.load, class)
-	}
-}
-
 // RetryAfter estimates when a refused request would find room.
 func (l *Limiter) RetryAfter(now time.Time) time.Duration {
 	queue := time.Duration(len(l.queue) + 1)
@@ -277,7 +307,7 @@
 	case ticketWaiting:
 		l.dequeue(t)
 		t.state = ticketDone
-		l.unload(t.class)
+		l.load.add(t.class, -1)
 	case ticketRunning:
 		l.stop(now, t)
 	}
@@ -287,11 +317,8 @@
 	t.state = ticketDone
 	l.running--
 	l.startedSum -= t.started.Sub(l.epoch)
-	l.runningOf[t.class]--
-	if l.runningOf[t.class] == 0 {
-		delete(l.runningOf, t.class)
-	}
-	l.unload(t.class)
+	l.runs.add(t.class, -1)
+	l.load.add(t.class, -1)
 	l.grant(now)
 }
 
@@ -314,7 +341,7 @@
 func (l *Limiter) next() *Ticket {
 	best := l.queue[0]
 	for _, t := range l.queue[1:] {
-		if l.runningOf[t.class] < l.runningOf[best.class] {
+		if l.runs.less(t.class, best.class) {
 			best = t
 		}
 	}
