Ask a peer that was full sooner than one that is dead

A peer that refused for want of room rested 2 s, as long as one that can't be reached, which left its slots unused (TestForwardToPeerThatWasFull, seen to fail first).

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -18,9 +19,12 @@
 	hopTime = 5 * time.Millisecond
 	// peersTried is how many peers a request may be offered to.
 	peersTried = 2
-	// peerRest is how long a peer gets no requests after one was not run
-	// there. Its last summary may be as old as its lease.
-	peerRest = 2 * time.Second
+	// deadPeerRest is how long a peer that could not be reached gets no
+	// requests. Its last summary may be as old as its lease.
+	deadPeerRest = 2 * time.Second
+	// fullPeerRest is the same for one that refused a request: its summary was
+	// older than the use of its slots.
+	fullPeerRest = 200 * time.Millisecond
 )
 
 // peerKey names one process of a peer.
@@ -61,7 +65,7 @@
 		if describe(err).outcome != backend.NotRun || ctx.Err() != nil || q.streamed() {
 			break
 		}
-		g.rest(host, time.Now())
+		g.rest(host, time.Now(), err)
 	}
 	return nil, last, last != nil
 }
@@ -169,17 +173,22 @@
 	return member.Host{}, 0
 }
 
-// rest keeps requests from a peer for a while.
-func (g *Gateway) rest(host member.Host, now time.Time) {
+// rest keeps requests from a peer that did not run one for a while.
+func (g *Gateway) rest(host member.Host, now time.Time, err error) {
+	span := deadPeerRest
+	var refused *PeerError
+	if errors.As(err, &refused) {
+		span = fullPeerRest
+	}
 	p := g.peer(host)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	p.restUntil = now.Add(peerRest)
+	p.restUntil = now.Add(span)
 }
 
 func (g *Gateway) rests(host member.Host, now time.Time) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
+	g.mu.RLock()
+	defer g.mu.RUnlock()
 	p, ok := g.peers[keyOf(host)]
 	return ok && now.Before(p.restUntil)
 }
--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"net"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/member"
@@ -32,3 +34,27 @@
 		}
 	}
 }
+
+// TestForwardToPeerThatWasFull checks that a peer that refused a request for
+// want of room is soon asked again.
+func TestForwardToPeerThatWasFull(t *testing.T) {
+	s := newSite(t, 1, func() time.Duration { return 150 * time.Millisecond })
+	owner := s.start(t, "h1", true)
+	other := s.start(t, "h2", false)
+	s.sums["h1"] = member.Summary{Host: "h1", Incarnation: 1, Services: owner.Summary()} // never updated
+	var busy sync.WaitGroup
+	for range 8 {
+		busy.Go(func() { owner.call(t.Context(), "POST", "") })
+	}
+	for owner.Summary()[svc].Free > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if r := other.call(t.Context(), "POST", ""); r.outcome() != "not-run" {
+		t.Errorf("full: %s (%s)", r.outcome(), r.reason())
+	}
+	busy.Wait()
+	time.Sleep(300 * time.Millisecond)
+	if r := other.call(t.Context(), "POST", ""); r.outcome() != "answered" {
+		t.Errorf("free again: %s (%s)", r.outcome(), r.reason())
+	}
+}
