--- a/queue/bench_test.go
+++ b/queue/bench_test.go
@@ -105,7 +105,7 @@
 		}
 		for plan := m.releasePlan(c.now, unlimited, c); plan != nil; plan = m.releasePlan(c.now, unlimited, c) {
 			bytes += apply(b, m, record{Delegated: plan})
-			for _, msg := range m.messages() {
+			for _, msg := range m.messages(func(shard.ID) bool { return true }) {
 				bytes += giveAllBack(b, m, msg)
 			}
 			c.now = c.now.Add(time.Second)
--- a/queue/messages.go
+++ b/queue/messages.go
@@ -9,12 +9,12 @@
 	"github.com/fuchsiahill/fuchsiahill/shard"
 )
 
-// messages returns what each cell is still to be told, at most maxOffer tasks
-// of each kind.
-func (m *Machine) messages() []message {
+// messages returns what each cell that is ready is still to be told, at most
+// maxOffer tasks of each kind.
+func (m *Machine) messages(ready func(shard.ID) bool) []message {
 	var found []message
 	for _, c := range m.cells {
-		if len(c.offers)+len(c.cancels) == 0 {
+		if len(c.offers)+len(c.cancels) == 0 || !ready(c.id) {
 			continue
 		}
 		msg := message{cell: c.id}
--- a/queue/sender.go
+++ b/queue/sender.go
@@ -96,11 +96,10 @@
 func (s *sender) collect(ctx context.Context) ([]message, error) {
 	var messages []message
 	err := s.shard.journal.Do(ctx, func(journal.Tx) error {
-		for _, m := range s.shard.machine.messages() {
-			if s.begin(m.cell, time.Now()) {
-				s.shard.address(&m)
-				messages = append(messages, m)
-			}
+		now := time.Now()
+		messages = s.shard.machine.messages(func(cell shard.ID) bool { return s.begin(cell, now) })
+		for i := range messages {
+			s.shard.address(&messages[i])
 		}
 		return nil
 	})
