--- a/queue/server_test.go
+++ b/queue/server_test.go
@@ -13,6 +13,7 @@
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
 	"github.com/fuchsiahill/fuchsiahill/job"
+	"github.com/fuchsiahill/fuchsiahill/member"
 	"github.com/fuchsiahill/fuchsiahill/peer"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/shard"
@@ -386,3 +387,43 @@
 		}
 	}
 }
+
+// TestCommitsAreShared submits a steady flow of jobs of one task and counts
+// the store's writes for whole task lives.
+func TestCommitsAreShared(t *testing.T) {
+	tests := map[string]struct {
+		perSecond  int
+		maxPerTask float64
+	}{
+		"one shard of many at the target size": {perSecond: 6, maxPerTask: 0.75},
+		"a large team":                         {perSecond: 40, maxPerTask: 0.12},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			withRig(t, func(t *testing.T, r *rig) {
+				r.store.SetFaults(standin.StoreFaults{Delay: 3 * time.Millisecond})
+				r.world.update(func(w *world) {
+					w.teams[testTeam] = settings.Team{Organisation: testOrg, Quota: unlimited, Shards: 1}
+					w.cells["cell/sofia/0"] = member.CellLoad{Capacity: unlimited, Free: unlimited, LargestFit: unlimited}
+				})
+				const seconds = 60
+				_, before := r.store.Calls()
+				for i := range tt.perSecond * seconds {
+					go r.submitUntilKnown(fleet.JobID(fmt.Sprintf("j%05d", i)), 1)
+					time.Sleep(time.Second / time.Duration(tt.perSecond))
+				}
+				time.Sleep(10 * time.Second)
+				_, after := r.store.Calls()
+				tasks := len(r.cells.runs())
+				if tasks < tt.perSecond*seconds {
+					t.Fatalf("%d tasks finished of %d", tasks, tt.perSecond*seconds)
+				}
+				perTask := float64(after-before) / float64(tasks)
+				t.Logf("%.3f writes a task, %.2f a second", perTask, float64(after-before)/seconds)
+				if perTask > tt.maxPerTask {
+					t.Fatalf("%.3f writes a task, want at most %.2f", perTask, tt.maxPerTask)
+				}
+			})
+		})
+	}
+}
