--- a/cell/control.go
+++ b/cell/control.go
@@ -120,6 +120,7 @@
 	if r == nil || r.stopping {
 		return
 	}
+	s.vars.Add(varStops, 1)
 	r.stopping = true
 	r.stopBy = now.Add(s.grace(a))
 	if r.own && !r.sent {
@@ -147,6 +148,10 @@
 		if r == nil || r.stopping {
 			continue
 		}
+		if r.own && !r.sent {
+			s.stop(a, now, reasonOut) // nothing to save
+			continue
+		}
 		left = append(left, a)
 	}
 	grace := s.longestGrace(placed)
