Cell: make room for urgent tasks

The queue sends urgent tasks to cells by size, whether or not they have room, so a full cell evicts the cheapest tasks of lower priority. What is already being stopped counts as free.

--- a/cell/control.go
+++ b/cell/control.go
@@ -39,6 +39,7 @@
 	s.stopCancelled(placed, now)
 	s.evacuate(placed, now)
 	s.relieve(placed, now)
+	s.makeRoom(now)
 	s.share(placed, now)
 }
 
--- a/cell/offer.go
+++ b/cell/offer.go
@@ -9,7 +9,8 @@
 )
 
 // maxWaiting is how many accepted attempts may wait for a worker. A cell that
-// holds more than it can place soon keeps other cells from them.
+// holds more than it can place soon keeps other cells from them. Urgent ones
+// are accepted beyond it.
 const maxWaiting = 200
 
 // offer decides on tasks and answers once the decision is durable. Tasks that
@@ -21,7 +22,7 @@
 		r, reply = s.decideOffer(tasks)
 		return r
 	}
-	if err := s.commit(ctx, accept, s.placeWaiting); err != nil {
+	if err := s.commit(ctx, accept, s.placeWaiting, s.makeRoomNow); err != nil {
 		return delegation.OfferReply{}, err
 	}
 	return reply, nil
@@ -76,7 +77,7 @@
 	switch {
 	case !s.isIn():
 		return reasonOut
-	case waiting >= maxWaiting:
+	case waiting >= maxWaiting && !isUrgent(t.Priority):
 		return reasonBacklog
 	case !s.couldHold(t):
 		return reasonTooLarge
--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/job"
 	"github.com/fuchsiahill/fuchsiahill/platform"
 )
 
@@ -102,6 +103,40 @@
 	})
 }
 
+// TestUrgentTaskStartsInTime offers urgent tasks to a cell that is full of
+// others, with commits that take their longest pace.
+func TestUrgentTaskStartsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 3, time.Minute)
+		b.log.delay = 250 * time.Millisecond
+		o := b.start("a")
+		defer o.stop()
+		b.queue.add(12, small)
+		o.finish(10 * time.Second)
+		b.queue.add(2, small)
+		offered := time.Now()
+		urgent := b.queue.pending()
+		for i := range urgent {
+			urgent[i].Priority = job.UrgentPriority
+		}
+		o.send(urgent)
+		time.Sleep(3 * time.Second)
+		runs := b.records.Runs()[12:]
+		if len(runs) != 2 {
+			t.Fatalf("%d tasks were started, want 2", len(runs))
+		}
+		for _, r := range runs {
+			if took := r.Started.Sub(offered); took > job.UrgentStart {
+				t.Errorf("urgent task started %v after its offer", took)
+			}
+		}
+		if got := b.queue.outcomes(delegation.EndEvicted); got != 2 {
+			t.Errorf("%d tasks evicted for 2 urgent ones of the same size", got)
+		}
+		b.check()
+	})
+}
+
 func TestLeavingWorker(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 2, 20*time.Second)
--- /dev/null
+++ b/scheduler/preempt_test.go
@@ -0,0 +1,78 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+)
+
+func victim(id string, w fleet.WorkerID, size int64, priority int, lost float64) Victim {
+	ref := platform.AttemptRef{Task: fleet.TaskID(id), Attempt: 1}
+	return Victim{AttemptRef: ref, Worker: w, Size: cores(size), Priority: priority, Lost: lost}
+}
+
+func TestPreempt(t *testing.T) {
+	full := []Worker{live("w1", "r1", 4000, 4000), live("w2", "r1", 4000, 4000)}
+	tests := map[string]struct {
+		workers []Worker
+		tasks   []Task
+		victims []Victim
+		want    []fleet.TaskID
+	}{
+		"nothing if it fits":    {workers: []Worker{live("w1", "r1", 4000, 0)}, tasks: []Task{task("u", 1000)}, victims: []Victim{victim("a", "w1", 1000, 0, 0)}},
+		"lowest priority":       {workers: full, tasks: []Task{task("u", 1000)}, victims: []Victim{victim("a", "w1", 1000, 50, 0), victim("b", "w2", 1000, 10, 0.9)}, want: []fleet.TaskID{"b"}},
+		"least work lost":       {workers: full, tasks: []Task{task("u", 1000)}, victims: []Victim{victim("a", "w1", 1000, 50, 0.5), victim("b", "w2", 1000, 50, 0.1)}, want: []fleet.TaskID{"b"}},
+		"fewest tasks":          {workers: full, tasks: []Task{task("u", 2000)}, victims: []Victim{victim("a", "w1", 1000, 50, 0), victim("b", "w1", 1000, 50, 0), victim("c", "w2", 2000, 50, 0.9)}, want: []fleet.TaskID{"c"}},
+		"none that is needless": {workers: full[:1], tasks: []Task{task("u", 2000)}, victims: []Victim{victim("a", "w1", 500, 10, 0), victim("b", "w1", 2000, 20, 0)}, want: []fleet.TaskID{"b"}},
+		"none in vain":          {workers: full, tasks: []Task{task("u", 2000)}, victims: []Victim{victim("a", "w1", 1000, 50, 0)}},
+		"room for two":          {workers: full[:1], tasks: []Task{task("u", 1000), task("v", 1000)}, victims: []Victim{victim("a", "w1", 1000, 10, 0), victim("b", "w1", 1000, 20, 0), victim("c", "w1", 1000, 30, 0)}, want: []fleet.TaskID{"a", "b"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var got []fleet.TaskID
+			for _, ref := range Preempt(Snapshot{Open: true, Workers: tt.workers, Tasks: tt.tasks}, tt.victims) {
+				got = append(got, ref.Task)
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("evicted (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestPreemptMakesRoom checks that after the evictions the plan places more.
+func TestPreemptMakesRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSnapshot(t)
+		var victims []Victim
+		for i := range s.Workers {
+			w := &s.Workers[i]
+			w.Used = fleet.Resources{}
+			for k := range rapid.IntRange(0, 3).Draw(t, "victims") {
+				v := victim(fmt.Sprint("v", i, k), w.ID, 0, rapid.IntRange(0, 89).Draw(t, "priority"), 0)
+				v.Size = drawResources(t, "victim", 3000)
+				w.Used = w.Used.Add(v.Size)
+				victims = append(victims, v)
+			}
+		}
+		before := len(Plan(s).Placements)
+		evicted := Preempt(s, victims)
+		for _, v := range victims {
+			for i := range s.Workers {
+				if s.Workers[i].ID == v.Worker && slices.Contains(evicted, v.AttemptRef) {
+					s.Workers[i].Used = s.Workers[i].Used.Sub(v.Size)
+				}
+			}
+		}
+		after := len(Plan(s).Placements)
+		if len(evicted) > 0 && after <= before {
+			t.Fatalf("%d evictions, %d tasks placed before and %d after", len(evicted), before, after)
+		}
+	})
+}
