--- a/cell/doc.go
+++ b/cell/doc.go
@@ -25,7 +25,8 @@
 // that was delayed, or sent by a process that was paused before sending it,
 // can't extend a lease past deadline + TTL. An owner that gets no answer
 // stops renewing one TTL after the last answered renewal; all leases on that
-// worker have then lapsed at (latest deadline sent) + TTL + clock margin.
+// worker have then lapsed at (latest deadline sent) + TTL + clock margin + the time that the
+// worker takes to end a task.
 //
 // A new owner does not know what its predecessors sent. Once a worker answers
 // its higher token, that worker refuses the predecessors' calls and only the
--- a/cell/lease.go
+++ b/cell/lease.go
@@ -15,6 +15,9 @@
 	// ClockMargin bounds the difference between the clocks of an owner and a
 	// worker.
 	ClockMargin = 500 * time.Millisecond
+	// LapseDelay is the longest time from the end of a lease to the end of
+	// its tasks.
+	LapseDelay = time.Second
 	// StartWindow is the longest time from the last confirmation of the
 	// settings to the start of a task.
 	StartWindow = 3 * time.Second
@@ -31,8 +34,8 @@
 // times are of the owner's clock.
 //
 // Invariants: no lease that this owner extends ends after latest + ttl, and
-// none that a predecessor extended ends after inherited, clock margin
-// included in both by lapsed.
+// none that a predecessor extended ends after inherited; lapsed adds the
+// clock margin and the time that the worker takes to end its tasks.
 type lease struct {
 	opened      time.Time     // when this owner began
 	answered    time.Time     // when the last answered call was sent; zero before any
@@ -117,7 +120,7 @@
 	if l.inherited.After(end) {
 		end = l.inherited
 	}
-	return end.Add(ClockMargin)
+	return end.Add(LapseDelay + ClockMargin)
 }
 
 // othersUntil returns when the last of the previous owners stops sending
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -120,10 +120,10 @@
 	if !w.lease.isReachable(now, ttl) {
 		return s.nextProbe(w, now, ttl, placed)
 	}
-	if c := s.nextStop(w, now, placed); c != nil {
+	if c := s.nextStart(w, now, ttl, placed); c != nil {
 		return c
 	}
-	if c := s.nextStart(w, now, ttl, placed); c != nil {
+	if c := s.nextStop(w, now, placed); c != nil {
 		return c
 	}
 	return s.nextThrottle(now, placed)
@@ -180,7 +180,7 @@
 	}
 	for _, a := range placed {
 		r := s.runs[a.Task.AttemptRef]
-		if r == nil || !r.stopping || r.seen.IsZero() || now.Sub(r.stopSent) < repeatInterval {
+		if r == nil || !r.stopping || r.seen.IsZero() || now.Sub(r.stopSent) < repeatInterval || s.isDecided(a) {
 			continue
 		}
 		r.stopSent = now
@@ -190,6 +190,13 @@
 	return nil
 }
 
+// isDecided reports whether the attempt has ended and only its journal entry
+// is missing.
+func (s *session) isDecided(a *attempt) bool {
+	_, decided := s.ends[a.Task.AttemptRef]
+	return decided
+}
+
 func (s *session) stopCall(ref platform.AttemptRef, checkpoint bool) *call {
 	return &call{stop: &platform.StopRequest{
 		AttemptRef: ref,
@@ -243,7 +250,7 @@
 func (s *session) nextThrottle(now time.Time, placed []*attempt) *call {
 	for _, a := range placed {
 		r := s.runs[a.Task.AttemptRef]
-		if r == nil || r.wantShare == 0 || r.seen.IsZero() || r.stopping {
+		if r == nil || r.wantShare == 0 || r.seen.IsZero() || r.stopping || s.isDecided(a) {
 			continue
 		}
 		if r.wantShare == r.status.Share || now.Sub(r.shareSent) < repeatInterval {
