Let an earlier process learn of its successor by watch

Cause: after every lease had lapsed at once, an earlier process of a host could register before its successor, which then took the record over; the earlier one's lease went on, its renewals told it nothing, and both ran.

Change: the watch of the host records ends the process that finds a later incarnation under its own ID.

Also: the sharing policy is wired to the cells, with the latency that the front's owner sees of each backend server.

--- a/gateway/fronts.go
+++ b/gateway/fronts.go
@@ -18,6 +18,7 @@
 	front   shard.ID
 	pool    *backend.Pool
 	info    platform.Server // guarded by the gateway's mutex
+	recent  recent          // guarded by its service's mutex
 
 	usable atomic.Bool                       // live, data centre in, front held
 	values atomic.Pointer[settings.Resolved] // for the server's data centre
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -90,6 +90,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.window.Rotate()
+	for _, srv := range s.servers {
+		srv.recent.rotate()
+	}
 }
 
 func (s *service) load() member.ServiceLoad {
@@ -249,6 +252,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.picker.Report(now, a.target, latency, verdict == verdictFailed)
+	if verdict == verdictOK {
+		a.server.recent.observe(latency)
+	}
 	s.syncLimits(now)
 }
 
--- a/host/batch.go
+++ b/host/batch.go
@@ -33,6 +33,7 @@
 			Members:   h.registry,
 			Peers:     h.caller,
 			Registry:  h.peers,
+			Sharing:   newSharer(h),
 			Logger:    h.logger,
 		}),
 		queues: queue.NewServer(queue.Deps{
--- a/member/watch.go
+++ b/member/watch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/rotisserie/eris"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/store"
@@ -20,7 +21,8 @@
 	relistPerHost  = 150 * time.Millisecond
 )
 
-// watchHosts follows the host records until ctx ends.
+// watchHosts follows the host records until ctx ends or a later process runs
+// under this host's ID.
 func (r *Registry) watchHosts(ctx context.Context) error {
 	for ctx.Err() == nil {
 		began := time.Now()
@@ -35,12 +37,30 @@
 		}
 		r.replace(entries, revision)
 		r.follow(ctx, revision)
+		if err := r.successor(); err != nil {
+			return err
+		}
 	}
 	return ctx.Err()
 }
 
+// successor returns a *SupersededError if a later process has taken this
+// host's record. This process's lease may go on, so its renewals don't tell.
+func (r *Registry) successor() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.hosts[r.deps.Self.ID].host
+	if h.Incarnation <= r.deps.Self.Incarnation {
+		return nil
+	}
+	return eris.Wrap(&SupersededError{Host: h.ID, By: h.Incarnation}, "member")
+}
+
 // follow applies watch events until the next listing is due.
 func (r *Registry) follow(ctx context.Context, after store.Revision) {
+	if r.successor() != nil {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, r.relistAfter())
 	defer cancel()
 	events, err := r.deps.Store.Watch(ctx, hostPrefix, after)
@@ -58,6 +78,9 @@
 				return
 			}
 			r.apply(ev)
+			if r.successor() != nil {
+				return
+			}
 		case <-ticker.C:
 			r.sweep()
 		}
--- a/route/picker.go
+++ b/route/picker.go
@@ -58,6 +58,9 @@
 // Outstanding returns the number of requests that hold a slot of the server.
 func (s *Server) Outstanding() int { return s.outstanding }
 
+// Busy returns the share of the server's slots that is in use, 0 to 1.
+func (s *Server) Busy() float64 { return float64(s.outstanding) / float64(max(s.slots, 1)) }
+
 // Ejected reports whether the server is out of the choice for its failures.
 func (s *Server) Ejected() bool { return s.ejected }
 
