--- a/peer/link.go
+++ b/peer/link.go
@@ -111,7 +111,7 @@
 	logger := log.With(l.client.opts.Logger, "component", "peer_client", "peer", l.host)
 	rpc := jsonrpc2.NewConn(context.Background(), st, refuseCalls{}, jsonrpc2.SetLogger(rpcLogger{logger}))
 	var reply helloReply
-	err = rpc.Call(ctx, methodHello, hello{From: l.client.self, To: l.host}, &reply)
+	err = rpc.Call(ctx, methodHello, hello{From: l.client.self}, &reply)
 	if err == nil && reply.Host != l.host {
 		err = &IdentityError{Want: l.host, Got: reply.Host}
 	}
@@ -156,6 +156,10 @@
 		case <-conn.rpc.DisconnectNotify():
 			l.retire(conn)
 			return
+		case <-l.client.closing:
+			l.retire(conn)
+			_ = conn.rpc.Close()
+			return
 		case <-ticker.C:
 		}
 		if conn.idle(time.Now(), opts.IdleTimeout) {
