Take "gone" as proof only of what the host list can know

Cause: the suite of paired faults (host list down and worker killed) showed a task in two places: a worker was killed and restarted, took attempt 1, and the lagging list then showed it as gone from before; the cell concluded that attempt 1 had ended and placed attempt 2. Ruled out: lease arithmetic and the start deadline, since attempt 1 was renewed and running.

Change: the list shows what was true at some moment within platform.MaxLag (one minute), so an entry "gone" ends only attempts that were started earlier than that; younger ones wait for the lease. The same rule now holds for entry hosts listed without an incarnation.

Before: TestGoneBeforeTheAttempts finds two overlapping attempts. After: it passes. TestGoneWorker asked for 2 s for attempts 5 s old, which no list can prove; it now asks the same of attempts older than the lag, beside the new test for younger ones.

--- a/cell/control.go
+++ b/cell/control.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/platform"
 )
 
 const shareInterval = time.Second // between two questions to Sharing
@@ -94,7 +95,7 @@
 		if r == nil {
 			continue
 		}
-		if s.members.isGone(a.Placement.Worker) && (!r.own || r.sent) {
+		if s.members.isGone(a.Placement.Worker) && (!r.own || r.sent) && precedesList(a, now) {
 			s.decide(lost(a, r, reasonWorkerGone))
 			continue
 		}
@@ -105,6 +106,14 @@
 	}
 }
 
+// precedesList reports whether an attempt was started before anything that the
+// host list shows now. A worker that is listed as gone may have restarted and
+// taken a later attempt.
+func precedesList(a *attempt, now time.Time) bool {
+	started := time.UnixMilli(a.Placement.StartByMS)
+	return now.Sub(started) > platform.MaxLag
+}
+
 // stopCancelled marks cancelled attempts for a stop. One that was never sent
 // needs none.
 func (s *session) stopCancelled(placed []*attempt, now time.Time) {
--- a/cell/membership.go
+++ b/cell/membership.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"time"
+
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/shard"
@@ -72,8 +74,12 @@
 		}
 	}
 	for _, h := range s.deps.Hosts.Hosts().EntryHosts {
-		ended := h.ID == o.Host && h.State == platform.StateGone
-		if ended && (h.Incarnation == 0 || h.Incarnation >= o.Incarnation) {
+		if h.ID != o.Host || h.State != platform.StateGone {
+			continue
+		}
+		// An entry for every incarnation may be older than the process.
+		age := time.Since(time.Unix(0, int64(o.Incarnation)))
+		if h.Incarnation >= o.Incarnation || h.Incarnation == 0 && age > platform.MaxLag {
 			return true
 		}
 	}
--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -92,7 +92,7 @@
 		o := b.start("a")
 		defer o.stop()
 		b.queue.add(2, small)
-		o.finish(5 * time.Second)
+		o.finish(platform.MaxLag + 10*time.Second)
 		b.workers[0].Kill()
 		b.hosts.Update(func(l *platform.HostList) { l.Workers[0].State = platform.StateGone })
 		o.finish(2 * time.Second)
@@ -103,6 +103,24 @@
 	})
 }
 
+// TestGoneBeforeTheAttempts lists a worker as gone that has restarted since
+// and runs new attempts: the list lags.
+func TestGoneBeforeTheAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2, time.Hour)
+		o := b.start("a")
+		defer o.stop()
+		b.queue.add(2, small)
+		o.finish(5 * time.Second)
+		b.hosts.Update(func(l *platform.HostList) { l.Workers[0].State = platform.StateGone })
+		o.finish(platform.MaxLag / 2)
+		b.check()
+		if got := b.runningOn("w00"); got != 2 {
+			t.Errorf("%d tasks run on the restarted worker, want 2", got)
+		}
+	})
+}
+
 // TestUrgentTaskStartsInTime offers urgent tasks to a cell that is full of
 // others, with commits that take their longest pace.
 func TestUrgentTaskStartsInTime(t *testing.T) {
--- a/shard/manager.go
+++ b/shard/manager.go
@@ -233,7 +233,7 @@
 	if e.Incarnation != 0 {
 		return e.Incarnation >= incarnation
 	}
-	return now.Sub(time.Unix(0, int64(incarnation))) > hostListLag
+	return now.Sub(time.Unix(0, int64(incarnation))) > platform.MaxLag
 }
 
 // consider decides about one shard. The mutex is held.
--- a/shard/timing.go
+++ b/shard/timing.go
@@ -44,8 +44,6 @@
 	// releases its shards, so that they claim them at once.
 	drainWait       = 3 * time.Second
 	resolveInterval = 200 * time.Millisecond
-	// hostListLag bounds how old the platform's host list may be.
-	hostListLag = time.Minute
 	// releaseTimeout bounds the releases of a host that shuts down.
 	releaseTimeout = 5 * time.Second
 	// claimsRelist is the time between listings of the claims, in case their
