Share the store's budget among the hosts that exist

Cause: each host had a fixed budget of 25 writes and 40 reads a second; 50 hosts together could have asked for 1,250 writes a second of a service that takes several hundred.

--- a/host/host.go
+++ b/host/host.go
@@ -63,9 +63,6 @@
 	operators *http.Server
 }
 
-// storeBudget is the share of the store's allowance of one entry host.
-var storeBudget = store.Budget{ReadsPerSecond: 40, WritesPerSecond: 25, Burst: 200}
-
 // New opens the listeners of cfg and wires the parts. Serve or Close must
 // follow. Errors are *ListenError and those of package config and auth.
 func New(cfg *config.Host, opts Options) (*Host, error) {
@@ -130,7 +127,7 @@
 	if hosts == nil {
 		hosts = platform.NewHTTPHostLister(h.cfg.HostListURL)
 	}
-	h.metered = store.NewMetered(backing, storeBudget)
+	h.metered = store.NewMetered(backing, storeBudget.Share(leastHosts))
 	h.poller = platform.NewPoller(hosts, 0, h.logger)
 	h.tracker = settings.NewTracker(h.metered, settings.TrackerOptions{Logger: h.logger})
 	h.editor = settings.NewEditor(h.metered, time.Now)
--- a/host/serve.go
+++ b/host/serve.go
@@ -73,6 +73,7 @@
 		named("host list", h.poller.Serve),
 		named("settings", h.tracker.Serve),
 		named("settings relay", newRelay(h).Serve),
+		named("store budget", h.shareBudget),
 		named("members", func(ctx context.Context) error { return superseded(h.registry.Serve(ctx)) }),
 		named("peers", func(ctx context.Context) error { return h.peers.ServeListener(ctx, h.listeners.peers) }),
 		named("operators", func(ctx context.Context) error { return serveListener(ctx, h.operators, h.listeners.operators) }),
--- a/store/metered.go
+++ b/store/metered.go
@@ -51,6 +51,25 @@
 	}
 }
 
+// SetBudget replaces the budget. Calls that wait already keep their place.
+func (m *Metered) SetBudget(b Budget) {
+	m.reads.SetLimit(rate.Limit(b.ReadsPerSecond))
+	m.reads.SetBurst(b.Burst)
+	m.writes.SetLimit(rate.Limit(b.WritesPerSecond))
+	m.writes.SetBurst(b.Burst)
+}
+
+// Share returns the budget divided among n processes. The burst stays, so that
+// a process that starts or recovers a shard is not held up.
+func (b Budget) Share(n int) Budget {
+	n = max(n, 1)
+	return Budget{
+		ReadsPerSecond:  b.ReadsPerSecond / float64(n),
+		WritesPerSecond: b.WritesPerSecond / float64(n),
+		Burst:           b.Burst,
+	}
+}
+
 // Counts returns the number of calls by kind.
 func (m *Metered) Counts() *expvar.Map { return m.counts }
 
