--- a/peer/client.go
+++ b/peer/client.go
@@ -67,6 +67,7 @@
 	mu       sync.Mutex
 	links    map[fleet.HostID]*link
 	closed   bool
+	closing  chan struct{} // closed with the client
 	monitors sync.WaitGroup
 }
 
@@ -79,6 +80,7 @@
 		addressOf: addressOf,
 		opts:      opts.withDefaults(),
 		links:     make(map[fleet.HostID]*link),
+		closing:   make(chan struct{}),
 		dialer: net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     tcpKeepAlive,
@@ -92,11 +94,9 @@
 // later ones with *UnreachableError.
 func (c *Client) Close() error {
 	c.mu.Lock()
-	c.closed = true
-	for _, l := range c.links {
-		if conn := l.current(); conn != nil {
-			_ = conn.rpc.Close()
-		}
+	if !c.closed {
+		c.closed = true
+		close(c.closing)
 	}
 	c.mu.Unlock()
 	c.monitors.Wait()
@@ -231,12 +231,20 @@
 	case err == nil:
 		return nil
 	case errors.As(err, &remote):
-		return decodeError(remote)
+		return l.remoteFailure(method, decodeError(remote))
 	default:
 		return &UnknownError{Host: l.host, Method: method, Cause: err}
 	}
 }
 
+// remoteFailure returns what a peer answered, or that the outcome is unknown.
+func (l *link) remoteFailure(method string, err *RemoteError) error {
+	if err.Kind == KindInternal && err.Reason == reasonTimeout {
+		return &UnknownError{Host: l.host, Method: method, Cause: err}
+	}
+	return err
+}
+
 func metaOf(ctx context.Context) callMeta {
 	deadline, ok := ctx.Deadline()
 	if !ok {
