--- a/journal/entry.go
+++ b/journal/entry.go
@@ -13,6 +13,8 @@
 	RingSize = 128
 	// MaxRecordBytes is the largest record.
 	MaxRecordBytes = store.MaxValueBytes - entryOverheadBytes
+	// MaxSnapshotBytes is the largest snapshot.
+	MaxSnapshotBytes = maxParts * partBytes
 
 	entryOverheadBytes = 1 << 10
 	formatVersion      = 1
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -59,7 +59,8 @@
 	// it and the transactions before it appended are durable, so that an
 	// answer never tells of a state that may still be lost. fn's error is
 	// returned and nothing it appended may then be relied on, so fn must
-	// return its error before it appends. When Do returns, fn has returned or
+	// return its error before it appends. fn must neither block nor call Do.
+	// When Do returns, fn has returned or
 	// will never run. Errors besides fn's: *StoppedError, the context's error
 	// (if fn has run, its records may still become durable).
 	Do(ctx context.Context, fn func(Tx) error) error
--- a/queue/decide_test.go
+++ b/queue/decide_test.go
@@ -3,13 +3,16 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/job"
+	"github.com/fuchsiahill/fuchsiahill/journal"
 	"github.com/fuchsiahill/fuchsiahill/member"
 	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/settings"
@@ -307,3 +310,67 @@
 		})
 	}
 }
+
+// TestFullShardFitsIntoASnapshot fills a shard with the jobs that take most
+// room and gives every other task a long checkpoint.
+func TestFullShardFitsIntoASnapshot(t *testing.T) {
+	tests := map[string]func(*job.Spec){
+		"long commands": func(s *job.Spec) { s.Command = strings.Repeat("x", 4096) },
+		"small jobs":    func(*job.Spec) {},
+		"many tasks":    func(s *job.Spec) { s.Tasks = job.MaxTasks },
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := NewMachine()
+			for i := 0; ; i++ {
+				s := spec(fleet.JobID(fmt.Sprintf("%064d", i)), 1)
+				change(&s)
+				if m.isFull(s) {
+					break
+				}
+				admitted := newSubmitted(s, newWorld().values, time.Unix(1, 0))
+				if err := m.Apply(record{Submitted: &admitted}.encode()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for _, j := range m.jobs {
+				for i := 0; i < len(j.tasks); i += 2 {
+					j.tasks[i] = newTask(taskFinished, 1<<20)
+				}
+			}
+			if data := snapshotOf(t, m); len(data) > maxWeight || maxWeight > journal.MaxSnapshotBytes/2 {
+				t.Fatalf("snapshot of %d bytes, weight %d", len(data), m.weight)
+			}
+		})
+	}
+}
+
+// TestLargeReturnsAreSplit returns more than one record can hold.
+func TestLargeReturnsAreSplit(t *testing.T) {
+	withRig(t, func(t *testing.T, r *rig) {
+		r.world.update(func(w *world) {
+			w.teams[testTeam] = settings.Team{Organisation: testOrg, Quota: unlimited, Shards: 1}
+			w.cells = map[string]member.CellLoad{"cell/sofia/0": {Capacity: unlimited, Free: unlimited, LargestFit: unlimited}}
+		})
+		r.cells.runtime = func(delegation.Task) time.Duration { return time.Hour }
+		r.must(r.submit("j1", 2000))
+		time.Sleep(time.Minute)
+		req := delegation.Return{Queue: testShard, Cell: "cell/sofia/0"}
+		for i := range 2000 {
+			req.Outcomes = append(req.Outcomes, delegation.Outcome{
+				AttemptRef: attemptRef("j1", i, 1),
+				End:        delegation.EndFailed,
+				Checkpoint: strings.Repeat("c", maxCheckpointBytes*(1+4*(i%2))-8) + fmt.Sprint(i),
+				Error:      strings.Repeat("e", 4096) + fmt.Sprint(i),
+			})
+		}
+		r.world.update(func(w *world) { w.stale = true })
+		time.Sleep(time.Second)
+		if err := r.net.Call(t.Context(), testHost, delegation.MethodReturn, req, &delegation.ReturnReply{}); err != nil {
+			t.Fatal(err)
+		}
+		if s := r.get("j1"); s.Queued != 2000 || len(s.LastError) != maxErrorBytes {
+			t.Fatalf("%d queued, error of %d bytes", s.Queued, len(s.LastError))
+		}
+	})
+}
--- a/queue/job.go
+++ b/queue/job.go
@@ -4,10 +4,12 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/job"
 	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/settings"
 )
 
 // taskState is the durable state of a task.
@@ -111,6 +113,33 @@
 		slices.Equal(j.DataCentres, spec.DataCentres)
 }
 
+const (
+	// maxWeight bounds the jobs of a shard, ended ones included, so that the
+	// snapshot stays well within what the journal can hold, also when many
+	// tasks have a checkpoint.
+	maxWeight = 7 << 20
+	// jobWeight and taskWeight are what a job and a task take in a snapshot
+	// at most, without the job's strings.
+	jobWeight  = 384
+	taskWeight = 16
+)
+
+// weight returns an upper bound of the job's bytes in a snapshot, without
+// checkpoints.
+func (j *submitted) weight() int {
+	w := jobWeight + j.Tasks*taskWeight + len(j.Command) + len(j.ID) + len(j.Team) + len(j.Organisation) + len(j.Class)
+	for _, dc := range j.DataCentres {
+		w += len(dc) + 2
+	}
+	return w
+}
+
+// isFull reports whether the shard has no room for another job.
+func (m *Machine) isFull(spec job.Spec) bool {
+	s := newSubmitted(spec, settings.Resolved{}, time.Time{})
+	return m.weight+s.weight() > maxWeight
+}
+
 // TaskID returns the ID of a task of a job.
 func TaskID(id fleet.JobID, index int) fleet.TaskID {
 	return fleet.TaskID(string(id) + "/" + strconv.Itoa(index))
--- a/queue/machine.go
+++ b/queue/machine.go
@@ -20,7 +20,8 @@
 //
 // Invariants: a task has an entry in delegations exactly while it is in the
 // delegated state; used is the sum of their resources; order holds exactly
-// the jobs with queued tasks; ids holds the keys of jobs, sorted.
+// the jobs with queued tasks; ids holds the keys of jobs, sorted; weight is the
+// sum of the jobs' weights.
 type Machine struct {
 	jobs        map[fleet.JobID]*jobState
 	ids         []fleet.JobID
@@ -28,6 +29,7 @@
 	delegations map[taskKey]*taskDelegation
 	cells       map[shard.ID]*cellState
 	used        fleet.Resources
+	weight      int // bytes
 }
 
 var _ journal.Machine = (*Machine)(nil)
@@ -103,6 +105,7 @@
 
 func (m *Machine) insert(j *jobState) {
 	m.jobs[j.ID] = j
+	m.weight += j.weight()
 	at, _ := slices.BinarySearch(m.ids, j.ID)
 	m.ids = slices.Insert(m.ids, at, j.ID)
 	if j.counts[taskQueued] > 0 {
@@ -298,6 +301,7 @@
 		if j.ended == 0 || j.ended >= e.Before {
 			return false
 		}
+		m.weight -= j.weight()
 		delete(m.jobs, id)
 		return true
 	})
--- a/queue/release.go
+++ b/queue/release.go
@@ -138,9 +138,11 @@
 		}
 		if o.End != delegation.EndFinished {
 			run.Final = limits(key.job).reached(key.job.details[key.index], o.End)
+			run.Error = o.Error[:min(len(o.Error), maxErrorBytes)]
+		}
+		if o.End != delegation.EndFinished && len(o.Checkpoint) <= maxCheckpointBytes {
 			run.Checkpoint = o.Checkpoint
 			run.Progress = o.CheckpointProgress
-			run.Error = o.Error[:min(len(o.Error), maxErrorBytes)]
 		}
 		r.add(run)
 	}
@@ -150,8 +152,15 @@
 	return r
 }
 
-// maxErrorBytes bounds what is kept of a task's error.
-const maxErrorBytes = 256
+const (
+	// maxReturned bounds the outcomes of one record.
+	maxReturned = 256
+	// maxErrorBytes bounds what is kept of a task's error.
+	maxErrorBytes = 256
+	// maxCheckpointBytes bounds the name of a checkpoint. A longer one is
+	// not kept, and the task resumes from the one before.
+	maxCheckpointBytes = 1 << 10
+)
 
 func (r *returned) add(run returnedRun) {
 	if n := len(r.Runs); n > 0 {
--- a/queue/shard.go
+++ b/queue/shard.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -29,15 +30,12 @@
 	confirmedFor = 2 * time.Second
 	// DefaultRetainFor is how long ended jobs are kept.
 	DefaultRetainFor = 24 * time.Hour
-	// MaxJobs bounds the jobs of one shard, ended ones included.
-	MaxJobs = 20_000
-
-	expireInterval  = time.Minute
-	commitTimeout   = 10 * time.Second
-	stallTolerance  = 2 * time.Second
-	defaultAttempts = 3
-	lossesPerTry    = 4 // attempts lost with their worker, for each failure allowed
-	maxPage         = 1000
+	expireInterval   = time.Minute
+	commitTimeout    = 10 * time.Second
+	stallTolerance   = 2 * time.Second
+	defaultAttempts  = 3
+	lossesPerTry     = 4 // attempts lost with their worker, for each failure allowed
+	maxPage          = 1000
 )
 
 // ownedShard is a queue shard that this host owns. Its methods are safe for
@@ -213,7 +211,7 @@
 	if err := checkSpec(spec, deps.Region, snapshot, deps.Platform.Hosts()); err != nil {
 		return err
 	}
-	if len(q.machine.jobs) >= MaxJobs {
+	if q.machine.isFull(spec) {
 		return eris.Wrap(&job.UnavailableError{Reason: "the queue is full", RetryAfter: expireInterval}, "submit")
 	}
 	if q.journal.Stalled() > stallTolerance {
@@ -223,7 +221,7 @@
 	s := newSubmitted(spec, values, time.Now())
 	tx.Append(record{Submitted: &s}.encode())
 	tx.OnDurable(func() {
-		q.logger.Log("event", "job_submitted", "job", s.ID, "tasks", s.Tasks, "priority", s.Priority)
+		q.logger.Log("event", "job_admitted", "job", s.ID, "tasks", s.Tasks, "priority", s.Priority)
 	})
 	q.server.vars.Add(varSubmitted, 1)
 	if s.Priority >= job.UrgentPriority {
@@ -331,7 +329,15 @@
 	return reply, nil
 }
 
+// end journals outcomes, in records of bounded size.
 func (q *ownedShard) end(tx journal.Tx, cell shard.ID, outcomes []delegation.Outcome) {
+	for chunk := range slices.Chunk(outcomes, maxReturned) {
+		q.endSome(tx, cell, chunk)
+	}
+	kick(q.kicked)
+}
+
+func (q *ownedShard) endSome(tx journal.Tx, cell shard.ID, outcomes []delegation.Outcome) {
 	r := q.machine.returns(cell, outcomes, q.limits, time.Now())
 	if r == nil {
 		return
@@ -347,7 +353,6 @@
 	for _, status := range ended {
 		q.logEnd(tx, status)
 	}
-	kick(q.kicked)
 }
 
 func (q *ownedShard) logEnd(tx journal.Tx, s job.Status) {
