--- a/queue/decide_test.go
+++ b/queue/decide_test.go
@@ -360,7 +360,7 @@
 			req.Outcomes = append(req.Outcomes, delegation.Outcome{
 				AttemptRef: attemptRef("j1", i, 1),
 				End:        delegation.EndFailed,
-				Checkpoint: strings.Repeat("c", maxCheckpointBytes*(1+4*(i%2))-8) + fmt.Sprint(i),
+				Checkpoint: strings.Repeat("c", maxCheckpointBytes*(1+8*(i%2))-8) + fmt.Sprint(i),
 				Error:      strings.Repeat("e", 4096) + fmt.Sprint(i),
 			})
 		}
