--- a/host/host.go
+++ b/host/host.go
@@ -211,6 +211,10 @@
 // Self describes this process as other hosts see it.
 func (h *Host) Self() member.Host { return h.self }
 
+// SettingsRevision is the revision of the settings in force on this host, 0
+// before the first.
+func (h *Host) SettingsRevision() store.Revision { return h.tracker.Current().Revision() }
+
 // Close releases the listeners of a host that does not serve.
 func (h *Host) Close() { h.listeners.close() }
 
--- a/internal/dev/faults.go
+++ b/internal/dev/faults.go
@@ -222,8 +222,9 @@
 		r.site.Records.SetOut(dc, false)
 	}
 	for ctx.Err() == nil {
-		if _, err := r.hosts.client().SetState(ctx, dc, req); err == nil {
+		if rec, err := r.hosts.client().SetState(ctx, dc, req); err == nil {
 			r.site.Records.SetOut(dc, state == settings.DataCentreOut)
+			r.force.accepted(rec.Revision)
 			return
 		}
 		pause(ctx, pollInterval)
@@ -239,9 +240,17 @@
 		for i, h := range r.hosts.list() {
 			client := api.NewClient("http://"+h.host.OperatorsAddress(), "")
 			value := []byte{'1', '0', byte('0' + i)}
-			_, _ = client.Set(ctx, api.SetRequest{ID: changeID(), Path: "values.queue_length", Value: value}) // one may lose
+			r.set(ctx, client, value)
 		}
 	}()
-	_, _ = r.hosts.client().Set(ctx, api.SetRequest{ID: changeID(), Path: "values.queue_length", Value: []byte("200")})
+	r.set(ctx, r.hosts.client(), []byte("200"))
 	return func(context.Context) { <-done }
 }
+
+// set makes one change, which may lose the race.
+func (r *run) set(ctx context.Context, client *api.Client, value []byte) {
+	req := api.SetRequest{ID: changeID(), Path: "values.queue_length", Value: value}
+	if rec, err := client.Set(ctx, req); err == nil {
+		r.force.accepted(rec.Revision)
+	}
+}
--- a/internal/dev/report.go
+++ b/internal/dev/report.go
@@ -17,6 +17,7 @@
 	Requests              Requests `json:"requests"`
 	LatencyMS             Latency  `json:"latency_ms"`
 	Tasks                 Tasks    `json:"tasks"`
+	Settings              Settings `json:"settings"`
 	OverCapacity          int      `json:"over_capacity"`
 	StartsInDataCentreOut int      `json:"starts_in_data_centre_out"`
 	Violations            []string `json:"violations,omitempty"` // the first of each kind, in words
@@ -65,7 +66,9 @@
 		r.Tasks.Doubled == 0 &&
 		r.Tasks.Overlapping == 0 &&
 		r.OverCapacity == 0 &&
-		r.StartsInDataCentreOut == 0
+		r.StartsInDataCentreOut == 0 &&
+		r.Settings.Late == 0 &&
+		r.Settings.Reverted == 0
 }
 
 // BrokenPromiseError reports a run in which a promise did not hold.
--- a/internal/dev/run.go
+++ b/internal/dev/run.go
@@ -65,6 +65,7 @@
 	hosts *entries
 	calls *tally
 	jobs  *submissions
+	force *inForce
 }
 
 func start(ctx context.Context, opts Options) (*run, error) {
@@ -79,6 +80,7 @@
 		hosts: hosts,
 		calls: &tally{},
 		jobs:  &submissions{service: hosts.jobs, org: organisation, team: team},
+		force: newInForce(hosts),
 	}
 	for range entryHosts {
 		if err := hosts.start(); err != nil {
@@ -177,6 +179,9 @@
 		group.Go(func() { faults = r.bringFaults(loadCtx, plan()) })
 	}
 	group.Go(func() { r.progress(loadCtx) })
+	watchCtx, stopWatch := context.WithCancel(context.Background())
+	defer stopWatch()
+	go r.force.run(watchCtx)
 	group.Wait()
 	return r.finish(faults)
 }
@@ -190,6 +195,7 @@
 	took := time.Since(began)
 	r.hosts.stop()
 	report := judge(r.site, r.calls, r.jobs)
+	report.Settings = r.force.settings()
 	report.Faults = sortedFaults(faults)
 	report.Drained = drained
 	report.DrainMS = took.Milliseconds()
