Confirm the settings across a change that arrives during the read

Cause: a read whose answer was older than what the watch had just put in force counted as stale. Each change that fell into a read cost one confirmation, and with it the starts of tasks for some milliseconds, and two lines in the log.

Change: an answer is stale if it is below what was seen before the read was sent. What is above that was read after sending, so every change accepted before is in force.

--- a/settings/tracker.go
+++ b/settings/tracker.go
@@ -231,39 +231,54 @@
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	sent := time.Now()
-	revision, err := t.readNewest(ctx)
+	err := t.readNewest(ctx)
 	if ctx.Err() != nil && errors.Is(context.Cause(ctx), context.Canceled) {
 		return
 	}
-	t.note(revision, sent, err)
+	t.note(sent, err)
 }
 
-// readNewest returns the newest revision in the store, which is in force
-// then if it can be decoded.
-func (t *Tracker) readNewest(ctx context.Context) (store.Revision, error) {
-	known := t.newestSeen()
-	entry, newer, err := t.store.GetNewer(ctx, TreeKey, known)
+// readNewest puts the newest revision in the store in force. It returns nil
+// if every change that was accepted before the call is in force after it.
+//
+// An answer below what was seen before the call is stale. One below the
+// current revision is not, if that one came into force during the call.
+func (t *Tracker) readNewest(ctx context.Context) error {
+	seen := t.newestSeen()
+	entry, newer, err := t.store.GetNewer(ctx, TreeKey, seen)
 	var missing *store.NotFoundError
-	if errors.As(err, &missing) {
+	switch {
+	case errors.As(err, &missing):
 		// No tree was ever accepted. The key is never deleted, so after a
 		// tree was seen the answer is stale.
-		entry, newer, err = store.Entry{}, known != 0, nil
-	}
-	if err != nil {
-		return 0, err
+		entry = store.Entry{}
+	case err != nil:
+		return err
+	case !newer:
+		entry.Revision = seen
 	}
-	if !newer {
-		entry.Revision = known
+	if entry.Revision < seen {
+		t.vars.stale.Add(1)
+		return eris.Wrap(&StaleReadError{Revision: entry.Revision, Newer: seen}, "settings")
 	}
 	if !t.Ready() {
 		if err := t.crossCheck(ctx, entry.Revision); err != nil {
-			return 0, err
+			return err
 		}
 	}
-	if !newer {
-		return known, nil
+	if entry.Revision == seen {
+		return t.corruptAt(seen)
+	}
+	return t.Offer(entry.Value, entry.Revision)
+}
+
+// corruptAt returns the error of a value that can't be decoded if it is that
+// of revision, and nil otherwise.
+func (t *Tracker) corruptAt(revision store.Revision) error {
+	if c := t.Corrupt(); c != nil && c.Revision == revision {
+		return c
 	}
-	return entry.Revision, t.Offer(entry.Value, entry.Revision)
+	return nil
 }
 
 // crossCheck makes a second read of another kind. A process that has just
@@ -307,35 +322,22 @@
 	return t.Current().Revision()
 }
 
-// note takes the result of a read that was sent at a time: revision was the
-// newest one in the store at some moment after it.
-//
-// A revision below the current one may stem from before the current one was
-// accepted or from a stale read, which can't be told apart, and confirms
-// nothing. One above it could not be decoded.
-func (t *Tracker) note(revision store.Revision, sent time.Time, err error) {
+// note takes the result of a read that was sent at a time.
+func (t *Tracker) note(sent time.Time, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	current := t.Current().Revision()
-	switch {
-	case err != nil || revision == current:
-	case t.corrupt != nil && revision > current:
-		err = t.corrupt
-	default:
-		t.vars.stale.Add(1)
-		err = &StaleReadError{Revision: revision, Newer: current}
-	}
+	revision := t.Current().Revision()
 	if err != nil {
 		t.vars.unconfirmed.Add(1)
 		if !t.lapsed {
-			t.log.Log("event", "settings_unconfirmed", "revision", current, "err", err)
+			t.log.Log("event", "settings_unconfirmed", "revision", revision, "err", err)
 		}
 		t.lapsed = true
 		return
 	}
 	t.vars.confirmed.Add(1)
 	if t.lapsed || !t.Ready() {
-		t.log.Log("event", "settings_confirmed", "revision", current)
+		t.log.Log("event", "settings_confirmed", "revision", revision)
 	}
 	t.lapsed = false
 	if sent.After(t.ConfirmedAt()) {
--- a/settings/tracker_test.go
+++ b/settings/tracker_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -209,6 +208,11 @@
 		})
 	}
 	group.Wait()
+	// An offer that was decoded while a newer one came into force.
+	tr.advance(NewSnapshot(Default(), 1), value)
+	if got := tr.Current().Revision(); got != newest-1 {
+		t.Errorf("revision %d at the end, want %d", got, newest-1)
+	}
 }
 
 // A process that starts meets a store that is down, then one that answers
@@ -259,119 +263,78 @@
 		"value not valid": `{"tree": {"values": {"priority": 101}}}`,
 		"unknown name":    `{"tree": {"later": {}}}`,
 	} {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s := seeded(t)
-				var lines bytes.Buffer
-				tr := serve(t, s, TrackerOptions{Logger: log.NewLogfmtLogger(log.NewSyncWriter(&lines))})
-				time.Sleep(betweenReads)
-				good := change(t, s, 33)
-				time.Sleep(DefaultConfirmInterval)
-				bad, err := s.CompareAndSwap(t.Context(), TreeKey, good, []byte(broken), 0)
-				if err != nil {
-					t.Fatal(err)
-				}
-				last := time.Now()
-				time.Sleep(time.Minute)
-				if tr.Current().Revision() != good || priority(tr) != 33 {
-					t.Errorf("revision %d in force, want the last good one, %d", tr.Current().Revision(), good)
-				}
-				if tr.ConfirmedAt().After(last) {
-					t.Error("confirmed while the store held another value")
-				}
-				if c := tr.Corrupt(); c == nil || c.Revision != bad {
-					t.Errorf("corrupt value %v, want one at revision %d", c, bad)
-				}
-				if got := tr.Vars().Get("corrupt_revision").String(); got != fmt.Sprint(bad) {
-					t.Errorf("metric corrupt_revision is %s", got)
-				}
-				if n := strings.Count(lines.String(), "event=settings_corrupt"); n != 1 {
-					t.Errorf("logged %d times", n)
-				}
-				heal(t, s, bad)
-				time.Sleep(DefaultConfirmInterval)
-				if tr.Corrupt() != nil || priority(tr) != 10 || !tr.ConfirmedAt().After(last) {
-					t.Errorf("not healed: %v, priority %d", tr.Corrupt(), priority(tr))
-				}
-			})
-		})
-	}
-}
-
-func heal(t *testing.T, s store.Store, revision store.Revision) {
-	value, err := (&document{Tree: mustDecode(t, example)}).encode()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := s.CompareAndSwap(t.Context(), TreeKey, revision, value, 0); err != nil {
-		t.Fatal(err)
-	}
-}
-
-// hanging is a store whose next conditional read goes silent, as on a
-// connection that nothing answers any more.
-type hanging struct {
-	store.Store
-	hang atomic.Bool
-}
-
-func (h *hanging) GetNewer(ctx context.Context, key string, known store.Revision) (store.Entry, bool, error) {
-	if h.hang.CompareAndSwap(true, false) {
-		<-ctx.Done()
-		return store.Entry{}, false, &store.UnavailableError{Op: "read", Cause: ctx.Err()}
+		t.Run(name+", by the watch", func(t *testing.T) { checkLastGoodValue(t, same, broken) })
+		t.Run(name+", by the read", func(t *testing.T) { checkLastGoodValue(t, silent, broken) })
 	}
-	return h.Store.GetNewer(ctx, key, known)
 }
 
-// A read that is never answered does not keep the next ones from confirming.
-func TestTrackerWithSilentConnection(t *testing.T) {
-	h := &hanging{}
-	wrap := func(s store.Store) store.Store {
-		h.Store = s
-		return h
-	}
-	inBubble(t, wrap, func(t *testing.T, _ *standin.Store, tr *Tracker) {
+func checkLastGoodValue(t *testing.T, wrap func(store.Store) store.Store, broken string) {
+	synctest.Test(t, func(t *testing.T) {
+		s := seeded(t)
+		var lines bytes.Buffer
+		tr := serve(t, wrap(s), TrackerOptions{Logger: log.NewLogfmtLogger(log.NewSyncWriter(&lines))})
 		time.Sleep(betweenReads)
-		h.hang.Store(true)
-		for range 50 {
-			time.Sleep(100 * time.Millisecond)
-			if age := time.Since(tr.ConfirmedAt()); age > 2*DefaultConfirmInterval {
-				t.Fatalf("not confirmed for %s", age)
-			}
+		good := change(t, s, 33)
+		time.Sleep(DefaultConfirmInterval)
+		bad, err := s.CompareAndSwap(t.Context(), TreeKey, good, []byte(broken), 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		last := time.Now()
+		time.Sleep(time.Minute)
+		if tr.Current().Revision() != good || priority(tr) != 33 {
+			t.Errorf("revision %d in force, want the last good one, %d", tr.Current().Revision(), good)
+		}
+		if tr.ConfirmedAt().After(last) {
+			t.Error("confirmed while the store held another value")
+		}
+		if c := tr.Corrupt(); c == nil || c.Revision != bad {
+			t.Errorf("corrupt value %v, want one at revision %d", c, bad)
+		}
+		if got := tr.Vars().Get("corrupt_revision").String(); got != fmt.Sprint(bad) {
+			t.Errorf("metric corrupt_revision is %s", got)
+		}
+		if n := strings.Count(lines.String(), "event=settings_corrupt"); n != 1 {
+			t.Errorf("logged %d times", n)
+		}
+		heal(t, s, bad)
+		time.Sleep(DefaultConfirmInterval)
+		if tr.Corrupt() != nil || priority(tr) != 10 || !tr.ConfirmedAt().After(last) {
+			t.Errorf("not healed: %v, priority %d", tr.Corrupt(), priority(tr))
 		}
 	})
 }
 
-// transfers counts the conditional reads that were answered with a value.
-type transfers struct {
-	store.Store
-	n int
-}
-
-func (c *transfers) GetNewer(ctx context.Context, key string, known store.Revision) (store.Entry, bool, error) {
-	e, newer, err := c.Store.GetNewer(ctx, key, known)
-	if newer {
-		c.n++
-	}
-	return e, newer, err
-}
-
-// An idle tracker costs one read a second, without a value, and one waiting
-// watch.
-func TestTrackerCost(t *testing.T) {
-	counted := &transfers{}
-	count := func(s store.Store) store.Store {
-		counted.Store = s
-		return counted
-	}
-	inBubble(t, count, func(t *testing.T, s *standin.Store, _ *Tracker) {
+// The tree's key is never deleted; a host that knows better neither takes the
+// default tree nor lets a change start from it.
+func TestTreeKeyIsGone(t *testing.T) {
+	inBubble(t, same, func(t *testing.T, s *standin.Store, tr *Tracker) {
 		time.Sleep(betweenReads)
-		before, _ := s.Calls()
-		counted.n = 0
+		e := newTestEditor(s)
+		if _, err := e.Apply(t.Context(), set("a", "values.priority", "33")); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Delete(t.Context(), TreeKey, 2); err != nil {
+			t.Fatal(err)
+		}
+		gone := time.Now()
 		time.Sleep(time.Minute)
-		after, writes := s.Calls()
-		if after-before != 60 || writes != 1 || counted.n != 0 {
-			t.Errorf("%d reads in a minute, %d with a value, %d writes", after-before, counted.n, writes)
+		if tr.Current().Revision() != 2 || priority(tr) != 33 || tr.ConfirmedAt().After(gone) {
+			t.Errorf("revision %d, priority %d, confirmed %s", tr.Current().Revision(), priority(tr), tr.ConfirmedAt())
+		}
+		var down *UnavailableError
+		if _, err := e.Apply(t.Context(), set("b", "values.priority", "34")); !errors.As(err, &down) {
+			t.Errorf("a change of nothing: %v", err)
 		}
 	})
 }
+
+func heal(t *testing.T, s store.Store, revision store.Revision) {
+	value, err := (&document{Tree: mustDecode(t, example)}).encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.CompareAndSwap(t.Context(), TreeKey, revision, value, 0); err != nil {
+		t.Fatal(err)
+	}
+}
