--- a/settings/tracker_reads_test.go
+++ b/settings/tracker_reads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
