Speak TLS to callers, operators and in forwarded requests

The host put TLS only on the links between peers, and forwarded requests and bearer tokens went in the clear. Certificates name the host's ID, which both ends check. One package issues the tests' certificates.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -110,7 +110,9 @@
 	return c.discard() == nil
 }
 
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+// DialTCP opens a TCP connection that is found out when it goes silent. It is a
+// DialFunc.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{
 		Control: setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -59,7 +59,7 @@
 // connections.
 func NewPool(address string, limits Limits, dial DialFunc) *Pool {
 	if dial == nil {
-		dial = dialTCP
+		dial = DialTCP
 	}
 	return &Pool{address: address, limits: limits, dial: dial, drained: make(chan struct{})}
 }
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -2,15 +2,8 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"errors"
-	"math/big"
 	"net"
 	"os"
 	"path/filepath"
@@ -21,6 +14,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/fuchsiahill/fuchsiahill/auth"
+	"github.com/fuchsiahill/fuchsiahill/internal/testca"
 )
 
 var hash = auth.Hash("secret")
@@ -130,61 +124,19 @@
 	}
 }
 
-// authority signs certificates for 127.0.0.1.
-type authority struct {
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-	pem  string
-}
-
-func encodePEM(kind string, der []byte) string {
-	return string(pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}))
-}
-
-func newAuthority(t *testing.T) authority {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	cert := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "ca"}, NotAfter: time.Now().Add(time.Hour),
-		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, cert, cert, &key.PublicKey, key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return authority{cert, key, encodePEM("CERTIFICATE", der)}
-}
-
-func (a authority) issue(t *testing.T) TLS {
+// issue returns the key material of a host whose certificate ca has signed.
+func issue(t *testing.T, ca *testca.Authority) TLS {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	cert := &x509.Certificate{
-		SerialNumber: big.NewInt(2), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, cert, a.cert, &key.PublicKey, a.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	keyDER, err := x509.MarshalECPrivateKey(key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return TLS{Certificate: encodePEM("CERTIFICATE", der), Key: encodePEM("EC PRIVATE KEY", keyDER), CA: a.pem}
+	pair := ca.Issue(t, "entry-1")
+	return TLS{Certificate: pair.Certificate, Key: pair.Key, CA: ca.PEM}
 }
 
 func TestMutualTLS(t *testing.T) {
-	ca, otherCA := newAuthority(t), newAuthority(t)
-	server, peer, stranger := ca.issue(t), ca.issue(t), otherCA.issue(t)
-	fromFile := TLS{Certificate: writeFile(t, "cert.pem", peer.Certificate), Key: writeFile(t, "key.pem", peer.Key), CA: writeFile(t, "ca.pem", ca.pem)}
+	ca, otherCA := testca.New(t), testca.New(t)
+	server, peer, stranger := issue(t, ca), issue(t, ca), issue(t, otherCA)
+	fromFile := TLS{Certificate: writeFile(t, "cert.pem", peer.Certificate), Key: writeFile(t, "key.pem", peer.Key), CA: writeFile(t, "ca.pem", ca.PEM)}
 	forged := stranger
-	forged.CA = ca.pem
+	forged.CA = ca.PEM
 	tests := []struct {
 		name   string
 		server TLS
--- a/config/tls.go
+++ b/config/tls.go
@@ -104,7 +104,7 @@
 }
 
 // PeerClient returns the configuration of connections to other entry hosts,
-// or nil without TLS. Certificates name the IP addresses of their host.
+// or nil without TLS. Certificates name the ID of their host, as a DNS name.
 func (t TLS) PeerClient() (*tls.Config, error) {
 	c, m, err := t.peer()
 	if c == nil || err != nil {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -204,12 +206,34 @@
 	p, ok := g.peers[key]
 	if !ok {
 		limits := backend.Limits{Slots: peerSlots, Connections: 2 * peerSlots}
-		p = &peerPool{pool: backend.NewPool(host.HTTPAddress, limits, g.deps.Dial)}
+		p = &peerPool{pool: backend.NewPool(host.HTTPAddress, limits, g.peerDial(host.ID))}
 		g.peers[key] = p
 	}
 	return p
 }
 
+// peerDial returns how connections to a peer are opened. With TLS its
+// certificate must name its host ID.
+func (g *Gateway) peerDial(id fleet.HostID) backend.DialFunc {
+	if g.deps.PeerTLS == nil {
+		return g.deps.Dial
+	}
+	config := g.deps.PeerTLS.Clone()
+	config.ServerName = string(id)
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := backend.DialTCP(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		secured := tls.Client(conn, config)
+		if err := secured.HandshakeContext(ctx); err != nil {
+			conn.Close()
+			return nil, err
+		}
+		return secured, nil
+	}
+}
+
 // sweepPeers closes unused connections to peers and forgets peers without
 // any.
 func (g *Gateway) sweepPeers(now time.Time) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"expvar"
 	"math/rand/v2"
 	"sync"
@@ -45,6 +46,7 @@
 	Logger   log.Logger
 	Margins  dedupe.Margins   // dedupe.DefaultMargins if zero
 	Dial     backend.DialFunc // TCP if nil
+	PeerTLS  *tls.Config      // of requests forwarded to peers; plain TCP if nil
 }
 
 // Gateway serves requests. It is safe for concurrent use.
--- a/host/host.go
+++ b/host/host.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -44,6 +45,7 @@
 	self   member.Host
 
 	listeners listeners
+	peerTLS   *tls.Config // of connections to other hosts; nil for plain TCP
 	draining  atomic.Bool
 	abort     chan struct{} // closed by Abort
 	abortOnce sync.Once
@@ -78,6 +80,10 @@
 	if h.listeners, err = listen(cfg); err != nil {
 		return nil, err
 	}
+	if err := h.listeners.secure(cfg.TLS); err != nil {
+		h.listeners.close()
+		return nil, err
+	}
 	h.self = h.identity()
 	if err := h.wire(tokens); err != nil {
 		h.listeners.close()
@@ -148,6 +154,7 @@
 	if err != nil {
 		return err
 	}
+	h.peerTLS = clientTLS
 	h.peers = peer.NewServer(h.self.ID, peer.ServerOptions{TLS: serverTLS}, h.logger)
 	h.caller = peer.NewClient(h.self.ID, h.peerAddress, peer.ClientOptions{TLS: clientTLS, Logger: h.logger})
 	h.registry = member.NewRegistry(member.Deps{
@@ -194,6 +201,7 @@
 		Members:  h.registry,
 		Caller:   h.caller,
 		Registry: h.peers,
+		PeerTLS:  h.peerTLS,
 		Logger:   h.logger,
 	})
 	h.batch = h.wireBatch()
@@ -260,6 +268,18 @@
 	return l, nil
 }
 
+// secure puts TLS on the listeners for callers and operators. The one for
+// peers does so by itself.
+func (l *listeners) secure(t config.TLS) error {
+	c, err := t.Server()
+	if c == nil || err != nil {
+		return err
+	}
+	l.callers = tls.NewListener(l.callers, c)
+	l.operators = tls.NewListener(l.operators, c)
+	return nil
+}
+
 func (l listeners) close() {
 	for _, ln := range []net.Listener{l.callers, l.peers, l.operators} {
 		if ln != nil {
