--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/job"
 	"github.com/fuchsiahill/fuchsiahill/platform"
 )
 
@@ -91,7 +92,7 @@
 		o := b.start("a")
 		defer o.stop()
 		b.queue.add(2, small)
-		o.finish(5 * time.Second)
+		o.finish(platform.MaxLag + 10*time.Second)
 		b.workers[0].Kill()
 		b.hosts.Update(func(l *platform.HostList) { l.Workers[0].State = platform.StateGone })
 		o.finish(2 * time.Second)
@@ -102,6 +103,64 @@
 	})
 }
 
+// TestGoneBeforeTheAttempts lists a worker as gone that has restarted since
+// and runs new attempts: the list lags.
+func TestGoneBeforeTheAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2, time.Hour)
+		o := b.start("a")
+		defer o.stop()
+		b.queue.add(2, small)
+		o.finish(5 * time.Second)
+		b.hosts.Update(func(l *platform.HostList) { l.Workers[0].State = platform.StateGone })
+		o.finish(platform.MaxLag / 2)
+		b.check()
+		if got := b.runningOn("w00"); got != 2 {
+			t.Errorf("%d tasks run on the restarted worker, want 2", got)
+		}
+	})
+}
+
+// TestUrgentTaskStartsInTime offers urgent tasks to a cell that is full of
+// others, with commits that take their longest pace.
+func TestUrgentTaskStartsInTime(t *testing.T) {
+	t.Run("stops at once", func(t *testing.T) { startUrgent(t, 0, job.UrgentStart) })
+	t.Run("slow checkpoints", func(t *testing.T) { startUrgent(t, time.Second, 2500*time.Millisecond) })
+}
+
+func startUrgent(t *testing.T, stopDelay, limit time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 3, time.Minute)
+		b.log.delay = 250 * time.Millisecond
+		o := b.start("a")
+		defer o.stop()
+		b.queue.add(12, small)
+		o.finish(10 * time.Second)
+		b.queue.add(2, small)
+		o.set(func() { o.delays = map[string]time.Duration{"stop": stopDelay} })
+		offered := time.Now()
+		urgent := b.queue.pending()
+		for i := range urgent {
+			urgent[i].Priority = job.UrgentPriority
+		}
+		o.send(urgent)
+		time.Sleep(3 * time.Second)
+		runs := b.records.Runs()[12:]
+		if len(runs) != 2 {
+			t.Fatalf("%d tasks were started, want 2", len(runs))
+		}
+		for _, r := range runs {
+			if took := r.Started.Sub(offered); took > limit {
+				t.Errorf("urgent task started %v after its offer", took)
+			}
+		}
+		if got := b.queue.outcomes(delegation.EndEvicted); got != 2 {
+			t.Errorf("%d tasks evicted for 2 urgent ones of the same size", got)
+		}
+		b.check()
+	})
+}
+
 func TestLeavingWorker(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 2, 20*time.Second)
