Use only servers whose front may be sent for, and choose again if not run

The servers of such a front are now in no choice, and a request that a server surely did not run goes to another one without a cost to the retry budget. The clock margins of request IDs follow the platform's bound of 250 ms.

--- a/dedupe/home.go
+++ b/dedupe/home.go
@@ -50,7 +50,11 @@
 }
 
 // DefaultMargins are the margins of a deployment.
-var DefaultMargins = Margins{Future: time.Second, Clock: 2 * time.Second, Mapping: 10 * time.Second}
+var DefaultMargins = Margins{
+	Future:  500 * time.Millisecond,
+	Clock:   750 * time.Millisecond,
+	Mapping: 10 * time.Second,
+}
 
 // DuplicateError reports that the ID was claimed before: the request may have
 // run.
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -356,3 +356,12 @@
 	data, err := io.ReadAll(resp.Body)
 	return reply{resp.StatusCode, resp.Header, string(data), err}
 }
+
+func eventually(t *testing.T, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(2 * time.Second); !cond(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not reached")
+		}
+	}
+}
--- a/gateway/fronts.go
+++ b/gateway/fronts.go
@@ -20,7 +20,7 @@
 	info    platform.Server // guarded by the gateway's mutex
 	recent  recent          // guarded by its service's mutex
 
-	usable atomic.Bool                       // live, data centre in, front held
+	usable atomic.Bool                       // live, data centre in, right to send
 	values atomic.Pointer[settings.Resolved] // for the server's data centre
 }
 
@@ -34,10 +34,12 @@
 // front is a front that this host runs.
 //
 // Invariant: servers holds every server whose pool may have slots taken or
-// connections open; while active is false no new slot is taken.
+// connections open; while active or sending is false its servers are in no
+// choice.
 type front struct {
 	id      shard.ID
 	active  bool
+	sending bool // the right to send, as of the last refresh
 	servers map[serverKey]*server
 }
 
@@ -83,21 +85,45 @@
 
 // maySend is asked right before the first byte of a request is written.
 func (g *Gateway) maySend(s *server) bool {
-	g.refreshIfStale(time.Now())
-	return s.usable.Load() && g.deps.Rights.MaySend(s.front)
+	if g.viewsChanged() {
+		g.refresh(time.Now())
+	}
+	if !s.usable.Load() {
+		return false
+	}
+	allowed := g.deps.Rights.MaySend(s.front)
+	if !allowed {
+		g.refresh(time.Now()) // takes the front's servers out of the choice
+	}
+	return allowed
 }
 
 func (g *Gateway) refreshIfStale(now time.Time) {
-	if g.stale() {
+	if g.viewsChanged() || g.rightsChanged() {
 		g.refresh(now)
 	}
 }
 
-func (g *Gateway) stale() bool {
+// viewsChanged reports whether the host list or the settings have changed
+// since the last refresh.
+func (g *Gateway) viewsChanged() bool {
 	return g.deps.Platform.Hosts().Version != g.version.Load() ||
 		int64(g.deps.Settings.Current().Revision()) != g.revision.Load()
 }
 
+// rightsChanged reports whether a front has got or lost the right to send
+// since the last refresh.
+func (g *Gateway) rightsChanged() bool {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	for id, f := range g.fronts {
+		if f.active && f.sending != g.deps.Rights.MaySend(id) {
+			return true
+		}
+	}
+	return false
+}
+
 // refresh applies the host list and settings to fronts and services. Once it
 // returns, no slot of a server out of use is taken any more.
 func (g *Gateway) refresh(now time.Time) {
@@ -108,6 +134,9 @@
 	centres := snapshot.DataCentres()
 	g.claimer.SetFronts(now, g.regionFronts(centres))
 
+	for id, f := range g.fronts {
+		f.sending = f.active && g.deps.Rights.MaySend(id)
+	}
 	choice := make(map[fleet.Service]map[fleet.ServerID]*server)
 	values := make(map[fleet.Service]settings.Resolved)
 	seen := make(map[*server]bool)
@@ -121,7 +150,8 @@
 		seen[s] = true
 		resolved := snapshot.Service(info.Organisation, info.DataCentre, info.Service)
 		s.values.Store(&resolved)
-		usable := info.State == platform.StateLive && centres[info.DataCentre].State == settings.DataCentreIn
+		usable := g.fronts[s.front].sending && info.State == platform.StateLive &&
+			centres[info.DataCentre].State == settings.DataCentreIn
 		s.usable.Store(usable)
 		if !usable {
 			continue
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -11,6 +11,10 @@
 	"github.com/fuchsiahill/fuchsiahill/settings"
 )
 
+// freePicks is how many servers may be chosen for a request that none of them
+// ran.
+const freePicks = 3
+
 // send runs a request on an own server, or through a peer when the own ones
 // are full, and retries it as far as that is safe and within the budget.
 func (g *Gateway) send(ctx context.Context, q *request) (*backend.Response, error) {
@@ -36,13 +40,13 @@
 // sendHere runs a request that has a ticket on own servers.
 func (g *Gateway) sendHere(ctx context.Context, q *request, ticket *route.Ticket, earlier error) (*backend.Response, error) {
 	var avoid fleet.ServerID
-	for {
+	for tried := 1; ; tried++ {
 		resp, server, err := g.try(ctx, q, ticket, avoid)
 		if err == nil {
 			return resp, nil
 		}
 		err = worse(earlier, err)
-		if !g.mayRetry(ctx, q, err) {
+		if !g.mayPickAgain(ctx, q, err, tried) && !g.mayRetry(ctx, q, err) {
 			return nil, err
 		}
 		earlier = err
@@ -102,6 +106,14 @@
 	}
 }
 
+// mayPickAgain reports whether the request may go to another server because
+// it was not run. Few such choices cost no retry.
+func (g *Gateway) mayPickAgain(ctx context.Context, q *request, err error, tried int) bool {
+	var notRun *backend.NotRunError
+	return tried < freePicks && errors.As(err, &notRun) && ctx.Err() == nil &&
+		time.Now().Before(q.deadline) && retryable(q, err)
+}
+
 // mayRetry reports whether the request may go to another server after err.
 func (g *Gateway) mayRetry(ctx context.Context, q *request, err error) bool {
 	if ctx.Err() != nil || !time.Now().Before(q.deadline) || !retryable(q, err) || !q.service.retry() {
