Ask peers how long the fronts have been the same

It now asks peers (TestSettle, seen to fail without the question, without the comparison, and without the lag; the random model restarts processes).

--- a/dedupe/claimer.go
+++ b/dedupe/claimer.go
@@ -23,6 +23,7 @@
 const (
 	methodClaim   = "dedupe.claim"
 	methodRelease = "dedupe.release"
+	methodFronts  = "dedupe.fronts"
 
 	claimTimeout = 500 * time.Millisecond
 	claimTries   = 2 // the same token makes a second try harmless
@@ -88,6 +89,7 @@
 	c := &Claimer{deps: d, memories: make(map[shard.ID]*Home)}
 	d.Registry.Handle(methodClaim, c.handleClaim)
 	d.Registry.Handle(methodRelease, c.handleRelease)
+	d.Registry.Handle(methodFronts, c.handleFronts)
 	return c
 }
 
--- a/dedupe/claimer_test.go
+++ b/dedupe/claimer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -102,10 +103,46 @@
 		h.claimer.Close(front)
 	}
 	if old != host {
+		w.hosts[host].claimer.Settle(context.Background(), w.others(host))
 		w.hosts[host].claimer.Open(time.Now(), front)
 	}
 }
 
+// others returns the other hosts.
+func (w *world) others(host fleet.HostID) []fleet.HostID {
+	var out []fleet.HostID
+	for id := range w.hosts {
+		if id != host {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// restart replaces a host's process by a new one, which has forgotten all.
+func (w *world) restart(host fleet.HostID, n int) {
+	h := w.hosts[host]
+	var held []shard.ID
+	w.mu.Lock()
+	for f, owner := range w.rights {
+		if owner == host {
+			held = append(held, f)
+		}
+	}
+	h.handlers = make(map[string]peer.Handler)
+	w.mu.Unlock()
+	c := dedupe.NewClaimer(dedupe.Deps{Self: host, Rights: h, Directory: h, Caller: h, Registry: h, Margins: margins})
+	w.mu.Lock()
+	h.claimer = c
+	w.mu.Unlock()
+	h.claimer.SetFronts(time.Now(), fronts(n))
+	for _, f := range held {
+		h.claimer.Settle(context.Background(), w.others(host))
+		h.claimer.Open(time.Now(), f)
+	}
+}
+
 // look lets a host see the present owners.
 func (n *node) look() {
 	n.mu.Lock()
@@ -139,7 +176,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		moves := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) move {
 			return move{
-				what:  rapid.SampledFrom([]string{"claim", "claim", "create", "race", "race", "give", "look", "wait", "wait", "fronts", "lose"}).Draw(t, "what"),
+				what:  rapid.SampledFrom([]string{"claim", "claim", "create", "race", "race", "give", "look", "wait", "wait", "fronts", "lose", "restart"}).Draw(t, "what"),
 				host:  rapid.IntRange(0, 2).Draw(t, "host"),
 				front: rapid.IntRange(0, 1).Draw(t, "front"),
 				id:    rapid.IntRange(0, 2).Draw(t, "id"),
@@ -171,6 +208,7 @@
 	var ids []uuid.UUID
 	accepted := make(map[uuid.UUID]int)
 	var seen [3]time.Time // last change of fronts, by host
+	sees := [3]int{1, 1, 1}
 	claim := func(h *node, id uuid.UUID) {
 		if _, err := h.claimer.Claim(ctx, id); err == nil {
 			accepted[id]++
@@ -207,12 +245,20 @@
 				n = 2
 			}
 			for k := range 3 {
-				c := w.hosts[hostName(k)].claimer
+				host := w.hosts[hostName(k)]
 				// Settings never go back at a host.
 				seen[k] = later(seen[k], time.Now().Add(time.Duration(k*max(m.ms, 0)/3)*time.Millisecond))
-				time.AfterFunc(time.Until(seen[k]), func() { c.SetFronts(time.Now(), fronts(n)) })
+				time.AfterFunc(time.Until(seen[k]), func() {
+					w.mu.Lock()
+					sees[k] = n
+					c := host.claimer
+					w.mu.Unlock()
+					c.SetFronts(time.Now(), fronts(n))
+				})
 			}
 			time.Sleep(time.Duration(max(m.ms, 0)/2) * time.Millisecond)
+		case "restart":
+			w.restart(h.self, sees[m.host])
 		case "lose":
 			w.mu.Lock()
 			w.lose = m.flag
--- a/gateway/fronts.go
+++ b/gateway/fronts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -48,15 +49,20 @@
 // is open any more.
 func (g *Gateway) Run(ctx context.Context, id shard.ID, owner shard.Owner) error {
 	f := &front{id: id, active: true, servers: make(map[serverKey]*server)}
-	now := time.Now()
-	g.claimer.Open(now, id)
 	g.mu.Lock()
 	g.fronts[id] = f
 	g.mu.Unlock()
-	g.refresh(now)
+	g.refresh(time.Now())
+	opened := make(chan struct{})
+	go func() {
+		defer close(opened)
+		g.claimer.Settle(ctx, g.regionPeers())
+		g.claimer.Open(time.Now(), id)
+	}()
 	g.deps.Logger.Log("event", "front_run", "front", id, "epoch", owner.Epoch)
 
 	<-ctx.Done()
+	<-opened
 	g.claimer.Close(id)
 	for _, s := range g.stop(f) {
 		s.pool.Close()
@@ -69,6 +75,18 @@
 	return nil
 }
 
+// regionPeers returns the other hosts of the region in random order.
+func (g *Gateway) regionPeers() []fleet.HostID {
+	var peers []fleet.HostID
+	for _, h := range g.deps.Members.Hosts() {
+		if h.ID != g.deps.Self.ID && h.Region == g.deps.Self.Region {
+			peers = append(peers, h.ID)
+		}
+	}
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers
+}
+
 // stop ends new sends of a front and returns its servers.
 func (g *Gateway) stop(f *front) []*server {
 	g.mu.Lock()
