--- a/cmd/fuchsiahilld/main.go
+++ b/cmd/fuchsiahilld/main.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -11,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/urfave/cli/v3"
 
+	"github.com/fuchsiahill/fuchsiahill/command"
 	"github.com/fuchsiahill/fuchsiahill/config"
 	"github.com/fuchsiahill/fuchsiahill/host"
 )
@@ -20,7 +20,6 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	daemon := &cli.Command{
 		Name:    "fuchsiahilld",
 		Usage:   "serve requests and jobs on an entry host",
@@ -28,10 +27,9 @@
 		Flags:   config.Flags(),
 		Action:  serve,
 	}
-	if err := daemon.Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "fuchsiahilld:", err)
-		os.Exit(1)
-	}
+	code := command.Run(ctx, daemon, os.Args)
+	stop()
+	os.Exit(code)
 }
 
 // serve runs the host until the process is told to end.
--- a/host/host.go
+++ b/host/host.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"expvar"
 	"net"
 	"net/http"
 	"sync"
@@ -61,6 +62,7 @@
 	gateway  *gateway.Gateway
 	batch    *batch
 
+	calls     *expvar.Map // answers of the API by code
 	callers   *http.Server
 	operators *http.Server
 }
@@ -68,7 +70,7 @@
 // New opens the listeners of cfg and wires the parts. Serve or Close must
 // follow. Errors are *ListenError and those of package config and auth.
 func New(cfg *config.Host, opts Options) (*Host, error) {
-	h := &Host{cfg: cfg, opts: opts, logger: opts.Logger, abort: make(chan struct{})}
+	h := &Host{cfg: cfg, opts: opts, logger: opts.Logger, abort: make(chan struct{}), calls: new(expvar.Map).Init()}
 	if h.logger == nil {
 		h.logger = log.NewNopLogger()
 	}
@@ -298,6 +300,7 @@
 		Shards:  shardLister{h},
 		Health:  health{h},
 		Tokens:  tokens,
+		Calls:   h.calls,
 		Logger:  h.logger,
 	})
 	h.callers = api.NewServer(callersRouter(tokens, h.gateway, handler))
--- a/host/http.go
+++ b/host/http.go
@@ -25,7 +25,7 @@
 // operatorsRouter serves the whole operators' interface and the metrics.
 func operatorsRouter(tokens *auth.Tokens, vars *expvar.Map, handler http.Handler) http.Handler {
 	r := mux.NewRouter()
-	r.Handle("/debug/vars", tokens.Middleware(api.Refuse)(serveVars(vars))).Methods(http.MethodGet)
+	r.Handle("/debug/vars", api.Readers(tokens)(serveVars(vars))).Methods(http.MethodGet)
 	r.PathPrefix("/").Handler(handler)
 	return r
 }
@@ -43,6 +43,7 @@
 	vars := new(expvar.Map).Init()
 	vars.Set("store_calls", h.metered.Counts())
 	vars.Set("settings", h.tracker.Vars())
+	vars.Set("api", h.calls)
 	vars.Set("requests", h.gateway.Metrics())
 	vars.Set("shards", expvar.Func(func() any { return h.manager.List() }))
 	vars.Set("runtime", expvar.Func(runtimeMetrics))
