Cell: learn from latencies and act on the sharing policy

The cell's own interface for throttling and eviction is gone: it now keeps a sharing.Model and sharing.Policy per term, fed once a second. The scheduler's cost model asks for the pressure on a worker, with what the plan itself already gave it.

--- a/cell/control.go
+++ b/cell/control.go
@@ -7,8 +7,6 @@
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 )
 
-const shareInterval = time.Second // between two questions to Sharing
-
 // controlLoop decides at intervals what needs neither a report nor an offer:
 // which workers there are, which leases have lapsed and what is to be stopped.
 func (s *session) controlLoop(ctx context.Context) error {
@@ -198,49 +196,3 @@
 		s.stop(a, now, reasonNoCapacity)
 	}
 }
-
-// share asks Sharing what to throttle and evict.
-func (s *session) share(placed []*attempt, now time.Time) {
-	if s.deps.Sharing == nil || now.Sub(s.sharedAt) < shareInterval {
-		return
-	}
-	s.sharedAt = now
-	for _, action := range s.deps.Sharing.Decide(now, s.sharedWorkers(placed)) {
-		a, r := s.machine.find(action.AttemptRef), s.runs[action.AttemptRef]
-		if a == nil || r == nil || a.Phase != phasePlaced {
-			continue
-		}
-		if action.Kind == ActionEvict {
-			s.stop(a, now, reasonEvicted)
-			continue
-		}
-		r.wantShare = action.Share
-		s.wakeWorker(a.Placement.Worker)
-	}
-}
-
-func (s *session) sharedWorkers(placed []*attempt) []SharedWorker {
-	tasks := make(map[fleet.WorkerID][]SharedTask)
-	for _, a := range placed {
-		r := s.runs[a.Task.AttemptRef]
-		if r == nil || r.seen.IsZero() || r.stopping {
-			continue
-		}
-		id := a.Placement.Worker
-		tasks[id] = append(tasks[id], SharedTask{
-			TaskStatus: r.status,
-			Class:      a.Task.Class,
-			Priority:   a.Task.Priority,
-			Size:       a.Placement.Size,
-		})
-	}
-	shared := make([]SharedWorker, 0, len(s.members.workers))
-	for id, listed := range s.members.workers {
-		w := SharedWorker{ID: id, Capacity: listed.Capacity, Servers: s.members.servers[id], Tasks: tasks[id]}
-		if known := s.workers[id]; known != nil {
-			w.Used = known.used
-		}
-		shared = append(shared, w)
-	}
-	return shared
-}
--- a/cell/deps.go
+++ b/cell/deps.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"github.com/go-kit/log"
 
@@ -12,7 +11,6 @@
 	"github.com/fuchsiahill/fuchsiahill/member"
 	"github.com/fuchsiahill/fuchsiahill/peer"
 	"github.com/fuchsiahill/fuchsiahill/platform"
-	"github.com/fuchsiahill/fuchsiahill/scheduler"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 )
@@ -29,7 +27,7 @@
 // appends the first entry, which fences every owner before.
 type OpenFunc func(ctx context.Context, id shard.ID, owner shard.Owner, m journal.Machine) (Journal, error)
 
-// Deps is what a Server works with. All fields but Sharing and Members are
+// Deps is what a Server works with. All fields but Latencies and Members are
 // required.
 type Deps struct {
 	Open      OpenFunc
@@ -40,52 +38,10 @@
 	Members   member.Directory // nil: no process is known to have ended by its successor
 	Peers     peer.Caller
 	Registry  peer.Registry
-	Sharing   Sharing // nil: no task is throttled or evicted for a service
+	Latencies Latencies // nil: no task is throttled or evicted for a service
 	Logger    log.Logger
 }
 
-// Sharing decides on throttling and eviction for the services' sake. It is
-// safe for concurrent use.
-type Sharing interface {
-	scheduler.CostModel
-	// Decide returns what to do on the workers of a cell at now. It is asked
-	// once a second per cell.
-	Decide(now time.Time, workers []SharedWorker) []Action
-}
-
-// SharedWorker is a worker with the tasks and services that share it.
-type SharedWorker struct {
-	ID       fleet.WorkerID
-	Capacity fleet.Resources
-	Used     fleet.Resources // whole worker, as last reported; lags
-	Servers  []platform.Server
-	Tasks    []SharedTask
-}
-
-// SharedTask is a running task.
-type SharedTask struct {
-	platform.TaskStatus
-	Class    fleet.JobClass
-	Priority int
-	Size     fleet.Resources
-}
-
-// ActionKind is what to do with a task.
-type ActionKind string
-
-// Kinds of actions.
-const (
-	ActionThrottle ActionKind = "throttle"
-	ActionEvict    ActionKind = "evict"
-)
-
-// Action throttles or evicts one attempt.
-type Action struct {
-	platform.AttemptRef
-	Kind  ActionKind
-	Share float64 // for ActionThrottle: of its processors, 0 to 1
-}
-
 // FencedError reports that a worker has seen the token of a later owner of
 // the cell.
 type FencedError struct {
--- a/cell/judge.go
+++ b/cell/judge.go
@@ -25,22 +25,27 @@
 // run is what this owner has seen of a placed attempt. It is not journaled; a
 // new owner learns it from the worker's reports.
 type run struct {
-	own       bool      // this owner placed it; else a predecessor did
-	durable   bool      // the placement can't be lost
-	sent      bool      // a start call was made by this owner
-	deadline  time.Time // of that call
-	seen      time.Time // when the call was sent whose report first showed it running
-	status    platform.TaskStatus
-	peak      fleet.Resources // highest use seen
-	stopping  bool            // an eviction or cancellation was decided
-	stopBy    time.Time       // no checkpoint is asked for later
-	stopSent  time.Time
-	wantShare float64 // 0: none wanted
-	shareSent time.Time
+	own      bool      // this owner placed it; else a predecessor did
+	durable  bool      // the placement can't be lost
+	sent     bool      // a start call was made by this owner
+	deadline time.Time // of that call
+	seen     time.Time // when the call was sent whose report first showed it running
+	status   platform.TaskStatus
+	// checkpointAt is when the last checkpoint, or the start, was seen.
+	checkpointAt time.Time
+	peak         fleet.Resources // highest use seen
+	stopping     bool            // an eviction or cancellation was decided
+	stopBy       time.Time       // no checkpoint is asked for later
+	stopSent     time.Time
+	wantShare    float64 // 0: none wanted
+	shareSent    time.Time
 }
 
 // note takes a report that shows the attempt.
 func (r *run) note(st platform.TaskStatus, sentAt time.Time) {
+	if r.seen.IsZero() || st.CheckpointProgress > r.status.CheckpointProgress {
+		r.checkpointAt = sentAt
+	}
 	r.status = st
 	r.peak = fleet.Resources{
 		MilliCores:   max(r.peak.MilliCores, st.Used.MilliCores),
--- a/cell/place.go
+++ b/cell/place.go
@@ -59,9 +59,6 @@
 	index := make(map[fleet.WorkerID]int, len(s.members.workers))
 	for id, listed := range s.members.workers {
 		w := scheduler.Worker{ID: id, Rack: listed.Rack, Capacity: s.members.capacity(id)}
-		for _, server := range s.members.servers[id] {
-			w.Services = append(w.Services, server.Service)
-		}
 		w.Live = s.takesWork(id, now, ttl)
 		w.Quarantined, w.Probe = s.machine.quarantine(id, now)
 		index[id] = len(workers)
@@ -102,8 +99,8 @@
 	}
 	snapshot.Workers = s.schedulable(now)
 	snapshot.Budget = s.gate.budget(now, snapshot.Workers)
-	if s.deps.Sharing != nil {
-		snapshot.Cost = s.deps.Sharing
+	if s.deps.Latencies != nil {
+		snapshot.Cost = learnedCost{s}
 	}
 	for _, a := range s.machine.state.Attempts {
 		if a.Phase == phasePlaced {
--- a/cell/session.go
+++ b/cell/session.go
@@ -17,6 +17,7 @@
 	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/shard"
+	"github.com/fuchsiahill/fuchsiahill/sharing"
 	"github.com/fuchsiahill/fuchsiahill/store"
 )
 
@@ -59,7 +60,10 @@
 	others    time.Time                                  // when the last predecessor stops sending
 	gate      gate
 	members   membership
-	sharedAt  time.Time // when Sharing was last asked
+	sharedAt  time.Time // when the policy was last asked
+	model     *sharing.Model
+	policy    *sharing.Policy
+	shared    map[fleet.WorkerID]sharing.Worker // as the policy last saw them
 	values    map[resolvedKey]settings.Resolved
 	valuesAt  store.Revision
 }
@@ -112,7 +116,9 @@
 		calling:   make(map[shard.ID]bool),
 		retryAt:   make(map[shard.ID]time.Time),
 		durableAt: time.Now(),
+		model:     sharing.NewModel(),
 	}
+	s.policy = sharing.NewPolicy(s.model)
 	j, err := s.deps.Open(ctx, id, owner, guarded{s})
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/cell/share_test.go
@@ -0,0 +1,66 @@
+package cell
+
+import (
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/delegation"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+)
+
+// pressed is the latency of every server as a multiple of its objective, in
+// percent.
+type pressed struct{ percent atomic.Int64 }
+
+func (p *pressed) Latency(platform.Server) (Latency, bool) {
+	return Latency{P99: time.Duration(p.percent.Load()) * time.Millisecond, Load: 0.5}, true
+}
+
+func (b *bench) sharesAsked() []float64 {
+	b.queue.mu.Lock()
+	defer b.queue.mu.Unlock()
+	return slices.Clone(b.shares)
+}
+
+// TestSharing lets the service on a worker miss its objective, whatever is
+// throttled, and then recover.
+func TestSharing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2, 10*time.Minute)
+		b.reserve(1000)
+		service := &pressed{}
+		b.latency = service
+		o := b.start("a")
+		defer o.stop()
+		b.queue.add(7, small)
+		o.finish(5 * time.Second)
+		if got := b.runningOn("w00"); got != 3 {
+			t.Fatalf("%d tasks run beside the service, want 3", got)
+		}
+		service.percent.Store(150)
+		time.Sleep(4 * time.Second)
+		if shares := b.sharesAsked(); len(shares) == 0 || slices.Min(shares) >= 1 {
+			t.Errorf("shares %v asked for, want some below 1", shares)
+		}
+		if got := b.queue.outcomes(delegation.EndEvicted); got != 0 {
+			t.Errorf("%d tasks evicted at once, want throttling first", got)
+		}
+		time.Sleep(40 * time.Second)
+		if got := b.queue.outcomes(delegation.EndEvicted); got != 2 {
+			t.Errorf("%d tasks evicted in a minute, want the limit of 2", got)
+		}
+		service.percent.Store(20)
+		time.Sleep(2 * time.Minute)
+		shares := b.sharesAsked()
+		if last := shares[len(shares)-1]; last < 1 {
+			t.Errorf("last share asked for is %v, want all given back", last)
+		}
+		if !o.finish(30 * time.Minute) {
+			t.Error("tasks are not done")
+		}
+		b.check()
+	})
+}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -119,6 +119,7 @@
 	size := Size(t.Declared, t.Observed, w.Capacity)
 	w.Used = w.Used.Add(size)
 	w.Tasks++
+	w.planned += size.MilliCores
 	p.spread[RackLoad{Job: t.Job, Rack: w.Rack}]++
 	if p.budget != nil {
 		*p.budget = p.budget.Sub(t.Declared)
--- a/scheduler/score.go
+++ b/scheduler/score.go
@@ -82,14 +82,10 @@
 	return 0
 }
 
-// Interference prefers workers whose services the task harms least.
+// Interference prefers workers whose services the task presses least.
 type Interference struct{ Cost CostModel }
 
 // Score implements Scorer.
-func (i Interference) Score(t *Task, w *Worker, _ fleet.Resources, _ map[RackLoad]int) float64 {
-	sum := 0.0
-	for _, s := range w.Services {
-		sum += i.Cost.Cost(t.Class, s)
-	}
-	return 1 - min(1, sum)
+func (i Interference) Score(t *Task, w *Worker, size fleet.Resources, _ map[RackLoad]int) float64 {
+	return 1 - min(1, i.Cost.Pressure(w.ID, t.Class, w.planned+size.MilliCores))
 }
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -11,13 +11,14 @@
 	Rack     fleet.Rack
 	Capacity fleet.Resources // net of what backend servers reserve
 	Used     fleet.Resources // by tasks placed there and not surely ended
-	Services []fleet.Service // of the backend servers on it
 	Live     bool            // the platform lists it as live and it answers
 	// Quarantined workers take no tasks, but for one at a time if Probe is
 	// set.
 	Quarantined bool
 	Probe       bool
 	Tasks       int // placed there and not surely ended
+
+	planned int64 // thousandths of cores given by this plan
 }
 
 // Task is a task that waits for a worker.
@@ -33,10 +34,11 @@
 	Order      uint64          // of acceptance; earlier first at equal priority
 }
 
-// CostModel gives the expected harm of a task of a class to a service on the
-// same worker, from 0 (none) to 1 (its objective is lost).
+// CostModel gives the pressure expected on the worst-off service of a worker if
+// tasks of a class were added with that many thousandths of a core: its latency
+// as a multiple of its objective, 0 without services.
 type CostModel interface {
-	Cost(class fleet.JobClass, service fleet.Service) float64
+	Pressure(worker fleet.WorkerID, class fleet.JobClass, milliCores int64) float64
 }
 
 // RackLoad counts the running tasks of a job in a rack.
