--- /dev/null
+++ b/cell/owner_fake_test.go
@@ -0,0 +1,224 @@
+package cell
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/delegation"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/journal"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/shard"
+)
+
+// owner is one term of ownership.
+type owner struct {
+	b        *bench
+	server   *Server
+	journal  *memJournal
+	handlers handlers
+	cancel   context.CancelFunc
+	done     chan struct{}
+	err      error
+
+	mu       sync.Mutex
+	dead     bool
+	noStore  bool                     // the store can't be reached
+	noWorker map[fleet.WorkerID]bool  // nor can these workers
+	resume   chan struct{}            // closed when a pause ends; nil if there is none
+	delays   map[string]time.Duration // on the way to workers, by op
+	slow     string                   // address of the only worker with delays; "" for all
+}
+
+func (o *owner) is(flag *bool) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return *flag
+}
+
+func (o *owner) set(change func()) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	change()
+}
+
+// gate holds the owner while it is paused.
+func (o *owner) gate() {
+	o.mu.Lock()
+	resume := o.resume
+	o.mu.Unlock()
+	if resume != nil {
+		<-resume
+	}
+}
+
+// pause stops the owner's calls and writes for d, after they were decided and
+// before they are sent.
+func (o *owner) pause(d time.Duration) {
+	resume := make(chan struct{})
+	o.set(func() { o.resume = resume })
+	time.AfterFunc(d, func() {
+		o.set(func() { o.resume = nil })
+		close(resume)
+	})
+}
+
+// call makes one call to a worker as far as the owner can reach it.
+func (o *owner) call(ctx context.Context, address, op string, do func(context.Context) (platform.WorkerReport, error)) (platform.WorkerReport, error) {
+	o.gate()
+	unanswered := &platform.WorkerUnknownError{Op: op, Cause: context.DeadlineExceeded}
+	o.mu.Lock()
+	cut := o.dead
+	for _, w := range o.b.workers {
+		cut = cut || w.Info().Address == address && o.noWorker[w.Info().ID]
+	}
+	o.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return platform.WorkerReport{}, unanswered
+	}
+	o.b.queue.mu.Lock()
+	o.b.calls++
+	n, hook := o.b.calls, o.b.hook
+	o.b.queue.mu.Unlock()
+	if hook != nil {
+		hook(n, false)
+		if o.is(&o.dead) {
+			return platform.WorkerReport{}, unanswered
+		}
+	}
+	report, err := o.deliver(ctx, address, op, do)
+	if hook != nil {
+		hook(n, true)
+	}
+	if o.is(&o.dead) {
+		return platform.WorkerReport{}, unanswered
+	}
+	return report, err
+}
+
+// deliver makes the call after the delay for its op. What was sent arrives,
+// also when the caller has given up.
+func (o *owner) deliver(ctx context.Context, address, op string, do func(context.Context) (platform.WorkerReport, error)) (platform.WorkerReport, error) {
+	o.mu.Lock()
+	delay := o.delays[op]
+	if o.slow != "" && o.slow != address {
+		delay = 0
+	}
+	o.mu.Unlock()
+	sent, cancel := context.WithTimeout(context.WithoutCancel(ctx), delay+callTimeout)
+	if delay < callTimeout {
+		defer cancel()
+		time.Sleep(delay)
+		return do(sent)
+	}
+	time.AfterFunc(delay, func() {
+		defer cancel()
+		_, _ = do(sent)
+	})
+	<-ctx.Done()
+	return platform.WorkerReport{}, &platform.WorkerUnknownError{Op: op, Cause: ctx.Err()}
+}
+
+func (o *owner) Start(ctx context.Context, address string, req platform.StartRequest) (platform.WorkerReport, error) {
+	return o.call(ctx, address, "start", func(ctx context.Context) (platform.WorkerReport, error) {
+		return o.b.control.Start(ctx, address, req)
+	})
+}
+
+func (o *owner) Renew(ctx context.Context, address string, req platform.RenewRequest) (platform.WorkerReport, error) {
+	return o.call(ctx, address, "renew", func(ctx context.Context) (platform.WorkerReport, error) {
+		return o.b.control.Renew(ctx, address, req)
+	})
+}
+
+func (o *owner) Stop(ctx context.Context, address string, req platform.StopRequest) (platform.WorkerReport, error) {
+	return o.call(ctx, address, "stop", func(ctx context.Context) (platform.WorkerReport, error) {
+		return o.b.control.Stop(ctx, address, req)
+	})
+}
+
+func (o *owner) Throttle(ctx context.Context, address string, req platform.ThrottleRequest) (platform.WorkerReport, error) {
+	o.b.queue.mu.Lock()
+	o.b.shares = append(o.b.shares, req.Share)
+	o.b.queue.mu.Unlock()
+	return o.call(ctx, address, "throttle", func(ctx context.Context) (platform.WorkerReport, error) {
+		return o.b.control.Throttle(ctx, address, req)
+	})
+}
+
+// crash ends the owner's process: nothing that it journals or sends from now
+// on takes effect.
+func (o *owner) crash() {
+	o.set(func() {
+		o.dead = true
+		if o.journal != nil {
+			o.journal.stop()
+		}
+	})
+	o.cancel()
+}
+
+func (o *owner) open(ctx context.Context, id shard.ID, claim shard.Owner, m journal.Machine) (Journal, error) {
+	j, err := o.b.log.open(ctx, id, claim, m)
+	if err != nil {
+		return nil, err
+	}
+	j.owner = o
+	o.set(func() { o.journal = j })
+	return j, nil
+}
+
+func (o *owner) stop() {
+	o.cancel()
+	<-o.done
+}
+
+// offer sends what the queue has to offer, as its pump would.
+func (o *owner) offer() {
+	if tasks := o.b.queue.pending(); len(tasks) > 0 {
+		o.b.queue.reply(o.send(tasks))
+	}
+}
+
+// send offers tasks; without an answer the reply is empty.
+func (o *owner) send(tasks []delegation.Task) delegation.OfferReply {
+	reply, err := o.handle(delegation.MethodOffer, delegation.Offer{Cell: testCell, Tasks: tasks})
+	if err != nil {
+		return delegation.OfferReply{}
+	}
+	return reply.(delegation.OfferReply)
+}
+
+func (o *owner) cancelTasks(tasks []delegation.Task) {
+	c := delegation.Cancel{Cell: testCell}
+	for _, t := range tasks {
+		c.Tasks = append(c.Tasks, t.AttemptRef)
+	}
+	if _, err := o.handle(delegation.MethodCancel, c); err != nil {
+		o.b.t.Error(err)
+	}
+}
+
+func (o *owner) handle(method string, request any) (any, error) {
+	params, err := json.Marshal(request)
+	if err != nil {
+		o.b.t.Fatal(err)
+	}
+	return o.handlers[method](context.Background(), "queue-host", params)
+}
+
+// finish pumps offers until every task is done or the time is over.
+func (o *owner) finish(limit time.Duration) bool {
+	end := time.Now().Add(limit)
+	for time.Now().Before(end) {
+		o.offer()
+		if o.b.queue.isDone() {
+			return true
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return false
+}
--- /dev/null
+++ b/cell/queue_fake_test.go
@@ -0,0 +1,168 @@
+package cell
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/fuchsiahill/fuchsiahill/delegation"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/peer"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/shard"
+)
+
+// fakeQueue is the other end of the delegation: it offers each task until it
+// has ended for good, one attempt at a time, as a queue shard does.
+type fakeQueue struct {
+	mu       sync.Mutex
+	tasks    map[fleet.TaskID]*queued
+	problems []string
+	down     bool
+	refused  int
+	lose     int // the next replies to returns are lost
+}
+
+type queued struct {
+	task     delegation.Task
+	accepted bool
+	outcomes []delegation.Outcome
+	done     bool
+}
+
+func newFakeQueue() *fakeQueue { return &fakeQueue{tasks: make(map[fleet.TaskID]*queued)} }
+
+func (q *fakeQueue) add(n int, size fleet.Resources) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for range n {
+		id := fleet.TaskID(fmt.Sprintf("job%d/%03d", len(q.tasks)%testJobs, len(q.tasks)))
+		task := delegation.Task{
+			AttemptRef: platform.AttemptRef{Task: id, Attempt: 1},
+			Queue:      testQueue,
+			Class:      "claims",
+			Resources:  size,
+		}
+		q.tasks[id] = &queued{task: task}
+	}
+}
+
+func (q *fakeQueue) pending() []delegation.Task {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var pending []delegation.Task
+	for _, id := range slices.Sorted(maps.Keys(q.tasks)) {
+		if t := q.tasks[id]; !t.done && !t.accepted {
+			pending = append(pending, t.task)
+		}
+	}
+	return pending
+}
+
+func (q *fakeQueue) reply(r delegation.OfferReply) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, ref := range r.Accepted {
+		if t := q.tasks[ref.Task]; t.task.Attempt == ref.Attempt {
+			t.accepted = true
+		}
+	}
+	for _, ref := range r.Refused {
+		q.refused++
+		q.next(ref.AttemptRef)
+	}
+}
+
+func (q *fakeQueue) next(ref platform.AttemptRef) {
+	t := q.tasks[ref.Task]
+	if t.task.Attempt == ref.Attempt && !t.done {
+		t.task.Attempt++
+		t.accepted = false
+	}
+}
+
+func (q *fakeQueue) take(o delegation.Outcome) {
+	t := q.tasks[o.Task]
+	for _, known := range t.outcomes {
+		if known.AttemptRef != o.AttemptRef {
+			continue
+		}
+		if known.End != o.End {
+			q.problems = append(q.problems, fmt.Sprintf("%v ended as %s and as %s", o.AttemptRef, known.End, o.End))
+		}
+		return
+	}
+	t.outcomes = append(t.outcomes, o)
+	switch o.End {
+	case delegation.EndFinished, delegation.EndStopped, delegation.EndFailed:
+		if t.done {
+			q.problems = append(q.problems, fmt.Sprintf("%v ended twice", o.Task))
+		}
+		t.done = true
+	default:
+		t.task.Checkpoint, t.task.CheckpointProgress = o.Checkpoint, o.CheckpointProgress
+		q.next(o.AttemptRef)
+	}
+}
+
+func (q *fakeQueue) isDone() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, t := range q.tasks {
+		if !t.done {
+			return false
+		}
+	}
+	return true
+}
+
+func (q *fakeQueue) outcomes(end delegation.End) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n := 0
+	for _, t := range q.tasks {
+		for _, o := range t.outcomes {
+			if o.End == end {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (q *fakeQueue) loseReplies(n int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.lose = n
+}
+
+func (q *fakeQueue) setDown(down bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.down = down
+}
+
+// Call implements peer.Caller for calls of the cell.
+func (q *fakeQueue) Call(_ context.Context, host fleet.HostID, method string, request, _ any) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.down {
+		return &peer.UnreachableError{Host: host, Cause: context.DeadlineExceeded}
+	}
+	if method != delegation.MethodReturn {
+		return nil
+	}
+	for _, o := range request.(delegation.Return).Outcomes {
+		q.take(o)
+	}
+	if q.lose > 0 {
+		q.lose--
+		return &peer.UnknownError{Host: host, Method: method, Cause: context.DeadlineExceeded}
+	}
+	return nil
+}
+
+// Owner implements shard.Directory.
+func (q *fakeQueue) Owner(shard.ID) (shard.Owner, bool) { return shard.Owner{Host: "queue-host"}, true }
