--- a/cell/fixture_test.go
+++ b/cell/fixture_test.go
@@ -83,6 +83,7 @@
 type bench struct {
 	t        *testing.T
 	log      *sharedLog
+	open     OpenFunc // instead of log, if not nil
 	settings *fakeSettings
 	hosts    *standin.HostList
 	records  *standin.Records
--- a/cell/owner_fake_test.go
+++ b/cell/owner_fake_test.go
@@ -162,6 +162,9 @@
 }
 
 func (o *owner) open(ctx context.Context, id shard.ID, claim shard.Owner, m journal.Machine) (Journal, error) {
+	if o.b.open != nil {
+		return o.b.open(ctx, id, claim, m)
+	}
 	j, err := o.b.log.open(ctx, id, claim, m)
 	if err != nil {
 		return nil, err
--- a/cell/server_test.go
+++ b/cell/server_test.go
@@ -5,7 +5,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-kit/log"
+
 	"github.com/fuchsiahill/fuchsiahill/delegation"
+	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/journal"
 )
 
 func TestTasksRunToTheirEnd(t *testing.T) {
@@ -23,3 +27,38 @@
 		b.check()
 	})
 }
+
+// TestOverTheStore keeps the journal in the store's stand-in, which loses
+// replies and has an outage, while owners follow one another.
+func TestOverTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 3, 30*time.Second)
+		kv := standin.NewStore()
+		b.open = OpenJournal(journal.Deps{Store: kv, Logger: log.NewNopLogger()})
+		first := b.start("a")
+		b.queue.add(20, small)
+		first.finish(5 * time.Second)
+		kv.SetFaults(standin.StoreFaults{LoseReply: 3})
+		first.finish(5 * time.Second)
+		second := b.start("b") // the first goes on until it collides
+		second.finish(5 * time.Second)
+		kv.SetFaults(standin.StoreFaults{Down: true})
+		time.Sleep(2 * time.Minute)
+		kv.SetFaults(standin.StoreFaults{})
+		second.finish(10 * time.Second)
+		second.stop()
+		third := b.start("c")
+		if !third.finish(5 * time.Minute) {
+			t.Error("tasks are not done")
+		}
+		third.stop()
+		first.stop()
+		b.check()
+		if got := b.queue.outcomes(delegation.EndFinished); got != 20 {
+			t.Errorf("%d outcomes finished, want 20", got)
+		}
+		if got := b.queue.outcomes(delegation.EndEvicted); got != 0 {
+			t.Errorf("%d tasks evicted, want none", got)
+		}
+	})
+}
