--- a/cell/control.go
+++ b/cell/control.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/platform"
 )
 
 // controlLoop decides at intervals what needs neither a report nor an offer:
@@ -92,7 +93,7 @@
 		if r == nil {
 			continue
 		}
-		if s.members.isGone(a.Placement.Worker) && (!r.own || r.sent) {
+		if s.members.isGone(a.Placement.Worker) && (!r.own || r.sent) && precedesList(a, now) {
 			s.decide(lost(a, r, reasonWorkerGone))
 			continue
 		}
@@ -103,6 +104,14 @@
 	}
 }
 
+// precedesList reports whether an attempt was started before anything that the
+// host list shows now. A worker that is listed as gone may have restarted and
+// taken a later attempt.
+func precedesList(a *attempt, now time.Time) bool {
+	started := time.UnixMilli(a.Placement.StartByMS)
+	return now.Sub(started) > platform.MaxLag
+}
+
 // stopCancelled marks cancelled attempts for a stop. One that was never sent
 // needs none.
 func (s *session) stopCancelled(placed []*attempt, now time.Time) {
--- a/member/watch.go
+++ b/member/watch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/rotisserie/eris"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/store"
@@ -20,7 +21,8 @@
 	relistPerHost  = 150 * time.Millisecond
 )
 
-// watchHosts follows the host records until ctx ends.
+// watchHosts follows the host records until ctx ends or a later process runs
+// under this host's ID.
 func (r *Registry) watchHosts(ctx context.Context) error {
 	for ctx.Err() == nil {
 		began := time.Now()
@@ -35,12 +37,30 @@
 		}
 		r.replace(entries, revision)
 		r.follow(ctx, revision)
+		if err := r.successor(); err != nil {
+			return err
+		}
 	}
 	return ctx.Err()
 }
 
+// successor returns a *SupersededError if a later process has taken this
+// host's record. This process's lease may go on, so its renewals don't tell.
+func (r *Registry) successor() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.hosts[r.deps.Self.ID].host
+	if h.Incarnation <= r.deps.Self.Incarnation {
+		return nil
+	}
+	return eris.Wrap(&SupersededError{Host: h.ID, By: h.Incarnation}, "member")
+}
+
 // follow applies watch events until the next listing is due.
 func (r *Registry) follow(ctx context.Context, after store.Revision) {
+	if r.successor() != nil {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, r.relistAfter())
 	defer cancel()
 	events, err := r.deps.Store.Watch(ctx, hostPrefix, after)
@@ -49,17 +69,10 @@
 		_ = sleep(ctx, retryInterval)
 		return
 	}
-	ticker := time.NewTicker(retryInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case ev, ok := <-events:
-			if !ok {
-				return
-			}
-			r.apply(ev)
-		case <-ticker.C:
-			r.sweep()
+	for ev := range events {
+		r.apply(ev)
+		if r.successor() != nil {
+			return
 		}
 	}
 }
@@ -122,17 +135,14 @@
 
 // drop removes a record that was deleted at a revision. After an outage every
 // lease may have lapsed at once, so until the store has been steady for a
-// lease time the host is kept: it had no chance to register again. The mutex
-// is held.
+// lease time the host is kept: it had no chance to register again. A later
+// listing drops it. The mutex is held.
 func (r *Registry) drop(id fleet.HostID, revision store.Revision) {
 	old, known := r.hosts[id]
 	if !known || old.revision > revision {
 		return
 	}
 	if !r.settled(time.Now()) {
-		old.lapsed = true
-		old.revision = revision
-		r.hosts[id] = old
 		return
 	}
 	r.remove(id)
@@ -151,17 +161,3 @@
 	since, ok := r.steady.since(now)
 	return ok && now.Sub(since) >= LeaseTTL
 }
-
-// sweep removes the lapsed hosts that did not register again.
-func (r *Registry) sweep() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.settled(time.Now()) {
-		return
-	}
-	for id, rec := range r.hosts {
-		if rec.lapsed {
-			r.remove(id)
-		}
-	}
-}
