--- a/cell/control.go
+++ b/cell/control.go
@@ -47,7 +47,8 @@
 func (s *session) updateWorkers(ctx context.Context, now time.Time) {
 	for id, listed := range s.members.workers {
 		w := s.worker(id, now)
-		if w.address == "" {
+		if !w.hasAgent {
+			w.hasAgent = true
 			s.calls.Go(func() { s.agent(ctx, w) })
 		}
 		w.address = listed.Address
--- a/cell/judge.go
+++ b/cell/judge.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"strings"
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
@@ -22,6 +23,9 @@
 	reasonEvicted     = "evicted"
 )
 
+// maxErrorBytes bounds a failed task's error in the journal.
+const maxErrorBytes = 1024
+
 // run is what this owner has seen of a placed attempt. It is not journaled; a
 // new owner learns it from the worker's reports.
 type run struct {
@@ -77,7 +81,7 @@
 		o.End = delegation.EndFinished
 	case st.State == platform.TaskFailed:
 		o.End = delegation.EndFailed
-		o.Error = st.Error
+		o.Error = shorten(st.Error)
 	case a.Cancelled:
 		o.End = delegation.EndStopped
 	default:
@@ -86,6 +90,11 @@
 	return o
 }
 
+// shorten bounds an error and keeps it valid UTF-8, which records must be.
+func shorten(text string) string {
+	return strings.ToValidUTF8(text[:min(len(text), maxErrorBytes)], "")
+}
+
 // judgeMissing returns the outcome of an attempt that is not in the report of
 // a call sent at sentAt, or false if it may still run.
 func judgeMissing(a *attempt, r *run, sentAt time.Time) (delegation.Outcome, bool) {
--- a/cell/machine_test.go
+++ b/cell/machine_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -219,6 +220,24 @@
 	}
 }
 
+func TestLongErrorIsJournaled(t *testing.T) {
+	ref := platform.AttemptRef{Task: "job/0", Attempt: 1}
+	a := &attempt{Task: delegation.Task{AttemptRef: ref}, Phase: phasePlaced}
+	status := platform.TaskStatus{State: platform.TaskFailed, Error: strings.Repeat("Fehlschläge ", 1000)}
+	m := NewMachine()
+	for _, r := range []record{
+		{Accept: []delegation.Task{a.Task}},
+		{End: []delegation.Outcome{judgeListed(a, &run{}, status)}},
+	} {
+		if err := apply(t, m, testStart, r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := len(m.find(ref).Outcome.Error); got == 0 || got > maxErrorBytes {
+		t.Errorf("error has %d bytes", got)
+	}
+}
+
 func TestOtherVersionIsRefused(t *testing.T) {
 	m := NewMachine()
 	data, err := m.codec.encode(&record{Version: recordVersion + 1})
--- a/cell/offer.go
+++ b/cell/offer.go
@@ -13,6 +13,13 @@
 // are accepted beyond it.
 const maxWaiting = 200
 
+// maxOfferBytes bounds the tasks that one record accepts, far below what the
+// journal takes. The rest of an offer stays unanswered and is repeated.
+const maxOfferBytes = 256 << 10
+
+// taskBytes is about what a task takes in a record besides its texts.
+const taskBytes = 200
+
 // offer decides on tasks and answers once the decision is durable. Tasks that
 // fit are placed in the same transaction.
 func (s *session) offer(ctx context.Context, tasks []delegation.Task) (delegation.OfferReply, error) {
@@ -34,6 +41,7 @@
 	var reply delegation.OfferReply
 	r := &record{}
 	waiting := s.machine.waiting()
+	size := 0
 	seen := make(map[platform.AttemptRef]bool, len(tasks))
 	for _, t := range tasks {
 		if seen[t.AttemptRef] {
@@ -50,6 +58,10 @@
 			reply.Refused = append(reply.Refused, refusal)
 			continue
 		}
+		size += taskBytes + len(t.Command) + len(t.Checkpoint)
+		if size > maxOfferBytes {
+			break
+		}
 		waiting++
 		r.Accept = append(r.Accept, t)
 		reply.Accepted = append(reply.Accepted, t.AttemptRef)
--- a/cell/server_test.go
+++ b/cell/server_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
 	"github.com/fuchsiahill/fuchsiahill/journal"
 )
@@ -62,3 +64,21 @@
 		}
 	})
 }
+
+// TestLargeOffer offers more than one journal record takes.
+func TestLargeOffer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 3, time.Second)
+		b.open = OpenJournal(journal.Deps{Store: standin.NewStore(), Logger: log.NewNopLogger()})
+		o := b.start("a")
+		defer o.stop()
+		b.queue.add(190, fleet.Resources{MilliCores: 50})
+		for _, task := range b.queue.tasks {
+			task.task.Command = strings.Repeat("x", 6000)
+		}
+		if !o.finish(time.Minute) {
+			t.Error("tasks are not done")
+		}
+		b.check()
+	})
+}
--- a/cell/share.go
+++ b/cell/share.go
@@ -60,19 +60,20 @@
 	s.wakeWorker(a.Placement.Worker)
 }
 
-// learnUsage takes the use that running tasks last reported.
+// learnUsage takes the use that running tasks last reported. Use lags, so only
+// tasks without a throttle tell what their class makes of its cores.
 func (s *session) learnUsage(placed []*attempt, now time.Time) {
 	for _, a := range placed {
 		r := s.runs[a.Task.AttemptRef]
-		if r == nil || r.status.Used.MilliCores == 0 {
+		if r == nil || r.status.Used.MilliCores == 0 || r.status.Share != 1 {
 			continue
 		}
-		given := cores(a.Placement.Size) * r.status.Share
-		s.model.ObserveUsage(now, a.Task.Class, given, cores(r.status.Used))
+		s.model.ObserveUsage(now, a.Task.Class, cores(a.Placement.Size), cores(r.status.Used))
 	}
 }
 
 func (s *session) sharingSnapshot(placed []*attempt, now time.Time) sharing.Snapshot {
+	var snapshot sharing.Snapshot
 	tasks := make(map[fleet.WorkerID][]sharing.Task)
 	for _, a := range placed {
 		r := s.runs[a.Task.AttemptRef]
@@ -81,8 +82,8 @@
 		}
 		id := a.Placement.Worker
 		tasks[id] = append(tasks[id], s.sharingTask(a, r, now))
+		snapshot.EvictionsPerMinute = max(snapshot.EvictionsPerMinute, s.resolved(a).EvictionsMinute)
 	}
-	snapshot := sharing.Snapshot{EvictionsPerMinute: s.resolved(&attempt{}).EvictionsMinute}
 	for id := range s.members.workers {
 		w := sharing.Worker{ID: id, Services: s.sharingServices(id), Tasks: tasks[id]}
 		snapshot.Workers = append(snapshot.Workers, w)
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -16,15 +16,16 @@
 
 // worker is what the session knows of one worker, besides the journal.
 type worker struct {
-	id      fleet.WorkerID
-	address string
-	lease   lease
-	used    fleet.Resources              // as last reported
-	forget  map[platform.AttemptRef]bool // durable ends
-	foreign map[platform.AttemptRef]bool // running there, not in the journal
-	probeAt time.Time                    // next probe while silent
-	silent  bool                         // the last call was not answered
-	wake    chan struct{}
+	id       fleet.WorkerID
+	address  string
+	hasAgent bool
+	lease    lease
+	used     fleet.Resources              // as last reported
+	forget   map[platform.AttemptRef]bool // durable ends
+	foreign  map[platform.AttemptRef]bool // running there, not in the journal
+	probeAt  time.Time                    // next probe while silent
+	silent   bool                         // the last call was not answered
+	wake     chan struct{}
 }
 
 func newWorker(id fleet.WorkerID, now, others time.Time) *worker {
--- a/host/batch.go
+++ b/host/batch.go
@@ -33,7 +33,7 @@
 			Members:   h.registry,
 			Peers:     h.caller,
 			Registry:  h.peers,
-			Sharing:   newSharer(h),
+			Latencies: latencies{h.gateway},
 			Logger:    h.logger,
 		}),
 		queues: queue.NewServer(queue.Deps{
