--- a/delegation/delegation.go
+++ b/delegation/delegation.go
@@ -41,11 +41,12 @@
 // Offer gives tasks to a cell.
 //
 // The offers of a queue to a cell are ordered by Epoch, then Sequence. A cell
-// remembers the highest of each queue durably (it is journaled with what is
-// accepted and forgotten) and answers one that is not higher with a
-// *peer.RemoteError of kind refused: its sender is superseded or has sent a
-// later one with the same tasks. A ReturnReply raises what the cell remembers
-// in the same way, in the record that forgets the attempts.
+// that remembers the highest of each queue durably, and takes up those of a
+// ReturnReply in the record that forgets the attempts, can refuse one that is
+// not higher (*peer.RemoteError of kind refused) however late it is: its
+// sender is superseded or has sent a later one with the same tasks. A cell
+// that remembers ended attempts for a time recognises those that are less
+// late than that.
 type Offer struct {
 	Cell     shard.ID    `json:"cell"`
 	Queue    shard.ID    `json:"queue"`
@@ -108,8 +109,7 @@
 }
 
 // ReturnReply acknowledges a Return: the cell may forget the attempts. Every
-// offer of them has at most this Epoch and Sequence, so the cell first raises
-// what it remembers of the queue's offers to them.
+// offer of them has at most this Epoch and Sequence.
 type ReturnReply struct {
 	Epoch    fleet.Epoch `json:"epoch"`
 	Sequence uint64      `json:"sequence"`
