--- /dev/null
+++ b/cell/seed_test.go
@@ -0,0 +1,3 @@
+package cell
+
+import _ "github.com/fuchsiahill/fuchsiahill/internal/fixedseed"
--- /dev/null
+++ b/journal/seed_test.go
@@ -0,0 +1,3 @@
+package journal
+
+import _ "github.com/fuchsiahill/fuchsiahill/internal/fixedseed"
--- /dev/null
+++ b/queue/seed_test.go
@@ -0,0 +1,3 @@
+package queue
+
+import _ "github.com/fuchsiahill/fuchsiahill/internal/fixedseed"
--- /dev/null
+++ b/route/seed_test.go
@@ -0,0 +1,3 @@
+package route_test
+
+import _ "github.com/fuchsiahill/fuchsiahill/internal/fixedseed"
--- /dev/null
+++ b/scheduler/seed_test.go
@@ -0,0 +1,3 @@
+package scheduler
+
+import _ "github.com/fuchsiahill/fuchsiahill/internal/fixedseed"
--- /dev/null
+++ b/settings/seed_test.go
@@ -0,0 +1,3 @@
+package settings
+
+import _ "github.com/fuchsiahill/fuchsiahill/internal/fixedseed"
