--- a/internal/dev/jobs.go
+++ b/internal/dev/jobs.go
@@ -13,7 +13,7 @@
 
 const (
 	submitInterval = 400 * time.Millisecond
-	tasksPerJob    = 3
+	tasksPerJob    = 3 // of a light load
 	pollInterval   = 200 * time.Millisecond
 )
 
@@ -23,6 +23,7 @@
 	service func() job.Service // of any entry host that is up
 	org     fleet.Organisation
 	team    fleet.Team
+	tasksOf int // tasks of each job
 
 	mu    sync.Mutex
 	acked []fleet.JobID
@@ -49,7 +50,7 @@
 		Organisation: s.org,
 		Team:         s.team,
 		Class:        "invoice-check",
-		Tasks:        tasksPerJob,
+		Tasks:        s.tasksOf,
 		Resources:    fleet.Resources{MilliCores: 2_000, MemoryMB: 2_000},
 		Command:      "check-invoices",
 	}
@@ -88,7 +89,7 @@
 func (s *submissions) tasks() []fleet.TaskID {
 	var tasks []fleet.TaskID
 	for _, id := range s.ids() {
-		for i := range tasksPerJob {
+		for i := range s.tasksOf {
 			tasks = append(tasks, fleet.TaskID(fmt.Sprintf("%s/%d", id, i)))
 		}
 	}
--- a/internal/dev/process_test.go
+++ b/internal/dev/process_test.go
@@ -188,7 +188,7 @@
 	}
 	survivors := []string{daemons[0].http, daemons[2].http}
 	client := api.NewClient("http://"+daemons[0].operators, "")
-	r := &run{site: site, calls: &tally{}, jobs: &submissions{service: func() job.Service { return client }, org: organisation, team: team}}
+	r := &run{site: site, calls: &tally{}, jobs: &submissions{service: func() job.Service { return client }, org: organisation, team: team, tasksOf: tasksPerJob}}
 	if err := writeTree(t.Context(), client); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/dev/report.go
+++ b/internal/dev/report.go
@@ -52,11 +52,13 @@
 // the run had drained. Doubled ones finished or started again after they had
 // finished; overlapping ones ran in two places at once.
 type Tasks struct {
-	Submitted   int `json:"submitted"`
-	Finished    int `json:"finished"`
-	Lost        int `json:"lost"`
-	Doubled     int `json:"doubled"`
-	Overlapping int `json:"overlapping"`
+	Submitted int `json:"submitted"`
+	Finished  int `json:"finished"`
+	// FinishedUnderLoad had finished when the load ended.
+	FinishedUnderLoad int `json:"finished_under_load"`
+	Lost              int `json:"lost"`
+	Doubled           int `json:"doubled"`
+	Overlapping       int `json:"overlapping"`
 }
 
 // OK reports whether every promise held.
--- a/internal/dev/run.go
+++ b/internal/dev/run.go
@@ -32,6 +32,7 @@
 	For      time.Duration // of the load; 0: until the context ends
 	Faults   bool          // bring about failures during the load
 	Seed     uint64
+	Tasks    int        // of each job; 0: a light load
 	Progress io.Writer  // nil: none
 	Logger   log.Logger // of the hosts; nil: none
 }
@@ -69,6 +70,9 @@
 }
 
 func start(ctx context.Context, opts Options) (*run, error) {
+	if opts.Tasks == 0 {
+		opts.Tasks = tasksPerJob
+	}
 	site, err := standin.StartSite(siteConfig(opts.Seed))
 	if err != nil {
 		return nil, &StartError{Step: "stand-ins", Cause: err}
@@ -79,7 +83,7 @@
 		site:  site,
 		hosts: hosts,
 		calls: &tally{},
-		jobs:  &submissions{service: hosts.jobs, org: organisation, team: team},
+		jobs:  &submissions{service: hosts.jobs, org: organisation, team: team, tasksOf: opts.Tasks},
 		force: newInForce(hosts),
 	}
 	for range entryHosts {
@@ -183,7 +187,10 @@
 	defer stopWatch()
 	go r.force.run(watchCtx)
 	group.Wait()
-	return r.finish(faults)
+	underLoad := judge(r.site, r.calls, r.jobs).Tasks.Finished
+	report := r.finish(faults)
+	report.Tasks.FinishedUnderLoad = underLoad
+	return report
 }
 
 func (r *run) finish(faults []string) Report {
