Queue: read the status of a job at once unless that job has changes in flight

In an outage one submission that waited made every status wait 10 s and fail. Seen to fail: reads that show what is not durable, and reads that always wait.

--- a/queue/record.go
+++ b/queue/record.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/job"
 	"github.com/fuchsiahill/fuchsiahill/journal"
+	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 )
 
@@ -37,6 +40,29 @@
 	At           int64              `cbor:"12,keyasint"`           // Unix time in milliseconds
 }
 
+// newSubmitted returns the record that admits a job under the values of its
+// class.
+func newSubmitted(spec job.Spec, values settings.Resolved, now time.Time) submitted {
+	s := submitted{
+		ID:           spec.ID,
+		Organisation: spec.Organisation,
+		Team:         spec.Team,
+		Class:        spec.Class,
+		Tasks:        spec.Tasks,
+		Resources:    spec.Resources,
+		Command:      spec.Command,
+		Declared:     spec.Priority,
+		DataCentres:  spec.DataCentres,
+		Priority:     values.Priority,
+		Aging:        values.Aging,
+		At:           now.UnixMilli(),
+	}
+	if spec.Priority != nil {
+		s.Priority = *spec.Priority
+	}
+	return s
+}
+
 // delegated gives queued tasks to cells. It starts their next attempt.
 type delegated struct {
 	Runs []delegatedRun `cbor:"1,keyasint"`
--- a/queue/server_test.go
+++ b/queue/server_test.go
@@ -254,6 +254,13 @@
 		if !errors.As(err, &unknown) {
 			t.Fatalf("error %v, want an unknown outcome", err)
 		}
+		began := time.Now()
+		if s := r.get("before"); s.State != job.StateFinished || time.Since(began) > time.Second {
+			t.Fatalf("after %v: status %+v", time.Since(began), s)
+		}
+		if s, err := r.client.Get(t.Context(), testTeam, "during"); err == nil {
+			t.Fatalf("status of a job that is not durable: %+v", s)
+		}
 		_, err = r.submit("later", 1)
 		var unavailable *job.UnavailableError
 		if !errors.As(err, &unavailable) {
--- a/queue/shard.go
+++ b/queue/shard.go
@@ -48,6 +48,7 @@
 	logger  log.Logger
 	journal *journal.Shard
 	sender  *sender
+	changed *unsettled
 
 	// Used on the journal's goroutine only.
 	machine *Machine
@@ -68,6 +69,7 @@
 		journal: j,
 		machine: m,
 		sent:    newRecentlySent(),
+		changed: newUnsettled(),
 		rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		kicked:  make(chan struct{}, 1),
 	}
@@ -134,6 +136,9 @@
 		return nil
 	}
 	tx.Append(record{Delegated: plan}.encode())
+	for _, run := range plan.Runs {
+		q.changed.touch(tx, run.Job)
+	}
 	tx.OnDurable(q.sender.kick)
 	for _, run := range plan.Runs {
 		q.server.vars.Add(varReleased, int64(run.Count))
@@ -220,6 +225,7 @@
 	values := snapshot.JobClass(spec.Organisation, "", spec.Class)
 	s := newSubmitted(spec, values, time.Now())
 	tx.Append(record{Submitted: &s}.encode())
+	q.changed.touch(tx, s.ID)
 	tx.OnDurable(func() {
 		q.logger.Log("event", "job_admitted", "job", s.ID, "tasks", s.Tasks, "priority", s.Priority)
 	})
@@ -231,48 +237,43 @@
 	return nil
 }
 
-func newSubmitted(spec job.Spec, values settings.Resolved, now time.Time) submitted {
-	s := submitted{
-		ID:           spec.ID,
-		Organisation: spec.Organisation,
-		Team:         spec.Team,
-		Class:        spec.Class,
-		Tasks:        spec.Tasks,
-		Resources:    spec.Resources,
-		Command:      spec.Command,
-		Declared:     spec.Priority,
-		DataCentres:  spec.DataCentres,
-		Priority:     values.Priority,
-		Aging:        values.Aging,
-		At:           now.UnixMilli(),
+// read runs fn, which reads the Machine, and returns when all that it saw is
+// durable. fn reports whether everything it saw is durable already.
+func (q *ownedShard) read(ctx context.Context, fn func() (settled bool)) error {
+	settled := false
+	if err := q.journal.View(ctx, func() { settled = fn() }); err != nil {
+		return commitError(err, false)
 	}
-	if spec.Priority != nil {
-		s.Priority = *spec.Priority
+	if settled {
+		return nil
 	}
-	return s
+	return readError(q.commit(ctx, func(journal.Tx) error {
+		fn()
+		return nil
+	}))
 }
 
 // get returns the status of a job, all of it durable.
 func (q *ownedShard) get(ctx context.Context, id fleet.JobID) (job.Status, error) {
 	var status job.Status
-	err := q.commit(ctx, func(journal.Tx) error {
-		j := q.machine.jobs[id]
-		if j == nil {
-			return eris.Wrap(&job.NotFoundError{ID: id}, "get")
-		}
-		status = j.status()
-		return nil
+	var known bool
+	err := q.read(ctx, func() bool {
+		status, known = q.machine.Status(id)
+		return !q.changed.has(id)
 	})
-	return status, readError(err)
+	if err == nil && !known {
+		err = eris.Wrap(&job.NotFoundError{ID: id}, "get")
+	}
+	return status, err
 }
 
 func (q *ownedShard) list(ctx context.Context, after fleet.JobID, limit int) (job.Page, error) {
 	var page job.Page
-	err := q.commit(ctx, func(journal.Tx) error {
+	err := q.read(ctx, func() bool {
 		page = q.machine.List(after, min(max(limit, 1), maxPage))
-		return nil
+		return !slices.ContainsFunc(page.Jobs, func(s job.Status) bool { return q.changed.has(s.Spec.ID) })
 	})
-	return page, readError(err)
+	return page, err
 }
 
 // readError turns the unknown outcome of a read into its plain failure.
@@ -295,6 +296,7 @@
 		if !j.cancelled && !j.final() {
 			c := &cancelled{At: time.Now().UnixMilli(), Jobs: []fleet.JobID{id}}
 			tx.Append(record{Cancelled: c}.encode())
+			q.changed.touch(tx, id)
 			tx.OnDurable(func() {
 				q.logger.Log("event", "job_cancelled", "job", id)
 				q.sender.kick()
@@ -346,6 +348,7 @@
 	ended := make(map[fleet.JobID]job.Status)
 	for _, run := range r.Runs {
 		q.server.vars.Add(varReturned, int64(run.Count))
+		q.changed.touch(tx, run.Job)
 		if j := q.machine.jobs[run.Job]; j.ended != 0 {
 			ended[run.Job] = j.status()
 		}
