--- a/queue/decide_test.go
+++ b/queue/decide_test.go
@@ -213,6 +213,7 @@
 		"all that are allowed out":   {sofia: &empty, ruse: &empty, outSofia: true, allowed: []fleet.DataCentre{"sofia"}, wait: waitOut},
 		"too many waiting":           {sofia: &busy, ruse: &half, cell: "cell/ruse/0"},
 		"urgent goes to a full cell": {sofia: &full, urgent: true, cell: "cell/sofia/0"},
+		"urgent prefers room":        {sofia: &full, ruse: &half, urgent: true, cell: "cell/ruse/0"},
 		"nothing known":              {wait: waitRoom},
 	}
 	for name, tt := range tests {
@@ -227,9 +228,12 @@
 			if tt.outSofia {
 				world.dcs["sofia"] = out
 			}
-			cell, wait := testChooser(world).Choose(small, tt.allowed, tt.urgent)
-			if cell != tt.cell || wait != tt.wait {
-				t.Fatalf("chose %q, %q, want %q, %q", cell, wait, tt.cell, tt.wait)
+			chooser := testChooser(world)
+			for range 4 { // the choice is random
+				cell, wait := chooser.Choose(small, tt.allowed, tt.urgent)
+				if cell != tt.cell || wait != tt.wait {
+					t.Fatalf("chose %q, %q, want %q, %q", cell, wait, tt.cell, tt.wait)
+				}
 			}
 		})
 	}
@@ -275,7 +279,7 @@
 			t.Fatalf("chose %q, which has refused less", cell)
 		}
 	}
-	if !c.hasRoom(&c.cells[1], resources(10, 10, 0), false) {
+	if c.sent.avoids("cell/sofia/0", resources(10, 10, 0), c.now) {
 		t.Fatal("a smaller task is kept from the cell too")
 	}
 	c.now = c.now.Add(avoidInitial + time.Millisecond)
--- a/queue/placement.go
+++ b/queue/placement.go
@@ -85,9 +85,10 @@
 }
 
 // Choose implements Chooser: of two random cells that have room, the one with
-// more of it.
+// more of it. An urgent task for which none has room goes to one that is
+// large enough: the cell makes room.
 func (c *cellChooser) Choose(need fleet.Resources, allowed []fleet.DataCentre, urgent bool) (shard.ID, string) {
-	var fitting []*cellView
+	var fitting, largeEnough []*cellView
 	anyIn := false
 	for i := range c.cells {
 		cell := &c.cells[i]
@@ -95,9 +96,18 @@
 			continue
 		}
 		anyIn = true
-		if c.hasRoom(cell, need, urgent) {
+		if !cell.known || c.sent.avoids(cell.id, need, c.now) {
+			continue
+		}
+		if c.hasRoom(cell, need) {
 			fitting = append(fitting, cell)
 		}
+		if urgent && need.Fits(cell.load.Capacity) {
+			largeEnough = append(largeEnough, cell)
+		}
+	}
+	if len(fitting) == 0 {
+		fitting = largeEnough
 	}
 	switch {
 	case !anyIn:
@@ -110,14 +120,7 @@
 	return best.id, ""
 }
 
-func (c *cellChooser) hasRoom(cell *cellView, need fleet.Resources, urgent bool) bool {
-	if !cell.known || c.sent.avoids(cell.id, need, c.now) {
-		return false
-	}
-	if urgent {
-		// A cell makes room for urgent work, so what counts is its size.
-		return need.Fits(cell.load.Capacity)
-	}
+func (c *cellChooser) hasRoom(cell *cellView, need fleet.Resources) bool {
 	return cell.load.Waiting < maxWaiting && need.Fits(cell.load.LargestFit) && need.Fits(c.free(cell))
 }
 
