--- a/cell/judge.go
+++ b/cell/judge.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"strings"
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
@@ -22,25 +23,33 @@
 	reasonEvicted     = "evicted"
 )
 
+// maxErrorBytes bounds a failed task's error in the journal.
+const maxErrorBytes = 1024
+
 // run is what this owner has seen of a placed attempt. It is not journaled; a
 // new owner learns it from the worker's reports.
 type run struct {
-	own       bool      // this owner placed it; else a predecessor did
-	durable   bool      // the placement can't be lost
-	sent      bool      // a start call was made by this owner
-	deadline  time.Time // of that call
-	seen      time.Time // when the call was sent whose report first showed it running
-	status    platform.TaskStatus
-	peak      fleet.Resources // highest use seen
-	stopping  bool            // an eviction or cancellation was decided
-	stopBy    time.Time       // no checkpoint is asked for later
-	stopSent  time.Time
-	wantShare float64 // 0: none wanted
-	shareSent time.Time
+	own      bool      // this owner placed it; else a predecessor did
+	durable  bool      // the placement can't be lost
+	sent     bool      // a start call was made by this owner
+	deadline time.Time // of that call
+	seen     time.Time // when the call was sent whose report first showed it running
+	status   platform.TaskStatus
+	// checkpointAt is when the last checkpoint, or the start, was seen.
+	checkpointAt time.Time
+	peak         fleet.Resources // highest use seen
+	stopping     bool            // an eviction or cancellation was decided
+	stopBy       time.Time       // no checkpoint is asked for later
+	stopSent     time.Time
+	wantShare    float64 // 0: none wanted
+	shareSent    time.Time
 }
 
 // note takes a report that shows the attempt.
 func (r *run) note(st platform.TaskStatus, sentAt time.Time) {
+	if r.seen.IsZero() || st.CheckpointProgress > r.status.CheckpointProgress {
+		r.checkpointAt = sentAt
+	}
 	r.status = st
 	r.peak = fleet.Resources{
 		MilliCores:   max(r.peak.MilliCores, st.Used.MilliCores),
@@ -72,7 +81,7 @@
 		o.End = delegation.EndFinished
 	case st.State == platform.TaskFailed:
 		o.End = delegation.EndFailed
-		o.Error = st.Error
+		o.Error = shorten(st.Error)
 	case a.Cancelled:
 		o.End = delegation.EndStopped
 	default:
@@ -81,6 +90,11 @@
 	return o
 }
 
+// shorten bounds an error and keeps it valid UTF-8, which records must be.
+func shorten(text string) string {
+	return strings.ToValidUTF8(text[:min(len(text), maxErrorBytes)], "")
+}
+
 // judgeMissing returns the outcome of an attempt that is not in the report of
 // a call sent at sentAt, or false if it may still run.
 func judgeMissing(a *attempt, r *run, sentAt time.Time) (delegation.Outcome, bool) {
--- a/gateway/fronts.go
+++ b/gateway/fronts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -20,7 +21,7 @@
 	info    platform.Server // guarded by the gateway's mutex
 	recent  recent          // guarded by its service's mutex
 
-	usable atomic.Bool                       // live, data centre in, front held
+	usable atomic.Bool                       // live, data centre in, right to send
 	values atomic.Pointer[settings.Resolved] // for the server's data centre
 }
 
@@ -34,10 +35,12 @@
 // front is a front that this host runs.
 //
 // Invariant: servers holds every server whose pool may have slots taken or
-// connections open; while active is false no new slot is taken.
+// connections open; while active or sending is false its servers are in no
+// choice.
 type front struct {
 	id      shard.ID
 	active  bool
+	sending bool // the right to send, as of the last refresh
 	servers map[serverKey]*server
 }
 
@@ -46,15 +49,20 @@
 // is open any more.
 func (g *Gateway) Run(ctx context.Context, id shard.ID, owner shard.Owner) error {
 	f := &front{id: id, active: true, servers: make(map[serverKey]*server)}
-	now := time.Now()
-	g.claimer.Open(now, id)
 	g.mu.Lock()
 	g.fronts[id] = f
 	g.mu.Unlock()
-	g.refresh(now)
+	g.refresh(time.Now())
+	opened := make(chan struct{})
+	go func() {
+		defer close(opened)
+		g.claimer.Settle(ctx, g.regionPeers())
+		g.claimer.Open(time.Now(), id)
+	}()
 	g.deps.Logger.Log("event", "front_run", "front", id, "epoch", owner.Epoch)
 
 	<-ctx.Done()
+	<-opened
 	g.claimer.Close(id)
 	for _, s := range g.stop(f) {
 		s.pool.Close()
@@ -67,6 +75,18 @@
 	return nil
 }
 
+// regionPeers returns the other hosts of the region in random order.
+func (g *Gateway) regionPeers() []fleet.HostID {
+	var peers []fleet.HostID
+	for _, h := range g.deps.Members.Hosts() {
+		if h.ID != g.deps.Self.ID && h.Region == g.deps.Self.Region {
+			peers = append(peers, h.ID)
+		}
+	}
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers
+}
+
 // stop ends new sends of a front and returns its servers.
 func (g *Gateway) stop(f *front) []*server {
 	g.mu.Lock()
@@ -83,21 +103,45 @@
 
 // maySend is asked right before the first byte of a request is written.
 func (g *Gateway) maySend(s *server) bool {
-	g.refreshIfStale(time.Now())
-	return s.usable.Load() && g.deps.Rights.MaySend(s.front)
+	if g.viewsChanged() {
+		g.refresh(time.Now())
+	}
+	if !s.usable.Load() {
+		return false
+	}
+	allowed := g.deps.Rights.MaySend(s.front)
+	if !allowed {
+		g.refresh(time.Now()) // takes the front's servers out of the choice
+	}
+	return allowed
 }
 
 func (g *Gateway) refreshIfStale(now time.Time) {
-	if g.stale() {
+	if g.viewsChanged() || g.rightsChanged() {
 		g.refresh(now)
 	}
 }
 
-func (g *Gateway) stale() bool {
+// viewsChanged reports whether the host list or the settings have changed
+// since the last refresh.
+func (g *Gateway) viewsChanged() bool {
 	return g.deps.Platform.Hosts().Version != g.version.Load() ||
 		int64(g.deps.Settings.Current().Revision()) != g.revision.Load()
 }
 
+// rightsChanged reports whether a front has got or lost the right to send
+// since the last refresh.
+func (g *Gateway) rightsChanged() bool {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	for id, f := range g.fronts {
+		if f.active && f.sending != g.deps.Rights.MaySend(id) {
+			return true
+		}
+	}
+	return false
+}
+
 // refresh applies the host list and settings to fronts and services. Once it
 // returns, no slot of a server out of use is taken any more.
 func (g *Gateway) refresh(now time.Time) {
@@ -108,6 +152,9 @@
 	centres := snapshot.DataCentres()
 	g.claimer.SetFronts(now, g.regionFronts(centres))
 
+	for id, f := range g.fronts {
+		f.sending = f.active && g.deps.Rights.MaySend(id)
+	}
 	choice := make(map[fleet.Service]map[fleet.ServerID]*server)
 	values := make(map[fleet.Service]settings.Resolved)
 	seen := make(map[*server]bool)
@@ -121,7 +168,8 @@
 		seen[s] = true
 		resolved := snapshot.Service(info.Organisation, info.DataCentre, info.Service)
 		s.values.Store(&resolved)
-		usable := info.State == platform.StateLive && centres[info.DataCentre].State == settings.DataCentreIn
+		usable := g.fronts[s.front].sending && info.State == platform.StateLive &&
+			centres[info.DataCentre].State == settings.DataCentreIn
 		s.usable.Store(usable)
 		if !usable {
 			continue
