--- a/queue/decide_test.go
+++ b/queue/decide_test.go
@@ -192,7 +192,8 @@
 }
 
 func TestChooseCell(t *testing.T) {
-	full := member.CellLoad{Capacity: big, LargestFit: resources(100, 100, 0), Free: resources(100, 100, 0)}
+	tiny := resources(10, 10, 0)
+	full := member.CellLoad{Capacity: big, LargestFit: resources(1, 1, 0), Free: resources(1, 1, 0)}
 	empty := member.CellLoad{Capacity: big, LargestFit: big, Free: big}
 	half := member.CellLoad{Capacity: big, LargestFit: resources(8000, 32000, 0), Free: resources(8000, 32000, 0)}
 	busy := empty
@@ -229,8 +230,8 @@
 				world.dcs["sofia"] = out
 			}
 			chooser := testChooser(world)
-			for range 4 { // the choice is random
-				cell, wait := chooser.Choose(small, tt.allowed, tt.urgent)
+			for range 20 { // the choice is random
+				cell, wait := chooser.Choose(tiny, tt.allowed, tt.urgent)
 				if cell != tt.cell || wait != tt.wait {
 					t.Fatalf("chose %q, %q, want %q, %q", cell, wait, tt.cell, tt.wait)
 				}
