--- a/cell/machine_test.go
+++ b/cell/machine_test.go
@@ -223,7 +223,7 @@
 func TestLongErrorIsJournaled(t *testing.T) {
 	ref := platform.AttemptRef{Task: "job/0", Attempt: 1}
 	a := &attempt{Task: delegation.Task{AttemptRef: ref}, Phase: phasePlaced}
-	status := platform.TaskStatus{State: platform.TaskFailed, Error: strings.Repeat("Fehlschläge ", 1000)}
+	status := platform.TaskStatus{State: platform.TaskFailed, Error: "x" + strings.Repeat("Fehlschläge ", 1000)}
 	m := NewMachine()
 	for _, r := range []record{
 		{Accept: []delegation.Task{a.Task}},
