Cell: refuse offers that are not above the latest of their queue

The cell now journals the order that queues give their offers, and raises it in the record that forgets attempts.

--- a/cell/bench_test.go
+++ b/cell/bench_test.go
@@ -128,7 +128,7 @@
 	for i := from; i < to; i++ {
 		tasks = append(tasks, benchTask(i))
 	}
-	reply, err := s.offer(context.Background(), tasks)
+	reply, err := s.offer(context.Background(), delegation.Offer{Queue: testQueue, Epoch: 1, Sequence: uint64(from) + 1, Tasks: tasks})
 	if err != nil || len(reply.Accepted) != to-from {
 		b.Fatal("offer not accepted")
 	}
--- a/cell/journal.go
+++ b/cell/journal.go
@@ -43,6 +43,11 @@
 func (s *session) endDecided() *record {
 	r := &record{Acked: s.acked}
 	s.acked = nil
+	// The offers of what is forgotten are out of date from the same record on.
+	for queue, mark := range s.marks {
+		r.Marks = append(r.Marks, mark)
+		delete(s.marks, queue)
+	}
 	for ref, o := range s.ends {
 		delete(s.ends, ref)
 		if a := s.machine.find(ref); a != nil && a.Phase != phaseEnded {
--- a/cell/judge.go
+++ b/cell/judge.go
@@ -20,6 +20,7 @@
 	reasonTooLarge    = "too_large"
 	reasonBacklog     = "backlog"
 	reasonNoCapacity  = "no_capacity"
+	reasonLateOffer   = "late_offer"
 	reasonEvicted     = "evicted"
 )
 
--- a/cell/machine.go
+++ b/cell/machine.go
@@ -11,6 +11,7 @@
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/journal"
 	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/shard"
 )
 
 // closedWindow is how long a cell remembers an attempt that it no longer
@@ -65,6 +66,7 @@
 	Health   map[fleet.WorkerID]*workerHealth     `cbor:"7,keyasint,omitempty"`
 	Jobs     map[fleet.JobID]*jobHealth           `cbor:"8,keyasint,omitempty"`
 	Sizes    map[fleet.JobClass][]fleet.Resources `cbor:"9,keyasint,omitempty"`
+	Offers   map[shard.ID]offerMark               `cbor:"11,keyasint,omitempty"` // latest of each queue
 	ExpireMS int64                                `cbor:"10,keyasint,omitempty"` // when memory was last expired
 }
 
@@ -99,6 +101,9 @@
 	if s.Jobs == nil {
 		s.Jobs = make(map[fleet.JobID]*jobHealth)
 	}
+	if s.Offers == nil {
+		s.Offers = make(map[shard.ID]offerMark)
+	}
 	if s.Sizes == nil {
 		s.Sizes = make(map[fleet.JobClass][]fleet.Resources)
 	}
@@ -166,6 +171,9 @@
 	if r.Open != nil {
 		m.open(*r.Open, r.AtMS)
 	}
+	for _, mark := range r.Marks {
+		m.raise(mark)
+	}
 	for _, t := range r.Accept {
 		if err := m.accept(t, r.AtMS); err != nil {
 			return err
@@ -210,6 +218,17 @@
 	s.Owner = o
 }
 
+// raise notes an offer of a queue, or that all offers up to it are out of date.
+func (m *Machine) raise(mark offerMark) {
+	if m.state.Offers[mark.Queue].precedes(mark) {
+		m.state.Offers[mark.Queue] = mark
+	}
+}
+
+// isLate reports whether an offer is not above those noted: its sender is
+// superseded, or has sent a later one with the same tasks.
+func (m *Machine) isLate(mark offerMark) bool { return !m.state.Offers[mark.Queue].precedes(mark) }
+
 func (m *Machine) accept(t delegation.Task, atMS int64) error {
 	if !m.canAccept(t.AttemptRef) {
 		return eris.Wrap(&ContradictionError{AttemptRef: t.AttemptRef, Record: "accept"}, "journal")
--- a/cell/offer.go
+++ b/cell/offer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
+	"github.com/fuchsiahill/fuchsiahill/peer"
 	"github.com/fuchsiahill/fuchsiahill/platform"
 )
 
@@ -22,16 +23,26 @@
 
 // offer decides on tasks and answers once the decision is durable. Tasks that
 // fit are placed in the same transaction.
-func (s *session) offer(ctx context.Context, tasks []delegation.Task) (delegation.OfferReply, error) {
+func (s *session) offer(ctx context.Context, offer delegation.Offer) (delegation.OfferReply, error) {
 	var reply delegation.OfferReply
+	late := false
+	mark := offerMark{Queue: offer.Queue, Epoch: offer.Epoch, Sequence: offer.Sequence}
 	accept := func() *record {
+		if late = s.machine.isLate(mark); late {
+			return nil
+		}
 		var r *record
-		r, reply = s.decideOffer(tasks)
+		if r, reply = s.decideOffer(offer.Tasks); r != nil {
+			r.Marks = []offerMark{mark}
+		}
 		return r
 	}
 	if err := s.commit(ctx, accept, s.placeWaiting, s.makeRoomNow); err != nil {
 		return delegation.OfferReply{}, err
 	}
+	if late {
+		return delegation.OfferReply{}, &peer.RemoteError{Kind: peer.KindRefused, Reason: reasonLateOffer, Message: "a later offer was seen"}
+	}
 	return reply, nil
 }
 
--- a/cell/owner_fake_test.go
+++ b/cell/owner_fake_test.go
@@ -188,7 +188,11 @@
 
 // send offers tasks; without an answer the reply is empty.
 func (o *owner) send(tasks []delegation.Task) delegation.OfferReply {
-	reply, err := o.handle(delegation.MethodOffer, delegation.Offer{Cell: testCell, Tasks: tasks})
+	return o.sendOffer(o.b.queue.offerOf(tasks))
+}
+
+func (o *owner) sendOffer(offer delegation.Offer) delegation.OfferReply {
+	reply, err := o.handle(delegation.MethodOffer, offer)
 	if err != nil {
 		return delegation.OfferReply{}
 	}
--- a/cell/owners_test.go
+++ b/cell/owners_test.go
@@ -125,6 +125,7 @@
 		time.Sleep(500 * time.Millisecond)
 		b.queue.add(3, small)
 		late := b.queue.pending()
+		veryLate := b.queue.offerOf(late)
 		if !o.finish(time.Minute) {
 			t.Fatal("tasks are not done")
 		}
@@ -141,10 +142,17 @@
 			t.Errorf("reply %+v, want the answer given before", reply)
 		}
 		time.Sleep(10 * time.Second)
+		b.queue.add(1, small)
+		o.finish(time.Minute)
+		time.Sleep(time.Hour) // the cell no longer remembers the attempts
+		if reply := o.sendOffer(veryLate); len(reply.Accepted) > 0 {
+			t.Errorf("reply %+v to an offer from before the last ones", reply)
+		}
+		time.Sleep(10 * time.Second)
 		o.stop()
 		b.check()
-		if got := len(b.records.Runs()); got != 3 {
-			t.Errorf("%d runs, want 3", got)
+		if got := len(b.records.Runs()); got != 4 {
+			t.Errorf("%d runs, want 4", got)
 		}
 	})
 }
--- a/cell/queue_fake_test.go
+++ b/cell/queue_fake_test.go
@@ -22,7 +22,8 @@
 	problems []string
 	down     bool
 	refused  int
-	lose     int // the next replies to returns are lost
+	sequence uint64 // of the last offer
+	lose     int    // the next replies to returns are lost
 }
 
 type queued struct {
@@ -138,6 +139,14 @@
 	q.lose = n
 }
 
+// offerOf is the next offer in the queue's order.
+func (q *fakeQueue) offerOf(tasks []delegation.Task) delegation.Offer {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.sequence++
+	return delegation.Offer{Cell: testCell, Queue: testQueue, Epoch: 1, Sequence: q.sequence, Tasks: tasks}
+}
+
 func (q *fakeQueue) setDown(down bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -145,7 +154,7 @@
 }
 
 // Call implements peer.Caller for calls of the cell.
-func (q *fakeQueue) Call(_ context.Context, host fleet.HostID, method string, request, _ any) error {
+func (q *fakeQueue) Call(_ context.Context, host fleet.HostID, method string, request, reply any) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.down {
@@ -157,6 +166,7 @@
 	for _, o := range request.(delegation.Return).Outcomes {
 		q.take(o)
 	}
+	*reply.(*delegation.ReturnReply) = delegation.ReturnReply{Epoch: 1, Sequence: q.sequence}
 	if q.lose > 0 {
 		q.lose--
 		return &peer.UnknownError{Host: host, Method: method, Cause: context.DeadlineExceeded}
--- a/cell/record.go
+++ b/cell/record.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
@@ -9,6 +10,7 @@
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/shard"
 )
 
 // recordVersion is the version of record and state on the wire.
@@ -25,6 +27,7 @@
 	Cancel  []platform.AttemptRef `cbor:"7,keyasint,omitempty"`
 	End     []delegation.Outcome  `cbor:"8,keyasint,omitempty"`
 	Acked   []platform.AttemptRef `cbor:"9,keyasint,omitempty"`
+	Marks   []offerMark           `cbor:"11,keyasint,omitempty"`
 	Release bool                  `cbor:"10,keyasint,omitempty"` // the present owner sends no call to a worker any more
 }
 
@@ -39,6 +42,18 @@
 	Released bool  `cbor:"5,keyasint,omitempty"`
 }
 
+// offerMark is a place in the order of a queue's offers to this cell.
+type offerMark struct {
+	Queue    shard.ID    `cbor:"1,keyasint"`
+	Epoch    fleet.Epoch `cbor:"2,keyasint"`
+	Sequence uint64      `cbor:"3,keyasint"`
+}
+
+// precedes reports whether m is before o.
+func (m offerMark) precedes(o offerMark) bool {
+	return cmp.Or(cmp.Compare(m.Epoch, o.Epoch), cmp.Compare(m.Sequence, o.Sequence)) < 0
+}
+
 // placement gives an accepted attempt to a worker.
 type placement struct {
 	platform.AttemptRef
--- a/cell/returns.go
+++ b/cell/returns.go
@@ -70,7 +70,7 @@
 func (s *session) deliver(ctx context.Context, queue shard.ID, b batch) {
 	ctx, cancel := context.WithTimeout(ctx, returnTimeout)
 	defer cancel()
-	err := s.callQueue(ctx, queue, b)
+	reply, err := s.callQueue(ctx, queue, b)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.calling, queue)
@@ -80,16 +80,21 @@
 		return
 	}
 	delete(s.retryAt, queue)
+	mark := offerMark{Queue: queue, Epoch: reply.Epoch, Sequence: reply.Sequence}
+	if s.marks[queue].precedes(mark) {
+		s.marks[queue] = mark
+	}
 	for _, o := range b.outcomes {
 		delete(s.returns, o.AttemptRef)
 		s.acked = append(s.acked, o.AttemptRef)
 	}
 }
 
-func (s *session) callQueue(ctx context.Context, queue shard.ID, b batch) error {
+func (s *session) callQueue(ctx context.Context, queue shard.ID, b batch) (delegation.ReturnReply, error) {
+	var reply delegation.ReturnReply
 	owner, ok := s.deps.Directory.Owner(queue)
 	if !ok {
-		return &NoOwnerError{Queue: queue}
+		return reply, &NoOwnerError{Queue: queue}
 	}
 	if len(b.started) > 0 {
 		started := delegation.Started{Queue: queue, Tasks: b.started}
@@ -98,8 +103,9 @@
 		}
 	}
 	if len(b.outcomes) == 0 {
-		return nil
+		return reply, nil
 	}
 	ret := delegation.Return{Queue: queue, Cell: s.id, Outcomes: b.outcomes}
-	return s.deps.Peers.Call(ctx, owner.Host, delegation.MethodReturn, ret, &delegation.ReturnReply{})
+	err := s.deps.Peers.Call(ctx, owner.Host, delegation.MethodReturn, ret, &reply)
+	return reply, err
 }
--- a/cell/server.go
+++ b/cell/server.go
@@ -119,7 +119,7 @@
 	if err != nil {
 		return nil, err
 	}
-	reply, err := session.offer(ctx, offer.Tasks)
+	reply, err := session.offer(ctx, offer)
 	return reply, remoteError(err)
 }
 
--- a/cell/session.go
+++ b/cell/session.go
@@ -53,6 +53,7 @@
 	ends      map[platform.AttemptRef]delegation.Outcome // decided, not yet journaled
 	returns   map[platform.AttemptRef]returning          // durable, not yet acknowledged
 	acked     []platform.AttemptRef                      // acknowledged, not yet journaled
+	marks     map[shard.ID]offerMark                     // of acknowledgements, not yet journaled
 	started   map[shard.ID][]platform.AttemptRef         // to be reported to queues
 	calling   map[shard.ID]bool                          // queues with a call under way
 	retryAt   map[shard.ID]time.Time                     // after a failed call
@@ -112,6 +113,7 @@
 		workers:   make(map[fleet.WorkerID]*worker),
 		ends:      make(map[platform.AttemptRef]delegation.Outcome),
 		returns:   make(map[platform.AttemptRef]returning),
+		marks:     make(map[shard.ID]offerMark),
 		started:   make(map[shard.ID][]platform.AttemptRef),
 		calling:   make(map[shard.ID]bool),
 		retryAt:   make(map[shard.ID]time.Time),
