--- a/host/host.go
+++ b/host/host.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"expvar"
 	"net"
 	"net/http"
 	"sync"
@@ -44,6 +46,7 @@
 	self   member.Host
 
 	listeners listeners
+	peerTLS   *tls.Config // of connections to other hosts; nil for plain TCP
 	draining  atomic.Bool
 	abort     chan struct{} // closed by Abort
 	abortOnce sync.Once
@@ -59,6 +62,7 @@
 	gateway  *gateway.Gateway
 	batch    *batch
 
+	calls     *expvar.Map // answers of the API by code
 	callers   *http.Server
 	operators *http.Server
 }
@@ -66,7 +70,7 @@
 // New opens the listeners of cfg and wires the parts. Serve or Close must
 // follow. Errors are *ListenError and those of package config and auth.
 func New(cfg *config.Host, opts Options) (*Host, error) {
-	h := &Host{cfg: cfg, opts: opts, logger: opts.Logger, abort: make(chan struct{})}
+	h := &Host{cfg: cfg, opts: opts, logger: opts.Logger, abort: make(chan struct{}), calls: new(expvar.Map).Init()}
 	if h.logger == nil {
 		h.logger = log.NewNopLogger()
 	}
@@ -78,6 +82,10 @@
 	if h.listeners, err = listen(cfg); err != nil {
 		return nil, err
 	}
+	if err := h.listeners.secure(cfg.TLS); err != nil {
+		h.listeners.close()
+		return nil, err
+	}
 	h.self = h.identity()
 	if err := h.wire(tokens); err != nil {
 		h.listeners.close()
@@ -148,6 +156,7 @@
 	if err != nil {
 		return err
 	}
+	h.peerTLS = clientTLS
 	h.peers = peer.NewServer(h.self.ID, peer.ServerOptions{TLS: serverTLS}, h.logger)
 	h.caller = peer.NewClient(h.self.ID, h.peerAddress, peer.ClientOptions{TLS: clientTLS, Logger: h.logger})
 	h.registry = member.NewRegistry(member.Deps{
@@ -194,6 +203,7 @@
 		Members:  h.registry,
 		Caller:   h.caller,
 		Registry: h.peers,
+		PeerTLS:  h.peerTLS,
 		Logger:   h.logger,
 	})
 	h.batch = h.wireBatch()
@@ -260,6 +270,18 @@
 	return l, nil
 }
 
+// secure puts TLS on the listeners for callers and operators. The one for
+// peers does so by itself.
+func (l *listeners) secure(t config.TLS) error {
+	c, err := t.Server()
+	if c == nil || err != nil {
+		return err
+	}
+	l.callers = tls.NewListener(l.callers, c)
+	l.operators = tls.NewListener(l.operators, c)
+	return nil
+}
+
 func (l listeners) close() {
 	for _, ln := range []net.Listener{l.callers, l.peers, l.operators} {
 		if ln != nil {
@@ -278,6 +300,7 @@
 		Shards:  shardLister{h},
 		Health:  health{h},
 		Tokens:  tokens,
+		Calls:   h.calls,
 		Logger:  h.logger,
 	})
 	h.callers = api.NewServer(callersRouter(tokens, h.gateway, handler))
