Wait out the requests of earlier settings, too

Cause: a host that takes a front without a release waited for the longest request under the settings in force; requests of the dead owner that were begun before request_timeout_ms was lowered may take longer. TestWaitKnowsEarlierSettings fails without the memory and without the samples.

--- a/shard/cluster_test.go
+++ b/shard/cluster_test.go
@@ -54,26 +54,28 @@
 	timing  shard.Timing
 	running map[fleet.HostID]*process // used by the test's goroutine only
 
-	mu       sync.Mutex
-	all      []*process
-	list     platform.HostList
-	runs     map[shard.ID]map[shard.Owner]bool
-	starts   int
-	lastSend map[shard.ID]map[*process]time.Time // of processes that have not drained
-	failRuns int                                 // the next n runs panic
-	breaches []string
+	mu          sync.Mutex
+	all         []*process
+	list        platform.HostList
+	runs        map[shard.ID]map[shard.Owner]bool
+	starts      int
+	lastSend    map[shard.ID]map[*process]time.Time // of processes that have not drained
+	requestTime time.Duration                       // in force
+	failRuns    int                                 // the next n runs panic
+	breaches    []string
 }
 
 func newCluster(t *testing.T, shards ...shard.ID) *cluster {
 	c := &cluster{
-		t:        t,
-		store:    standin.NewStore(),
-		net:      peertest.NewNetwork(),
-		shards:   shards,
-		timing:   shard.Timing{FrontBound: frontBound, FrontMargin: frontMargin},
-		running:  make(map[fleet.HostID]*process),
-		runs:     make(map[shard.ID]map[shard.Owner]bool),
-		lastSend: make(map[shard.ID]map[*process]time.Time),
+		t:           t,
+		store:       standin.NewStore(),
+		net:         peertest.NewNetwork(),
+		shards:      shards,
+		timing:      shard.Timing{FrontBound: frontBound, FrontMargin: frontMargin},
+		running:     make(map[fleet.HostID]*process),
+		runs:        make(map[shard.ID]map[shard.Owner]bool),
+		lastSend:    make(map[shard.ID]map[*process]time.Time),
+		requestTime: longestRequest,
 	}
 	return c
 }
@@ -118,7 +120,11 @@
 		Shards:           func() []shard.ID { return c.shards },
 		Runners:          map[shard.Kind]shard.Runner{shard.KindQueue: runner, shard.KindCell: runner, shard.KindFront: runner},
 		Platform:         c,
-		LongestRequest:   func() time.Duration { return longestRequest },
+		LongestRequest: func() time.Duration {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.requestTime
+		},
 		Draining: func() bool {
 			c.mu.Lock()
 			defer c.mu.Unlock()
--- a/shard/front_test.go
+++ b/shard/front_test.go
@@ -159,3 +159,22 @@
 		}
 	})
 }
+
+// The dead owner's requests were begun under the settings of their time.
+func TestWaitKnowsEarlierSettings(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		front, owner := c.frontOwner(t)
+		c.mu.Lock()
+		c.requestTime = time.Second
+		c.mu.Unlock()
+		c.report(c.kill(owner))
+		c.run(longestRequest - time.Second)
+		if got := c.senders(front); got != nil {
+			t.Errorf("%v may send while requests of %s may be in progress", got, owner)
+		}
+		c.run(3 * time.Second)
+		if got := c.senders(front); len(got) != 1 {
+			t.Errorf("senders %v", got)
+		}
+	})
+}
--- a/shard/manager.go
+++ b/shard/manager.go
@@ -58,6 +58,7 @@
 	busy    map[ID]bool // an operation on the shard is in progress
 	plan    plan
 	bounds  bounds
+	longest longest
 	// listed is when the claims were first listed; zero before.
 	listed  time.Time
 	renewed time.Time // when the last acknowledged renewal was sent
--- a/shard/operate.go
+++ b/shard/operate.go
@@ -65,13 +65,6 @@
 	return now.Add(m.longestRequest())
 }
 
-func (m *Manager) longestRequest() time.Duration {
-	if m.deps.LongestRequest == nil {
-		return DefaultLongestRequest
-	}
-	return m.deps.LongestRequest()
-}
-
 // adopt runs a shard whose claim was found to be this process's: the write
 // had taken effect after its outcome had been given up on.
 func (m *Manager) adopt(ctx context.Context, id ID) error {
--- a/shard/renewal.go
+++ b/shard/renewal.go
@@ -35,6 +35,7 @@
 	if !suspended && time.Since(m.lastRenewal()) < m.timing.RenewInterval {
 		return nil
 	}
+	m.longestRequest() // so that it is remembered when the settings change
 	sent := time.Now()
 	if err := m.renew(ctx); err != nil {
 		return err
