Test: do not hold the view's lock while asking a gateway

TestRandomFaults could hang: the test held the lock of its fake view while it asked a gateway for its summary, which waited for a refresh that asked the view. The gateway's side of that rule is now written at Deps.

--- a/gateway/chaos_test.go
+++ b/gateway/chaos_test.go
@@ -114,10 +114,11 @@
 }
 
 func (s *site) setSummaries(hosts []*host) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	for _, h := range hosts {
-		s.sums[h.port.self] = member.Summary{Host: h.port.self, Incarnation: 1, Services: h.Summary()}
+		sum := member.Summary{Host: h.port.self, Incarnation: 1, Services: h.Summary()}
+		s.mu.Lock()
+		s.sums[h.port.self] = sum
+		s.mu.Unlock()
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,7 +32,8 @@
 	sweepInterval  = 5 * time.Second // of idle connections
 )
 
-// Deps is what a Gateway needs.
+// Deps is what a Gateway needs. Platform, Settings and Rights are asked with
+// the gateway's locks held, so they must not call it.
 type Deps struct {
 	Self     member.Host
 	Platform platform.View
