--- a/cell/session.go
+++ b/cell/session.go
@@ -17,6 +17,7 @@
 	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/shard"
+	"github.com/fuchsiahill/fuchsiahill/sharing"
 	"github.com/fuchsiahill/fuchsiahill/store"
 )
 
@@ -52,6 +53,7 @@
 	ends      map[platform.AttemptRef]delegation.Outcome // decided, not yet journaled
 	returns   map[platform.AttemptRef]returning          // durable, not yet acknowledged
 	acked     []platform.AttemptRef                      // acknowledged, not yet journaled
+	marks     map[shard.ID]offerMark                     // of acknowledgements, not yet journaled
 	started   map[shard.ID][]platform.AttemptRef         // to be reported to queues
 	calling   map[shard.ID]bool                          // queues with a call under way
 	retryAt   map[shard.ID]time.Time                     // after a failed call
@@ -59,7 +61,10 @@
 	others    time.Time                                  // when the last predecessor stops sending
 	gate      gate
 	members   membership
-	sharedAt  time.Time // when Sharing was last asked
+	sharedAt  time.Time // when the policy was last asked
+	model     *sharing.Model
+	policy    *sharing.Policy
+	shared    map[fleet.WorkerID]sharing.Worker // as the policy last saw them
 	values    map[resolvedKey]settings.Resolved
 	valuesAt  store.Revision
 }
@@ -108,11 +113,14 @@
 		workers:   make(map[fleet.WorkerID]*worker),
 		ends:      make(map[platform.AttemptRef]delegation.Outcome),
 		returns:   make(map[platform.AttemptRef]returning),
+		marks:     make(map[shard.ID]offerMark),
 		started:   make(map[shard.ID][]platform.AttemptRef),
 		calling:   make(map[shard.ID]bool),
 		retryAt:   make(map[shard.ID]time.Time),
 		durableAt: time.Now(),
+		model:     sharing.NewModel(),
 	}
+	s.policy = sharing.NewPolicy(s.model)
 	j, err := s.deps.Open(ctx, id, owner, guarded{s})
 	if err != nil {
 		return nil, err
--- a/internal/dev/run.go
+++ b/internal/dev/run.go
@@ -32,6 +32,7 @@
 	For      time.Duration // of the load; 0: until the context ends
 	Faults   bool          // bring about failures during the load
 	Seed     uint64
+	Tasks    int        // of each job; 0: a light load
 	Progress io.Writer  // nil: none
 	Logger   log.Logger // of the hosts; nil: none
 }
@@ -65,9 +66,13 @@
 	hosts *entries
 	calls *tally
 	jobs  *submissions
+	force *inForce
 }
 
 func start(ctx context.Context, opts Options) (*run, error) {
+	if opts.Tasks == 0 {
+		opts.Tasks = tasksPerJob
+	}
 	site, err := standin.StartSite(siteConfig(opts.Seed))
 	if err != nil {
 		return nil, &StartError{Step: "stand-ins", Cause: err}
@@ -78,7 +83,8 @@
 		site:  site,
 		hosts: hosts,
 		calls: &tally{},
-		jobs:  &submissions{service: hosts.jobs, org: organisation, team: team},
+		jobs:  &submissions{service: hosts.jobs, org: organisation, team: team, tasksOf: opts.Tasks},
+		force: newInForce(hosts),
 	}
 	for range entryHosts {
 		if err := hosts.start(); err != nil {
@@ -177,8 +183,14 @@
 		group.Go(func() { faults = r.bringFaults(loadCtx, plan()) })
 	}
 	group.Go(func() { r.progress(loadCtx) })
+	watchCtx, stopWatch := context.WithCancel(context.Background())
+	defer stopWatch()
+	go r.force.run(watchCtx)
 	group.Wait()
-	return r.finish(faults)
+	underLoad := judge(r.site, r.calls, r.jobs).Tasks.Finished
+	report := r.finish(faults)
+	report.Tasks.FinishedUnderLoad = underLoad
+	return report
 }
 
 func (r *run) finish(faults []string) Report {
@@ -190,6 +202,7 @@
 	took := time.Since(began)
 	r.hosts.stop()
 	report := judge(r.site, r.calls, r.jobs)
+	report.Settings = r.force.settings()
 	report.Faults = sortedFaults(faults)
 	report.Drained = drained
 	report.DrainMS = took.Milliseconds()
--- a/shard/manager.go
+++ b/shard/manager.go
@@ -58,6 +58,7 @@
 	busy    map[ID]bool // an operation on the shard is in progress
 	plan    plan
 	bounds  bounds
+	longest longest
 	// listed is when the claims were first listed; zero before.
 	listed  time.Time
 	renewed time.Time // when the last acknowledged renewal was sent
@@ -233,7 +234,7 @@
 	if e.Incarnation != 0 {
 		return e.Incarnation >= incarnation
 	}
-	return now.Sub(time.Unix(0, int64(incarnation))) > hostListLag
+	return now.Sub(time.Unix(0, int64(incarnation))) > platform.MaxLag
 }
 
 // consider decides about one shard. The mutex is held.
