Tests: four mechanisms whose break no test noticed

Cause: each mechanism behind a promise was broken once in a scratch copy and the tests of its package run.

Change: a test for each, and a stricter one for the drain. - backend TestFailedWrite: a request whose write failed after its first byte must not be called not run. - gateway TestClaimKept: a claim is kept when the request may have run. - gateway TestDrain: Drain must not return before the requests in progress have been answered.

Each was seen to fail with the mechanism broken and to pass with it restored.

--- a/backend/pool_test.go
+++ b/backend/pool_test.go
@@ -256,6 +256,51 @@
 	})
 }
 
+// failingConn fails the first write after a number of bytes.
+type failingConn struct {
+	net.Conn
+	after int
+}
+
+func (c *failingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b[:min(c.after, len(b))])
+	return n, errors.Join(err, io.ErrClosedPipe)
+}
+
+// TestFailedWrite checks that a request is called not run only if none of its
+// bytes was written.
+func TestFailedWrite(t *testing.T) {
+	tests := map[string]struct {
+		after int
+		want  backend.Outcome
+		runs  int
+	}{
+		"before the first byte": {0, backend.NotRun, 0},
+		"in the header":         {10, backend.Unknown, 0},
+		"after the last byte":   {1 << 16, backend.Answered, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := start(t, instant)
+			p := backend.NewPool(b.Info().Address, backend.Limits{Slots: slots, Connections: connections},
+				func(ctx context.Context, address string) (net.Conn, error) {
+					c, err := backend.DialTCP(ctx, address)
+					return &failingConn{c, tt.after}, err
+				})
+			err := exchange(t, p, b, "r1", 1<<16)
+			if got, _ := outcome(err); got != tt.want {
+				t.Errorf("outcome %s, want %s: %v", got, tt.want, err)
+			}
+			if n := len(b.Stats().Requests); n != tt.runs {
+				t.Errorf("the server ran %d requests, want %d", n, tt.runs)
+			}
+			p.Close()
+			<-p.Drained()
+		})
+	}
+}
+
 // TestSilentConnections checks that connections that are lost between the two
 // ends cost the server nothing on new ones.
 func TestSilentConnections(t *testing.T) {
--- a/cell/out_test.go
+++ b/cell/out_test.go
@@ -68,6 +68,31 @@
 	})
 }
 
+// TestOutBeforeTheStart takes the data centre out at the moment at which
+// placements have become durable: the start that is next must see it.
+func TestOutBeforeTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 3, time.Minute)
+		o := b.start("a")
+		defer o.stop()
+		time.Sleep(500 * time.Millisecond)
+		b.log.setHook(func(_ int, after bool) {
+			if after {
+				b.settings.set(func(f *fakeSettings) { f.out = true })
+			}
+		})
+		b.queue.add(6, small)
+		o.send(b.queue.pending())
+		time.Sleep(5 * time.Second)
+		if got := len(b.records.Runs()); got != 0 {
+			t.Errorf("%d tasks were sent to workers of a data centre seen as out", got)
+		}
+		if got := b.queue.outcomes(delegation.EndNotRun); got != 6 {
+			t.Errorf("%d tasks came back as not run, want 6", got)
+		}
+	})
+}
+
 func running(records *standin.Records) int {
 	n := 0
 	for _, r := range records.Runs() {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -302,8 +302,24 @@
 	if err := h.Drain(t.Context()); err != nil {
 		t.Error(err)
 	}
+	if n := s.finished(); n != 16 {
+		t.Errorf("the drain ended when %d of 16 requests had been answered", n)
+	}
 	if r := h.call(t.Context(), "POST", ""); r.outcome() != "not-run" || r.reason() != "draining" {
 		t.Errorf("after drain: %s (%s)", r.outcome(), r.reason())
 	}
 	wg.Wait()
 }
+
+// finished returns how many requests the servers have finished.
+func (s *site) finished() int {
+	n := 0
+	for _, b := range s.backends {
+		for _, r := range b.Stats().Requests {
+			if !r.Ended.IsZero() {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/gateway/hosts_test.go
+++ b/gateway/hosts_test.go
@@ -110,6 +110,37 @@
 	}
 }
 
+// TestClaimKept checks that a request that may have run keeps its claim, so
+// that a resend under its ID is not run.
+func TestClaimKept(t *testing.T) {
+	tests := map[string]standin.BackendFaults{
+		"closed before the answer": {DropBefore: true},
+		"cut in the answer":        {CutBody: true},
+		"silent in the answer":     {SilentAfterHead: true},
+		"answer of another":        {WrongID: true},
+	}
+	for name, faults := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 1, instant)
+			h := s.start(t, "h1", true)
+			s.waitForMemory(t, h)
+			id := uuid.Must(uuid.NewV7()).String()
+			s.setFaults(faults)
+			if r := h.call(t.Context(), "POST", "", gateway.HeaderRequestID, id); r.outcome() != "unknown" {
+				t.Errorf("first: %s (%s)", r.outcome(), r.reason())
+			}
+			s.setFaults(standin.BackendFaults{})
+			if r := h.call(t.Context(), "POST", "", gateway.HeaderRequestID, id); r.reason() != "duplicate" {
+				t.Errorf("resend: %s (%s)", r.outcome(), r.reason())
+			}
+			if n := s.seen(id); n != 1 {
+				t.Errorf("ran %d times", n)
+			}
+		})
+	}
+}
+
 // waitForMemory waits until new IDs can be vouched for.
 func (s *site) waitForMemory(t *testing.T, h *host) {
 	t.Helper()
