--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -372,6 +372,34 @@
 	}
 }
 
+// TestLateRenewals lets renewals arrive after their sender has given up on
+// them, the last one so late that the worker would hold the lease beyond the
+// time at which its owner counts it as lapsed.
+func TestLateRenewals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 3, 2*time.Minute)
+		o := b.start("a")
+		defer o.stop()
+		time.Sleep(inheritedOver)
+		b.queue.add(2, small)
+		o.offer()
+		time.Sleep(4 * time.Second)
+		for _, late := range []time.Duration{3900 * time.Millisecond, 5800 * time.Millisecond} {
+			o.set(func() {
+				o.delays = map[string]time.Duration{"renew": late, "throttle": time.Minute}
+				o.slow = b.workers[0].Info().Address
+			})
+			o.finish(2500 * time.Millisecond)
+		}
+		o.finish(time.Minute)
+		o.set(func() { o.delays = nil })
+		if !o.finish(10 * time.Minute) {
+			t.Error("tasks are not done")
+		}
+		b.check()
+	})
+}
+
 // TestLateOffer repeats offers of attempts that were returned meanwhile.
 func TestLateOffer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
