--- a/cell/offer.go
+++ b/cell/offer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
+	"github.com/fuchsiahill/fuchsiahill/peer"
 	"github.com/fuchsiahill/fuchsiahill/platform"
 )
 
@@ -13,18 +14,35 @@
 // are accepted beyond it.
 const maxWaiting = 200
 
+// maxOfferBytes bounds the tasks that one record accepts, far below what the
+// journal takes. The rest of an offer stays unanswered and is repeated.
+const maxOfferBytes = 256 << 10
+
+// taskBytes is about what a task takes in a record besides its texts.
+const taskBytes = 200
+
 // offer decides on tasks and answers once the decision is durable. Tasks that
 // fit are placed in the same transaction.
-func (s *session) offer(ctx context.Context, tasks []delegation.Task) (delegation.OfferReply, error) {
+func (s *session) offer(ctx context.Context, offer delegation.Offer) (delegation.OfferReply, error) {
 	var reply delegation.OfferReply
+	late := false
+	mark := offerMark{Queue: offer.Queue, Epoch: offer.Epoch, Sequence: offer.Sequence}
 	accept := func() *record {
+		if late = s.machine.isLate(mark); late {
+			return nil
+		}
 		var r *record
-		r, reply = s.decideOffer(tasks)
+		if r, reply = s.decideOffer(offer.Tasks); r != nil {
+			r.Marks = []offerMark{mark}
+		}
 		return r
 	}
 	if err := s.commit(ctx, accept, s.placeWaiting, s.makeRoomNow); err != nil {
 		return delegation.OfferReply{}, err
 	}
+	if late {
+		return delegation.OfferReply{}, &peer.RemoteError{Kind: peer.KindRefused, Reason: reasonLateOffer, Message: "a later offer was seen"}
+	}
 	return reply, nil
 }
 
@@ -34,6 +52,7 @@
 	var reply delegation.OfferReply
 	r := &record{}
 	waiting := s.machine.waiting()
+	size := 0
 	seen := make(map[platform.AttemptRef]bool, len(tasks))
 	for _, t := range tasks {
 		if seen[t.AttemptRef] {
@@ -50,6 +69,10 @@
 			reply.Refused = append(reply.Refused, refusal)
 			continue
 		}
+		size += taskBytes + len(t.Command) + len(t.Checkpoint)
+		if size > maxOfferBytes {
+			break
+		}
 		waiting++
 		r.Accept = append(r.Accept, t)
 		reply.Accepted = append(reply.Accepted, t.AttemptRef)
