--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -284,6 +284,25 @@
 	}
 }
 
+// TestEarlierUnknownIsTold lets the only server of a service leave while it
+// runs a request that then fails: that the retry finds no server changes
+// nothing about the first exchange.
+func TestEarlierUnknownIsTold(t *testing.T) {
+	var s *site
+	s = newSite(t, 1, func() time.Duration {
+		s.setList(func(l *platform.HostList) { l.Servers[0].State = platform.StateLeaving })
+		return 0
+	})
+	h := s.start(t, "h1", true)
+	s.setFaults(standin.BackendFaults{DropBefore: true})
+	if r := h.call(t.Context(), "GET", "", "X-Request-Id", "r1"); r.outcome() != "unknown" {
+		t.Errorf("outcome %s (%s) of a request that ran", r.outcome(), r.reason())
+	}
+	if n := s.seen("r1"); n != 1 {
+		t.Errorf("ran %d times", n)
+	}
+}
+
 // TestDrain checks that a graceful shutdown cuts off nothing.
 func TestDrain(t *testing.T) {
 	s := newSite(t, 1, func() time.Duration { return 50 * time.Millisecond })
