Start dev runs with their settings in place and IDs vouched for

And the load began before IDs could be vouched for, so that nearly no request marked non-idempotent ran and the suite proved little about them.

Change: a request time that is not known yet is not remembered; a run writes its settings to the store before its hosts start, and its hosts use short margins for IDs, since they share one clock.

--- a/host/host.go
+++ b/host/host.go
@@ -17,6 +17,7 @@
 	"github.com/fuchsiahill/fuchsiahill/api"
 	"github.com/fuchsiahill/fuchsiahill/auth"
 	"github.com/fuchsiahill/fuchsiahill/config"
+	"github.com/fuchsiahill/fuchsiahill/dedupe"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/gateway"
 	"github.com/fuchsiahill/fuchsiahill/member"
@@ -35,6 +36,7 @@
 	Workers platform.WorkerControl
 	Logger  log.Logger
 	Timing  shard.Timing
+	Margins dedupe.Margins // of request IDs
 }
 
 // Host is one entry host. Its listeners are open from New on, so that its
@@ -204,6 +206,7 @@
 		Caller:   h.caller,
 		Registry: h.peers,
 		PeerTLS:  h.peerTLS,
+		Margins:  h.opts.Margins,
 		Logger:   h.logger,
 	})
 	h.batch = h.wireBatch()
--- a/host/shards.go
+++ b/host/shards.go
@@ -45,17 +45,18 @@
 }
 
 // longestRequest returns the longest time that a request to any backend
-// server may take under the settings in force.
+// server may take under the settings in force, 0 while they or the servers are not
+// known.
 func (h *Host) longestRequest() time.Duration {
+	if !h.tracker.Ready() {
+		return 0
+	}
 	current := h.tracker.Current()
 	var longest int64
 	for _, s := range h.poller.Hosts().Servers {
 		values := current.Service(s.Organisation, s.DataCentre, s.Service)
 		longest = max(longest, values.RequestTimeoutMS)
 	}
-	if longest == 0 {
-		return shard.DefaultLongestRequest
-	}
 	return time.Duration(longest) * time.Millisecond
 }
 
--- a/internal/dev/capacity_test.go
+++ b/internal/dev/capacity_test.go
@@ -103,12 +103,12 @@
 		b.Fatal(err)
 	}
 	defer site.Close()
+	writeCapacityTree(b, site, workers)
 	var daemons []*daemon
 	for _, id := range []fleet.HostID{"entry-1", "entry-2", "entry-3"} {
 		daemons = append(daemons, startDaemon(b, binary, site, id, "sofia-1"))
 	}
 	client := api.NewClient("http://"+daemons[0].operators, "")
-	writeCapacityTree(b, client, workers)
 	if err := awaitShards(b.Context(), client); err != nil {
 		b.Fatal(err)
 	}
@@ -164,14 +164,14 @@
 	b.ReportMetric(0, "ns/op")
 }
 
-func writeCapacityTree(b *testing.B, client *api.Client, workers int) {
+func writeCapacityTree(b *testing.B, site *standin.Site, workers int) {
 	t := tree()
 	t.DataCentres = map[fleet.DataCentre]*settings.DataCentre{
 		"sofia-1": {Region: region, State: settings.DataCentreIn, Cells: max(1, workers/20)},
 	}
 	t.Teams[team].Quota = fleet.Resources{MilliCores: 1e9, MemoryMB: 1e9}
 	t.Values.WorkerLeaseMS = nil
-	if err := setTree(b.Context(), client, t); err != nil {
+	if err := setTree(b.Context(), site.Store, t); err != nil {
 		b.Fatal(err)
 	}
 }
--- a/internal/dev/entry.go
+++ b/internal/dev/entry.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/go-kit/log"
 
 	"github.com/fuchsiahill/fuchsiahill/api"
 	"github.com/fuchsiahill/fuchsiahill/config"
+	"github.com/fuchsiahill/fuchsiahill/dedupe"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/host"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
@@ -34,6 +36,14 @@
 	next int
 }
 
+// margins are short, since all clocks of a run are one and its fronts never
+// change: requests are vouched for from its beginning.
+var margins = dedupe.Margins{
+	Future:  100 * time.Millisecond,
+	Clock:   200 * time.Millisecond,
+	Mapping: 500 * time.Millisecond,
+}
+
 func newConfig(site *standin.Site, id fleet.HostID, dc fleet.DataCentre) *config.Host {
 	cfg := config.Default()
 	cfg.ID = id
@@ -61,6 +71,7 @@
 		Store:   cut.Store(cfg.StoreURL),
 		Workers: cut.Workers(),
 		Logger:  e.logger,
+		Margins: margins,
 	})
 	if err != nil {
 		return err
--- a/internal/dev/process_test.go
+++ b/internal/dev/process_test.go
@@ -182,6 +182,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(site.Close)
+	if err := setTree(t.Context(), site.Store, tree()); err != nil {
+		t.Fatal(err)
+	}
 	var daemons []*daemon
 	for i, id := range []fleet.HostID{"entry-1", "entry-2", "entry-3"} {
 		daemons = append(daemons, startDaemon(t, binary, site, id, dataCentres[i%len(dataCentres)]))
@@ -189,9 +192,6 @@
 	survivors := []string{daemons[0].http, daemons[2].http}
 	client := api.NewClient("http://"+daemons[0].operators, "")
 	r := &run{site: site, calls: &tally{}, jobs: &submissions{service: func() job.Service { return client }, org: organisation, team: team, tasksOf: tasksPerJob}}
-	if err := writeTree(t.Context(), client); err != nil {
-		t.Fatal(err)
-	}
 	if err := awaitShards(t.Context(), client); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/dev/run.go
+++ b/internal/dev/run.go
@@ -14,6 +14,7 @@
 	"github.com/fuchsiahill/fuchsiahill/api"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
 	"github.com/fuchsiahill/fuchsiahill/settings"
+	"github.com/fuchsiahill/fuchsiahill/store"
 )
 
 const (
@@ -86,14 +87,14 @@
 		jobs:  &submissions{service: hosts.jobs, org: organisation, team: team, tasksOf: opts.Tasks},
 		force: newInForce(hosts),
 	}
+	if err := setTree(ctx, site.Store, tree()); err != nil {
+		return r.fail("settings", err)
+	}
 	for range entryHosts {
 		if err := hosts.start(); err != nil {
 			return r.fail("entry host", err)
 		}
 	}
-	if err := writeTree(ctx, r.hosts.client()); err != nil {
-		return r.fail("settings", err)
-	}
 	if err := awaitShards(ctx, r.hosts.client()); err != nil {
 		return r.fail("shards", err)
 	}
@@ -106,14 +107,9 @@
 	return nil, &StartError{Step: step, Cause: err}
 }
 
-// writeTree sets the tree that a run starts with.
-func writeTree(ctx context.Context, client *api.Client) error {
-	return setTree(ctx, client, tree())
-}
-
-// setTree sets the parts of a tree in the order in which they refer to one
-// another.
-func setTree(ctx context.Context, client *api.Client, t *settings.Tree) error {
+// setTree writes the parts of a tree to the store in the order in which they
+// refer to one another. Hosts that start later know no other settings.
+func setTree(ctx context.Context, kv store.Store, t *settings.Tree) error {
 	parts := []struct {
 		path  string
 		value any
@@ -123,13 +119,14 @@
 		{"organisations", t.Organisations},
 		{"teams", t.Teams},
 	}
+	editor := settings.NewEditor(kv, time.Now)
 	for _, part := range parts {
 		value, err := json.Marshal(part.value)
 		if err != nil {
 			return err
 		}
-		req := api.SetRequest{ID: changeID(), Path: part.path, Value: value}
-		if _, err := client.Set(ctx, req); err != nil {
+		change := settings.Change{ID: changeID(), Who: "dev", Path: part.path, Value: value}
+		if _, err := editor.Apply(ctx, change); err != nil {
 			return err
 		}
 	}
--- a/shard/longest.go
+++ b/shard/longest.go
@@ -37,5 +37,9 @@
 	if m.deps.LongestRequest != nil {
 		inForce = m.deps.LongestRequest()
 	}
+	if inForce == 0 {
+		// Not known yet, so not remembered either.
+		return max(DefaultLongestRequest, m.longest.observe(time.Now(), 0))
+	}
 	return m.longest.observe(time.Now(), inForce)
 }
--- a/shard/manager.go
+++ b/shard/manager.go
@@ -35,7 +35,8 @@
 	// Draining is optional and reports whether this host should own nothing.
 	Draining func() bool
 	// LongestRequest is optional and returns the longest time that a request
-	// to a backend server may take; DefaultLongestRequest without it.
+	// to a backend server may take, 0 while it is not known;
+	// DefaultLongestRequest without it.
 	LongestRequest func() time.Duration
 	Timing         Timing
 	Logger         log.Logger
