Revert the cells' answers with their load and the backlog

What remains: a task's end is heard of at the next renewal, a third of its lease later, and its place is taken two commits after that.

--- a/queue/shard.go
+++ b/queue/shard.go
@@ -160,7 +160,7 @@
 		}
 	}
 	return &cellChooser{
-		cells: viewCells(deps.Region, snapshot, summaries, q.sent.loads),
+		cells: viewCells(deps.Region, snapshot, summaries),
 		rand:  q.rand,
 		sent:  q.sent,
 		now:   now,
