--- a/host/batch.go
+++ b/host/batch.go
@@ -1,14 +1,11 @@
 package host
 
 import (
-	"context"
-
 	"github.com/fuchsiahill/fuchsiahill/cell"
 	"github.com/fuchsiahill/fuchsiahill/job"
 	"github.com/fuchsiahill/fuchsiahill/journal"
 	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/queue"
-	"github.com/fuchsiahill/fuchsiahill/shard"
 )
 
 // batch is the batch half of a host.
@@ -23,9 +20,10 @@
 	if workers == nil {
 		workers = platform.NewHTTPWorkers(platform.HTTPWorkersOptions{})
 	}
+	pace := journal.Pace{Writes: h.journalWrites}
 	return &batch{
 		cells: cell.NewServer(cell.Deps{
-			Open:      h.openJournal,
+			Open:      cell.OpenJournal(journal.Deps{Store: h.metered, Logger: h.logger, Pace: pace}),
 			Workers:   workers,
 			Hosts:     h.poller,
 			Settings:  h.tracker,
@@ -39,6 +37,7 @@
 		queues: queue.NewServer(queue.Deps{
 			Region:   h.cfg.Region,
 			Store:    h.metered,
+			Pace:     pace,
 			Peers:    h.caller,
 			Registry: h.peers,
 			Members:  h.registry,
@@ -50,10 +49,3 @@
 		jobs: queue.NewClient(queue.ClientDeps{Peers: h.caller, Shards: h.manager, Settings: h.tracker}),
 	}
 }
-
-// openJournal implements cell.OpenFunc.
-func (h *Host) openJournal(ctx context.Context, id shard.ID, owner shard.Owner, m journal.Machine) (cell.Journal, error) {
-	deps := journal.Deps{Store: h.metered, Logger: h.logger}
-	by := journal.Owner{Host: owner.Host, Incarnation: owner.Incarnation, Epoch: owner.Epoch}
-	return journal.Open(ctx, deps, string(id), by, m)
-}
--- a/host/budget.go
+++ b/host/budget.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"golang.org/x/time/rate"
+
 	"github.com/fuchsiahill/fuchsiahill/store"
 )
 
@@ -14,12 +16,25 @@
 // its start.
 const leastHosts = 7
 
+// journalShare is the part of a host's writes that its journals may take. The
+// rest is for claims, leases and settings.
+const journalShare = 0.8
+
+// newJournalWrites returns the limit of journal writes of a host that knows
+// no others yet.
+func newJournalWrites() *rate.Limiter {
+	share := storeBudget.Share(leastHosts)
+	return rate.NewLimiter(rate.Limit(journalShare*share.WritesPerSecond), share.Burst)
+}
+
 // shareBudget gives this host its share of the store's budget as entry hosts
 // come and go, until ctx ends.
 func (h *Host) shareBudget(ctx context.Context) error {
 	for {
 		changed := h.registry.Changed()
-		h.metered.SetBudget(storeBudget.Share(max(len(h.registry.Hosts()), leastHosts)))
+		share := storeBudget.Share(max(len(h.registry.Hosts()), leastHosts))
+		h.metered.SetBudget(share)
+		h.journalWrites.SetLimit(rate.Limit(journalShare * share.WritesPerSecond))
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- a/host/host.go
+++ b/host/host.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/rotisserie/eris"
+	"golang.org/x/time/rate"
 
 	"github.com/fuchsiahill/fuchsiahill/api"
 	"github.com/fuchsiahill/fuchsiahill/auth"
@@ -53,16 +54,18 @@
 	abort     chan struct{} // closed by Abort
 	abortOnce sync.Once
 
-	metered  *store.Metered
-	tracker  *settings.Tracker
-	editor   *settings.Editor
-	poller   *platform.Poller
-	peers    *peer.Server
-	caller   *peer.Client
-	registry *member.Registry
-	manager  *shard.Manager
-	gateway  *gateway.Gateway
-	batch    *batch
+	metered *store.Metered
+	// journalWrites is the write budget that all journals of this host share.
+	journalWrites *rate.Limiter
+	tracker       *settings.Tracker
+	editor        *settings.Editor
+	poller        *platform.Poller
+	peers         *peer.Server
+	caller        *peer.Client
+	registry      *member.Registry
+	manager       *shard.Manager
+	gateway       *gateway.Gateway
+	batch         *batch
 
 	calls     *expvar.Map // answers of the API by code
 	callers   *http.Server
@@ -137,6 +140,7 @@
 	if hosts == nil {
 		hosts = platform.NewHTTPHostLister(h.cfg.HostListURL)
 	}
+	h.journalWrites = newJournalWrites()
 	h.metered = store.NewMetered(backing, storeBudget.Share(leastHosts))
 	h.poller = platform.NewPoller(hosts, 0, h.logger)
 	h.tracker = settings.NewTracker(h.metered, settings.TrackerOptions{Logger: h.logger})
@@ -182,6 +186,8 @@
 }
 
 func (h *Host) wireShards() {
+	// The runners need the manager's rights and directory, so they are filled
+	// in once it exists and before it serves.
 	runners := make(map[shard.Kind]shard.Runner)
 	h.manager = shard.NewManager(shard.Deps{
 		Self:             h.self,
--- a/host/serve.go
+++ b/host/serve.go
@@ -25,11 +25,16 @@
 	work := h.supervise("work", h.workServices()).ServeBackground(workCtx)
 	h.log("event", "started", "http", h.self.HTTPAddress, "peers", h.self.PeerAddress, "operators", h.OperatorsAddress())
 
-	var failure error
+	baseEnded := make(chan struct{})
+	var baseErr error
+	go func() {
+		defer close(baseEnded)
+		baseErr = <-base
+	}()
 	select {
 	case <-ctx.Done():
 		h.drain()
-	case failure = <-base:
+	case <-baseEnded:
 	case <-h.abort:
 		_ = h.callers.Close() // the host ends anyway
 		stopBase()
@@ -38,12 +43,10 @@
 	stopWork()
 	workErr := <-work
 	stopBase()
-	if failure == nil {
-		failure = <-base
-	}
-	h.log("event", "stopped", "work", workErr, "base", failure)
+	<-baseEnded
+	h.log("event", "stopped", "work", workErr, "base", baseErr)
 	var superseded *member.SupersededError
-	if errors.As(failure, &superseded) {
+	if errors.As(baseErr, &superseded) {
 		return superseded
 	}
 	return nil
