--- a/api/client.go
+++ b/api/client.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/fuchsiahill/fuchsiahill/internal/wait"
 )
 
 const (
@@ -72,7 +74,7 @@
 func (c *Client) write(ctx context.Context, method, path string, body, answer any) error {
 	var unknown error
 	for attempt := range writeAttempts {
-		if attempt > 0 && !pause(ctx, writePause) {
+		if attempt > 0 && wait.For(ctx, writePause) != nil {
 			break
 		}
 		err := c.within(ctx, answerTimeout, method, path, body, answer)
@@ -99,17 +101,6 @@
 	return errors.As(err, &answered) && answered.Code == CodeReusedID
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (c *Client) within(ctx context.Context, timeout time.Duration, method, path string, body, answer any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/internal/dev/faults.go
+++ b/internal/dev/faults.go
@@ -9,6 +9,7 @@
 	"github.com/fuchsiahill/fuchsiahill/api"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/internal/wait"
 	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 )
@@ -84,7 +85,7 @@
 	}
 	random := rand.New(rand.NewPCG(r.opts.Seed, r.opts.Seed+1))
 	began := time.Now()
-	at := func(share float64) { pause(ctx, time.Until(began.Add(time.Duration(share*float64(scale))))) }
+	at := func(share float64) { _ = wait.For(ctx, time.Until(began.Add(time.Duration(share*float64(scale))))) }
 	var brought []string
 	for _, e := range episodes {
 		at(e.from)
@@ -227,7 +228,7 @@
 			r.force.accepted(rec.Revision)
 			return
 		}
-		pause(ctx, pollInterval)
+		_ = wait.For(ctx, pollInterval)
 	}
 }
 
--- a/internal/dev/jobs.go
+++ b/internal/dev/jobs.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/wait"
 	"github.com/fuchsiahill/fuchsiahill/job"
 )
 
@@ -66,16 +67,7 @@
 		if errors.As(err, &invalid) {
 			return
 		}
-		pause(ctx, pollInterval)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		_ = wait.For(ctx, pollInterval)
 	}
 }
 
@@ -106,7 +98,7 @@
 			left = left[1:]
 			continue
 		}
-		pause(ctx, pollInterval)
+		_ = wait.For(ctx, pollInterval)
 	}
 	return len(left) == 0
 }
--- a/internal/dev/run.go
+++ b/internal/dev/run.go
@@ -13,6 +13,7 @@
 
 	"github.com/fuchsiahill/fuchsiahill/api"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/internal/wait"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/store"
 )
@@ -156,7 +157,7 @@
 			return nil
 		}
 		unowned = status.Unowned
-		pause(ctx, pollInterval)
+		_ = wait.For(ctx, pollInterval)
 	}
 	return &UnownedError{Shards: unowned}
 }
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/fuchsiahill/fuchsiahill/internal/wait"
 	"github.com/fuchsiahill/fuchsiahill/platform"
 )
 
@@ -131,7 +132,7 @@
 	}
 	body, err := io.ReadAll(r.Body)
 	if err == nil {
-		err = wait(context.Background(), b.service()+f.Delay)
+		err = wait.For(context.Background(), b.service()+f.Delay)
 	}
 	// The slot is free before the answer is written, so that the next request
 	// of a fast caller is not counted together with this one.
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/fuchsiahill/fuchsiahill/internal/wait"
 	"github.com/fuchsiahill/fuchsiahill/store"
 )
 
@@ -102,7 +103,7 @@
 	s.mu.Lock()
 	delay := s.faults.Delay
 	s.mu.Unlock()
-	if err := wait(ctx, delay); err != nil {
+	if err := wait.For(ctx, delay); err != nil {
 		return eris.Wrap(&store.UnavailableError{Op: op, Cause: err}, "standin")
 	}
 	s.mu.Lock()
@@ -133,20 +134,6 @@
 	errReplyLost = &ReplyLostError{}
 )
 
-func wait(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // Get implements store.Store.
 func (s *Store) Get(ctx context.Context, key string) (store.Entry, error) {
 	if err := s.enter(ctx, "read", false); err != nil {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/wait"
 	"github.com/fuchsiahill/fuchsiahill/platform"
 )
 
@@ -125,7 +126,7 @@
 		<-ctx.Done()
 		return eris.Wrap(&platform.WorkerUnknownError{Op: op, Cause: ctx.Err()}, "standin")
 	}
-	if err := wait(ctx, f.Delay); err != nil {
+	if err := wait.For(ctx, f.Delay); err != nil {
 		return eris.Wrap(&platform.WorkerUnknownError{Op: op, Cause: err}, "standin")
 	}
 	w.mu.Lock()
--- a/journal/open.go
+++ b/journal/open.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 	"github.com/rotisserie/eris"
 
+	"github.com/fuchsiahill/fuchsiahill/internal/wait"
 	"github.com/fuchsiahill/fuchsiahill/store"
 )
 
@@ -46,7 +47,7 @@
 		default:
 			return nil, s.stopped(err)
 		}
-		if err := sleep(ctx, retry.NextBackOff()); err != nil {
+		if err := wait.For(ctx, retry.NextBackOff()); err != nil {
 			return nil, err
 		}
 	}
--- a/journal/recover.go
+++ b/journal/recover.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/fuchsiahill/fuchsiahill/internal/wait"
 	"github.com/fuchsiahill/fuchsiahill/store"
 )
 
@@ -48,7 +49,7 @@
 			return r, err
 		}
 		c.restart()
-		if err := sleep(ctx, retry.NextBackOff()); err != nil {
+		if err := wait.For(ctx, retry.NextBackOff()); err != nil {
 			return nil, err
 		}
 	}
--- a/journal/write.go
+++ b/journal/write.go
@@ -9,6 +9,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/rotisserie/eris"
 
+	"github.com/fuchsiahill/fuchsiahill/internal/wait"
 	"github.com/fuchsiahill/fuchsiahill/store"
 )
 
@@ -33,17 +34,6 @@
 	return retry
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // get reads a key until the store answers. A key that does not exist has
 // revision 0.
 func (c *client) get(ctx context.Context, key string) (store.Entry, error) {
@@ -58,7 +48,7 @@
 			return store.Entry{Key: key}, nil
 		}
 		c.retries()
-		if err := sleep(ctx, retry.NextBackOff()); err != nil {
+		if err := wait.For(ctx, retry.NextBackOff()); err != nil {
 			return store.Entry{}, err
 		}
 	}
@@ -79,7 +69,7 @@
 			return entries, nil
 		}
 		c.retries()
-		if err := sleep(ctx, retry.NextBackOff()); err != nil {
+		if err := wait.For(ctx, retry.NextBackOff()); err != nil {
 			return nil, err
 		}
 	}
@@ -118,7 +108,7 @@
 				return rev, err
 			}
 		}
-		if err := sleep(ctx, retry.NextBackOff()); err != nil {
+		if err := wait.For(ctx, retry.NextBackOff()); err != nil {
 			return 0, err
 		}
 	}
--- a/member/lease.go
+++ b/member/lease.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/wait"
 	"github.com/fuchsiahill/fuchsiahill/store"
 )
 
@@ -24,7 +25,7 @@
 	var lease store.LeaseID
 	defer func() { r.revoke(lease) }()
 	for {
-		wait := renewInterval
+		next := renewInterval
 		err := r.refresh(ctx, &lease)
 		var superseded *SupersededError
 		switch {
@@ -34,9 +35,9 @@
 			return ctx.Err()
 		case err != nil:
 			level.Warn(r.logger).Log("event", "lease_not_kept", "err", err)
-			wait = retryInterval
+			next = retryInterval
 		}
-		if err := sleep(ctx, wait); err != nil {
+		if err := wait.For(ctx, next); err != nil {
 			return err
 		}
 	}
@@ -146,14 +147,3 @@
 func (e *SupersededError) Error() string {
 	return "member: host " + string(e.Host) + " runs in a later process"
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/member/watch.go
+++ b/member/watch.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/wait"
 	"github.com/fuchsiahill/fuchsiahill/store"
 )
 
@@ -30,7 +31,7 @@
 		r.observe(began, err)
 		if err != nil {
 			level.Warn(r.logger).Log("event", "hosts_not_listed", "err", err)
-			if err := sleep(ctx, retryInterval); err != nil {
+			if err := wait.For(ctx, retryInterval); err != nil {
 				return err
 			}
 			continue
@@ -66,7 +67,7 @@
 	events, err := r.deps.Store.Watch(ctx, hostPrefix, after)
 	if err != nil {
 		level.Warn(r.logger).Log("event", "hosts_not_watched", "err", err)
-		_ = sleep(ctx, retryInterval)
+		_ = wait.For(ctx, retryInterval)
 		return
 	}
 	for ev := range events {
--- a/peer/peertest/peertest.go
+++ b/peer/peertest/peertest.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/wait"
 	"github.com/fuchsiahill/fuchsiahill/peer"
 )
 
@@ -139,7 +140,7 @@
 	if err != nil {
 		return &peer.UnreachableError{Host: to, Cause: err}
 	}
-	if err := wait(ctx, delay); err != nil {
+	if err := wait.For(ctx, delay); err != nil {
 		return &peer.UnreachableError{Host: to, Cause: err}
 	}
 	h.network.count(r, len(params))
@@ -192,17 +193,3 @@
 	}
 	return &peer.RemoteError{Kind: peer.KindInternal, Message: err.Error()}
 }
-
-func wait(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/settings/editor.go
+++ b/settings/editor.go
@@ -9,6 +9,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/rotisserie/eris"
 
+	"github.com/fuchsiahill/fuchsiahill/internal/wait"
 	"github.com/fuchsiahill/fuchsiahill/store"
 )
 
@@ -98,7 +99,7 @@
 			e.see(cur.revision)
 			return cur, nil
 		}
-		if pause(ctx, retry.NextBackOff()) != nil {
+		if wait.For(ctx, retry.NextBackOff()) != nil {
 			return state{}, unavailable(&StaleReadError{Revision: cur.revision, Newer: floor})
 		}
 	}
@@ -140,17 +141,6 @@
 	return retry
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // write swaps the document and resolves a lost reply to the true result.
 func (e *Editor) write(ctx context.Context, c Change, expect store.Revision, value []byte, rec Record) (Record, error) {
 	revision, err := e.store.CompareAndSwap(ctx, TreeKey, expect, value, 0)
@@ -229,7 +219,7 @@
 	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
 	defer cancel()
 	retry := newRetry()
-	for pause(ctx, retry.NextBackOff()) == nil {
+	for wait.For(ctx, retry.NextBackOff()) == nil {
 		revision, err := e.store.CompareAndSwap(ctx, TreeKey, expect, value, 0)
 		var raced *store.ConflictError
 		if err == nil || errors.As(err, &raced) {
--- a/settings/tracker.go
+++ b/settings/tracker.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/fuchsiahill/fuchsiahill/internal/wait"
 	"github.com/fuchsiahill/fuchsiahill/store"
 )
 
@@ -352,7 +353,7 @@
 		if err == nil {
 			t.follow(events)
 		}
-		if pause(ctx, watchRetry) != nil {
+		if wait.For(ctx, watchRetry) != nil {
 			break
 		}
 	}
--- a/shard/manager.go
+++ b/shard/manager.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/wait"
 	"github.com/fuchsiahill/fuchsiahill/member"
 	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/store"
@@ -254,7 +255,7 @@
 		defer m.done(id)
 		if err := op(ctx); err != nil && !errors.Is(err, context.Canceled) {
 			level.Warn(m.logger).Log("event", "operation_failed", "shard", id, "action", act, "err", err)
-			_ = sleep(ctx, operationRetry)
+			_ = wait.For(ctx, operationRetry)
 		}
 	})
 }
--- a/shard/operate.go
+++ b/shard/operate.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/rotisserie/eris"
 
+	"github.com/fuchsiahill/fuchsiahill/internal/wait"
 	"github.com/fuchsiahill/fuchsiahill/store"
 )
 
@@ -188,7 +189,7 @@
 		case err == nil:
 			return eris.Wrap(&LostError{Shard: id, To: rec.Owner}, "claim")
 		}
-		if err := sleep(ctx, resolveInterval); err != nil {
+		if err := wait.For(ctx, resolveInterval); err != nil {
 			return err
 		}
 	}
--- a/shard/renewal.go
+++ b/shard/renewal.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/wait"
 	"github.com/fuchsiahill/fuchsiahill/store"
 )
 
@@ -17,13 +18,13 @@
 // pause, until ctx ends.
 func (m *Manager) keepRenewed(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait := m.timing.Tick
+		next := m.timing.Tick
 		if err := m.renewIfDue(ctx); err != nil && ctx.Err() == nil {
 			level.Warn(m.logger).Log("event", "fronts_not_renewed", "err", err)
-			wait = operationRetry
+			next = operationRetry
 		}
 		m.pollBounds(ctx, time.Now())
-		_ = sleep(ctx, wait)
+		_ = wait.For(ctx, next)
 	}
 }
 
--- a/shard/timing.go
+++ b/shard/timing.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"context"
 	"time"
 )
 
@@ -73,14 +72,3 @@
 	}
 	return d
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/shard/watch.go
+++ b/shard/watch.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/fuchsiahill/fuchsiahill/internal/wait"
 	"github.com/fuchsiahill/fuchsiahill/store"
 )
 
@@ -15,7 +16,7 @@
 		entries, revision, err := m.deps.Store.List(ctx, claimPrefix)
 		if err != nil {
 			level.Warn(m.logger).Log("event", "claims_not_listed", "err", err)
-			_ = sleep(ctx, watchRetry)
+			_ = wait.For(ctx, watchRetry)
 			continue
 		}
 		for _, e := range entries {
@@ -37,7 +38,7 @@
 	events, err := m.deps.Store.Watch(ctx, claimPrefix, after)
 	if err != nil {
 		level.Warn(m.logger).Log("event", "claims_not_watched", "err", err)
-		_ = sleep(ctx, watchRetry)
+		_ = wait.For(ctx, watchRetry)
 		return
 	}
 	for ev := range events {
--- a/store/http.go
+++ b/store/http.go
@@ -15,6 +15,8 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/rotisserie/eris"
+
+	"github.com/fuchsiahill/fuchsiahill/internal/wait"
 )
 
 const (
@@ -202,7 +204,7 @@
 	for ctx.Err() == nil {
 		list, err := h.poll(ctx, prefix, after)
 		if err != nil {
-			sleep(ctx, retry.NextBackOff())
+			_ = wait.For(ctx, retry.NextBackOff())
 			continue
 		}
 		retry.Reset()
@@ -240,15 +242,6 @@
 	return list, err
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (h *HTTP) call(ctx context.Context, method, path, key string, expect Revision, body, answer any) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, h.timeout)
 	defer cancel()
