--- a/cell/load.go
+++ b/cell/load.go
@@ -7,12 +7,29 @@
 	"github.com/fuchsiahill/fuchsiahill/member"
 )
 
-// load returns what the cell tells of itself in load summaries. A data centre
-// that is out has nothing free.
+// load returns what the cell tells of itself in load summaries and to queues.
+// Its sequence rises only when something else in it has changed.
 func (s *session) load() member.CellLoad {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	load := member.CellLoad{DataCentre: s.dc, Waiting: s.machine.waiting()}
+	now := s.measure()
+	now.Epoch = s.owner.Epoch
+	now.Sequence = s.told.Sequence
+	if now != s.told {
+		now.Sequence++
+		s.told = now
+	}
+	return now
+}
+
+// measure returns the load without its order. A data centre that is out has
+// nothing free. The mutex is held.
+func (s *session) measure() member.CellLoad {
+	waiting := s.machine.inPhase(phaseWaiting)
+	load := member.CellLoad{DataCentre: s.dc, Waiting: len(waiting)}
+	for _, a := range waiting {
+		load.Queued = load.Queued.Add(a.Task.Resources)
+	}
 	in := s.isIn()
 	emptiest := int64(-1)
 	for _, w := range s.schedulable(time.Now()) {
@@ -20,6 +37,9 @@
 		if !in || !w.Live || w.Quarantined {
 			continue
 		}
+		if w.Capacity.MilliCores > load.LargestWorker.MilliCores {
+			load.LargestWorker = w.Capacity
+		}
 		free := positive(w.Capacity.Sub(w.Used))
 		load.Free = load.Free.Add(free)
 		if free.MilliCores > emptiest {
--- a/cell/offer.go
+++ b/cell/offer.go
@@ -43,6 +43,7 @@
 	if late {
 		return delegation.OfferReply{}, &peer.RemoteError{Kind: peer.KindRefused, Reason: reasonLateOffer, Message: "a later offer was seen"}
 	}
+	reply.Load = s.load()
 	return reply, nil
 }
 
--- a/cell/session.go
+++ b/cell/session.go
@@ -14,6 +14,7 @@
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/journal"
+	"github.com/fuchsiahill/fuchsiahill/member"
 	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/shard"
@@ -67,6 +68,7 @@
 	shared    map[fleet.WorkerID]sharing.Worker // as the policy last saw them
 	values    map[resolvedKey]settings.Resolved
 	valuesAt  store.Revision
+	told      member.CellLoad // as load last returned it
 }
 
 // returning is an outcome on its way to its queue.
--- a/delegation/delegation.go
+++ b/delegation/delegation.go
@@ -12,6 +12,7 @@
 
 import (
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/member"
 	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 )
@@ -60,6 +61,7 @@
 type OfferReply struct {
 	Accepted []platform.AttemptRef `json:"accepted"`
 	Refused  []Refusal             `json:"refused"`
+	Load     member.CellLoad       `json:"load"` // after the decision
 }
 
 // Refusal durably gives an attempt back: the cell never starts it.
--- a/internal/dev/tree.go
+++ b/internal/dev/tree.go
@@ -52,7 +52,7 @@
 		Teams: map[fleet.Team]*settings.Team{team: {
 			Organisation: organisation,
 			Region:       region,
-			Quota:        fleet.Resources{MilliCores: 128_000, MemoryMB: 512_000},
+			Quota:        fleet.Resources{MilliCores: 512_000, MemoryMB: 2_048_000},
 			Shards:       1,
 		}},
 	}
--- a/member/bytes_test.go
+++ b/member/bytes_test.go
@@ -43,7 +43,7 @@
 			"reclaim-engine": {Slots: 160, Free: (host + second) % 160, Waiting: second % 7},
 			"cutting-lists":  {Slots: 80, Free: (host + 2*second) % 80},
 		},
-		Cells:   map[string]CellLoad{cell: {DataCentre: "sofia-1", Capacity: fleet.Resources{MilliCores: 320000, MemoryMB: 1280000}, Free: free, LargestFit: fleet.Resources{MilliCores: 16000, MemoryMB: free.MemoryMB / 10}, Waiting: second % 11}},
+		Cells:   map[string]CellLoad{cell: {DataCentre: "sofia-1", Capacity: fleet.Resources{MilliCores: 320000, MemoryMB: 1280000}, Free: free, LargestFit: fleet.Resources{MilliCores: 16000, MemoryMB: free.MemoryMB / 10}, LargestWorker: fleet.Resources{MilliCores: 16000, MemoryMB: 64000}, Waiting: second % 11, Queued: fleet.Resources{MilliCores: int64(second%11) * 2000, MemoryMB: 4000}, Epoch: 7, Sequence: uint64(1000 + second)}},
 		StoreOK: true,
 	}
 }
--- a/member/member.go
+++ b/member/member.go
@@ -36,13 +36,23 @@
 	Waiting int `json:"waiting"`
 }
 
-// CellLoad is the load of one cell.
+// CellLoad is the load of one cell. Of two, the one with the higher Epoch,
+// then the higher Sequence, is newer.
 type CellLoad struct {
-	DataCentre fleet.DataCentre `json:"data_centre"`
-	Capacity   fleet.Resources  `json:"capacity"`
-	Free       fleet.Resources  `json:"free"`
-	LargestFit fleet.Resources  `json:"largest_fit"` // free on the emptiest worker
-	Waiting    int              `json:"waiting"`
+	Epoch         fleet.Epoch      `json:"epoch"`    // of the owner
+	Sequence      uint64           `json:"sequence"` // of the owner's changes of the load
+	DataCentre    fleet.DataCentre `json:"data_centre"`
+	Capacity      fleet.Resources  `json:"capacity"`
+	Free          fleet.Resources  `json:"free"`
+	LargestFit    fleet.Resources  `json:"largest_fit"`    // free on the emptiest worker
+	LargestWorker fleet.Resources  `json:"largest_worker"` // capacity of the largest worker that takes tasks
+	Waiting       int              `json:"waiting"`
+	Queued        fleet.Resources  `json:"queued"` // size of the waiting tasks
+}
+
+// NewerThan reports whether l describes a later moment than o.
+func (l CellLoad) NewerThan(o CellLoad) bool {
+	return l.Epoch > o.Epoch || l.Epoch == o.Epoch && l.Sequence > o.Sequence
 }
 
 // Directory tells the known hosts. It is safe for concurrent use.
--- a/queue/decide_test.go
+++ b/queue/decide_test.go
@@ -198,6 +198,10 @@
 	half := member.CellLoad{Capacity: big, LargestFit: resources(8000, 32000, 0), Free: resources(8000, 32000, 0)}
 	busy := empty
 	busy.Waiting = maxWaiting
+	backlog := full
+	backlog.LargestWorker = big
+	waiting := backlog
+	waiting.Queued = resources(big.MilliCores/backlogShare, 0, 0)
 	out := settings.DataCentre{Region: "bg", State: settings.DataCentreOut, Cells: 1}
 	tests := map[string]struct {
 		sofia, ruse *member.CellLoad // nil: no summary
@@ -216,6 +220,9 @@
 		"urgent goes to a full cell": {sofia: &full, urgent: true, cell: "cell/sofia/0"},
 		"urgent prefers room":        {sofia: &full, ruse: &half, urgent: true, cell: "cell/ruse/0"},
 		"nothing known":              {wait: waitRoom},
+		"may wait in a full cell":    {sofia: &full, ruse: &backlog, cell: "cell/ruse/0"},
+		"room goes before waiting":   {sofia: &half, ruse: &backlog, cell: "cell/sofia/0"},
+		"enough waits already":       {sofia: &full, ruse: &waiting, wait: waitRoom},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -243,7 +250,7 @@
 func testChooser(w *world) *cellChooser {
 	summary, _ := w.Summary(testHost)
 	return &cellChooser{
-		cells: viewCells("bg", w.Current(), []member.Summary{summary}),
+		cells: viewCells("bg", w.Current(), []member.Summary{summary}, nil),
 		rand:  newRand(1),
 		sent:  newRecentlySent(),
 		now:   time.Unix(1_000_000, 0),
@@ -379,3 +386,24 @@
 		}
 	})
 }
+
+// TestAnsweredOffersAreNotCountedTwice checks that what a cell has decided on
+// counts by the load it answered with, and not as sent besides.
+func TestAnsweredOffersAreNotCountedTwice(t *testing.T) {
+	c := testChooser(newWorld())
+	cell, _ := c.Choose(small, nil, false)
+	if got := c.sent.since(cell, c.now); got != small {
+		t.Fatalf("%v counts as sent before the answer, want %v", got, small)
+	}
+	load := member.CellLoad{Epoch: 1, Sequence: 2, Free: resources(500, 500, 0)}
+	c.sent.answered(cell, []fleet.Resources{small}, load)
+	if got := c.sent.since(cell, c.now); !got.IsZero() {
+		t.Errorf("%v counts as sent after the answer", got)
+	}
+	older := load
+	older.Sequence = 1
+	c.sent.answered(cell, nil, older)
+	if got := c.sent.loads[cell]; got != load {
+		t.Errorf("an older load %+v replaced %+v", got, load)
+	}
+}
--- a/queue/placement.go
+++ b/queue/placement.go
@@ -12,10 +12,14 @@
 )
 
 const (
+	// backlogShare is the part of a cell's capacity that may wait in the cell
+	// beyond what is free, so that room is used as soon as it comes: a task
+	// that ends is heard of a renewal and two commits later.
+	backlogShare = 8
 	// maxWaiting is how many tasks may wait in a cell before it gets no more.
 	maxWaiting = 64
-	// sentMemory is how long a delegation is counted against a cell's
-	// summary, which lags.
+	// sentMemory is how long a delegation that the cell has not answered is
+	// counted against its load.
 	sentMemory = 2 * time.Second
 	// avoidInitial and avoidMaximum bound how long a cell that refused a task
 	// gets none of that size or larger.
@@ -43,13 +47,18 @@
 
 var _ Chooser = (*cellChooser)(nil)
 
-// viewCells joins the cells that the settings name with the newest load
-// summary of each.
-func viewCells(region fleet.Region, snapshot settings.Snapshot, summaries []member.Summary) []cellView {
+// viewCells joins the cells that the settings name with the newest load of
+// each, from summaries or the cell's own answers.
+func viewCells(region fleet.Region, snapshot settings.Snapshot, summaries []member.Summary, answers map[shard.ID]member.CellLoad) []cellView {
 	loads := make(map[string]member.CellLoad)
+	for id, load := range answers {
+		loads[string(id)] = load
+	}
 	for _, s := range summaries {
 		for id, load := range s.Cells {
-			loads[id] = load
+			if old, ok := loads[id]; !ok || load.NewerThan(old) {
+				loads[id] = load
+			}
 		}
 	}
 	var cells []cellView
@@ -85,10 +94,10 @@
 }
 
 // Choose implements Chooser: of two random cells that have room, the one with
-// more of it. An urgent task for which none has room goes to one that is
+// more of it; if there is none, of those where it may wait for room. An urgent task for which none has room goes to one that is
 // large enough: the cell makes room.
 func (c *cellChooser) Choose(need fleet.Resources, allowed []fleet.DataCentre, urgent bool) (shard.ID, string) {
-	var fitting, largeEnough []*cellView
+	var fitting, nearly, largeEnough []*cellView
 	anyIn := false
 	for i := range c.cells {
 		cell := &c.cells[i]
@@ -102,10 +111,16 @@
 		if c.hasRoom(cell, need) {
 			fitting = append(fitting, cell)
 		}
+		if c.hasBacklogRoom(cell, need) {
+			nearly = append(nearly, cell)
+		}
 		if urgent && need.Fits(cell.load.Capacity) {
 			largeEnough = append(largeEnough, cell)
 		}
 	}
+	if len(fitting) == 0 {
+		fitting = nearly
+	}
 	if len(fitting) == 0 {
 		fitting = largeEnough
 	}
@@ -124,6 +139,20 @@
 	return cell.load.Waiting < maxWaiting && need.Fits(cell.load.LargestFit) && need.Fits(c.free(cell))
 }
 
+// hasBacklogRoom reports whether a task may wait in a cell that is full.
+func (c *cellChooser) hasBacklogRoom(cell *cellView, need fleet.Resources) bool {
+	if cell.load.Waiting >= maxWaiting || !need.Fits(cell.load.LargestWorker) {
+		return false
+	}
+	capacity := cell.load.Capacity
+	backlog := fleet.Resources{
+		MilliCores:   capacity.MilliCores / backlogShare,
+		MemoryMB:     capacity.MemoryMB / backlogShare,
+		Accelerators: capacity.Accelerators / backlogShare,
+	}
+	return need.Fits(c.free(cell).Add(backlog).Sub(cell.load.Queued))
+}
+
 // free returns what the cell's summary shows as free, less what was sent
 // since.
 func (c *cellChooser) free(cell *cellView) fleet.Resources {
@@ -151,10 +180,12 @@
 	return most
 }
 
-// recentlySent remembers what was delegated to each cell lately and which
-// sizes it refused. It is used by one goroutine.
+// recentlySent remembers what was delegated to each cell and not answered yet,
+// what load the cell last answered with, and which sizes it refused. It is
+// used by one goroutine.
 type recentlySent struct {
 	sent    map[shard.ID]*sentTasks
+	loads   map[shard.ID]member.CellLoad
 	refused map[shard.ID]refusal
 }
 
@@ -178,6 +209,7 @@
 func newRecentlySent() *recentlySent {
 	return &recentlySent{
 		sent:    make(map[shard.ID]*sentTasks),
+		loads:   make(map[shard.ID]member.CellLoad),
 		refused: make(map[shard.ID]refusal),
 	}
 }
@@ -192,7 +224,31 @@
 	s.sum = s.sum.Add(size)
 }
 
-// since returns the sum of what was sent within sentMemory.
+// answered notes a cell's load after it has decided about tasks of these
+// sizes, which that load includes.
+func (r *recentlySent) answered(cell shard.ID, sizes []fleet.Resources, load member.CellLoad) {
+	if load.Epoch == 0 {
+		return // the owner does not tell
+	}
+	if old, ok := r.loads[cell]; !ok || load.NewerThan(old) {
+		r.loads[cell] = load
+	}
+	s := r.sent[cell]
+	if s == nil {
+		return
+	}
+	for _, size := range sizes {
+		i := slices.IndexFunc(s.tasks, func(t sentTask) bool { return t.size == size })
+		if i < 0 {
+			continue
+		}
+		s.tasks = slices.Delete(s.tasks, i, i+1)
+		s.sum = s.sum.Sub(size)
+	}
+}
+
+// since returns the sum of what was sent within sentMemory and is not
+// answered.
 func (r *recentlySent) since(cell shard.ID, now time.Time) fleet.Resources {
 	s := r.sent[cell]
 	if s == nil {
--- a/queue/sender.go
+++ b/queue/sender.go
@@ -8,6 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/journal"
 	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/shard"
@@ -198,10 +199,18 @@
 		return err
 	}
 	q := s.shard
+	sizes := make([]fleet.Resources, 0, len(m.offers))
+	for _, t := range m.offers {
+		sizes = append(sizes, t.Resources)
+	}
 	if len(reply.Refused) == 0 {
-		return q.journal.View(ctx, func() { q.accepted(m.cell, reply.Accepted) })
+		return q.journal.View(ctx, func() {
+			q.sent.answered(m.cell, sizes, reply.Load)
+			q.accepted(m.cell, reply.Accepted)
+		})
 	}
 	return q.journal.Do(ctx, func(tx journal.Tx) error {
+		q.sent.answered(m.cell, sizes, reply.Load)
 		q.accepted(m.cell, reply.Accepted)
 		q.refused(tx, m.cell, reply.Refused)
 		return nil
--- a/queue/shard.go
+++ b/queue/shard.go
@@ -160,7 +160,7 @@
 		}
 	}
 	return &cellChooser{
-		cells: viewCells(deps.Region, snapshot, summaries),
+		cells: viewCells(deps.Region, snapshot, summaries, q.sent.loads),
 		rand:  q.rand,
 		sent:  q.sent,
 		now:   now,
