--- a/member/registry_test.go
+++ b/member/registry_test.go
@@ -113,7 +113,11 @@
 		if s, _ := a.Summary("b"); s.Incarnation != 2 || s.Services["s"].Free != 3 {
 			t.Errorf("summary %+v", s)
 		}
-		time.Sleep(5 * time.Second)
+		w.store.ExpireAllLeases()
+		time.Sleep(10 * time.Second)
+		if h, _ := a.Host("b"); h.Incarnation != 2 {
+			t.Errorf("host %+v after every lease has lapsed", h)
+		}
 		var superseded *member.SupersededError
 		if err := b.stop(); !errors.As(err, &superseded) {
 			t.Errorf("the earlier process ended with %v", err)
