Wait for the server's close in the test of a closed idle connection

Ruled out: the check of an idle connection before it is used; without it the test fails at once.

Change: the stand-in tells how many connections are open and the test waits until the server has closed.

--- a/backend/pool_test.go
+++ b/backend/pool_test.go
@@ -335,7 +335,9 @@
 		if err := exchange(t, p, b, "r1", 1<<16); err != nil {
 			t.Fatal(err)
 		}
-		time.Sleep(2 * time.Millisecond) // lets the close arrive
+		for b.Stats().Connections > 0 {
+			time.Sleep(time.Millisecond)
+		}
 	}
 }
 
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -235,6 +235,7 @@
 type Stats struct {
 	MaxRequests    int // at once
 	MaxConnections int // at once
+	Connections    int // open now
 	Requests       []RequestRecord
 }
 
@@ -245,6 +246,7 @@
 	return Stats{
 		MaxRequests:    b.maxRun,
 		MaxConnections: b.maxConns,
+		Connections:    len(b.conns),
 		Requests:       append([]RequestRecord(nil), b.records...),
 	}
 }
