--- a/internal/knownred/main.go
+++ b/internal/knownred/main.go
@@ -61,7 +61,7 @@
 }
 
 func run(args []string, w io.Writer) error {
-	listed, err := readList(listFile)
+	listed, flaky, err := readList(listFile)
 	if err != nil {
 		return err
 	}
@@ -69,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	judgement := judge(result, listed)
+	judgement := judge(result, listed, flaky)
 	report(w, result, listed, judgement)
 	if len(judgement.Unexpected)+len(judgement.Green) > 0 {
 		return judgement
@@ -78,24 +78,27 @@
 }
 
 // readList reads the names of the tests listed as red: in each line that is
-// not empty or a comment, the text before the first "|".
-func readList(path string) ([]string, error) {
+// not empty or a comment, the text before the first "|". Those whose next
+// field begins with "flaky" fail in some runs only.
+func readList(path string) (names, flaky []string, err error) {
 	data, err := os.ReadFile(path)
 	if errors.Is(err, os.ErrNotExist) {
-		return nil, nil
+		return nil, nil, nil
 	}
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	var names []string
 	for line := range strings.Lines(string(data)) {
-		name, _, _ := strings.Cut(line, "|")
+		name, rest, _ := strings.Cut(line, "|")
 		name = strings.TrimSpace(name)
 		if name != "" && !strings.HasPrefix(name, "#") {
 			names = append(names, name)
+			if strings.HasPrefix(strings.TrimSpace(rest), "flaky") {
+				flaky = append(flaky, name)
+			}
 		}
 	}
-	return names, nil
+	return names, flaky, nil
 }
 
 func runTests(args []string) (*outcome, error) {
@@ -152,7 +155,7 @@
 	}
 }
 
-func judge(o *outcome, listed []string) *JudgementError {
+func judge(o *outcome, listed, flaky []string) *JudgementError {
 	j := &JudgementError{Unexpected: slices.Clone(o.brokenPackages)}
 	for _, name := range o.failed {
 		if !covered(name, o.failed, listed) {
@@ -160,7 +163,8 @@
 		}
 	}
 	for _, name := range listed {
-		if !slices.Contains(o.failed, name) {
+		// A flaky test that passes this time proves nothing.
+		if !slices.Contains(o.failed, name) && !slices.Contains(flaky, name) {
 			j.Green = append(j.Green, name)
 		}
 	}
