--- a/internal/knownred/main.go
+++ b/internal/knownred/main.go
@@ -55,6 +55,20 @@
 	Green      []string // listed and not failed
 }
 
+// UntoldError reports a test command that told of no test, or failed without
+// a failed test.
+type UntoldError struct {
+	Command string
+	Cause   error // how the command ended; nil for success
+}
+
+func (e *UntoldError) Error() string {
+	return fmt.Sprintf("%s told of no test that decides; it ended with: %v", e.Command, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UntoldError) Unwrap() error { return e.Cause }
+
 func (e *JudgementError) Error() string {
 	return fmt.Sprintf("%d failures not listed in %s %v, %d entries not red %v",
 		len(e.Unexpected), listFile, e.Unexpected, len(e.Green), e.Green)
@@ -113,10 +127,10 @@
 		return nil, err
 	}
 	result := collect(stdout)
-	// The exit status says no more than the events do.
-	var exit *exec.ExitError
-	if err := cmd.Wait(); err != nil && !errors.As(err, &exit) {
-		return nil, err
+	err = cmd.Wait()
+	failures := len(result.failed) + len(result.brokenPackages)
+	if failures == 0 && (err != nil || len(result.passed) == 0) {
+		return nil, &UntoldError{Command: strings.Join(args, " "), Cause: err}
 	}
 	return result, nil
 }
--- /dev/null
+++ b/internal/knownred/main_test.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const list = `# a comment
+
+p TestRed | go test ./p -run TestRed | always fails | 1
+p TestFlaky/case | flaky, 1 of 4: go test ./p -run TestFlaky | sometimes fails | 2
+`
+
+func TestJudge(t *testing.T) {
+	path := filepath.Join(t.TempDir(), listFile)
+	if err := os.WriteFile(path, []byte(list), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	listed, flaky, err := readList(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const (
+		red   = `{"Action":"fail","Package":"p","Test":"TestRed"}`
+		green = `{"Action":"pass","Package":"p","Test":"TestRed"}`
+		end   = `{"Action":"fail","Package":"p"}`
+	)
+	tests := map[string]struct {
+		events string
+		want   JudgementError
+	}{
+		"only the listed one fails": {red + "\n" + end, JudgementError{}},
+		"listed one passes":         {green, JudgementError{Green: []string{"p TestRed"}}},
+		"listed one did not run":    {"", JudgementError{Green: []string{"p TestRed"}}},
+		"flaky one fails": {
+			red + `{"Action":"fail","Package":"p","Test":"TestFlaky/case"}` + "\n" + `{"Action":"fail","Package":"p","Test":"TestFlaky"}`,
+			JudgementError{},
+		},
+		"sibling of a listed one fails": {
+			red + "\n" + `{"Action":"fail","Package":"p","Test":"TestFlaky/other"}` + "\n" + `{"Action":"fail","Package":"p","Test":"TestFlaky"}`,
+			JudgementError{Unexpected: []string{"p TestFlaky/other", "p TestFlaky"}},
+		},
+		"package breaks without a failed test": {red + "\n" + `{"Action":"fail","Package":"q"}`, JudgementError{Unexpected: []string{"q"}}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			events := strings.ReplaceAll(tt.events, "}{", "}\n{")
+			got := judge(collect(strings.NewReader(events)), listed, flaky)
+			if diff := cmp.Diff(&tt.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestRunThatTellsNothing(t *testing.T) {
+	for name, args := range map[string][]string{
+		"no test":         {"go", "test", "-run", "^$", "."},
+		"unknown command": {"go", "nosuchcommand"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var untold *UntoldError
+			if _, err := runTests(args); !errors.As(err, &untold) {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+}
