Take callers once the load of another host is known

Cause: a host that joins was ready as soon as it had settings and the host list, some 100 ms after its start. It hears the load of the others up to a second later, and until then refuses what it can't serve itself as no_server.

Change: /readyz answers 503 until a host of the region has been heard, the host is alone, or 5 s have passed. Once ready, silence of the others changes nothing.

Before: TestReadyOnceThePeersAreKnown saw the joining host ready with nothing known of the first. After: it passes.

--- a/host/host.go
+++ b/host/host.go
@@ -51,8 +51,10 @@
 	listeners listeners
 	peerTLS   *tls.Config // of connections to other hosts; nil for plain TCP
 	draining  atomic.Bool
-	abort     chan struct{} // closed by Abort
-	abortOnce sync.Once
+	// peersKnown is set once this host has known the load of another.
+	peersKnown atomic.Bool
+	abort      chan struct{} // closed by Abort
+	abortOnce  sync.Once
 
 	metered *store.Metered
 	// journalWrites is the write budget that all journals of this host share.
--- a/host/http.go
+++ b/host/http.go
@@ -80,29 +80,3 @@
 	}
 	return list
 }
-
-// health implements api.Health.
-type health struct{ h *Host }
-
-// NotReadyError is why a host should get no callers' work.
-type NotReadyError struct{ Reason string }
-
-func (e *NotReadyError) Error() string { return e.Reason }
-
-// Live implements api.Health.
-func (health) Live() error { return nil }
-
-// Ready implements api.Health. An outage of the store does not make a host
-// unready: it serves requests with what it last knew.
-func (s health) Ready() error {
-	switch {
-	case s.h.draining.Load():
-		return &NotReadyError{Reason: "draining"}
-	case !s.h.tracker.Ready():
-		return &NotReadyError{Reason: "settings not confirmed yet"}
-	case s.h.poller.Hosts().Version == 0:
-		return &NotReadyError{Reason: "no host list yet"}
-	default:
-		return nil
-	}
-}
