Forward by claims while no summary tells of the owner's slots

Cause: in the first second of a new site 181 of 7,901 requests were refused as no_server, all by one host that owned no server. A log of the calls showed why: the summaries that it held were of before the others had claimed their fronts, and a change of load is published a second apart. At 140 hosts a summary is up to 21 s old, so every front that passes to another host can cost the others refusals while their own servers are full.

Ruled out: rights (every owner could send at once), readiness (all hosts were ready).

Change: if no summary shows free slots, a request goes to a host that owns a front of the service by the claims and whose summary is missing, of an earlier process, or without slots. A host that says it is full is left alone.

TestForwardByClaims is new: three of its five cases failed before.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -141,7 +141,8 @@
 }
 
 // choosePeer returns the one with more free slots of two random members of
-// the region that have some and do not rest.
+// the region that have some and do not rest. If none has, it returns one that
+// has claimed servers a moment ago.
 func (g *Gateway) choosePeer(name fleet.Service, now time.Time) (member.Host, bool) {
 	hosts := g.deps.Members.Hosts()
 	var best member.Host
@@ -153,7 +154,10 @@
 			best = host
 		}
 	}
-	return best, most > 0
+	if most > 0 {
+		return best, true
+	}
+	return g.claimedPeer(name, now)
 }
 
 // randomPeer returns the first host with free slots from a random place on.
--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -58,3 +58,36 @@
 		t.Errorf("free again: %s (%s)", r.outcome(), r.reason())
 	}
 }
+
+// TestForwardByClaims checks that a request finds a host whose servers no
+// summary tells of yet, and that a summary that tells of full servers counts.
+func TestForwardByClaims(t *testing.T) {
+	load := func(slots int) map[fleet.Service]member.ServiceLoad {
+		return map[fleet.Service]member.ServiceLoad{svc: {Slots: slots}}
+	}
+	tests := map[string]struct {
+		summary *member.Summary
+		want    string
+	}{
+		"no summary":            {nil, "answered"},
+		"of before the claim":   {&member.Summary{Incarnation: 1, Services: load(0)}, "answered"},
+		"of an earlier process": {&member.Summary{Incarnation: 0, Services: load(8)}, "answered"},
+		"full":                  {&member.Summary{Incarnation: 1, Services: load(8)}, "not-run"},
+		"draining":              {&member.Summary{Incarnation: 1, Draining: true}, "not-run"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 1, instant)
+			s.start(t, "h1", true)
+			other := s.start(t, "h2", false)
+			if tt.summary != nil {
+				s.mu.Lock()
+				s.sums["h1"] = *tt.summary
+				s.mu.Unlock()
+			}
+			if r := other.call(t.Context(), "POST", "data"); r.outcome() != tt.want {
+				t.Errorf("%s (%s)", r.outcome(), r.reason())
+			}
+		})
+	}
+}
--- a/gateway/fronts.go
+++ b/gateway/fronts.go
@@ -158,8 +158,12 @@
 	choice := make(map[fleet.Service]map[fleet.ServerID]*server)
 	values := make(map[fleet.Service]settings.Resolved)
 	seen := make(map[*server]bool)
+	fronts := make(serving)
 	for i := range list.Servers {
 		info := &list.Servers[i]
+		if g.isUsable(info, centres) {
+			fronts.add(info.Service, g.frontOf(info, centres[info.DataCentre].Cells))
+		}
 		g.ensureService(now, info, snapshot, values)
 		s := g.own(info, centres)
 		if s == nil {
@@ -179,6 +183,7 @@
 		}
 		choice[info.Service][info.ID] = s
 	}
+	g.serving = fronts
 	g.dropUnlisted(seen)
 	for name, svc := range g.services {
 		v, ok := values[name]
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,6 +64,7 @@
 	services map[fleet.Service]*service
 	numbers  map[fleet.WorkerID]int // cell number, which never changes
 	peers    map[peerKey]*peerPool
+	serving  serving // replaced by each refresh, never changed
 
 	flight inFlight
 }
