Learn the run times of job classes

Cause: sizes were corrected from observed use, run times were not known to a cell at all. An evacuation stopped tasks in order of acceptance, so those nearest to their end went first and their work was moved for nothing; a task that hung could be told from a long one by nobody.

Ruled out: the declared run time (there is none in a job); reported progress (a worker need not know it); a choice of eviction victims by run time (a victim is chosen by the work since its checkpoint, which is measured).

The evacuation leaves tasks alone that will have ended by its last eviction. A task at twice the run time of its class is logged and counted once.

--- a/cell/control.go
+++ b/cell/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
@@ -37,6 +38,7 @@
 	s.judgeUnreported(placed, now)
 	s.stopCancelled(placed, now)
 	s.evacuate(placed, now)
+	s.reportOverruns(placed, now)
 	s.relieve(placed, now)
 	s.makeRoom(now)
 	s.share(placed, now)
@@ -146,7 +148,8 @@
 
 // evacuate stops the tasks of a data centre that is out, spread evenly over
 // the grace, so that checkpoints and the cells that take the tasks are not
-// hit by all of them at once.
+// hit by all of them at once. Those that will have ended by themselves by then
+// are left alone.
 func (s *session) evacuate(placed []*attempt, now time.Time) {
 	if s.gate.in {
 		return
@@ -164,7 +167,12 @@
 		left = append(left, a)
 	}
 	grace := s.longestGrace(placed)
-	due := s.gate.evictionsDue(now, grace, len(left))
+	end := s.gate.lastEviction(grace)
+	left = slices.DeleteFunc(left, func(a *attempt) bool {
+		remaining, known := s.remaining(a, s.runs[a.Task.AttemptRef], now)
+		return known && now.Add(remaining).Before(end)
+	})
+	due := s.gate.evictionsDue(now, end, len(left))
 	s.reportOverdue(placed, now.Add(-grace))
 	for _, a := range left[:due] {
 		s.stop(a, now, reasonOut)
--- a/cell/fixture_test.go
+++ b/cell/fixture_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"sync"
@@ -92,6 +93,7 @@
 	hook     func(call int, after bool) // before and after each call to a worker
 	calls    int
 	queue    *fakeQueue
+	runTimes map[fleet.JobClass]time.Duration // instead of the run time of all tasks
 	latency  Latencies
 	shares   []float64 // asked for by throttle calls
 	epoch    fleet.Epoch
@@ -105,7 +107,10 @@
 		hosts:   standin.NewHostList(0),
 		records: standin.NewRecords(),
 		queue:   newFakeQueue(),
-		logger:  log.NewNopLogger(),
+
+		runTimes: make(map[fleet.JobClass]time.Duration),
+
+		logger: log.NewNopLogger(),
 		settings: &fakeSettings{values: settings.Resolved{
 			WorkerLeaseMS: 6000, GraceMS: 10_000, ThrottleFloor: 0.1, EvictionsMinute: 2, ObjectiveMS: 100,
 		}},
@@ -119,7 +124,7 @@
 			Capacity:   fleet.Resources{MilliCores: 4000, MemoryMB: 4000},
 			State:      platform.StateLive,
 		}
-		run := func(platform.StartRequest) time.Duration { return runTime }
+		run := func(req platform.StartRequest) time.Duration { return cmp.Or(b.runTimes[req.Class], runTime) }
 		b.workers = append(b.workers, standin.NewWorker(info, fleet.Resources{}, run, b.records))
 	}
 	b.control = standin.NewWorkers(b.workers...)
--- a/cell/gate.go
+++ b/cell/gate.go
@@ -71,11 +71,15 @@
 	return &free
 }
 
+// lastEviction returns when the last task is to be stopped within the grace
+// that began when the data centre was taken out.
+func (g *gate) lastEviction(grace time.Duration) time.Time {
+	return g.since.Add(time.Duration(evacuationShare * float64(grace)))
+}
+
 // evictionsDue returns how many of the tasks left are to be stopped at now, so
-// that all are stopped evenly within the grace that began when the data centre
-// was taken out.
-func (g *gate) evictionsDue(now time.Time, grace time.Duration, left int) int {
-	end := g.since.Add(time.Duration(evacuationShare * float64(grace)))
+// that all are stopped evenly until end.
+func (g *gate) evictionsDue(now, end time.Time, left int) int {
 	interval := end.Sub(g.paced) / time.Duration(max(left, 1))
 	if !now.Before(end) || interval <= 0 {
 		return left
--- a/cell/health.go
+++ b/cell/health.go
@@ -244,17 +244,17 @@
 		return fleet.Resources{}
 	}
 	return fleet.Resources{
-		MilliCores:   quantile(seen, func(r fleet.Resources) int64 { return r.MilliCores }),
-		MemoryMB:     quantile(seen, func(r fleet.Resources) int64 { return r.MemoryMB }),
-		Accelerators: quantile(seen, func(r fleet.Resources) int64 { return r.Accelerators }),
+		MilliCores:   quantile(seen, sizeQuantile, func(r fleet.Resources) int64 { return r.MilliCores }),
+		MemoryMB:     quantile(seen, sizeQuantile, func(r fleet.Resources) int64 { return r.MemoryMB }),
+		Accelerators: quantile(seen, sizeQuantile, func(r fleet.Resources) int64 { return r.Accelerators }),
 	}
 }
 
-func quantile(seen []fleet.Resources, of func(fleet.Resources) int64) int64 {
+func quantile[T any](seen []T, q float64, of func(T) int64) int64 {
 	values := make([]int64, len(seen))
-	for i, r := range seen {
-		values[i] = of(r)
+	for i, v := range seen {
+		values[i] = of(v)
 	}
 	slices.Sort(values)
-	return values[int(sizeQuantile*float64(len(values)-1)+0.5)]
+	return values[int(q*float64(len(values)-1)+0.5)]
 }
--- a/cell/journal.go
+++ b/cell/journal.go
@@ -41,8 +41,9 @@
 // endDecided is a commit step: it journals the ends that were decided and the
 // returns that were acknowledged.
 func (s *session) endDecided() *record {
-	r := &record{Acked: s.acked}
+	r := &record{Acked: s.acked, Ran: s.ran}
 	s.acked = nil
+	s.ran = nil
 	// The offers of what is forgotten are out of date from the same record on.
 	for queue, mark := range s.marks {
 		r.Marks = append(r.Marks, mark)
--- a/cell/judge.go
+++ b/cell/judge.go
@@ -42,6 +42,8 @@
 	stopping     bool            // an eviction or cancellation was decided
 	stopBy       time.Time       // no checkpoint is asked for later
 	stopSent     time.Time
+	throttled    bool    // it was seen with less than its share
+	overrun      bool    // reported as running far longer than its class
 	wantShare    float64 // 0: none wanted
 	shareSent    time.Time
 }
@@ -52,6 +54,7 @@
 		r.checkpointAt = sentAt
 	}
 	r.status = st
+	r.throttled = r.throttled || st.Share < 1
 	r.peak = fleet.Resources{
 		MilliCores:   max(r.peak.MilliCores, st.Used.MilliCores),
 		MemoryMB:     max(r.peak.MemoryMB, st.Used.MemoryMB),
--- a/cell/machine.go
+++ b/cell/machine.go
@@ -67,6 +67,7 @@
 	Jobs     map[fleet.JobID]*jobHealth           `cbor:"8,keyasint,omitempty"`
 	Sizes    map[fleet.JobClass][]fleet.Resources `cbor:"9,keyasint,omitempty"`
 	Offers   map[shard.ID]offerMark               `cbor:"11,keyasint,omitempty"` // latest of each queue
+	RunTimes map[classKey]runTimes                `cbor:"12,keyasint,omitempty"`
 	ExpireMS int64                                `cbor:"10,keyasint,omitempty"` // when memory was last expired
 }
 
@@ -104,6 +105,9 @@
 	if s.Offers == nil {
 		s.Offers = make(map[shard.ID]offerMark)
 	}
+	if s.RunTimes == nil {
+		s.RunTimes = make(map[classKey]runTimes)
+	}
 	if s.Sizes == nil {
 		s.Sizes = make(map[fleet.JobClass][]fleet.Resources)
 	}
@@ -197,6 +201,9 @@
 			return err
 		}
 	}
+	for _, ran := range r.Ran {
+		m.observeRunTime(ran, r.AtMS)
+	}
 	for _, ref := range r.Acked {
 		m.acknowledge(ref, r.AtMS)
 	}
@@ -319,6 +326,7 @@
 		return nowMS-o.EndMS > (MaxUnconfirmed + MaxWorkerLease + LapseDelay + 2*ClockMargin).Milliseconds()
 	})
 	m.expireHealth(nowMS)
+	m.expireRunTimes(nowMS)
 }
 
 // find returns the attempt, or nil if the cell does not hold exactly it.
--- a/cell/queue_fake_test.go
+++ b/cell/queue_fake_test.go
@@ -35,7 +35,9 @@
 
 func newFakeQueue() *fakeQueue { return &fakeQueue{tasks: make(map[fleet.TaskID]*queued)} }
 
-func (q *fakeQueue) add(n int, size fleet.Resources) {
+func (q *fakeQueue) add(n int, size fleet.Resources) { q.addClass(n, size, "claims") }
+
+func (q *fakeQueue) addClass(n int, size fleet.Resources, class fleet.JobClass) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for range n {
@@ -43,13 +45,19 @@
 		task := delegation.Task{
 			AttemptRef: platform.AttemptRef{Task: id, Attempt: 1},
 			Queue:      testQueue,
-			Class:      "claims",
+			Class:      class,
 			Resources:  size,
 		}
 		q.tasks[id] = &queued{task: task}
 	}
 }
 
+func (q *fakeQueue) classOf(id fleet.TaskID) fleet.JobClass {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.tasks[id].task.Class
+}
+
 func (q *fakeQueue) pending() []delegation.Task {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/cell/record.go
+++ b/cell/record.go
@@ -26,6 +26,7 @@
 	Place   []placement           `cbor:"6,keyasint,omitempty"`
 	Cancel  []platform.AttemptRef `cbor:"7,keyasint,omitempty"`
 	End     []delegation.Outcome  `cbor:"8,keyasint,omitempty"`
+	Ran     []ranRecord           `cbor:"12,keyasint,omitempty"`
 	Acked   []platform.AttemptRef `cbor:"9,keyasint,omitempty"`
 	Marks   []offerMark           `cbor:"11,keyasint,omitempty"`
 	Release bool                  `cbor:"10,keyasint,omitempty"` // the present owner sends no call to a worker any more
--- a/cell/report.go
+++ b/cell/report.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/platform"
 )
 
@@ -133,7 +134,11 @@
 	first := r.seen.IsZero()
 	r.note(st, sentAt)
 	if st.State.Final() {
-		s.decide(judgeListed(a, r, st))
+		o := judgeListed(a, r, st)
+		if o.End == delegation.EndFinished && !first && !s.isDecided(a) {
+			s.learnRunTime(a, r, sentAt)
+		}
+		s.decide(o)
 		return
 	}
 	if first {
--- /dev/null
+++ b/cell/runtime_test.go
@@ -0,0 +1,119 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/fuchsiahill/fuchsiahill/delegation"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+)
+
+func TestRunTime(t *testing.T) {
+	observe := func(m *Machine, at time.Time, key classKey, ms ...int64) {
+		for _, v := range ms {
+			if err := apply(t, m, at, record{Ran: []ranRecord{{Class: key, MS: v}}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	m := NewMachine()
+	observe(m, testStart, "refunds/claims", 100, 200, 300, 400)
+	if got, known := m.runTime("refunds/claims"); known {
+		t.Errorf("run time %v after 4 ends, want none", got)
+	}
+	observe(m, testStart, "refunds/claims", 500)
+	observe(m, testStart, "panels/claims", 7, 7, 7, 7, 7)
+	for key, want := range map[classKey]time.Duration{"refunds/claims": 500 * time.Millisecond, "panels/claims": 7 * time.Millisecond} {
+		if got, _ := m.runTime(key); got != want {
+			t.Errorf("run time of %s is %v, want %v", key, got, want)
+		}
+	}
+	for range runTimeWindow {
+		observe(m, testStart.Add(time.Hour), "refunds/claims", 50)
+	}
+	if got, _ := m.runTime("refunds/claims"); got != 50*time.Millisecond {
+		t.Errorf("run time %v after as many of 50 ms as count, want 50 ms", got)
+	}
+	copied := NewMachine()
+	snapshot, err := m.Snapshot()
+	if err != nil || copied.Restore(snapshot) != nil || !cmp.Equal(m.state, copied.state) {
+		t.Error("the snapshot does not keep what was learned")
+	}
+	observe(m, testStart.Add(runTimeMemory+time.Minute), "refunds/plans", 1)
+	if _, known := m.runTime("panels/claims"); known {
+		t.Error("a class is known that had no end for a day")
+	}
+	for i := range maxRunTimes {
+		observe(m, testStart.Add(25*time.Hour), classKey(fmt.Sprint("refunds/c", i)), 1)
+	}
+	if got := len(m.state.RunTimes); got != maxRunTimes {
+		t.Errorf("%d classes are kept, want %d", got, maxRunTimes)
+	}
+}
+
+// TestEvacuationLetsShortTasksEnd takes a data centre out that runs tasks
+// which end within the grace beside others which do not. The owner that
+// learned how long they run is not the one that evacuates.
+func TestEvacuationLetsShortTasksEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 10, 10*time.Minute)
+		b.runTimes["checks"] = 6 * time.Second
+		first := b.start("a")
+		time.Sleep(500 * time.Millisecond)
+		b.queue.addClass(10, small, "checks")
+		if !first.finish(time.Minute) {
+			t.Fatal("tasks are not done")
+		}
+		first.stop()
+		second := b.start("b")
+		defer second.stop()
+		time.Sleep(500 * time.Millisecond)
+		b.queue.addClass(20, small, "checks")
+		b.queue.add(20, small)
+		second.finish(time.Second)
+		b.settings.set(func(f *fakeSettings) { f.out = true })
+		time.Sleep(11 * time.Second)
+		evicted := make(map[time.Duration]int)
+		for _, r := range b.records.Runs() {
+			if r.State == platform.TaskStopped {
+				evicted[b.runTimes[b.queue.classOf(r.Task)]]++
+			}
+		}
+		if want := map[time.Duration]int{0: 20}; !cmp.Equal(evicted, want) {
+			t.Errorf("evicted by run time: %v, want %v", evicted, want)
+		}
+		b.check()
+	})
+}
+
+// TestOverrun runs one task of a class for much longer than those before it.
+func TestOverrun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2, 4*time.Second)
+		o := b.start("a")
+		defer o.stop()
+		time.Sleep(500 * time.Millisecond)
+		b.queue.add(8, small)
+		if !o.finish(time.Minute) {
+			t.Fatal("tasks are not done")
+		}
+		b.runTimes["claims"] = time.Minute
+		b.queue.add(1, small)
+		o.finish(8 * time.Second)
+		if v := o.server.Vars().Get(varOverruns); v != nil {
+			t.Errorf("%s overruns after twice the run time of the class, want none yet", v)
+		}
+		o.finish(time.Minute)
+		if v := o.server.Vars().Get(varOverruns); v == nil || v.String() != "1" {
+			t.Errorf("%v overruns, want 1", v)
+		}
+		if got := b.queue.outcomes(delegation.EndFinished); got != 9 {
+			t.Errorf("%d tasks finished, want 9", got)
+		}
+		b.check()
+	})
+}
--- a/cell/session.go
+++ b/cell/session.go
@@ -52,6 +52,7 @@
 	runs      map[platform.AttemptRef]*run // of placed attempts
 	workers   map[fleet.WorkerID]*worker
 	ends      map[platform.AttemptRef]delegation.Outcome // decided, not yet journaled
+	ran       []ranRecord                                // of them, not yet journaled
 	returns   map[platform.AttemptRef]returning          // durable, not yet acknowledged
 	acked     []platform.AttemptRef                      // acknowledged, not yet journaled
 	marks     map[shard.ID]offerMark                     // of acknowledgements, not yet journaled
--- a/cell/vars.go
+++ b/cell/vars.go
@@ -17,6 +17,7 @@
 	varUnanswered = "worker_calls_unanswered"
 	varStops      = "stops_decided"
 	varReturned   = "outcomes_returned"
+	varOverruns   = "tasks_overrun"
 )
 
 // Vars returns the counters of all cells that this host has owned.
