Count an evacuation's grace over changes of the cell's owner

Cause: a new owner saw the data centre out for the first time and began the grace anew; after a return it used all of the capacity at once, since it did not know of the refill.

Ruled out: the time of the settings' change (the tree's values carry none, and a host may learn of it much later, when stopping at once would hit all checkpoints together).

Change: the owner journals when it saw the state change, and at which revision of the settings. A new owner takes that up and spreads what is left over the rest of the grace. Settings below that revision don't move the gate: a host that lags would else let the data centre in and begin anew.

--- a/cell/control.go
+++ b/cell/control.go
@@ -7,6 +7,8 @@
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/settings"
+	"github.com/fuchsiahill/fuchsiahill/store"
 )
 
 // controlLoop decides at intervals what needs neither a report nor an offer:
@@ -27,10 +29,9 @@
 func (s *session) control(ctx context.Context, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	dc := s.deps.Settings.Current().DataCentres()[s.dc]
-	if s.gate.update(dc.State, now) {
-		s.logger.Log("event", "data_centre", "state", dc.State)
-	}
+	current := s.deps.Settings.Current()
+	dc := current.DataCentres()[s.dc]
+	s.updateGate(current.Revision(), dc.State, now)
 	s.members.update(s.deps.Hosts.Hosts(), s.dc, s.number, dc.Cells)
 	s.updateWorkers(ctx, now)
 	s.updateOthers(now)
@@ -44,6 +45,20 @@
 	s.share(placed, now)
 }
 
+// updateGate follows the data centre's state. A change is journaled, so that
+// the next owner counts from it. Settings older than those in which a
+// predecessor saw the present state change nothing.
+func (s *session) updateGate(revision store.Revision, state settings.DataCentreState, now time.Time) {
+	if revision < s.machine.state.Gate.Revision || !s.gate.update(state, now) {
+		return
+	}
+	s.logger.Log("event", "data_centre", "state", state)
+	if s.gate.since.IsZero() {
+		return
+	}
+	s.gateSeen = &gateRecord{Out: !s.gate.in, SinceMS: now.UnixMilli(), Revision: revision}
+}
+
 // updateWorkers starts an agent for every worker of the cell that has none,
 // and for every other worker that still has attempts of it.
 func (s *session) updateWorkers(ctx context.Context, now time.Time) {
--- a/cell/gate.go
+++ b/cell/gate.go
@@ -24,7 +24,7 @@
 type gate struct {
 	known bool
 	in    bool
-	since time.Time // of the change seen; zero for the state at the start
+	since time.Time // of the change seen; zero if none was, now or by a predecessor
 	paced time.Time // up to here evictions were spread
 	// overdue says that tasks left after the grace were reported.
 	overdue bool
@@ -46,6 +46,20 @@
 	return true
 }
 
+// restore takes the change that a predecessor journaled, so that neither the
+// grace nor the refill that it began starts anew. What is left to stop is
+// spread over what is left of the grace.
+func (g *gate) restore(last gateRecord, now time.Time) {
+	if last.SinceMS == 0 {
+		return
+	}
+	since := time.UnixMilli(last.SinceMS)
+	if since.After(now) {
+		since = now // the predecessor's clock was ahead
+	}
+	*g = gate{known: true, in: !last.Out, since: since, paced: now}
+}
+
 // refill returns the share of the cell's capacity that may be used at now.
 func (g *gate) refill(now time.Time) float64 {
 	if g.since.IsZero() {
--- a/cell/journal.go
+++ b/cell/journal.go
@@ -23,7 +23,7 @@
 		if !s.hasWork() {
 			continue
 		}
-		if err := s.commit(ctx, s.endDecided, s.endWaiting, s.placeWaiting, s.hold); err != nil {
+		if err := s.commit(ctx, s.changeGate, s.endDecided, s.endWaiting, s.placeWaiting, s.hold); err != nil {
 			return err
 		}
 	}
@@ -33,7 +33,7 @@
 func (s *session) hasWork() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.ends)+len(s.acked)+s.machine.waiting() > 0 || s.isHoldDue()
+	return len(s.ends)+len(s.acked)+s.machine.waiting() > 0 || s.gateSeen != nil || s.isHoldDue()
 }
 
 func (s *session) isHoldDue() bool { return time.Since(s.durableAt) >= holdInterval }
@@ -61,6 +61,17 @@
 	return r
 }
 
+// changeGate is a commit step: it journals when the data centre's state was
+// seen to change.
+func (s *session) changeGate() *record {
+	if s.gateSeen == nil {
+		return nil
+	}
+	r := &record{Gate: s.gateSeen}
+	s.gateSeen = nil
+	return r
+}
+
 // hold is a commit step: it proves from time to time that this owner still
 // holds the cell, which allows it to go on renewing.
 func (s *session) hold() *record {
--- a/cell/machine.go
+++ b/cell/machine.go
@@ -68,6 +68,7 @@
 	Sizes    map[fleet.JobClass][]fleet.Resources `cbor:"9,keyasint,omitempty"`
 	Offers   map[shard.ID]offerMark               `cbor:"11,keyasint,omitempty"` // latest of each queue
 	RunTimes map[classKey]runTimes                `cbor:"12,keyasint,omitempty"`
+	Gate     gateRecord                           `cbor:"13,keyasint"`           // latest; SinceMS is 0 before any
 	ExpireMS int64                                `cbor:"10,keyasint,omitempty"` // when memory was last expired
 }
 
@@ -175,6 +176,9 @@
 	if r.Open != nil {
 		m.open(*r.Open, r.AtMS)
 	}
+	if r.Gate != nil {
+		m.state.Gate = *r.Gate
+	}
 	for _, mark := range r.Marks {
 		m.raise(mark)
 	}
--- a/cell/out_test.go
+++ b/cell/out_test.go
@@ -5,9 +5,13 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/fuchsiahill/fuchsiahill/delegation"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
 	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/settings"
 )
 
 // TestNoStartAfterOut takes a data centre out while this host's view of the
@@ -177,3 +181,60 @@
 		b.check()
 	})
 }
+
+// TestGateAndOldSettings shows an owner settings from before those in which
+// its predecessor saw the data centre out, and then later ones.
+func TestGateAndOldSettings(t *testing.T) {
+	s := benchSession(t)
+	now := time.Now()
+	s.machine.state.Gate = gateRecord{Out: true, SinceMS: now.Add(-time.Second).UnixMilli(), Revision: 5}
+	s.gate.restore(s.machine.state.Gate, now)
+	s.updateGate(4, settings.DataCentreIn, now)
+	if s.gate.in || s.gateSeen != nil {
+		t.Error("old settings let the data centre in")
+	}
+	s.updateGate(6, settings.DataCentreIn, now)
+	if want := (&gateRecord{SinceMS: now.UnixMilli(), Revision: 6}); !cmp.Equal(s.gateSeen, want) {
+		t.Errorf("change seen %+v, want %+v", s.gateSeen, want)
+	}
+}
+
+// TestGraceOverOwners changes the owner half way through an evacuation and
+// again half way through the refill after it.
+func TestGraceOverOwners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 10, 10*time.Minute)
+		o := b.start("a")
+		defer func() { o.stop() }()
+		time.Sleep(500 * time.Millisecond)
+		b.queue.add(40, small)
+		o.finish(5 * time.Second)
+		next := func(host fleet.HostID) {
+			o.stop()
+			o = b.start(host)
+		}
+		b.settings.set(func(f *fakeSettings) { f.out = true })
+		o.finish(4 * time.Second)
+		next("b")
+		time.Sleep(500 * time.Millisecond)
+		if got := running(b.records); got < 10 {
+			t.Errorf("%d tasks run just after the change of owner, want the rest still spread", got)
+		}
+		o.finish(4500 * time.Millisecond)
+		if got := running(b.records); got != 0 {
+			t.Errorf("%d tasks run 9 s after the data centre was taken out, want none", got)
+		}
+		b.settings.set(func(f *fakeSettings) { f.out = false })
+		o.finish(10 * time.Second)
+		next("c")
+		o.finish(5 * time.Second)
+		if got := running(b.records); got < 2 || got > 20 {
+			t.Errorf("%d tasks run 15 s after the return, want a few", got)
+		}
+		o.finish(50 * time.Second)
+		if got := running(b.records); got != 40 {
+			t.Errorf("%d tasks run after the refill, want 40", got)
+		}
+		b.check()
+	})
+}
--- a/cell/record.go
+++ b/cell/record.go
@@ -11,6 +11,7 @@
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/shard"
+	"github.com/fuchsiahill/fuchsiahill/store"
 )
 
 // recordVersion is the version of record and state on the wire.
@@ -29,6 +30,7 @@
 	Ran     []ranRecord           `cbor:"12,keyasint,omitempty"`
 	Acked   []platform.AttemptRef `cbor:"9,keyasint,omitempty"`
 	Marks   []offerMark           `cbor:"11,keyasint,omitempty"`
+	Gate    *gateRecord           `cbor:"13,keyasint,omitempty"`
 	Release bool                  `cbor:"10,keyasint,omitempty"` // the present owner sends no call to a worker any more
 }
 
@@ -43,6 +45,13 @@
 	Released bool  `cbor:"5,keyasint,omitempty"`
 }
 
+// gateRecord is a change of the data centre's state that an owner saw.
+type gateRecord struct {
+	Out      bool           `cbor:"1,keyasint,omitempty"`
+	SinceMS  int64          `cbor:"2,keyasint"` // when it was seen, Unix time
+	Revision store.Revision `cbor:"3,keyasint"` // of the settings that showed it
+}
+
 // offerMark is a place in the order of a queue's offers to this cell.
 type offerMark struct {
 	Queue    shard.ID    `cbor:"1,keyasint"`
--- a/cell/session.go
+++ b/cell/session.go
@@ -62,6 +62,7 @@
 	durableAt time.Time                                  // when the last durable entry was begun
 	others    time.Time                                  // when the last predecessor stops sending
 	gate      gate
+	gateSeen  *gateRecord // last change of the gate, not yet journaled
 	members   membership
 	sharedAt  time.Time // when the policy was last asked
 	model     *sharing.Model
@@ -196,6 +197,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.others = othersUntil(now, s.machine.state.Previous, s.hasEnded)
+	s.gate.restore(s.machine.state.Gate, now)
 	for _, a := range s.machine.state.Attempts {
 		s.recover(a)
 	}
