Ask the front's owner for latencies that this host does not measure

Cause: a cell's owner knew only latencies that its own gateway measured. After a kill the cell passes at once and the front later, and meanwhile services beside batch tasks were protected by nothing.

Ruled out: latencies in the load summaries (every host would get those of all servers all the time, about 60 bytes a server and second, for the few that need them for a short while).

--- a/cell/control.go
+++ b/cell/control.go
@@ -42,7 +42,7 @@
 	s.reportOverruns(placed, now)
 	s.relieve(placed, now)
 	s.makeRoom(now)
-	s.share(placed, now)
+	s.share(ctx, placed, now)
 }
 
 // updateGate follows the data centre's state. A change is journaled, so that
--- a/cell/fixture_test.go
+++ b/cell/fixture_test.go
@@ -107,14 +107,12 @@
 		hosts:   standin.NewHostList(0),
 		records: standin.NewRecords(),
 		queue:   newFakeQueue(),
-
-		runTimes: make(map[fleet.JobClass]time.Duration),
-
-		logger: log.NewNopLogger(),
+		logger:  log.NewNopLogger(),
 		settings: &fakeSettings{values: settings.Resolved{
 			WorkerLeaseMS: 6000, GraceMS: 10_000, ThrottleFloor: 0.1, EvictionsMinute: 2, ObjectiveMS: 100,
 		}},
 	}
+	b.runTimes = make(map[fleet.JobClass]time.Duration)
 	for i := range workers {
 		info := platform.Worker{
 			ID:         fleet.WorkerID(fmt.Sprintf("w%02d", i)),
--- a/cell/queue_fake_test.go
+++ b/cell/queue_fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -22,8 +23,9 @@
 	problems []string
 	down     bool
 	refused  int
-	sequence uint64 // of the last offer
-	lose     int    // the next replies to returns are lost
+	sequence uint64   // of the last offer
+	lose     int      // the next replies to returns are lost
+	front    handlers // of the front's owner; nil if it does not answer
 }
 
 type queued struct {
@@ -162,12 +164,15 @@
 }
 
 // Call implements peer.Caller for calls of the cell.
-func (q *fakeQueue) Call(_ context.Context, host fleet.HostID, method string, request, reply any) error {
+func (q *fakeQueue) Call(ctx context.Context, host fleet.HostID, method string, request, reply any) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.down {
 		return &peer.UnreachableError{Host: host, Cause: context.DeadlineExceeded}
 	}
+	if method == methodLatencies {
+		return q.askFront(ctx, host, request, reply)
+	}
 	if method != delegation.MethodReturn {
 		return nil
 	}
@@ -182,5 +187,24 @@
 	return nil
 }
 
+func (q *fakeQueue) askFront(ctx context.Context, host fleet.HostID, request, reply any) error {
+	if q.front == nil {
+		return &peer.UnreachableError{Host: host, Cause: context.DeadlineExceeded}
+	}
+	params, err := json.Marshal(request)
+	if err != nil {
+		return err
+	}
+	answer, err := q.front[methodLatencies](ctx, "a", params)
+	*reply.(*latencyReply), _ = answer.(latencyReply)
+	return err
+}
+
+func (q *fakeQueue) setFront(front handlers) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.front = front
+}
+
 // Owner implements shard.Directory.
 func (q *fakeQueue) Owner(shard.ID) (shard.Owner, bool) { return shard.Owner{Host: "queue-host"}, true }
--- a/cell/server.go
+++ b/cell/server.go
@@ -36,6 +36,7 @@
 	s := &Server{deps: deps, vars: new(expvar.Map).Init(), sessions: make(map[shard.ID]*session)}
 	deps.Registry.Handle(delegation.MethodOffer, s.handleOffer)
 	deps.Registry.Handle(delegation.MethodCancel, s.handleCancel)
+	peer.Register(deps.Registry, methodLatencies, s.handleLatencies)
 	return s
 }
 
--- a/cell/session.go
+++ b/cell/session.go
@@ -68,6 +68,7 @@
 	model     *sharing.Model
 	policy    *sharing.Policy
 	shared    map[fleet.WorkerID]sharing.Worker // as the policy last saw them
+	fronts    frontLatencies
 	values    map[resolvedKey]settings.Resolved
 	valuesAt  store.Revision
 	told      member.CellLoad // as load last returned it
--- a/cell/share.go
+++ b/cell/share.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"context"
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
@@ -15,8 +16,8 @@
 
 // Latencies tells how backend servers do. It is safe for concurrent use.
 type Latencies interface {
-	// Latency returns what was measured of a backend server lately, or false
-	// if nothing was.
+	// Latency returns what this host measured of a backend server lately, or
+	// false if another host sends to it.
 	Latency(server platform.Server) (Latency, bool)
 }
 
@@ -28,11 +29,12 @@
 
 // share learns from the latencies of the services in the cell, and throttles,
 // evicts and gives back as the policy decides.
-func (s *session) share(placed []*attempt, now time.Time) {
+func (s *session) share(ctx context.Context, placed []*attempt, now time.Time) {
 	if s.deps.Latencies == nil || now.Sub(s.sharedAt) < shareInterval {
 		return
 	}
 	s.sharedAt = now
+	s.askFront(ctx, now)
 	s.learnUsage(placed, now)
 	snapshot := s.sharingSnapshot(placed, now)
 	s.shared = make(map[fleet.WorkerID]sharing.Worker, len(snapshot.Workers))
@@ -85,7 +87,7 @@
 		snapshot.EvictionsPerMinute = max(snapshot.EvictionsPerMinute, s.resolved(a).EvictionsMinute)
 	}
 	for id := range s.members.workers {
-		w := sharing.Worker{ID: id, Services: s.sharingServices(id), Tasks: tasks[id]}
+		w := sharing.Worker{ID: id, Services: s.sharingServices(id, now), Tasks: tasks[id]}
 		snapshot.Workers = append(snapshot.Workers, w)
 	}
 	return snapshot
@@ -103,10 +105,10 @@
 	}
 }
 
-func (s *session) sharingServices(id fleet.WorkerID) []sharing.Service {
+func (s *session) sharingServices(id fleet.WorkerID, now time.Time) []sharing.Service {
 	var services []sharing.Service
 	for _, server := range s.members.servers[id] {
-		measured, ok := s.deps.Latencies.Latency(server)
+		measured, ok := s.latency(server, now)
 		if !ok {
 			continue
 		}
--- a/cell/share_test.go
+++ b/cell/share_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"expvar"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -19,6 +20,52 @@
 	return Latency{P99: time.Duration(p.percent.Load()) * time.Millisecond, Load: 0.5}, true
 }
 
+// elsewhere measures nothing: another host sends to the servers.
+type elsewhere struct{}
+
+func (elsewhere) Latency(platform.Server) (Latency, bool) { return Latency{}, false }
+
+// TestSharingByAnotherHostsFront lets another host own the front, fall silent
+// while tasks are at their floor, and answer again.
+func TestSharingByAnotherHostsFront(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2, 10*time.Minute)
+		b.reserve(1000)
+		b.latency = elsewhere{}
+		service := &pressed{}
+		service.percent.Store(150)
+		front := make(handlers)
+		NewServer(Deps{Hosts: staticView{b.hosts}, Settings: b.settings, Registry: front, Latencies: service})
+		o := b.start("a")
+		defer o.stop()
+		b.queue.add(7, small)
+		o.finish(5 * time.Second)
+		if shares := b.sharesAsked(); len(shares) > 0 {
+			t.Fatalf("shares %v asked for without measurements", shares)
+		}
+		b.queue.setFront(front)
+		time.Sleep(2 * time.Second)
+		if shares := b.sharesAsked(); len(shares) == 0 || slices.Min(shares) >= 1 {
+			t.Fatalf("shares %v asked for, want some below 1", shares)
+		}
+		b.queue.setFront(nil)
+		time.Sleep(40 * time.Second)
+		if got := b.queue.outcomes(delegation.EndEvicted); got != 0 {
+			t.Errorf("%d tasks evicted by measurements that are out of date", got)
+		}
+		service.percent.Store(20)
+		b.queue.setFront(front)
+		time.Sleep(2 * time.Minute)
+		if shares := b.sharesAsked(); shares[len(shares)-1] < 1 {
+			t.Errorf("last share asked for is %v, want all given back", shares[len(shares)-1])
+		}
+		if calls := o.server.Vars().Get(varLatencyCalls).(*expvar.Int).Value(); calls > 170 {
+			t.Errorf("%d calls in 167 s, want at most one a second", calls)
+		}
+		b.check()
+	})
+}
+
 func (b *bench) sharesAsked() []float64 {
 	b.queue.mu.Lock()
 	defer b.queue.mu.Unlock()
--- a/cell/vars.go
+++ b/cell/vars.go
@@ -18,6 +18,9 @@
 	varStops      = "stops_decided"
 	varReturned   = "outcomes_returned"
 	varOverruns   = "tasks_overrun"
+
+	varLatencyCalls  = "latency_calls" // to owners of fronts
+	varLatencyFailed = "latency_calls_failed"
 )
 
 // Vars returns the counters of all cells that this host has owned.
