--- a/cell/judge.go
+++ b/cell/judge.go
@@ -35,6 +35,7 @@
 	sent     bool      // a start call was made by this owner
 	deadline time.Time // of that call
 	seen     time.Time // when the call was sent whose report first showed it running
+	running  time.Time // when the call was sent whose report last showed it running
 	status   platform.TaskStatus
 	// checkpointAt is when the last checkpoint, or the start, was seen.
 	checkpointAt time.Time
@@ -54,6 +55,9 @@
 		r.checkpointAt = sentAt
 	}
 	r.status = st
+	if !st.State.Final() {
+		r.running = sentAt
+	}
 	r.throttled = r.throttled || st.Share < 1
 	r.peak = fleet.Resources{
 		MilliCores:   max(r.peak.MilliCores, st.Used.MilliCores),
--- a/cell/runtime.go
+++ b/cell/runtime.go
@@ -9,7 +9,7 @@
 
 const (
 	runTimeWindow   = 20             // latest run times of a class that count
-	runTimeQuantile = 0.9            // of them
+	runTimeQuantile = 0.9            // of them, that is taken for the longest
 	minRunTimes     = 5              // below, a class's run time is not known
 	runTimeMemory   = 24 * time.Hour // without an end, a class is forgotten
 	maxRunTimes     = 256            // classes kept; the one longest without an end makes room
@@ -71,14 +71,14 @@
 	}
 }
 
-// runTime returns a high quantile of the run times of unthrottled tasks of a
-// class, or false if too few have finished.
-func (m *Machine) runTime(key classKey) (time.Duration, bool) {
+// runTime returns a quantile of the run times of unthrottled tasks of a class,
+// or false if too few have finished.
+func (m *Machine) runTime(key classKey, q float64) (time.Duration, bool) {
 	seen := m.state.RunTimes[key].MS
 	if len(seen) < minRunTimes {
 		return 0, false
 	}
-	ms := quantile(seen, runTimeQuantile, func(ms int64) int64 { return ms })
+	ms := quantile(seen, q, func(ms int64) int64 { return ms })
 	return time.Duration(ms) * time.Millisecond, true
 }
 
@@ -92,11 +92,14 @@
 }
 
 // learnRunTime notes what a finished attempt, seen running before the report
-// of a call sent at sentAt, shows of its class. It shows nothing if it was
-// throttled or if most of its work was done by earlier attempts.
+// of a call sent at sentAt, shows of its class. Its end is taken to lie half
+// way between that report and the last one that showed it running. It shows
+// nothing if it was throttled or if most of its work was done by earlier
+// attempts.
 func (s *session) learnRunTime(a *attempt, r *run, sentAt time.Time) {
 	share := 1 - a.Task.CheckpointProgress
-	took := sentAt.Sub(r.began(a.Placement))
+	end := r.running.Add(sentAt.Sub(r.running) / 2)
+	took := end.Sub(r.began(a.Placement))
 	if r.throttled || share < minRunShare || took <= 0 {
 		return
 	}
@@ -104,9 +107,10 @@
 	s.ran = append(s.ran, ranRecord{Class: classOf(&a.Task), MS: ms})
 }
 
-// expected returns how long the attempt runs if it does as its class does.
-func (s *session) expected(a *attempt) (time.Duration, bool) {
-	whole, known := s.machine.runTime(classOf(&a.Task))
+// expected returns a quantile of how long the attempt runs if it does as its
+// class does.
+func (s *session) expected(a *attempt, q float64) (time.Duration, bool) {
+	whole, known := s.machine.runTime(classOf(&a.Task), q)
 	return time.Duration(float64(whole) * (1 - a.Task.CheckpointProgress)), known
 }
 
@@ -114,7 +118,7 @@
 // does, or false if that is not known: of a task that runs for longer, its
 // class says nothing.
 func (s *session) remaining(a *attempt, r *run, now time.Time) (time.Duration, bool) {
-	expected, known := s.expected(a)
+	expected, known := s.expected(a, runTimeQuantile)
 	left := expected - now.Sub(r.began(a.Placement))
 	if !known || left < 0 || r.throttled {
 		return 0, false
@@ -130,7 +134,7 @@
 		if r == nil || r.seen.IsZero() || r.overrun || r.throttled || r.stopping {
 			continue
 		}
-		expected, known := s.expected(a)
+		expected, known := s.expected(a, runTimeQuantile)
 		runs := now.Sub(r.began(a.Placement))
 		if !known || runs < overrunFactor*expected {
 			continue
--- a/cell/runtime_test.go
+++ b/cell/runtime_test.go
@@ -22,20 +22,20 @@
 	}
 	m := NewMachine()
 	observe(m, testStart, "refunds/claims", 100, 200, 300, 400)
-	if got, known := m.runTime("refunds/claims"); known {
+	if got, known := m.runTime("refunds/claims", runTimeQuantile); known {
 		t.Errorf("run time %v after 4 ends, want none", got)
 	}
 	observe(m, testStart, "refunds/claims", 500)
 	observe(m, testStart, "panels/claims", 7, 7, 7, 7, 7)
 	for key, want := range map[classKey]time.Duration{"refunds/claims": 500 * time.Millisecond, "panels/claims": 7 * time.Millisecond} {
-		if got, _ := m.runTime(key); got != want {
+		if got, _ := m.runTime(key, runTimeQuantile); got != want {
 			t.Errorf("run time of %s is %v, want %v", key, got, want)
 		}
 	}
 	for range runTimeWindow {
 		observe(m, testStart.Add(time.Hour), "refunds/claims", 50)
 	}
-	if got, _ := m.runTime("refunds/claims"); got != 50*time.Millisecond {
+	if got, _ := m.runTime("refunds/claims", runTimeQuantile); got != 50*time.Millisecond {
 		t.Errorf("run time %v after as many of 50 ms as count, want 50 ms", got)
 	}
 	copied := NewMachine()
@@ -44,7 +44,7 @@
 		t.Error("the snapshot does not keep what was learned")
 	}
 	observe(m, testStart.Add(runTimeMemory+time.Minute), "refunds/plans", 1)
-	if _, known := m.runTime("panels/claims"); known {
+	if _, known := m.runTime("panels/claims", runTimeQuantile); known {
 		t.Error("a class is known that had no end for a day")
 	}
 	for i := range maxRunTimes {
@@ -117,3 +117,32 @@
 		b.check()
 	})
 }
+
+// TestShortTasksAreLookedFor runs tasks one after another that are much
+// shorter than the time between two renewals.
+func TestShortTasksAreLookedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1, 1500*time.Millisecond)
+		b.settings.values.WorkerLeaseMS = 30_000 // renewed every 10 s
+		o := b.start("a")
+		defer o.stop()
+		time.Sleep(500 * time.Millisecond)
+		b.queue.add(20, small) // of which the run time is learned; four run at a time
+		o.finish(10 * time.Minute)
+		begun, calls := time.Now(), b.calls
+		b.queue.add(80, small)
+		if !o.finish(10 * time.Minute) {
+			t.Fatal("tasks are not done")
+		}
+		perRound := time.Since(begun) / 20
+		calls = b.calls - calls
+		t.Logf("%v from one start to the next, with %d calls", perRound, calls)
+		if perRound > 2500*time.Millisecond {
+			t.Errorf("%v from one start to the next of tasks of 1.5 s, want less than 2.5 s", perRound)
+		}
+		if calls > 80+2*20 {
+			t.Errorf("%d calls for 80 tasks in 20 rounds, want a start a task and two looks a round at most", calls)
+		}
+		b.check()
+	})
+}
