Count the bytes of control by kind of message

Callers now count the bytes of their calls by method (expvar peer_calls), the stand-ins count HTTP exchanges, and BenchmarkControl prints both and has three sizes with 5 tasks a worker beside short ones.

--- a/host/http.go
+++ b/host/http.go
@@ -42,6 +42,7 @@
 func (h *Host) vars() *expvar.Map {
 	vars := new(expvar.Map).Init()
 	vars.Set("store_calls", h.metered.Counts())
+	vars.Set("peer_calls", h.caller.Vars())
 	vars.Set("settings", h.tracker.Vars())
 	vars.Set("api", h.calls)
 	vars.Set("requests", h.gateway.Metrics())
--- a/internal/dev/capacity_test.go
+++ b/internal/dev/capacity_test.go
@@ -78,6 +78,7 @@
 		{workers: 15}, {workers: 60}, {workers: 120}, {workers: 240},
 		{workers: 60, tasks: 3}, {workers: 60, tasks: 6}, {workers: 60, tasks: 12},
 		{workers: 60, rate: 10}, {workers: 60, rate: 20}, {workers: 60, rate: 40},
+		{workers: 60, tasks: 5, rate: 10}, {workers: 60, tasks: 5, rate: 20}, {workers: 60, tasks: 5, rate: 40},
 	}
 	for _, c := range cases {
 		b.Run(fmt.Sprintf("workers=%d/tasks=%d/rate=%d", c.workers, c.tasks, c.rate), func(b *testing.B) {
@@ -94,9 +95,7 @@
 	cfg.WorkersPerDC = workers
 	cfg.ServersPerDC = workers
 	cfg.TaskTime = time.Hour
-	if rate > 0 {
-		cfg.TaskTime = time.Second
-	}
+	cfg.ClassTimes = map[fleet.JobClass]time.Duration{"short": time.Second}
 	site, err := standin.StartSite(cfg)
 	if err != nil {
 		b.Fatal(err)
@@ -132,7 +131,9 @@
 		before[i] = usageOf(b, d.cmd.Process.Pid)
 	}
 	reads, writes := site.Store.Calls()
+	traffic := trafficOf(b, site, daemons)
 	time.Sleep(measureFor)
+	logTraffic(b, traffic, trafficOf(b, site, daemons))
 	readsAfter, writesAfter := site.Store.Calls()
 	var sumCPU, maxCPU, sumMoved, maxMoved, maxResident float64
 	for i, d := range daemons {
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -27,8 +27,9 @@
 	Reserved       fleet.Resources // by one server
 	Slots          int
 	Connections    int
-	ServiceTime    time.Duration // mean time of a request, exponential
-	TaskTime       time.Duration // of a task, unthrottled
+	ServiceTime    time.Duration                    // mean time of a request, exponential
+	TaskTime       time.Duration                    // of a task, unthrottled
+	ClassTimes     map[fleet.JobClass]time.Duration // in place of TaskTime
 	HostListLag    time.Duration
 	StoreAddress   string // "" picks a port on loopback
 	HostsAddress   string
@@ -43,6 +44,7 @@
 	Records  *Records
 	Workers  []*Worker
 	Backends []*Backend
+	Traffic  *Traffic // of the store, the host list and the workers
 
 	StoreURL string
 	HostsURL string
@@ -58,6 +60,7 @@
 		Store:    NewStore(),
 		HostList: NewHostList(cfg.HostListLag),
 		Records:  NewRecords(),
+		Traffic:  NewTraffic(),
 		random:   rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 	}
 	if err := s.start(cfg); err != nil {
@@ -112,7 +115,12 @@
 		Capacity:   cfg.Capacity,
 		State:      platform.StateLive,
 	}
-	runTime := func(platform.StartRequest) time.Duration { return cfg.TaskTime }
+	runTime := func(req platform.StartRequest) time.Duration {
+		if special, ok := cfg.ClassTimes[req.Class]; ok {
+			return special
+		}
+		return cfg.TaskTime
+	}
 	ln, err := open("")
 	if err != nil {
 		return err
@@ -179,9 +187,9 @@
 }
 
 func (s *Site) serve(ln net.Listener, h http.Handler) {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{Handler: s.Traffic.Handler(h), ConnContext: connContext, ReadHeaderTimeout: readHeaderTimeout}
 	s.servers = append(s.servers, server)
-	go func() { _ = server.Serve(ln) }() // ends with Close
+	go func() { _ = server.Serve(countingListener{ln}) }() // ends with Close
 }
 
 // Close ends every stand-in.
--- a/peer/client.go
+++ b/peer/client.go
@@ -63,6 +63,7 @@
 	addressOf func(fleet.HostID) (string, bool)
 	opts      ClientOptions
 	dialer    net.Dialer
+	traffic   *traffic
 
 	mu       sync.Mutex
 	links    map[fleet.HostID]*link
@@ -81,6 +82,7 @@
 		opts:      opts.withDefaults(),
 		links:     make(map[fleet.HostID]*link),
 		closing:   make(chan struct{}),
+		traffic:   newTraffic(),
 		dialer: net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     tcpKeepAlive,
--- a/peer/link.go
+++ b/peer/link.go
@@ -109,7 +109,8 @@
 	}
 	st := newStream(raw, 0)
 	logger := log.With(l.client.opts.Logger, "component", "peer_client", "peer", l.host)
-	rpc := jsonrpc2.NewConn(context.Background(), st, refuseCalls{}, jsonrpc2.SetLogger(rpcLogger{logger}))
+	options := append(l.client.traffic.observe(st), jsonrpc2.SetLogger(rpcLogger{logger}))
+	rpc := jsonrpc2.NewConn(context.Background(), st, refuseCalls{}, options...)
 	var reply helloReply
 	err = rpc.Call(ctx, methodHello, hello{From: l.client.self}, &reply)
 	if err == nil && reply.Host != l.host {
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -30,8 +30,9 @@
 	reader      *bufio.Reader
 	readTimeout time.Duration // longest wait for a message, 0 for none
 	received    atomic.Int64  // Unix time in nanoseconds of the last message
-	sentBytes   atomic.Int64
 	readBytes   atomic.Int64
+	written     func(bytes int) // told of the size of the next message, nil for none
+	lastRead    int             // bytes of the last message
 }
 
 var _ jsonrpc2.ObjectStream = (*stream)(nil)
@@ -59,7 +60,10 @@
 		s.conn.Close()
 		return err
 	}
-	s.sentBytes.Add(int64(len(frame)))
+	if s.written != nil {
+		s.written(len(frame))
+		s.written = nil
+	}
 	return nil
 }
 
@@ -91,7 +95,8 @@
 		return err
 	}
 	s.received.Store(time.Now().UnixNano())
-	s.readBytes.Add(int64(headerBytes + size))
+	s.lastRead = headerBytes + size
+	s.readBytes.Add(int64(s.lastRead))
 	return eris.Wrap(json.Unmarshal(data, v), "message")
 }
 
