Let a worker's answer to a start list only what is new

Cause: the answer to a start, stop or throttle listed every task of the cell on the worker: 1,849 of the bytes of a start call at 5 tasks a worker. Renewals list the same tasks with the same field names: 1,382 bytes.

Ruled out: listing only the attempt in question. Ends would then be seen by the next renewal only, up to a third of a lease later.

Change: such an answer says partial and lists the attempt in question and ends that no answer has shown; the cell draws nothing from what it does not list. Renewals stay whole, so a lost answer is made good and a worker without tasks is seen.

Seen failing first: with Partial ignored by the cell, TestFaults and TestDataCentreOutAndIn and TestOwnerStopsAtEveryPoint fail; with ends told again and again, TestPartialReports fails.

--- a/cell/report.go
+++ b/cell/report.go
@@ -105,6 +105,9 @@
 		listed[st.AttemptRef] = true
 		s.takeStatus(w, st, sentAt)
 	}
+	if report.Partial {
+		return
+	}
 	for _, a := range s.machine.onWorker(w.id) {
 		r := s.runs[a.Task.AttemptRef]
 		if r == nil || listed[a.Task.AttemptRef] {
--- a/internal/standin/hostlist.go
+++ b/internal/standin/hostlist.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"slices"
 	"sync"
@@ -140,12 +139,6 @@
 	case !newer:
 		w.WriteHeader(http.StatusNotModified)
 	default:
-		w.Header().Set("Content-Type", "application/json")
-		data, err := json.Marshal(list)
-		if err != nil {
-			w.WriteHeader(http.StatusInternalServerError)
-			return
-		}
-		w.Write(data)
+		writeCompressed(w, r, list)
 	}
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -67,6 +67,7 @@
 	need        time.Duration
 	checkpoint  string
 	checkpointP float64
+	told        bool // an answer has shown the end
 	end         *time.Timer
 	lease       *time.Timer
 }
@@ -173,7 +174,7 @@
 		}
 		w.begin(ref, req)
 	}
-	return w.report(req.Cell), w.leave("start")
+	return w.partial(req.Cell, ref), w.leave("start")
 }
 
 func (w *Worker) begin(ref platform.AttemptRef, req platform.StartRequest) {
@@ -311,7 +312,7 @@
 		r.checkpointP = r.progress
 	}
 	w.finish(r, platform.TaskStopped, "stopped")
-	return w.report(req.Cell), w.leave("stop")
+	return w.partial(req.Cell, req.AttemptRef), w.leave("stop")
 }
 
 // Throttle sets an attempt's share of its processors.
@@ -330,20 +331,38 @@
 	r.advance()
 	r.share = req.Share
 	w.schedule(r)
-	return w.report(req.Cell), w.leave("throttle")
+	return w.partial(req.Cell, req.AttemptRef), w.leave("throttle")
 }
 
+// report lists every task of a cell.
 func (w *Worker) report(cell string) platform.WorkerReport {
+	return w.reportOf(cell, func(platform.AttemptRef, *run) bool { return true })
+}
+
+// partial lists one attempt and those whose end was not told yet.
+func (w *Worker) partial(cell string, asked platform.AttemptRef) platform.WorkerReport {
+	rep := w.reportOf(cell, func(ref platform.AttemptRef, r *run) bool {
+		return ref == asked || r.state.Final() && !r.told
+	})
+	rep.Partial = true
+	return rep
+}
+
+func (w *Worker) reportOf(cell string, listed func(platform.AttemptRef, *run) bool) platform.WorkerReport {
 	rep := platform.WorkerReport{Worker: w.info.ID, Token: w.tokens[cell]}
 	for ref, r := range w.runs {
 		if r.req.Cell != cell {
 			continue
 		}
-		r.advance()
-		rep.Tasks = append(rep.Tasks, r.status(ref, w.faults.UsageLag))
 		if !r.state.Final() {
 			rep.Used = rep.Used.Add(r.req.Resources)
 		}
+		if !listed(ref, r) {
+			continue
+		}
+		r.advance()
+		r.told = r.state.Final()
+		rep.Tasks = append(rep.Tasks, r.status(ref, w.faults.UsageLag))
 	}
 	return rep
 }
--- a/internal/standin/worker_http.go
+++ b/internal/standin/worker_http.go
@@ -32,7 +32,7 @@
 		var refused *platform.RefusedError
 		switch {
 		case err == nil:
-			writeJSON(w, http.StatusOK, report)
+			writeCompressed(w, r, report)
 		case errors.As(err, &refused):
 			writeJSON(w, http.StatusConflict, refused)
 		default:
