Do not stop a task again while its end is being journaled

A log of the calls showed a second stop of a task whose end had been seen: the commit takes the ends out of session.ends when it begins, so until it is durable the attempt did not look decided, and repeatInterval later it was stopped again. That stop held up the start of the urgent task by a second. Whole answers hid it, as they decided the end anew.

Change: the run itself notes that its end was decided.

--- a/cell/judge.go
+++ b/cell/judge.go
@@ -34,6 +34,7 @@
 	durable  bool      // the placement can't be lost
 	sent     bool      // a start call was made by this owner
 	deadline time.Time // of that call
+	decided  bool      // the end was decided
 	seen     time.Time // when the call was sent whose report first showed it running
 	running  time.Time // when the call was sent whose report last showed it running
 	status   platform.TaskStatus
--- a/cell/look.go
+++ b/cell/look.go
@@ -20,7 +20,7 @@
 	}
 	for _, a := range placed {
 		r := s.runs[a.Task.AttemptRef]
-		if r == nil || r.seen.IsZero() || r.throttled || s.isDecided(a) {
+		if r == nil || r.seen.IsZero() || r.throttled || s.isDecided(a.Task.AttemptRef) {
 			continue
 		}
 		expected, known := s.expected(a, lookQuantile)
--- a/cell/report.go
+++ b/cell/report.go
@@ -138,7 +138,7 @@
 	r.note(st, sentAt)
 	if st.State.Final() {
 		o := judgeListed(a, r, st)
-		if o.End == delegation.EndFinished && !first && !s.isDecided(a) {
+		if o.End == delegation.EndFinished && !first && !s.isDecided(a.Task.AttemptRef) {
 			s.learnRunTime(a, r, sentAt)
 		}
 		s.decide(o)
--- a/cell/session.go
+++ b/cell/session.go
@@ -295,9 +295,12 @@
 
 // decide notes the end of an attempt. The journal loop makes it durable.
 func (s *session) decide(o delegation.Outcome) {
-	if _, decided := s.ends[o.AttemptRef]; decided {
+	if s.isDecided(o.AttemptRef) {
 		return
 	}
+	if r := s.runs[o.AttemptRef]; r != nil {
+		r.decided = true
+	}
 	s.ends[o.AttemptRef] = o
 	select {
 	case s.wake <- struct{}{}:
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -185,7 +185,7 @@
 	}
 	for _, a := range placed {
 		r := s.runs[a.Task.AttemptRef]
-		if r == nil || !r.stopping || r.seen.IsZero() || now.Sub(r.stopSent) < repeatInterval || s.isDecided(a) {
+		if r == nil || !r.stopping || r.seen.IsZero() || now.Sub(r.stopSent) < repeatInterval || s.isDecided(a.Task.AttemptRef) {
 			continue
 		}
 		r.stopSent = now
@@ -196,9 +196,12 @@
 }
 
 // isDecided reports whether the attempt has ended and only its journal entry
-// is missing.
-func (s *session) isDecided(a *attempt) bool {
-	_, decided := s.ends[a.Task.AttemptRef]
+// is missing or under way.
+func (s *session) isDecided(ref platform.AttemptRef) bool {
+	if r := s.runs[ref]; r != nil && r.decided {
+		return true
+	}
+	_, decided := s.ends[ref]
 	return decided
 }
 
@@ -255,7 +258,7 @@
 func (s *session) nextThrottle(now time.Time, placed []*attempt) *call {
 	for _, a := range placed {
 		r := s.runs[a.Task.AttemptRef]
-		if r == nil || r.wantShare == 0 || r.seen.IsZero() || r.stopping || s.isDecided(a) {
+		if r == nil || r.wantShare == 0 || r.seen.IsZero() || r.stopping || s.isDecided(a.Task.AttemptRef) {
 			continue
 		}
 		if r.wantShare == r.status.Share || now.Sub(r.shareSent) < repeatInterval {
