Keep the record of a host that has ended until its lease ends

Cause: TestEndIsNoLapse/after_an_outage failed once. A peer that lists the records between the write of `ended` and the revocation after it sees both or nothing; if it lists after both, the record is just gone, and the peer keeps the host as one that lapsed.

Change: the lease is not revoked once `ended` is written; the record goes with its lease. A host that returns under its name replaces it as before.

--- a/member/lease.go
+++ b/member/lease.go
@@ -127,10 +127,12 @@
 	r.steady.lapsed()
 }
 
-// leave tells the other hosts that this process ends, and revokes its lease.
-// Revoking alone would not tell: while the store has not been steady for a
-// lease time, the others take a record that vanishes for one that lapsed and
-// keep the host.
+// leave tells the other hosts that this process ends. The record stays until
+// its lease ends, so that those find it which list the records instead of
+// following them just now. Revoking the lease would not tell: while the store has
+// not been steady for a lease time, the others take a record that vanishes for
+// one that lapsed and keep the host. It is the second best if the record can't
+// be written.
 func (r *Registry) leave(lease store.LeaseID) {
 	if lease == 0 {
 		return
@@ -139,9 +141,11 @@
 	defer cancel()
 	ended := r.deps.Self
 	ended.Ended = true
-	if err := r.writeRecord(ctx, ended, lease); err != nil {
-		level.Warn(r.logger).Log("event", "end_not_recorded", "err", err)
+	err := r.writeRecord(ctx, ended, lease)
+	if err == nil {
+		return
 	}
+	level.Warn(r.logger).Log("event", "end_not_recorded", "err", err)
 	if err := r.deps.Store.Revoke(ctx, lease); err != nil {
 		level.Warn(r.logger).Log("event", "lease_not_revoked", "err", err)
 	}
--- a/member/registry_test.go
+++ b/member/registry_test.go
@@ -19,13 +19,22 @@
 	"github.com/fuchsiahill/fuchsiahill/store"
 )
 
-// noGrants is a store that grants no leases for a while.
-type noGrants struct {
+// faulty is a store that grants no leases, or whose watches are silent, for
+// a while.
+type faulty struct {
 	*standin.Store
 	deny atomic.Bool
+	deaf atomic.Bool // new watches hear nothing
 }
 
-func (s *noGrants) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+func (s *faulty) Watch(ctx context.Context, prefix string, after store.Revision) (<-chan store.Event, error) {
+	if s.deaf.Load() {
+		prefix = "nothing/"
+	}
+	return s.Store.Watch(ctx, prefix, after)
+}
+
+func (s *faulty) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
 	if s.deny.Load() {
 		return 0, &store.UnavailableError{Op: "grant", Cause: context.DeadlineExceeded}
 	}
@@ -40,7 +49,7 @@
 // world is a store and a network.
 type world struct {
 	t     *testing.T
-	store *noGrants
+	store *faulty
 	net   *peertest.Network
 }
 
@@ -62,7 +71,7 @@
 
 func inWorld(t *testing.T, test func(t *testing.T, w world)) {
 	synctest.Test(t, func(t *testing.T) {
-		test(t, world{t: t, store: &noGrants{Store: standin.NewStore()}, net: peertest.NewNetwork()})
+		test(t, world{t: t, store: &faulty{Store: standin.NewStore()}, net: peertest.NewNetwork()})
 	})
 }
 
@@ -135,26 +144,38 @@
 // A host that ends in order says so: the others must not take the end for a
 // lapsed lease, whatever the store has been like.
 func TestEndIsNoLapse(t *testing.T) {
-	tests := map[string]func(w world){
-		"just started":    func(world) { time.Sleep(2 * time.Second) },
-		"after a lapse":   func(w world) { time.Sleep(time.Minute); w.store.ExpireAllLeases(); time.Sleep(6 * time.Second) },
-		"after an outage": func(w world) { time.Sleep(time.Minute); w.outage(time.Minute); time.Sleep(8 * time.Second) },
+	tests := map[string]struct {
+		before func(w world)
+		heard  time.Duration // within which a change of the records is heard
+	}{
+		"just started":    {func(world) { time.Sleep(2 * time.Second) }, time.Second},
+		"after a lapse":   {func(w world) { time.Sleep(time.Minute); w.store.ExpireAllLeases(); time.Sleep(6 * time.Second) }, time.Second},
+		"after an outage": {func(w world) { time.Sleep(time.Minute); w.outage(time.Minute); time.Sleep(8 * time.Second) }, time.Second},
+		"watch is silent": {
+			func(w world) {
+				w.store.deaf.Store(true)
+				time.Sleep(time.Minute)
+				w.outage(time.Minute)
+				time.Sleep(3 * time.Second)
+			},
+			8500 * time.Millisecond, // the next listing
+		},
 	}
-	for name, before := range tests {
+	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			inWorld(t, func(t *testing.T, w world) {
 				a, b := w.start("a", 1, constant(1)), w.start("b", 1, constant(2))
-				before(w)
+				tt.before(w)
 				if got := ids(a); got != "[a b]" {
 					t.Errorf("hosts %s", got)
 				}
 				_ = b.stop()
-				time.Sleep(time.Second)
+				time.Sleep(tt.heard)
 				if got := ids(a); got != "[a]" {
 					t.Errorf("hosts %s after b's end", got)
 				}
 				later := w.start("b", 2, constant(3))
-				time.Sleep(2 * time.Second)
+				time.Sleep(tt.heard + time.Second)
 				if h, _ := a.Host("b"); h.Incarnation != 2 {
 					t.Errorf("host %+v after b's return", h)
 				}
