Tell a queue of the cell's room with the outcomes that make it

A queue knew a cell's room from the answers to its offers and from summaries, so room made by an end showed a summary round later, and the tasks for it were released in a commit of their own, a quarter of a second after the one that took the outcomes back.

Ruled out: a larger backlog in cells (it had none to use: the queue did not fill the one that it may); a push of loads from cells to queues (a message more, at the same moment as the return).

Change: a return carries the cell's load after it, and the queue releases in the same transaction that takes the outcomes back. What it releases is durable with that commit and offered after it, as before.

Seen failing: TestReturnMakesRoom without the load (the task is not at the cell) and without the release in the same transaction (2 writes).

--- a/cell/returns.go
+++ b/cell/returns.go
@@ -105,7 +105,7 @@
 	if len(b.outcomes) == 0 {
 		return reply, nil
 	}
-	ret := delegation.Return{Queue: queue, Cell: s.id, Outcomes: b.outcomes}
+	ret := delegation.Return{Queue: queue, Cell: s.id, Outcomes: b.outcomes, Load: s.load()}
 	err := s.deps.Peers.Call(ctx, owner.Host, delegation.MethodReturn, ret, &reply)
 	return reply, err
 }
--- a/delegation/delegation.go
+++ b/delegation/delegation.go
@@ -105,9 +105,10 @@
 
 // Return gives outcomes to a queue shard.
 type Return struct {
-	Queue    shard.ID  `json:"queue"`
-	Cell     shard.ID  `json:"cell"`
-	Outcomes []Outcome `json:"outcomes"`
+	Queue    shard.ID        `json:"queue"`
+	Cell     shard.ID        `json:"cell"`
+	Outcomes []Outcome       `json:"outcomes"`
+	Load     member.CellLoad `json:"load"` // after them
 }
 
 // ReturnReply acknowledges a Return: the cell may forget the attempts. Every
--- a/queue/server.go
+++ b/queue/server.go
@@ -197,7 +197,7 @@
 	if err != nil {
 		return delegation.ReturnReply{}, err
 	}
-	return q.takeBack(ctx, req.Cell, req.Outcomes)
+	return q.takeBack(ctx, req)
 }
 
 func (s *Server) started(ctx context.Context, _ fleet.HostID, req delegation.Started) (delegation.StartedReply, error) {
--- a/queue/server_test.go
+++ b/queue/server_test.go
@@ -434,3 +434,44 @@
 		})
 	}
 }
+
+// TestReturnMakesRoom lets a cell that is full by every summary give a task
+// back and say that it has room.
+func TestReturnMakesRoom(t *testing.T) {
+	withRig(t, func(t *testing.T, r *rig) {
+		r.cells.runtime = func(delegation.Task) time.Duration { return time.Hour }
+		r.must(r.submit("j1", 1))
+		time.Sleep(time.Minute)
+		cell := r.cells.cellOf(TaskID("j1", 0))
+		r.world.update(func(w *world) {
+			w.cells = map[string]member.CellLoad{string(cell): {Epoch: 1, Sequence: 1, Capacity: big}}
+		})
+		r.must(r.submit("j2", 1))
+		time.Sleep(time.Minute)
+		if s := r.get("j2"); s.Reason != waitRoom {
+			t.Fatalf("status %+v, want the reason %q", s, waitRoom)
+		}
+		_, before := r.store.Calls()
+		req := delegation.Return{
+			Queue: testShard, Cell: cell,
+			Outcomes: []delegation.Outcome{{AttemptRef: attemptRef("j1", 0, 1), End: delegation.EndFinished}},
+			Load:     member.CellLoad{Epoch: 1, Sequence: 2, Capacity: big, Free: small, LargestFit: small},
+		}
+		if err := r.net.Call(t.Context(), testHost, delegation.MethodReturn, req, &delegation.ReturnReply{}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(releaseInterval / 5)
+		if !r.cells.has(TaskID("j2", 0)) {
+			t.Error("the next task is not at the cell")
+		}
+		if _, after := r.store.Calls(); after-before != 1 {
+			t.Errorf("%d writes, want 1 for the return and the next task", after-before)
+		}
+	})
+}
+
+func (c *fakeCells) cellOf(id fleet.TaskID) shard.ID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.attempts[c.running[id]].cell
+}
--- a/queue/shard.go
+++ b/queue/shard.go
@@ -309,16 +309,18 @@
 	return status, err
 }
 
-// takeBack ends the attempts that a cell gave back. It returns once that is
+// takeBack ends the attempts that a cell gave back, and gives out in the same
+// commit what there is room for now. It returns once that is
 // durable, so the cell may forget them. An offer of them that is still under
 // way has at most the sequence of the reply: later ones are collected from a
 // state without them.
-func (q *ownedShard) takeBack(ctx context.Context, cell shard.ID, outcomes []delegation.Outcome) (delegation.ReturnReply, error) {
+func (q *ownedShard) takeBack(ctx context.Context, ret delegation.Return) (delegation.ReturnReply, error) {
 	reply := delegation.ReturnReply{Epoch: q.journal.Owner().Epoch}
 	err := q.commit(ctx, func(tx journal.Tx) error {
-		q.end(tx, cell, outcomes)
+		q.sent.answered(ret.Cell, nil, ret.Load)
+		q.end(tx, ret.Cell, ret.Outcomes)
 		reply.Sequence = q.offers
-		return nil
+		return q.release(tx)
 	})
 	var unknown *job.UnknownError
 	var unavailable *job.UnavailableError
