Tell queues of no more room than a refill allows

Cause: counted by reason on a scratch copy (Cycle/leaves): 365 attempts ended as not run with no_capacity, 3 were evicted, 8 refused or returned for the data centre. A cell whose data centre was let in again told of its whole room, while a tenth of it may be used at first; queues sent tasks that waited 5 s there and came back.

Ruled out: a longer wait in the cell (the other data centre has room meanwhile).

Change: while the gate fills up, a load tells of the usable part of the capacity and of what is free of that.

Seen failing: TestLoadWhileRefilling before the change (1,280 of 1,280 cores usable just after the return, want 128) and with the limit taken out.

--- a/cell/gate.go
+++ b/cell/gate.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"math"
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
@@ -78,9 +77,7 @@
 	}
 	var free fleet.Resources
 	for _, w := range workers {
-		free.MilliCores += int64(share*float64(w.Capacity.MilliCores)) - w.Used.MilliCores
-		free.MemoryMB += int64(share*float64(w.Capacity.MemoryMB)) - w.Used.MemoryMB
-		free.Accelerators += int64(math.Ceil(share*float64(w.Capacity.Accelerators))) - w.Used.Accelerators
+		free = free.Add(scale(w.Capacity, share)).Sub(w.Used)
 	}
 	return &free
 }
--- a/cell/load.go
+++ b/cell/load.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"math"
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
@@ -12,7 +13,7 @@
 func (s *session) load() member.CellLoad {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.measure()
+	now := s.measure(time.Now())
 	now.Epoch = s.owner.Epoch
 	now.Sequence = s.told.Sequence
 	if now != s.told {
@@ -22,9 +23,10 @@
 	return now
 }
 
-// measure returns the load without its order. A data centre that is out has
-// nothing free. The mutex is held.
-func (s *session) measure() member.CellLoad {
+// measure returns the load at now without its order. A data centre that is
+// out has nothing free, one that fills up again has only what may be used by
+// then. The mutex is held.
+func (s *session) measure(now time.Time) member.CellLoad {
 	waiting := s.machine.inPhase(phaseWaiting)
 	load := member.CellLoad{DataCentre: s.dc, Waiting: len(waiting)}
 	for _, a := range waiting {
@@ -32,7 +34,8 @@
 	}
 	in := s.isIn()
 	emptiest := int64(-1)
-	for _, w := range s.schedulable(time.Now()) {
+	workers := s.schedulable(now)
+	for _, w := range workers {
 		load.Capacity = load.Capacity.Add(w.Capacity)
 		if !in || !w.Live || w.Quarantined {
 			continue
@@ -47,9 +50,30 @@
 			load.LargestFit = free
 		}
 	}
+	if budget := s.gate.budget(now, workers); in && budget != nil {
+		load.Capacity = scale(load.Capacity, s.gate.refill(now))
+		load.Free = least(load.Free, positive(*budget))
+		load.LargestFit = least(load.LargestFit, load.Free)
+	}
 	return load
 }
 
+func scale(r fleet.Resources, share float64) fleet.Resources {
+	return fleet.Resources{
+		MilliCores:   int64(share * float64(r.MilliCores)),
+		MemoryMB:     int64(share * float64(r.MemoryMB)),
+		Accelerators: int64(math.Ceil(share * float64(r.Accelerators))),
+	}
+}
+
+func least(a, b fleet.Resources) fleet.Resources {
+	return fleet.Resources{
+		MilliCores:   min(a.MilliCores, b.MilliCores),
+		MemoryMB:     min(a.MemoryMB, b.MemoryMB),
+		Accelerators: min(a.Accelerators, b.Accelerators),
+	}
+}
+
 func positive(r fleet.Resources) fleet.Resources {
 	return fleet.Resources{
 		MilliCores:   max(0, r.MilliCores),
--- a/cell/out_test.go
+++ b/cell/out_test.go
@@ -238,3 +238,27 @@
 		b.check()
 	})
 }
+
+// TestLoadWhileRefilling asks a cell for its load just after its data centre
+// was let in, half way through the refill and after it.
+func TestLoadWhileRefilling(t *testing.T) {
+	s := benchSession(t)
+	runTasks(t, s, 0, 8) // of 1 core each
+	now := time.Now()
+	whole := s.measure(now)
+	for since, share := range map[time.Duration]float64{0: 0.1, refillTime / 2: 0.55, refillTime: 1} {
+		s.gate.since = now.Add(-since)
+		got := s.measure(now)
+		usable := int64(share * float64(whole.Capacity.MilliCores))
+		if got.Capacity.MilliCores != usable {
+			t.Errorf("%v after the return %d of %d millicores are usable, want %d", since, got.Capacity.MilliCores, whole.Capacity.MilliCores, usable)
+		}
+		used := whole.Capacity.MilliCores - whole.Free.MilliCores
+		if got.Free.MilliCores != usable-used {
+			t.Errorf("%v after the return %d millicores are free, want %d", since, got.Free.MilliCores, usable-used)
+		}
+		if got.LargestFit.MilliCores > got.Free.MilliCores {
+			t.Errorf("%v after the return a task of %d millicores fits into %d free", since, got.LargestFit.MilliCores, got.Free.MilliCores)
+		}
+	}
+}
