Weigh victims by core time instead of the share of their own work

Cause: for an urgent task the cell compared the share of its own work that each victim had done since its checkpoint. A tenth of ten hours counted as less than nine tenths of a minute.

Change: core time since the last checkpoint, as the policy for services has it. The scheduler compares numbers as before.

Seen failing: TestVictimLosesWork (0.1 of an hour's work against 0.9 of a minute's).

--- a/cell/urgent.go
+++ b/cell/urgent.go
@@ -37,7 +37,7 @@
 		case r.stopping:
 			snapshot.Workers[i].Used = snapshot.Workers[i].Used.Sub(a.Placement.Size)
 		case !isUrgent(a.Task.Priority):
-			victims = append(victims, asVictim(a, r))
+			victims = append(victims, s.asVictim(a, r, now))
 		}
 	}
 	for _, ref := range scheduler.Preempt(snapshot, victims) {
@@ -45,13 +45,17 @@
 	}
 }
 
-func asVictim(a *attempt, r *run) scheduler.Victim {
+func (s *session) asVictim(a *attempt, r *run, now time.Time) scheduler.Victim {
+	lost := 0.0
+	if !r.seen.IsZero() {
+		lost = s.sharingTask(a, r, now).SinceCheckpoint.Seconds()
+	}
 	return scheduler.Victim{
 		AttemptRef: a.Task.AttemptRef,
 		Worker:     a.Placement.Worker,
 		Size:       a.Placement.Size,
 		Priority:   a.Task.Priority,
-		Lost:       max(0, r.status.Progress-r.status.CheckpointProgress),
+		Lost:       lost,
 	}
 }
 
--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -182,3 +182,21 @@
 		b.check()
 	})
 }
+
+// TestVictimLosesWork compares a task that has done a tenth of ten hours since
+// its checkpoint with one that has done nine tenths of a minute.
+func TestVictimLosesWork(t *testing.T) {
+	s := benchSession(t)
+	runTasks(t, s, 0, 2)
+	now := time.Now()
+	lost := func(i int, since time.Duration, progress float64) float64 {
+		a := s.machine.find(benchTask(i).AttemptRef)
+		r := s.runs[a.Task.AttemptRef]
+		r.checkpointAt, r.status.Progress, r.status.Share = now.Add(-since), progress, 1
+		return s.asVictim(a, r, now).Lost
+	}
+	long, short := lost(0, time.Hour, 0.1), lost(1, 54*time.Second, 0.9)
+	if long <= short {
+		t.Errorf("an eviction loses %v of an hour's work and %v of a minute's", long, short)
+	}
+}
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -14,7 +14,7 @@
 	Worker   fleet.WorkerID
 	Size     fleet.Resources
 	Priority int
-	Lost     float64 // share of its work done since the last checkpoint
+	Lost     float64 // core seconds of work since the last checkpoint
 }
 
 // room is what it takes to make room for a task on one worker.
