Bound run times from below by answers that list ends only

Cause: since answers to starts list only ends not told before, they no longer showed running tasks, so the last report that showed a task running was a renewal, and the half way point was too early by up to a sixth of a lease.

Change: a task that such an answer does not list was running when it was asked for. Only the estimate uses that; after a lost answer it may be wrong by one look.

Seen failing: TestPartialAnswerShowsRunning without it.

--- a/cell/report.go
+++ b/cell/report.go
@@ -106,14 +106,15 @@
 		listed[st.AttemptRef] = true
 		s.takeStatus(w, st, sentAt)
 	}
-	if report.Partial {
-		return
-	}
 	for _, a := range s.machine.onWorker(w.id) {
 		r := s.runs[a.Task.AttemptRef]
 		if r == nil || listed[a.Task.AttemptRef] {
 			continue
 		}
+		if report.Partial {
+			r.running = sentAt // else its end would be listed
+			continue
+		}
 		if r.own && !r.sent {
 			continue
 		}
--- a/cell/runtime_test.go
+++ b/cell/runtime_test.go
@@ -147,3 +147,19 @@
 		b.check()
 	})
 }
+
+// TestPartialAnswerShowsRunning takes an answer that lists ends only and none
+// of a running task, which is how its run time is bounded from below.
+func TestPartialAnswerShowsRunning(t *testing.T) {
+	s := benchSession(t)
+	runTasks(t, s, 0, 1)
+	a := s.machine.find(benchTask(0).AttemptRef)
+	later := time.Now().Add(time.Second)
+	s.takeReport(s.workers[a.Placement.Worker], platform.WorkerReport{Worker: a.Placement.Worker, Partial: true}, later)
+	if got := s.runs[a.Task.AttemptRef].running; !got.Equal(later) {
+		t.Errorf("last shown running at %v, want %v", got, later)
+	}
+	if len(s.ends) > 0 {
+		t.Errorf("ends %v concluded from what is not listed", s.ends)
+	}
+}
