--- a/cell/look.go
+++ b/cell/look.go
@@ -1,6 +1,9 @@
 package cell
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	lookQuantile = 0.25                   // of a class's run times, from which its tasks' ends are looked for
@@ -9,14 +12,15 @@
 	lookUntil    = 4                      // run times, after which an end is no longer looked for
 )
 
-// isLookDue reports whether a report of the worker is due before the next
-// renewal, because a short task is likely to have ended: what it holds is not
-// given to others before its end is seen. The ends of tasks that run for a
-// lease or longer are left to the renewals.
-func (s *session) isLookDue(w *worker, now time.Time, ttl time.Duration, placed []*attempt) bool {
+// nextLook asks the worker for ends before the next renewal, because a short
+// task is likely to have ended: what it holds is not given to others before
+// its end is seen. The call sets the task's share to what it is; its answer
+// lists every end that no answer has shown, and is shorter than a renewal's.
+// The ends of tasks that run for a lease or longer are left to the renewals.
+func (s *session) nextLook(w *worker, now time.Time, ttl time.Duration, placed []*attempt) *call {
 	since := now.Sub(w.lease.answered)
 	if w.silent || since < lookInterval {
-		return false
+		return nil
 	}
 	for _, a := range placed {
 		r := s.runs[a.Task.AttemptRef]
@@ -29,8 +33,8 @@
 			continue
 		}
 		if since >= expected/lookFraction || since > runs-expected {
-			return true
+			return s.throttleCall(a, cmp.Or(r.wantShare, r.status.Share))
 		}
 	}
-	return false
+	return nil
 }
