--- a/cell/look.go
+++ b/cell/look.go
@@ -1,9 +1,6 @@
 package cell
 
-import (
-	"cmp"
-	"time"
-)
+import "time"
 
 const (
 	lookQuantile = 0.25                   // of a class's run times, from which its tasks' ends are looked for
@@ -12,15 +9,14 @@
 	lookUntil    = 4                      // run times, after which an end is no longer looked for
 )
 
-// nextLook asks the worker for ends before the next renewal, because a short
-// task is likely to have ended: what it holds is not given to others before
-// its end is seen. The call sets the task's share to what it is; its answer
-// lists every end that no answer has shown, and is shorter than a renewal's.
-// The ends of tasks that run for a lease or longer are left to the renewals.
-func (s *session) nextLook(w *worker, now time.Time, ttl time.Duration, placed []*attempt) *call {
+// isLookDue reports whether a report of the worker is due before the next
+// renewal, because a short task is likely to have ended: what it holds is not
+// given to others before its end is seen. The ends of tasks that run for a
+// lease or longer are left to the renewals.
+func (s *session) isLookDue(w *worker, now time.Time, ttl time.Duration, placed []*attempt) bool {
 	since := now.Sub(w.lease.answered)
 	if w.silent || since < lookInterval {
-		return nil
+		return false
 	}
 	for _, a := range placed {
 		r := s.runs[a.Task.AttemptRef]
@@ -33,8 +29,8 @@
 			continue
 		}
 		if since >= expected/lookFraction || since > runs-expected {
-			return s.throttleCall(a, cmp.Or(r.wantShare, r.status.Share))
+			return true
 		}
 	}
-	return nil
+	return false
 }
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -115,7 +115,7 @@
 func (s *session) nextCall(w *worker, now time.Time) *call {
 	placed := s.machine.onWorker(w.id)
 	ttl := s.leaseTTL(placed)
-	if c := s.nextRenewal(w, now, ttl, len(placed) > 0); c != nil {
+	if c := s.nextRenewal(w, now, ttl, placed); c != nil {
 		return c
 	}
 	if !w.lease.isReachable(now, ttl) {
@@ -127,18 +127,19 @@
 	if c := s.nextStop(w, now, placed); c != nil {
 		return c
 	}
-	if c := s.nextThrottle(now, placed); c != nil {
-		return c
-	}
-	return s.nextLook(w, now, ttl, placed)
+	return s.nextThrottle(now, placed)
 }
 
-func (s *session) nextRenewal(w *worker, now time.Time, ttl time.Duration, hasTasks bool) *call {
+func (s *session) nextRenewal(w *worker, now time.Time, ttl time.Duration, placed []*attempt) *call {
+	hasTasks := len(placed) > 0
 	confirmed := now.Sub(s.durableAt) < MaxUnconfirmed
 	if !hasTasks && !s.members.isCallable(w.id) {
 		return nil
 	}
-	if !confirmed || now.Before(w.lease.nextRenewal) || !w.lease.mayRenew(now, ttl, hasTasks) {
+	if !confirmed || !w.lease.mayRenew(now, ttl, hasTasks) {
+		return nil
+	}
+	if now.Before(w.lease.nextRenewal) && !s.isLookDue(w, now, ttl, placed) {
 		return nil
 	}
 	req := &platform.RenewRequest{
