--- /dev/null
+++ b/internal/deflate/seed_test.go
@@ -0,0 +1,3 @@
+package deflate
+
+import _ "github.com/fuchsiahill/fuchsiahill/internal/fixedseed"
--- /dev/null
+++ b/journal/pack.go
@@ -0,0 +1,42 @@
+package journal
+
+import (
+	"github.com/fuchsiahill/fuchsiahill/internal/deflate"
+	"github.com/fuchsiahill/fuchsiahill/store"
+)
+
+// packer compresses records, which repeat names of shards, teams and classes.
+var packer = deflate.NewCodec(nil, store.MaxValueBytes)
+
+// encodeEntry encodes an entry of the current version, its records compressed
+// if that makes it smaller.
+func encodeEntry(e entry) ([]byte, error) {
+	e.Version = formatVersion
+	plain, err := Encode(e.Records)
+	if err != nil {
+		return nil, err
+	}
+	if len(plain) < packFrom {
+		return Encode(e)
+	}
+	if packed := packer.Compress(plain); len(packed) < len(plain) {
+		e.Version = packedVersion
+		e.Records = nil
+		e.Packed = packed
+	}
+	return Encode(e)
+}
+
+// unpack returns the entry with its records in place.
+func (e entry) unpack() (entry, error) {
+	plain, err := packer.Decompress(e.Packed)
+	if err != nil {
+		return entry{}, err
+	}
+	if err := Decode(plain, &e.Records); err != nil {
+		return entry{}, err
+	}
+	e.Version = formatVersion
+	e.Packed = nil
+	return e, nil
+}
--- a/journal/shard.go
+++ b/journal/shard.go
@@ -374,5 +374,5 @@
 }
 
 func (s *Shard) encode(n Sequence, records [][]byte) ([]byte, error) {
-	return Encode(entry{Version: formatVersion, Sequence: n, Owner: s.owner, Records: records})
+	return encodeEntry(entry{Sequence: n, Owner: s.owner, Records: records})
 }
--- a/journal/write_test.go
+++ b/journal/write_test.go
@@ -169,12 +169,18 @@
 		f.Add(data)
 	}
 	seed(entry{Version: 1, Sequence: 7, Owner: testOwner(2), Records: [][]byte{{1}, {2, 3}}})
+	seed(entry{Version: 2, Sequence: 7, Owner: testOwner(2), Packed: packer.Compress([]byte{0x81, 0x41, 1})})
+	seed(entry{Version: 2, Sequence: 7, Owner: testOwner(2), Packed: packer.Compress(make([]byte, 2*store.MaxValueBytes))})
+	seed(entry{Version: 2, Sequence: 7, Owner: testOwner(2), Packed: []byte("x")})
 	seed(header{Version: 1, Sequence: 3, Owner: testOwner(1), Inline: []byte("x"), Checksum: 5})
 	seed(header{Version: 1, Sequence: 3, Owner: testOwner(1), Generation: 1, Parts: 2, Checksum: 5})
 	seed(part{Version: 1, Sequence: 3, Owner: testOwner(1), Data: []byte("x")})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		if e, err := decodeEntry(data); err == nil {
-			again := reencode(t, e)
+			again, err := encodeEntry(e)
+			if err != nil {
+				t.Fatal(err)
+			}
 			if other, err := decodeEntry(again); err != nil || other.Sequence != e.Sequence || len(other.Records) != len(e.Records) {
 				t.Fatalf("entry changed: %+v, %v", other, err)
 			}
--- a/member/batch.go
+++ b/member/batch.go
@@ -1,20 +1,15 @@
 package member
 
 import (
-	"bytes"
-	"compress/flate"
 	"encoding/json"
 	"fmt"
-	"io"
-	"sync"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/fuchsiahill/fuchsiahill/internal/deflate"
 )
 
 const (
-	// batchLevel is the compression level from which on flate uses a
-	// dictionary.
-	batchLevel = 5
 	// maxBatchBytes bounds a batch after decompression.
 	maxBatchBytes = 1 << 20
 )
@@ -34,16 +29,11 @@
 // Unwrap returns the cause.
 func (e *MalformedError) Unwrap() error { return e.Cause }
 
-// compressor turns batches of summaries into bytes. A compressor is large, so
-// one is used for all batches of a host. Safe for concurrent use.
-type compressor struct {
-	mu     sync.Mutex
-	buffer bytes.Buffer
-	writer *flate.Writer
-}
+// batches is the one compressor of the process.
+var batches = deflate.NewCodec(batchDictionary, maxBatchBytes)
 
-// encode returns the compressed JSON of a batch, or nil for an empty one.
-func (c *compressor) encode(batch []Summary) ([]byte, error) {
+// encodeBatch returns the compressed JSON of a batch, or nil for an empty one.
+func encodeBatch(batch []Summary) ([]byte, error) {
 	if len(batch) == 0 {
 		return nil, nil
 	}
@@ -51,39 +41,16 @@
 	if err != nil {
 		return nil, eris.Wrap(&MalformedError{Cause: err}, "encode")
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if err := c.reset(); err != nil {
-		return nil, err
-	}
-	if _, err := c.writer.Write(data); err != nil {
-		return nil, err
-	}
-	if err := c.writer.Close(); err != nil {
-		return nil, err
-	}
-	return bytes.Clone(c.buffer.Bytes()), nil
-}
-
-func (c *compressor) reset() error {
-	c.buffer.Reset()
-	if c.writer != nil {
-		c.writer.Reset(&c.buffer)
-		return nil
-	}
-	writer, err := flate.NewWriterDict(&c.buffer, batchLevel, batchDictionary)
-	c.writer = writer
-	return err
+	return batches.Compress(data), nil
 }
 
-// decodeBatch is the reverse of encode. Its memory is bounded whatever data
+// decodeBatch is the reverse of encodeBatch. Its memory is bounded whatever data
 // holds.
 func decodeBatch(data []byte) ([]Summary, error) {
 	if len(data) == 0 {
 		return nil, nil
 	}
-	reader := flate.NewReaderDict(bytes.NewReader(data), batchDictionary)
-	plain, err := io.ReadAll(io.LimitReader(reader, maxBatchBytes))
+	plain, err := batches.Decompress(data)
 	if err != nil {
 		return nil, eris.Wrap(&MalformedError{Cause: err}, "decompress")
 	}
--- a/member/exchange.go
+++ b/member/exchange.go
@@ -134,7 +134,7 @@
 	batch := r.summary.changes(now, id, p, batchLimit)
 	msg := exchangeMessage{Incarnation: r.deps.Self.Incarnation, Ack: p.lastReply}
 	r.mu.Unlock()
-	data, err := r.batches.encode(batch)
+	data, err := encodeBatch(batch)
 	msg.Summaries = data
 	return batch, msg, err
 }
@@ -149,7 +149,7 @@
 	if err != nil {
 		return exchangeMessage{}, err
 	}
-	data, err := r.batches.encode(batch)
+	data, err := encodeBatch(batch)
 	return exchangeMessage{Incarnation: r.deps.Self.Incarnation, ID: id, Summaries: data}, err
 }
 
--- a/member/registry.go
+++ b/member/registry.go
@@ -55,7 +55,6 @@
 	local   func() Summary
 	// published is when the own summary was last numbered.
 	published time.Time
-	batches   compressor
 }
 
 // record is a host record as last seen in the store.
--- a/member/summaries_test.go
+++ b/member/summaries_test.go
@@ -163,9 +163,8 @@
 }
 
 func FuzzDecodeBatch(f *testing.F) {
-	var c compressor
 	for n := range 3 {
-		data, err := c.encode([]Summary{busySummary(n, n), busySummary(n, 7)})
+		data, err := encodeBatch([]Summary{busySummary(n, n), busySummary(n, 7)})
 		if err != nil {
 			f.Fatal(err)
 		}
@@ -176,7 +175,7 @@
 		if err != nil || len(batch) == 0 {
 			return
 		}
-		again, err := c.encode(batch)
+		again, err := encodeBatch(batch)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/peer/compress.go
+++ b/peer/compress.go
@@ -1,20 +1,11 @@
 package peer
 
-import (
-	"bytes"
-	"compress/flate"
-	"io"
-	"sync"
-
-	"github.com/rotisserie/eris"
-)
+import "github.com/fuchsiahill/fuchsiahill/internal/deflate"
 
 const (
 	// compressionFormat names the dictionary below. Hosts tell each other
 	// theirs in the hello; those whose formats differ do not compress.
 	compressionFormat = 1
-	// compressionLevel is the lowest from which on flate uses a dictionary.
-	compressionLevel = 5
 	// compressFrom is the size of a message from which on it is compressed.
 	compressFrom = 64 // bytes
 )
@@ -31,55 +22,14 @@
 	`{"method":"queue.return","params":{"queue":"queue/","cell":"cell/","outcomes":[{"task":"/0","attempt":1,"end":"finished","worker":"","used":{"milli_cores":1000,"memory_mb":1000}},` +
 	`]},"id":,"jsonrpc":"2.0","meta":{"timeout_ms":4999}}{"id":,"result":{"epoch":1,"sequence":},"jsonrpc":"2.0"}{"id":,"result":{},"jsonrpc":"2.0"}`)
 
-// deflater is the one compressor of the process: it takes about 1 MB.
-var deflater struct {
-	sync.Mutex
-	writer *flate.Writer
-}
-
-func newDeflater() *flate.Writer {
-	w, err := flate.NewWriterDict(nil, compressionLevel, compressionDictionary)
-	if err != nil {
-		panic(err) // the level is constant
-	}
-	return w
-}
+// messages is the one compressor of the process.
+var messages = deflate.NewCodec(compressionDictionary, MaxMessageBytes)
 
-var inflaters = sync.Pool{New: func() any { return flate.NewReaderDict(nil, compressionDictionary) }}
-
-// deflate returns data compressed, or false if that does not make it smaller.
-func deflate(data []byte) ([]byte, bool) {
+// compress returns data compressed, or false if that does not make it smaller.
+func compress(data []byte) ([]byte, bool) {
 	if len(data) < compressFrom {
 		return nil, false
 	}
-	deflater.Lock()
-	defer deflater.Unlock()
-	if deflater.writer == nil {
-		deflater.writer = newDeflater()
-	}
-	var out bytes.Buffer
-	deflater.writer.Reset(&out)
-	_, writeErr := deflater.writer.Write(data)
-	closeErr := deflater.writer.Close()
-	if writeErr != nil || closeErr != nil || out.Len() >= len(data) {
-		return nil, false
-	}
-	return out.Bytes(), true
-}
-
-// inflate is the reverse of deflate. It returns MaxMessageBytes at most.
-func inflate(data []byte) ([]byte, error) {
-	r := inflaters.Get().(io.ReadCloser)
-	defer inflaters.Put(r)
-	if err := r.(flate.Resetter).Reset(bytes.NewReader(data), compressionDictionary); err != nil {
-		return nil, eris.Wrap(err, "decompress")
-	}
-	plain, err := io.ReadAll(io.LimitReader(r, MaxMessageBytes+1))
-	if err != nil {
-		return nil, eris.Wrap(err, "decompress")
-	}
-	if len(plain) > MaxMessageBytes {
-		return nil, &TooLargeError{Bytes: len(plain), Limit: MaxMessageBytes}
-	}
-	return plain, nil
+	smaller := messages.Compress(data)
+	return smaller, len(smaller) < len(data)
 }
--- a/peer/compress_test.go
+++ b/peer/compress_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/go-kit/log"
 	"pgregory.net/rapid"
+
+	"github.com/fuchsiahill/fuchsiahill/internal/deflate"
 )
 
 // TestCompressedMessages sends messages over a stream that compresses and one
@@ -50,12 +52,12 @@
 
 // TestInflateIsBounded decompresses more than a message may hold.
 func TestInflateIsBounded(t *testing.T) {
-	bomb, ok := deflate(make([]byte, 16*MaxMessageBytes))
+	bomb, ok := compress(make([]byte, 16*MaxMessageBytes))
 	if !ok {
 		t.Fatal("zeros were not compressed")
 	}
-	var large *TooLargeError
-	if _, err := inflate(bomb); !errors.As(err, &large) {
+	var large *deflate.TooLargeError
+	if _, err := messages.Decompress(bomb); !errors.As(err, &large) {
 		t.Errorf("error %v, want a *TooLargeError", err)
 	}
 }
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -73,7 +73,7 @@
 func (s *stream) frame(data []byte) []byte {
 	flag := uint32(0)
 	if s.compresses.Load() {
-		if smaller, ok := deflate(data); ok {
+		if smaller, ok := compress(data); ok {
 			data = smaller
 			flag = compressedFlag
 		}
@@ -115,7 +115,7 @@
 	s.lastRead = headerBytes + size
 	s.readBytes.Add(int64(s.lastRead))
 	if length&compressedFlag != 0 {
-		data, err = inflate(data)
+		data, err = messages.Decompress(data)
 	}
 	if err != nil {
 		return err
--- a/peer/stream_test.go
+++ b/peer/stream_test.go
@@ -16,7 +16,7 @@
 	f.Add([]byte("\xff\xff\xff\xff{}"))
 	f.Add([]byte("\x00\x3f\xff\xff{"))
 	f.Add([]byte("\x80\x00\x00\x08\xaaV*J-.\xcd"))
-	if data, ok := deflate(bytes.Repeat([]byte(`{"id":1},`), 50)); ok {
+	if data, ok := compress(bytes.Repeat([]byte(`{"id":1},`), 50)); ok {
 		f.Add(append([]byte{0x80, 0, 0, byte(len(data))}, data...))
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
