--- a/store/http.go
+++ b/store/http.go
@@ -289,6 +289,8 @@
 	if err != nil {
 		return nil, eris.Wrap(&BadRequestError{Message: err.Error()}, method)
 	}
+	// An empty value leaves the header out, which is sent with every call.
+	req.Header.Set("User-Agent", "")
 	// Without GetBody the transport can't send a write a second time.
 	req.GetBody = nil
 	return req, nil
