--- a/cell/control.go
+++ b/cell/control.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/settings"
+	"github.com/fuchsiahill/fuchsiahill/store"
 )
 
 // controlLoop decides at intervals what needs neither a report nor an offer:
@@ -26,10 +29,9 @@
 func (s *session) control(ctx context.Context, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	dc := s.deps.Settings.Current().DataCentres()[s.dc]
-	if s.gate.update(dc.State, now) {
-		s.logger.Log("event", "data_centre", "state", dc.State)
-	}
+	current := s.deps.Settings.Current()
+	dc := current.DataCentres()[s.dc]
+	s.updateGate(current.Revision(), dc.State, now)
 	s.members.update(s.deps.Hosts.Hosts(), s.dc, s.number, dc.Cells)
 	s.updateWorkers(ctx, now)
 	s.updateOthers(now)
@@ -37,9 +39,24 @@
 	s.judgeUnreported(placed, now)
 	s.stopCancelled(placed, now)
 	s.evacuate(placed, now)
+	s.reportOverruns(placed, now)
 	s.relieve(placed, now)
 	s.makeRoom(now)
-	s.share(placed, now)
+	s.share(ctx, placed, now)
+}
+
+// updateGate follows the data centre's state. A change is journaled, so that
+// the next owner counts from it. Settings older than those in which a
+// predecessor saw the present state change nothing.
+func (s *session) updateGate(revision store.Revision, state settings.DataCentreState, now time.Time) {
+	if revision < s.machine.state.Gate.Revision || !s.gate.update(state, now) {
+		return
+	}
+	s.logger.Log("event", "data_centre", "state", state)
+	if s.gate.since.IsZero() {
+		return
+	}
+	s.gateSeen = &gateRecord{Out: !s.gate.in, SinceMS: now.UnixMilli(), Revision: revision}
 }
 
 // updateWorkers starts an agent for every worker of the cell that has none,
@@ -146,7 +163,8 @@
 
 // evacuate stops the tasks of a data centre that is out, spread evenly over
 // the grace, so that checkpoints and the cells that take the tasks are not
-// hit by all of them at once.
+// hit by all of them at once. Those that will have ended by themselves by then
+// are left alone.
 func (s *session) evacuate(placed []*attempt, now time.Time) {
 	if s.gate.in {
 		return
@@ -164,7 +182,12 @@
 		left = append(left, a)
 	}
 	grace := s.longestGrace(placed)
-	due := s.gate.evictionsDue(now, grace, len(left))
+	end := s.gate.lastEviction(grace)
+	left = slices.DeleteFunc(left, func(a *attempt) bool {
+		remaining, known := s.remaining(a, s.runs[a.Task.AttemptRef], now)
+		return known && now.Add(remaining).Before(end)
+	})
+	due := s.gate.evictionsDue(now, end, len(left))
 	s.reportOverdue(placed, now.Add(-grace))
 	for _, a := range left[:due] {
 		s.stop(a, now, reasonOut)
--- a/cell/judge.go
+++ b/cell/judge.go
@@ -35,6 +35,7 @@
 	sent     bool      // a start call was made by this owner
 	deadline time.Time // of that call
 	seen     time.Time // when the call was sent whose report first showed it running
+	running  time.Time // when the call was sent whose report last showed it running
 	status   platform.TaskStatus
 	// checkpointAt is when the last checkpoint, or the start, was seen.
 	checkpointAt time.Time
@@ -42,6 +43,8 @@
 	stopping     bool            // an eviction or cancellation was decided
 	stopBy       time.Time       // no checkpoint is asked for later
 	stopSent     time.Time
+	throttled    bool    // it was seen with less than its share
+	overrun      bool    // reported as running far longer than its class
 	wantShare    float64 // 0: none wanted
 	shareSent    time.Time
 }
@@ -52,6 +55,10 @@
 		r.checkpointAt = sentAt
 	}
 	r.status = st
+	if !st.State.Final() {
+		r.running = sentAt
+	}
+	r.throttled = r.throttled || st.Share < 1
 	r.peak = fleet.Resources{
 		MilliCores:   max(r.peak.MilliCores, st.Used.MilliCores),
 		MemoryMB:     max(r.peak.MemoryMB, st.Used.MemoryMB),
