Hand the memory of request IDs to the next owner of a front

Cause: an owner that let a front go dropped its memory, and the next one vouched only for IDs created a clock margin after it began. So each planned hand-over refused requests as unvouched_old that nobody had sent before.

Change: an owner keeps its memory when it lets go. It never moves its floor down once it has dropped something, nor below the last change of fronts that it has seen. A claim that was recorded and then refused for want of the right is taken back. A front that runs on under its claim (the release failed) goes on with its memory.

Settle believed a peer that lagged behind a change of fronts which this process had seen itself; it now asks only about the fronts first seen.

Ruled out: pushing to the wanted owner before the release (the wanted owner is each host's own guess; the claim decides), and the store.

Tests: Open and the world's claims have epochs now; the model also releases, cuts and delays. All earlier cases are unchanged.

--- a/dedupe/claimer.go
+++ b/dedupe/claimer.go
@@ -24,6 +24,7 @@
 	methodClaim   = "dedupe.claim"
 	methodRelease = "dedupe.release"
 	methodFronts  = "dedupe.fronts"
+	methodMemory  = "dedupe.memory"
 
 	claimTimeout = 500 * time.Millisecond
 	claimTries   = 2 // the same token makes a second try harmless
@@ -67,7 +68,9 @@
 	fronts   []shard.ID // of the region, ordered
 	hash     *rendezvous.Rendezvous
 	changed  time.Time // of fronts
-	memories map[shard.ID]*Home
+	first    bool      // no other fronts were seen before
+	memories map[shard.ID]*memory
+	kept     map[shard.ID]*kept // of fronts that this host no longer owns
 }
 
 type message struct {
@@ -86,10 +89,11 @@
 	if d.Margins == (Margins{}) {
 		d.Margins = DefaultMargins
 	}
-	c := &Claimer{deps: d, memories: make(map[shard.ID]*Home)}
+	c := &Claimer{deps: d, memories: make(map[shard.ID]*memory), kept: make(map[shard.ID]*kept)}
 	d.Registry.Handle(methodClaim, c.handleClaim)
 	d.Registry.Handle(methodRelease, c.handleRelease)
 	d.Registry.Handle(methodFronts, c.handleFronts)
+	d.Registry.Handle(methodMemory, c.handleMemory)
 	return c
 }
 
@@ -107,6 +111,7 @@
 		names[i] = string(f)
 	}
 	c.restart(now.Add(c.deps.Margins.Mapping), sorted)
+	c.first = len(c.fronts) == 0
 	c.fronts = sorted
 	c.hash = rendezvous.New(names, xxhash.Sum64String)
 	c.changed = now
@@ -116,29 +121,17 @@
 // added fronts, and all if a front was removed.
 func (c *Claimer) restart(start time.Time, next []shard.ID) {
 	removed := slices.ContainsFunc(c.fronts, func(f shard.ID) bool { return !slices.Contains(next, f) })
-	for f, h := range c.memories {
-		if removed || !slices.Contains(c.fronts, f) {
-			h.Restart(start)
+	affected := func(f shard.ID) bool { return removed || !slices.Contains(c.fronts, f) }
+	for f, m := range c.memories {
+		if affected(f) {
+			m.home.Restart(start)
 		}
 	}
-}
-
-// Open begins the memory of a front that this host has come to own.
-func (c *Claimer) Open(now time.Time, front shard.ID) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	start := now
-	if settled := c.changed.Add(c.deps.Margins.Mapping); settled.After(now) {
-		start = settled
+	for f, k := range c.kept {
+		if affected(f) {
+			k.home.Restart(start)
+		}
 	}
-	c.memories[front] = NewHome(start, MaxIDs, c.deps.Margins)
-}
-
-// Close ends the memory of a front that this host no longer owns.
-func (c *Claimer) Close(front shard.ID) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.memories, front)
 }
 
 // Claim is a successful claim of an ID.
@@ -210,7 +203,7 @@
 			return verdict{}, &NotHomeError{Front: msg.Front}
 		}
 		if owner.Host == c.deps.Self {
-			return c.claim(time.Now(), msg)
+			return c.claim(ctx, msg)
 		}
 		v, err := c.askPeer(ctx, owner.Host, msg)
 		if err == nil {
@@ -232,12 +225,12 @@
 	return v, err
 }
 
-func (c *Claimer) handleClaim(_ context.Context, _ fleet.HostID, params []byte) (any, error) {
+func (c *Claimer) handleClaim(ctx context.Context, _ fleet.HostID, params []byte) (any, error) {
 	var msg message
 	if err := json.Unmarshal(params, &msg); err != nil {
 		return nil, &peer.RemoteError{Kind: peer.KindBadRequest, Message: eris.Wrap(err, "decode claim").Error()}
 	}
-	v, err := c.claim(time.Now(), msg)
+	v, err := c.claim(ctx, msg)
 	var notHome *NotHomeError
 	if errors.As(err, &notHome) {
 		return nil, &peer.RemoteError{Kind: peer.KindNotOwner, Message: err.Error()}
@@ -256,16 +249,23 @@
 
 // claim decides a claim as its home. The rights are asked after the claim was
 // recorded: a claim that is accepted was recorded while no other host could
-// be the home.
-func (c *Claimer) claim(now time.Time, msg message) (verdict, error) {
+// be the home. A claim that was recorded in vain is taken back, so that the
+// next owner can accept it.
+func (c *Claimer) claim(ctx context.Context, msg message) (verdict, error) {
+	c.awaitFetched(ctx, msg)
+	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	home, ok := c.memories[msg.Front]
+	m, ok := c.memories[msg.Front]
 	if !ok || c.home(msg.ID) != msg.Front {
 		return verdict{}, &NotHomeError{Front: msg.Front}
 	}
-	err := home.Claim(now, msg.ID, msg.Token)
+	known := m.home.holds(msg.ID)
+	err := m.home.Claim(now, msg.ID, msg.Token)
 	if !c.deps.Rights.MaySend(msg.Front) {
+		if !known {
+			m.home.Release(msg.ID, msg.Token)
+		}
 		return verdict{}, &NotHomeError{Front: msg.Front}
 	}
 	var duplicate *DuplicateError
@@ -282,7 +282,10 @@
 func (c *Claimer) release(msg message) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if home, ok := c.memories[msg.Front]; ok {
-		home.Release(msg.ID, msg.Token)
+	if m, ok := c.memories[msg.Front]; ok {
+		m.home.Release(msg.ID, msg.Token)
+	}
+	if k, ok := c.kept[msg.Front]; ok {
+		k.home.Release(msg.ID, msg.Token)
 	}
 }
--- a/dedupe/claimer_test.go
+++ b/dedupe/claimer_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/fuchsiahill/fuchsiahill/dedupe"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/wait"
 	"github.com/fuchsiahill/fuchsiahill/peer"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 )
@@ -24,8 +25,20 @@
 type world struct {
 	mu     sync.Mutex
 	rights map[shard.ID]fleet.HostID
+	claims map[shard.ID]shard.Owner // newest
 	hosts  map[fleet.HostID]*node
-	lose   bool // answers of calls
+	lose   bool                 // answers of calls
+	cut    int                  // calls until further ones fail; below 0: never
+	delay  time.Duration        // of each page of a memory
+	opened map[shard.ID]opening // newest
+	// pages and largest are of memories that were handed over.
+	pages, largest int
+}
+
+// opening is an Open in progress or done.
+type opening struct {
+	cancel context.CancelFunc
+	done   chan struct{}
 }
 
 type node struct {
@@ -39,7 +52,13 @@
 var margins = dedupe.Margins{Future: time.Second, Clock: time.Second, Mapping: 5 * time.Second}
 
 func newWorld(n int) *world {
-	w := &world{rights: make(map[shard.ID]fleet.HostID), hosts: make(map[fleet.HostID]*node)}
+	w := &world{
+		rights: make(map[shard.ID]fleet.HostID),
+		claims: make(map[shard.ID]shard.Owner),
+		opened: make(map[shard.ID]opening),
+		hosts:  make(map[fleet.HostID]*node),
+		cut:    -1,
+	}
 	for i := range n {
 		h := &node{
 			world:    w,
@@ -76,6 +95,12 @@
 	if err != nil {
 		return err
 	}
+	if n.isCut() {
+		return &peer.UnreachableError{Host: host}
+	}
+	if method == "dedupe.memory" && wait.For(ctx, n.delay) != nil {
+		return &peer.UnknownError{Host: host, Method: method}
+	}
 	result, err := n.hosts[host].handlers[method](ctx, n.self, data)
 	n.mu.Lock()
 	lose := n.lose
@@ -90,21 +115,63 @@
 	if err != nil {
 		return err
 	}
+	if method == "dedupe.memory" {
+		n.pages++
+		n.largest = max(n.largest, len(data))
+	}
 	return json.Unmarshal(data, response)
 }
 
+// isCut counts a call and reports whether it does not reach its host.
+func (w *world) isCut() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cut == 0 {
+		return true
+	}
+	w.cut = max(w.cut-1, -1)
+	return false
+}
+
+// take gives a host the next claim of a front and opens its memory. It
+// returns once the memory is open for new IDs.
+func (w *world) take(front shard.ID, host fleet.HostID) {
+	w.mu.Lock()
+	former := w.claims[front]
+	owner := shard.Owner{Host: host, Epoch: former.Epoch + 1}
+	w.claims[front] = owner
+	c := w.hosts[host].claimer
+	w.mu.Unlock()
+	c.Settle(context.Background(), w.others(host))
+	ctx, cancel := context.WithCancel(context.Background())
+	o := opening{cancel: cancel, done: make(chan struct{})}
+	w.opened[front] = o
+	go func() {
+		defer close(o.done)
+		c.Open(ctx, front, owner, former)
+	}()
+	synctest.Wait()
+}
+
+// leave lets a host stop running a front, as a runner does.
+func (w *world) leave(front shard.ID, host fleet.HostID) {
+	o := w.opened[front]
+	o.cancel()
+	<-o.done
+	w.hosts[host].claimer.Close(front)
+}
+
 // give moves the rights to a front; the old owner may learn of it later.
 func (w *world) give(front shard.ID, host fleet.HostID, tellOld bool) {
 	w.mu.Lock()
 	old := w.rights[front]
 	w.rights[front] = host
 	w.mu.Unlock()
-	if h, ok := w.hosts[old]; ok && tellOld && old != host {
-		h.claimer.Close(front)
+	if old != "" && tellOld && old != host {
+		w.leave(front, old)
 	}
 	if old != host {
-		w.hosts[host].claimer.Settle(context.Background(), w.others(host))
-		w.hosts[host].claimer.Open(time.Now(), front)
+		w.take(front, host)
 	}
 }
 
@@ -138,8 +205,7 @@
 	w.mu.Unlock()
 	h.claimer.SetFronts(time.Now(), fronts(n))
 	for _, f := range held {
-		h.claimer.Settle(context.Background(), w.others(host))
-		h.claimer.Open(time.Now(), f)
+		w.take(f, host)
 	}
 }
 
@@ -176,7 +242,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		moves := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) move {
 			return move{
-				what:  rapid.SampledFrom([]string{"claim", "claim", "create", "race", "race", "give", "look", "wait", "wait", "fronts", "lose", "restart"}).Draw(t, "what"),
+				what:  rapid.SampledFrom([]string{"claim", "claim", "create", "race", "race", "give", "look", "wait", "wait", "fronts", "lose", "restart", "release", "cut", "delay"}).Draw(t, "what"),
 				host:  rapid.IntRange(0, 2).Draw(t, "host"),
 				front: rapid.IntRange(0, 1).Draw(t, "front"),
 				id:    rapid.IntRange(0, 2).Draw(t, "id"),
@@ -207,11 +273,14 @@
 	time.Sleep(margins.Mapping + margins.Clock)
 	var ids []uuid.UUID
 	accepted := make(map[uuid.UUID]int)
+	var newest *dedupe.Claim
+	var newestID uuid.UUID
 	var seen [3]time.Time // last change of fronts, by host
 	sees := [3]int{1, 1, 1}
 	claim := func(h *node, id uuid.UUID) {
-		if _, err := h.claimer.Claim(ctx, id); err == nil {
+		if k, err := h.claimer.Claim(ctx, id); err == nil {
 			accepted[id]++
+			newest, newestID = k, id
 		}
 	}
 	for i, m := range moves {
@@ -263,10 +332,22 @@
 			w.mu.Lock()
 			w.lose = m.flag
 			w.mu.Unlock()
+		case "release": // the newest request was surely not run
+			if newest != nil {
+				newest.Release(ctx)
+				accepted[newestID]--
+				newest = nil
+			}
+		case "cut":
+			w.mu.Lock()
+			w.cut = m.id - 1
+			w.mu.Unlock()
+		case "delay":
+			w.delay = time.Duration(max(m.ms, 0)) * time.Millisecond / 2
 		}
 		synctest.Wait()
 	}
-	time.Sleep(margins.Mapping) // lets the timers end
+	time.Sleep(margins.Mapping + time.Minute) // lets the timers and hand-overs end
 	for id, n := range accepted {
 		if n > 1 {
 			return fmt.Sprintf("%s was accepted %d times", id, n)
--- a/dedupe/home.go
+++ b/dedupe/home.go
@@ -13,6 +13,9 @@
 //   - The next owner's memory begins when it became the owner, and it refuses
 //     IDs created before that plus Margins.Clock. So it refuses every ID that an
 //     earlier owner may have accepted.
+//   - An owner that lets go keeps its memory, in which nothing is accepted any
+//     more. If the owner of the very next epoch gets it whole, it vouches for
+//     what the former owner vouched for.
 //
 // The hash is over the fronts of the region, which come from the settings.
 // While hosts may see different sets of fronts, new memories begin only after
@@ -90,13 +93,14 @@
 
 // Home is the memory of one home. It is not safe for concurrent use.
 //
-// Invariants: every ID that was claimed and not released, and was created at
-// or after floor, is in its bucket; no bucket lies wholly before floor; count
+// Invariants: every ID that was claimed and not released, here or at an
+// earlier owner, and was created at or after floor, is in its bucket; no bucket lies wholly before floor; count
 // is the number of IDs in all buckets and at most max.
 type Home struct {
 	margins Margins
 	max     int
 	floor   time.Time // IDs created earlier can't be vouched for
+	begun   time.Time // floor at first
 	buckets map[int64]map[uuid.UUID]Token
 	oldest  int64 // no bucket has a lower number
 	count   int
@@ -109,6 +113,7 @@
 		margins: margins,
 		max:     limit,
 		floor:   floor,
+		begun:   floor,
 		buckets: make(map[int64]map[uuid.UUID]Token),
 		oldest:  bucketOf(floor),
 	}
@@ -214,5 +219,11 @@
 	}
 }
 
+// holds reports whether an ID is in memory.
+func (h *Home) holds(id uuid.UUID) bool {
+	_, ok := h.buckets[bucketOf(Created(id))][id]
+	return ok
+}
+
 // Len returns the number of IDs in memory.
 func (h *Home) Len() int { return h.count }
--- a/dedupe/settle.go
+++ b/dedupe/settle.go
@@ -57,12 +57,13 @@
 }
 
 // seenFor notes that a peer has seen these fronts for that long: the time
-// that the answer took makes it only longer.
+// that the answer took makes it only longer. A process that has seen a change
+// itself knows better than a peer that has not.
 func (c *Claimer) seenFor(fronts []shard.ID, age time.Duration) {
 	since := time.Now().Add(-age)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if slices.Equal(fronts, c.fronts) && since.Before(c.changed) {
+	if c.first && slices.Equal(fronts, c.fronts) && since.Before(c.changed) {
 		c.changed = since
 	}
 }
--- a/gateway/fronts.go
+++ b/gateway/fronts.go
@@ -57,7 +57,7 @@
 	go func() {
 		defer close(opened)
 		g.claimer.Settle(ctx, g.regionPeers())
-		g.claimer.Open(time.Now(), id)
+		g.claimer.Open(ctx, id, owner, g.former(id))
 	}()
 	g.deps.Logger.Log("event", "front_run", "front", id, "epoch", owner.Epoch)
 
@@ -71,10 +71,24 @@
 	g.mu.Lock()
 	delete(g.fronts, id)
 	g.mu.Unlock()
+	g.claimer.Expire(id)
 	g.deps.Logger.Log("event", "front_end", "front", id, "epoch", owner.Epoch)
 	return nil
 }
 
+// former returns the owner right before this host, zero if it is not known.
+func (g *Gateway) former(id shard.ID) shard.Owner {
+	if g.deps.Former == nil {
+		return shard.Owner{}
+	}
+	owner, _ := g.deps.Former(id)
+	return owner
+}
+
+// AwaitHandOver waits until the new owners of this host's fronts have
+// collected its memory of request IDs, or until ctx ends.
+func (g *Gateway) AwaitHandOver(ctx context.Context) { g.claimer.AwaitCollected(ctx) }
+
 // regionPeers returns the other hosts of the region in random order.
 func (g *Gateway) regionPeers() []fleet.HostID {
 	var peers []fleet.HostID
--- a/host/host.go
+++ b/host/host.go
@@ -208,6 +208,7 @@
 		Settings: h.tracker,
 		Rights:   h.manager,
 		Shards:   h.manager,
+		Former:   h.manager.Former,
 		Members:  h.registry,
 		Caller:   h.caller,
 		Registry: h.peers,
--- a/shard/manager.go
+++ b/shard/manager.go
@@ -104,6 +104,19 @@
 // MaySend implements Rights.
 func (m *Manager) MaySend(front ID) bool { return m.rights.maySend(front) }
 
+// Former returns the owner right before this process, which runs the shard
+// for the first time under its claim; false if there was none, or it is not
+// known, or this process does not run the shard or runs it again.
+func (m *Manager) Former(id ID) (Owner, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t, ok := m.tenures[id]
+	if !ok || t.former.Host == "" {
+		return Owner{}, false
+	}
+	return t.former, true
+}
+
 // List returns what this host knows of each shard, ordered by ID.
 func (m *Manager) List() []Status {
 	m.mu.Lock()
--- a/shard/operate.go
+++ b/shard/operate.go
@@ -52,10 +52,19 @@
 	if err := m.write(ctx, id, old, c); err != nil {
 		return err
 	}
-	m.begin(id, term{claim: c, sendFrom: m.sendFrom(c), pauses: pauses})
+	m.begin(id, term{claim: c, former: former(old), sendFrom: m.sendFrom(c), pauses: pauses})
 	return nil
 }
 
+// former returns the owner whose claim is replaced by compare-and-swap. It is
+// not known if the key was deleted.
+func former(old record) Owner {
+	if old.revision == 0 {
+		return Owner{}
+	}
+	return old.Owner
+}
+
 // sendFrom returns when requests of earlier owners have surely ended, if the
 // claim was written just now.
 func (m *Manager) sendFrom(c Claim) time.Time {
--- a/shard/tenure.go
+++ b/shard/tenure.go
@@ -11,6 +11,8 @@
 // release or loss. Its fields are guarded by the manager's mutex.
 type tenure struct {
 	owner Owner
+	// former is the owner before, known in the first run under a claim only.
+	former Owner
 	// sendFrom is when, for a front, requests begun under earlier owners have
 	// surely ended.
 	sendFrom time.Time
@@ -36,6 +38,7 @@
 // term is how a tenure begins.
 type term struct {
 	claim    Claim
+	former   Owner // whose claim was replaced; zero if not known
 	sendFrom time.Time
 	restarts int // runs that failed before
 	// pauses is the count of pauses of this process before the claim was
@@ -48,7 +51,7 @@
 func (m *Manager) begin(id ID, start term) {
 	ctx, cancel := context.WithCancel(context.Background())
 	owner := start.claim.Owner
-	t := &tenure{owner: owner, sendFrom: start.sendFrom, restarts: start.restarts, cancel: cancel, exited: make(chan struct{})}
+	t := &tenure{owner: owner, former: start.former, sendFrom: start.sendFrom, restarts: start.restarts, cancel: cancel, exited: make(chan struct{})}
 	m.mu.Lock()
 	m.tenures[id] = t
 	m.mu.Unlock()
