Tell all peers of a shutdown, and stay until the fronts' memories are collected

Cause: a host that shut down released its shards within milliseconds, before any peer had heard that it drains (a summary goes to two peers a second), and while a peer's store has not been steady for 15 s the vanished record is kept. So its shards stayed planned for a host that was gone.

Change: Registry.Announce exchanges summaries with every host of the region at the beginning of the drain, beside the wait for requests in progress; shard's decisions are unchanged. After the release the host stays up to 3 s until the next owners have collected its memories of request IDs.

--- a/host/serve.go
+++ b/host/serve.go
@@ -5,12 +5,18 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
+	"time"
 
 	"github.com/thejerf/suture/v4"
 
 	"github.com/fuchsiahill/fuchsiahill/member"
 )
 
+// handOverTimeout bounds how long a host that has released its fronts stays
+// for their new owners.
+const handOverTimeout = 3 * time.Second
+
 // Serve runs the host until ctx ends, then shuts it down gracefully within
 // the configured bound: no new work, answers for every request in progress,
 // shards released, and only then the parts that this needs. It returns a
@@ -42,6 +48,9 @@
 	// Shards are released while store, peers and membership still work.
 	stopWork()
 	workErr := <-work
+	if ctx.Err() != nil {
+		h.awaitHandOver(baseEnded)
+	}
 	stopBase()
 	<-baseEnded
 	h.log("event", "stopped", "work", workErr, "base", baseErr)
@@ -62,6 +71,10 @@
 	h.log("event", "draining", "bound_ms", h.cfg.DrainTimeout().Milliseconds())
 	ctx, cancel := context.WithTimeout(context.Background(), h.cfg.DrainTimeout())
 	defer cancel()
+	// Peers that know claim this host's shards as soon as they are released.
+	var announced sync.WaitGroup
+	announced.Go(func() { h.registry.Announce(ctx) })
+	defer announced.Wait()
 	if err := h.gateway.Drain(ctx); err != nil {
 		h.log("event", "drain_incomplete", "err", err)
 	}
@@ -70,6 +83,22 @@
 	}
 }
 
+// awaitHandOver gives the new owners of this host's fronts time to collect
+// its memory of request IDs.
+func (h *Host) awaitHandOver(baseEnded <-chan struct{}) {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	go func() {
+		defer cancel()
+		select {
+		case <-baseEnded:
+		case <-h.abort:
+		case <-ctx.Done():
+		}
+	}()
+	h.gateway.AwaitHandOver(ctx)
+}
+
 // baseServices keep the host in touch with store, platform and peers.
 func (h *Host) baseServices() []suture.Service {
 	return []suture.Service{
--- a/member/exchange.go
+++ b/member/exchange.go
@@ -90,12 +90,7 @@
 
 // pickPeers returns different random hosts of the region.
 func (r *Registry) pickPeers() []fleet.HostID {
-	var ids []fleet.HostID
-	for _, h := range r.Hosts() {
-		if h.ID != r.deps.Self.ID && h.Region == r.deps.Self.Region {
-			ids = append(ids, h.ID)
-		}
-	}
+	ids := r.regionPeers()
 	r.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
 	return ids[:min(peersPerRound, len(ids))]
 }
