Test a planned hand-over through the gateway

The fake of the package gave every owner epoch 1, so a host that got the front back looked like one that had never let it go; it counts epochs now, as the store's claims do. TestPlannedHandOver fails when the gateway does not pass on the former owner (unvouched_old for both IDs).

--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -136,7 +136,8 @@
 	mu       sync.Mutex
 	handlers map[fleet.HostID]map[string]peer.Handler
 	owners   map[shard.ID]fleet.HostID
-	lost     bool // answers of calls are lost
+	claims   []shard.Owner // of the front, oldest first
+	lost     bool          // answers of calls are lost
 }
 
 func (n *network) Owner(id shard.ID) (shard.Owner, bool) {
@@ -146,6 +147,25 @@
 	return shard.Owner{Host: host, Epoch: 1}, ok
 }
 
+// claim gives a front to a host under the next epoch.
+func (n *network) claim(id shard.ID, host fleet.HostID) shard.Owner {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.owners[id] = host
+	o := shard.Owner{Host: host, Epoch: fleet.Epoch(len(n.claims) + 1)}
+	n.claims = append(n.claims, o)
+	return o
+}
+
+func (n *network) former(shard.ID) (shard.Owner, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.claims) < 2 {
+		return shard.Owner{}, false
+	}
+	return n.claims[len(n.claims)-2], true
+}
+
 // port is one host's access to the network. It is its rights, too.
 type port struct {
 	*network
@@ -274,7 +294,7 @@
 	address := server.Listener.Addr().String()
 	self := member.Host{ID: id, Incarnation: 1, Region: "bg", DataCentre: dc, HTTPAddress: address}
 	h.Gateway = gateway.New(gateway.Deps{
-		Self: self, Platform: s.view, Settings: s.view, Rights: h.port, Shards: s.net,
+		Self: self, Platform: s.view, Settings: s.view, Rights: h.port, Shards: s.net, Former: s.net.former,
 		Members: members{s.view}, Caller: h.port, Registry: h.port, Logger: log.NewNopLogger(),
 		Margins: dedupe.Margins{Future: 20 * time.Millisecond, Clock: 50 * time.Millisecond, Mapping: 30 * time.Millisecond},
 	})
@@ -312,16 +332,14 @@
 
 // run gives the host the front.
 func (h *host) run(id shard.ID) {
-	h.port.mu.Lock()
-	h.port.owners[id] = h.port.self
-	h.port.mu.Unlock()
+	owner := h.port.claim(id, h.port.self)
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
 	ended := make(chan struct{})
 	h.ended = ended
 	go func() {
 		defer close(ended)
-		_ = h.Run(ctx, id, shard.Owner{Host: h.port.self, Epoch: 1})
+		_ = h.Run(ctx, id, owner)
 	}()
 	for h.Summary()[svc].Slots == 0 {
 		time.Sleep(time.Millisecond)
--- a/gateway/hosts_test.go
+++ b/gateway/hosts_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"strings"
 	"testing"
 	"time"
@@ -93,6 +94,31 @@
 	}
 }
 
+// TestPlannedHandOver checks that a host that takes a front over in order
+// knows the IDs of its former owner, and refuses no other.
+func TestPlannedHandOver(t *testing.T) {
+	s := newSite(t, 1, instant)
+	before, after := s.start(t, "h1", true), s.start(t, "h2", false)
+	s.waitForMemory(t, before)
+	ran := uuid.Must(uuid.NewV7()).String()
+	if r := before.call(t.Context(), "POST", "", gateway.HeaderRequestID, ran); r.outcome() != "answered" {
+		t.Fatalf("first: %s (%s)", r.outcome(), r.reason())
+	}
+	fresh := uuid.Must(uuid.NewV7()).String()
+	before.stop()
+	<-before.ended
+	after.run(front)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	before.AwaitHandOver(ctx)
+	if r := after.call(t.Context(), "POST", "", gateway.HeaderRequestID, ran); r.reason() != "duplicate" {
+		t.Errorf("resend: %s (%s)", r.outcome(), r.reason())
+	}
+	if r := after.call(t.Context(), "POST", "", gateway.HeaderRequestID, fresh); r.outcome() != "answered" {
+		t.Errorf("created before, not sent before: %s (%s)", r.outcome(), r.reason())
+	}
+}
+
 // TestClaimGivenBack checks that a request refused as not run can be sent
 // again under its ID.
 func TestClaimGivenBack(t *testing.T) {
