--- a/dedupe/claimer_test.go
+++ b/dedupe/claimer_test.go
@@ -75,7 +75,9 @@
 func hostName(i int) fleet.HostID { return fleet.HostID(fmt.Sprintf("h%d", i)) }
 func frontName(i int) shard.ID    { return shard.NewID(shard.KindFront, "sofia-1", i) }
 
-func (n *node) Handle(method string, h peer.Handler) { n.handlers[method] = h }
+func (n *node) Handle(method string, h peer.Handler) {
+	n.set(func() { n.handlers[method] = h })
+}
 
 func (n *node) MaySend(id shard.ID) bool {
 	n.mu.Lock()
@@ -98,10 +100,16 @@
 	if n.isCut() {
 		return &peer.UnreachableError{Host: host}
 	}
-	if method == "dedupe.memory" && wait.For(ctx, n.delay) != nil {
+	n.mu.Lock()
+	delay := n.delay
+	n.mu.Unlock()
+	if method == "dedupe.memory" && wait.For(ctx, delay) != nil {
 		return &peer.UnknownError{Host: host, Method: method}
 	}
-	result, err := n.hosts[host].handlers[method](ctx, n.self, data)
+	n.mu.Lock()
+	handle := n.hosts[host].handlers[method]
+	n.mu.Unlock()
+	result, err := handle(ctx, n.self, data)
 	n.mu.Lock()
 	lose := n.lose
 	n.mu.Unlock()
@@ -116,12 +124,21 @@
 		return err
 	}
 	if method == "dedupe.memory" {
-		n.pages++
-		n.largest = max(n.largest, len(data))
+		n.set(func() {
+			n.pages++
+			n.largest = max(n.largest, len(data))
+		})
 	}
 	return json.Unmarshal(data, response)
 }
 
+// set changes the world while hosts call each other.
+func (w *world) set(change func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change()
+}
+
 // isCut counts a call and reports whether it does not reach its host.
 func (w *world) isCut() bool {
 	w.mu.Lock()
@@ -343,7 +360,7 @@
 			w.cut = m.id - 1
 			w.mu.Unlock()
 		case "delay":
-			w.delay = time.Duration(max(m.ms, 0)) * time.Millisecond / 2
+			w.set(func() { w.delay = time.Duration(max(m.ms, 0)) * time.Millisecond / 2 })
 		}
 		synctest.Wait()
 	}
--- a/dedupe/handover_test.go
+++ b/dedupe/handover_test.go
@@ -91,7 +91,7 @@
 		{"not stopped", func(h *handOver) { h.world.give(frontName(0), "h1", false) }, "old", "old"},
 		{"nothing arrives", func(h *handOver) { h.cut = 0; h.give(1) }, "old", "old"},
 		{"cut after a page", func(h *handOver) { h.fill(20_000, time.Now()); h.cut = 1; h.give(1); time.Sleep(time.Second) }, "old", "old"},
-		{"answers lost", func(h *handOver) { h.lose = true; h.give(1); time.Sleep(time.Second); h.lose = false }, "old", "old"},
+		{"answers lost", func(h *handOver) { h.lose = true; h.give(1); time.Sleep(time.Second); h.set(func() { h.lose = false }) }, "old", "old"},
 		{"too slow", func(h *handOver) { h.delay = 4 * time.Second; h.give(1); time.Sleep(5 * time.Second) }, "old", "old"},
 		{"collected before", func(h *handOver) {
 			h.give(1)
@@ -142,7 +142,7 @@
 				k.Release(t.Context())
 				c.run(h)
 				<-h.opened[frontName(0)].done
-				h.cut = -1
+				h.set(func() { h.cut = -1 })
 				h.want("claimed before", claimed, c.claimed)
 				h.want("not seen before", unseen, c.unseen)
 				h.want("given back before", released, c.unseen)
