--- a/cell/vars.go
+++ b/cell/vars.go
@@ -17,6 +17,10 @@
 	varUnanswered = "worker_calls_unanswered"
 	varStops      = "stops_decided"
 	varReturned   = "outcomes_returned"
+	varOverruns   = "tasks_overrun"
+
+	varLatencyCalls  = "latency_calls" // to owners of fronts
+	varLatencyFailed = "latency_calls_failed"
 )
 
 // Vars returns the counters of all cells that this host has owned.
