Measure hedging on the arrivals of the choosing comparison

A request without an answer after p95 goes to a second server as well, within 10% of the requests; the loser's slot is held until its server is done, as HTTP/1.1 can't end the work. The gain is not clear without knowing which of the two the services are like, so hedging is not built.

--- /dev/null
+++ b/route/hedging_test.go
@@ -0,0 +1,106 @@
+package route_test
+
+import (
+	"container/heap"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// hedgeBudget is the share of requests that may be sent twice.
+const hedgeBudget = 0.1
+
+// pendingHedge is a request that may be sent a second time.
+type pendingHedge struct {
+	due   time.Time
+	index int // of the request
+	work  float64
+}
+
+// hedged is the calculation of the ways of choosing, with hedging: a request
+// without an answer after the delay is sent to another server, too, and the
+// first answer counts. The slot of the other send is held until its server is done.
+type hedged struct {
+	sim
+	host    *simHost
+	delay   time.Duration
+	arrived []time.Time
+	pending []pendingHedge
+	sent    int
+}
+
+// hedge sends what is due by now a second time.
+func (s *hedged) hedge(now time.Time) {
+	for len(s.pending) > 0 && !s.pending[0].due.After(now) {
+		p := s.pending[0]
+		s.pending = s.pending[1:]
+		s.finish(p.due)
+		waited := p.due.Sub(s.arrived[p.index])
+		if s.took[p.index] <= waited || float64(s.sent) >= hedgeBudget*float64(len(s.took)) {
+			continue
+		}
+		i := s.host.way.choose(p.due, s.host.servers)
+		if i < 0 {
+			continue
+		}
+		d := s.host.servers[i].duration(p.work)
+		s.host.servers[i].outstanding++
+		heap.Push(&s.events, completion{p.due.Add(d), s.host, i, d})
+		s.took[p.index] = min(s.took[p.index], waited+d)
+		s.sent++
+	}
+}
+
+// runHedged offers the arrivals of run to one host. again says whether the
+// second send draws its work anew, as if the first was slow by the server's chance.
+func runHedged(load float64, delay time.Duration, again bool) (took []time.Duration, sent int) {
+	rng, second := newRand(7), newRand(8)
+	s := &hedged{host: simSite(1, func(n int) way { return newPicked(newRand(2), n) })[0], delay: delay}
+	rate := load * float64(simServers*simSlots) / (2 * float64(simWork))
+	s.arrived = make([]time.Time, simRequests)
+	now := epoch
+	for range simRequests {
+		now = now.Add(time.Duration(rng.ExpFloat64() / rate))
+		s.hedge(now)
+		s.finish(now)
+		rng.IntN(1) // as run does
+		r := simRequest{at: now, work: lognormal(rng)}
+		if !s.begin(now, s.host, r) {
+			s.host.waiting = append(s.host.waiting, r)
+			continue
+		}
+		if again {
+			r.work = lognormal(second)
+		}
+		s.arrived[len(s.took)-1] = now
+		s.pending = append(s.pending, pendingHedge{now.Add(delay), len(s.took) - 1, r.work})
+	}
+	s.hedge(now.Add(time.Hour))
+	s.finish(now.Add(time.Hour))
+	slices.Sort(s.took)
+	return s.took, s.sent
+}
+
+// BenchmarkHedging reports the latency with and without hedging after p95.
+func BenchmarkHedging(b *testing.B) {
+	for _, load := range []float64{0.5, 0.7, 0.85} {
+		plain, _ := runHedged(load, time.Hour, false)
+		p95 := quantile(plain, 0.95)
+		for _, c := range []struct {
+			name  string
+			delay time.Duration
+			again bool
+		}{{"none", time.Hour, false}, {"same-work", p95, false}, {"new-work", p95, true}} {
+			b.Run(fmt.Sprintf("load=%.2f/%s", load, c.name), func(b *testing.B) {
+				var took []time.Duration
+				var sent int
+				for b.Loop() {
+					took, sent = runHedged(load, c.delay, c.again)
+				}
+				report(b, took)
+				b.ReportMetric(100*float64(sent)/simRequests, "%hedged")
+			})
+		}
+	}
+}
