--- a/route/hedging_test.go
+++ b/route/hedging_test.go
@@ -56,7 +56,8 @@
 // second send draws its work anew, as if the first was slow by the server's chance.
 func runHedged(load float64, delay time.Duration, again bool) (took []time.Duration, sent int) {
 	rng, second := newRand(7), newRand(8)
-	s := &hedged{host: simSite(1, func(n int) way { return newPicked(newRand(2), n) })[0], delay: delay}
+	hosts := simSite(1, func(n int) way { return newPicked(newRand(2), n) })
+	s := &hedged{delay: delay}
 	rate := load * float64(simServers*simSlots) / (2 * float64(simWork))
 	s.arrived = make([]time.Time, simRequests)
 	now := epoch
@@ -64,7 +65,7 @@
 		now = now.Add(time.Duration(rng.ExpFloat64() / rate))
 		s.hedge(now)
 		s.finish(now)
-		rng.IntN(1) // as run does
+		s.host = hosts[rng.IntN(len(hosts))]
 		r := simRequest{at: now, work: lognormal(rng)}
 		if !s.begin(now, s.host, r) {
 			s.host.waiting = append(s.host.waiting, r)
