--- a/host/relay_test.go
+++ b/host/relay_test.go
@@ -40,6 +40,13 @@
 }
 
 func startCut(t *testing.T, site *standin.Site, cut *standin.Cut, id fleet.HostID) *host.Host {
+	t.Helper()
+	h, _ := startHost(t, site, cut, id)
+	return h
+}
+
+// startHost returns a host and what shuts it down in order.
+func startHost(t *testing.T, site *standin.Site, cut *standin.Cut, id fleet.HostID) (*host.Host, func()) {
 	t.Helper()
 	cfg := config.Default()
 	cfg.ID = id
@@ -62,7 +69,7 @@
 		h.Abort() // a host without the store can't release anything
 		<-done
 	})
-	return h
+	return h, func() { cancel(); <-done }
 }
 
 func await(t *testing.T, what string, reached func() bool) {
