Add guarantees by the hour and the take-back time to the settings

Cause: the users share workers because their busy hours differ, and each expects its capacity at its peak. The tree could not say how much that is.

Windows must be well formed and not overlap, a service or job class has no guarantee, and organisations may not be guaranteed more than 100% together at any time in any data centre. The value is inherited and explained like every other one.

Ruled out: a time zone for each table. Ruled out as well: 24 numbers, which are hard to read and change by one path.

Seen to fail with windows over midnight cut, the sum not checked, overlaps not looked for, and Between without the span.

--- a/command/settings.go
+++ b/command/settings.go
@@ -265,7 +265,7 @@
 		if path == "" {
 			path = "-"
 		}
-		fmt.Fprintf(w, "%s\t%v\t%s\t%s\n", o.Name, o.Value, o.Level, path)
+		fmt.Fprintf(w, "%s\t%v\t%s\t%s\n", o.Name, shownValue(o.Value), o.Level, path)
 	}
 }
 
@@ -292,3 +292,17 @@
 		},
 	}
 }
+
+// shownValue returns a value in force as one column shows it. The table of
+// guarantees comes from the host as a JSON object.
+func shownValue(value any) string {
+	object, ok := value.(map[string]any)
+	if !ok {
+		return fmt.Sprint(value)
+	}
+	guarantees := make(settings.Guarantees, len(object))
+	for window, percent := range object {
+		guarantees[settings.Window(window)], _ = percent.(float64)
+	}
+	return guarantees.String()
+}
--- a/settings/explain.go
+++ b/settings/explain.go
@@ -67,7 +67,7 @@
 // Origin tells which level a value in force comes from.
 type Origin struct {
 	Name  string `json:"name"`
-	Value any    `json:"value"` // number
+	Value any    `json:"value"` // number or Guarantees
 	Level Level  `json:"level"`
 	Path  string `json:"path,omitempty"` // of the value; empty for a default
 }
--- /dev/null
+++ b/settings/guarantee.go
@@ -0,0 +1,224 @@
+package settings
+
+import (
+	"fmt"
+	"maps"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/strictjson"
+)
+
+const (
+	minutesPerHour = 60
+	minutesPerDay  = 24 * minutesPerHour
+	wholePercent   = 100.0
+	// percentTolerance absorbs the rounding of sums of fractions.
+	percentTolerance = 1e-9
+	guaranteeName    = "guarantee_percent"
+	windowForm       = "HH:MM-HH:MM in UTC, each from 0 to 100"
+)
+
+var windowPattern = regexp.MustCompile(`^([01][0-9]|2[0-3]):([0-5][0-9])-(([01][0-9]|2[0-3]):([0-5][0-9])|24:00)$`)
+
+// Window is a part of every day in UTC, "05:00-17:00": from the first time,
+// up to and without the second. One that ends at or before its start runs
+// over midnight; "00:00-24:00" is the whole day.
+type Window string
+
+// valid reports whether w has the form of a window and is not empty.
+func (w Window) valid() bool {
+	if !windowPattern.MatchString(string(w)) {
+		return false
+	}
+	from, to := w.minutes()
+	return from != to
+}
+
+// minutes returns the start and end of a well-formed window as minutes of the
+// day in UTC.
+func (w Window) minutes() (from, to int) {
+	start, end, _ := strings.Cut(string(w), "-")
+	return minuteOfDay(start), minuteOfDay(end)
+}
+
+func minuteOfDay(clock string) int {
+	hour, minute, _ := strings.Cut(clock, ":")
+	h, _ := strconv.Atoi(hour)
+	m, _ := strconv.Atoi(minute)
+	return h*minutesPerHour + m
+}
+
+// covers reports whether a minute of the day in UTC is in the window.
+func (w Window) covers(minute int) bool {
+	from, to := w.minutes()
+	if from < to {
+		return from <= minute && minute < to
+	}
+	return from <= minute || minute < to
+}
+
+// Guarantees is the share of the batch capacity of each cell that an
+// organisation is guaranteed, in percent, by window of the day. Outside all
+// windows it is 0. The windows of one table do not overlap.
+type Guarantees map[Window]float64
+
+// At returns the guaranteed share at t in percent.
+func (g Guarantees) At(t time.Time) float64 {
+	utc := t.UTC()
+	return g.atMinute(utc.Hour()*minutesPerHour + utc.Minute())
+}
+
+// Between returns the least and the greatest share from t to t+d.
+func (g Guarantees) Between(t time.Time, d time.Duration) (least, most float64) {
+	least = g.At(t)
+	most = least
+	for at := t.Truncate(time.Minute).Add(time.Minute); !at.After(t.Add(d)); at = at.Add(time.Minute) {
+		share := g.At(at)
+		least, most = min(least, share), max(most, share)
+	}
+	return least, most
+}
+
+func (g Guarantees) atMinute(minute int) float64 {
+	for w, percent := range g {
+		if w.covers(minute) {
+			return percent
+		}
+	}
+	return 0
+}
+
+// String lists the windows in order.
+func (g Guarantees) String() string {
+	if len(g) == 0 {
+		return "none"
+	}
+	var parts []string
+	for _, w := range slices.Sorted(maps.Keys(g)) {
+		parts = append(parts, fmt.Sprintf("%s %v%%", w, g[w]))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// overlap returns a window of the table that overlaps another one.
+func (g Guarantees) overlap() (Window, bool) {
+	windows := slices.Sorted(maps.Keys(g))
+	for i, w := range windows {
+		from, _ := w.minutes()
+		for k, other := range windows {
+			if k != i && other.covers(from) {
+				return w, true
+			}
+		}
+	}
+	return "", false
+}
+
+// checkGuarantees refuses tables whose windows overlap or that stand where
+// nothing asks for them, and guarantees of more than the whole at any time.
+func (t *Tree) checkGuarantees() error {
+	levels := t.levels()
+	for _, path := range slices.Sorted(maps.Keys(levels)) {
+		level := levels[path]
+		g := level.values.Guarantee
+		if g == nil {
+			continue
+		}
+		at := strictjson.Join(path, guaranteeName)
+		if level.leaf {
+			return invalidGuarantee(at, "has no effect on a service or job class", "")
+		}
+		if w, overlaps := g.overlap(); overlaps {
+			return invalidGuarantee(strictjson.Join(at, string(w)), "overlaps another window", windowForm)
+		}
+	}
+	for _, dc := range slices.Sorted(maps.Keys(t.DataCentres)) {
+		if err := t.checkGuaranteeSum(dc); err != nil {
+			return err
+		}
+	}
+	return t.checkGuaranteeSum("")
+}
+
+func invalidGuarantee(path, reason, allowed string) error {
+	return eris.Wrap(&InvalidError{Path: path, Reason: reason, Allowed: allowed}, "validate")
+}
+
+// checkGuaranteeSum adds up the guarantees of all organisations in a data
+// centre at each time at which one begins. The error names the value that
+// passes the whole, in the order of the organisations' names.
+func (t *Tree) checkGuaranteeSum(dc fleet.DataCentre) error {
+	names := slices.Sorted(maps.Keys(t.Organisations))
+	tables := make([]Origin, len(names))
+	starts := make(map[int]bool)
+	for i, name := range names {
+		tables[i] = t.guaranteeOf(Leaf{Organisation: name, DataCentre: dc})
+		for w := range tables[i].Value.(Guarantees) {
+			from, _ := w.minutes()
+			starts[from] = true
+		}
+	}
+	for _, minute := range slices.Sorted(maps.Keys(starts)) {
+		sum := 0.0
+		for _, table := range tables {
+			sum += table.Value.(Guarantees).atMinute(minute)
+			if sum > wholePercent+percentTolerance {
+				reason := fmt.Sprintf("organisations are guaranteed %v%% in all at %02d:%02d UTC", sum, minute/minutesPerHour, minute%minutesPerHour)
+				if dc != "" {
+					reason += " in " + string(dc)
+				}
+				return invalidGuarantee(table.Path, reason, "a sum of 0 to 100")
+			}
+		}
+	}
+	return nil
+}
+
+// guaranteeOf returns the table in force at a leaf and where it comes from.
+func (t *Tree) guaranteeOf(leaf Leaf) Origin {
+	o := Origin{Name: guaranteeName, Value: Defaults().Guarantee, Level: LevelDefault}
+	for _, s := range t.steps(leaf) {
+		if s.values.Guarantee != nil {
+			o.Value, o.Level, o.Path = *s.values.Guarantee, s.level, strictjson.Join(s.path, guaranteeName)
+		}
+	}
+	return o
+}
+
+// valuesLevel is one level of the tree that may hold values.
+type valuesLevel struct {
+	values *Values
+	leaf   bool // of a service or job class
+}
+
+// levels returns every level that holds values by its path.
+func (t *Tree) levels() map[string]valuesLevel {
+	all := map[string]valuesLevel{"values": {values: &t.Values}}
+	for name, org := range t.Organisations {
+		path := "organisations." + string(name)
+		all[path+".values"] = valuesLevel{values: &org.Values}
+		org.addLevels(path, all)
+		for dc, location := range org.DataCentres {
+			at := path + ".data_centres." + string(dc)
+			all[at+".values"] = valuesLevel{values: &location.Values}
+			location.addLevels(at, all)
+		}
+	}
+	return all
+}
+
+func (l *Leaves) addLevels(path string, all map[string]valuesLevel) {
+	for name, values := range l.Services {
+		all[path+".services."+string(name)] = valuesLevel{values: values, leaf: true}
+	}
+	for name, values := range l.JobClasses {
+		all[path+".job_classes."+string(name)] = valuesLevel{values: values, leaf: true}
+	}
+}
--- /dev/null
+++ b/settings/guarantee_test.go
@@ -0,0 +1,59 @@
+package settings
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestGuaranteesAt(t *testing.T) {
+	g := Guarantees{"05:00-17:00": 70, "22:30-03:00": 20, "17:00-18:00": 50}
+	at := func(clock string) time.Time {
+		when, err := time.Parse("15:04:05 -0700", clock)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return when
+	}
+	tests := map[string]struct {
+		at          string
+		want        float64
+		least, most float64 // in the minute from then on
+	}{
+		"first moment":             {"05:00:00 +0000", 70, 70, 70},
+		"before the first moment":  {"04:59:59 +0000", 0, 0, 70},
+		"last moment":              {"17:59:59 +0000", 50, 0, 50},
+		"one window after another": {"16:59:30 +0000", 70, 50, 70},
+		"over midnight, before":    {"23:59:30 +0000", 20, 20, 20},
+		"over midnight, after":     {"02:58:00 +0000", 20, 20, 20},
+		"outside all":              {"20:00:00 +0000", 0, 0, 0},
+		"another zone":             {"08:30:00 +0300", 70, 70, 70},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			when := at(tt.at)
+			least, most := g.Between(when, time.Minute)
+			if got := g.At(when); got != tt.want || least != tt.least || most != tt.most {
+				t.Errorf("%v, from %v to %v in the next minute; want %v, from %v to %v", got, least, most, tt.want, tt.least, tt.most)
+			}
+		})
+	}
+}
+
+// Between agrees with every moment in the span.
+func TestGuaranteesBetween(t *testing.T) {
+	g := Guarantees{"05:00-17:00": 70, "22:30-03:00": 20, "17:00-18:00": 50}
+	rapid.Check(t, func(t *rapid.T) {
+		from := time.Unix(rapid.Int64Range(0, 2*86400).Draw(t, "from"), 0)
+		span := time.Duration(rapid.Int64Range(0, 3600).Draw(t, "span")) * time.Second
+		least, most := g.Between(from, span)
+		wantLeast, wantMost := g.At(from), g.At(from)
+		for s := time.Duration(0); s <= span; s += time.Second {
+			wantLeast, wantMost = min(wantLeast, g.At(from.Add(s))), max(wantMost, g.At(from.Add(s)))
+		}
+		if least != wantLeast || most != wantMost {
+			t.Errorf("from %v to %v, want from %v to %v", least, most, wantLeast, wantMost)
+		}
+	})
+}
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -32,6 +32,10 @@
 	EvictionsMinute *int     `json:"evictions_minute,omitempty" validate:"omitempty,gte=0,lte=10000"`
 	ThrottleFloor   *float64 `json:"throttle_floor,omitempty" validate:"omitempty,gte=0.01,lte=1"`
 	Aging           *float64 `json:"aging_per_minute,omitempty" validate:"omitempty,gte=0,lte=100"`
+
+	// Sharing between organisations.
+	Guarantee  *Guarantees `json:"guarantee_percent,omitempty" validate:"omitempty,max=48,dive,keys,window,endkeys,gte=0,lte=100"`
+	TakeBackMS *int64      `json:"take_back_ms,omitempty" validate:"omitempty,gte=5000,lte=3600000"`
 }
 
 // Tree is the whole tree of settings. Its JSON is what operators see; paths
@@ -88,6 +92,8 @@
 		EvictionsMinute:    30,
 		ThrottleFloor:      0.1,
 		Aging:              1,
+		Guarantee:          Guarantees{},
+		TakeBackMS:         60_000,
 	}
 }
 
--- a/settings/tree_test.go
+++ b/settings/tree_test.go
@@ -83,6 +83,14 @@
 		{"data centre of nobody", `{"organisations": {"o": {"data_centres": {"a": {}}}}}`, "settings: organisations.o.data_centres.a: no such data centre in data_centres"},
 		{"name with a dot", `{"organisations": {"o.p": {}}}`, "settings: organisations.o.p: not a name, allowed: 1 to 63 of"},
 		{"name with a slash", `{"organisations": {"o": {}}, "teams": {"a/b": {"organisation": "o", "shards": 1}}}`, "settings: teams.a/b: not a name, allowed: 1 to 63 of"},
+		{"window's form", `{"values": {"guarantee_percent": {"5-17": 1}}}`, "settings: values.guarantee_percent.5-17: not a window of the day, allowed: HH:MM-HH:MM in UTC"},
+		{"window's hour", `{"values": {"guarantee_percent": {"05:00-25:00": 1}}}`, "not a window of the day"},
+		{"empty window", `{"values": {"guarantee_percent": {"05:00-05:00": 1}}}`, "not a window of the day"},
+		{"guarantee above the whole", `{"values": {"guarantee_percent": {"05:00-06:00": 101}}}`, "settings: values.guarantee_percent.05:00-06:00: 101 is out of range, allowed: HH:MM-HH:MM in UTC, each from 0 to 100"},
+		{"windows overlap", `{"values": {"guarantee_percent": {"22:00-05:00": 1, "04:59-06:00": 1}}}`, "settings: values.guarantee_percent.04:59-06:00: overlaps another window, allowed:"},
+		{"guarantee of a service", strings.Replace(location, "%s", `{"services": {"s": {"guarantee_percent": {}}}}`, 1), "settings: organisations.o.data_centres.a.services.s.guarantee_percent: has no effect on a service or job class"},
+		{"guarantees above the whole", `{"organisations": {"o": {"values": {"guarantee_percent": {"00:00-24:00": 60}}}, "p": {"values": {"guarantee_percent": {"22:00-05:00": 40, "05:00-22:00": 41}}}}}`, "settings: organisations.p.values.guarantee_percent: organisations are guaranteed 101% in all at 05:00 UTC, allowed: a sum of 0 to 100"},
+		{"guarantees above the whole in a data centre", `{"data_centres": {"a": {"region": "r", "state": "in", "cells": 1}}, "organisations": {"o": {"values": {"guarantee_percent": {"00:00-24:00": 60}}}, "p": {"data_centres": {"a": {"values": {"guarantee_percent": {"23:00-01:00": 41}}}}}}}`, "settings: organisations.p.data_centres.a.values.guarantee_percent: organisations are guaranteed 101% in all at 00:00 UTC in a"},
 		{"empty name", `{"organisations": {"": {}}}`, "settings: organisations.: not a name"},
 	}
 	for _, tt := range tests {
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -26,6 +26,9 @@
 	_ = v.RegisterValidation("name", func(fl validator.FieldLevel) bool {
 		return namePattern.MatchString(fl.Field().String())
 	})
+	_ = v.RegisterValidation("window", func(fl validator.FieldLevel) bool {
+		return Window(fl.Field().String()).valid()
+	})
 	return v
 })
 
@@ -58,6 +61,8 @@
 			return strings.Join(strings.Fields(param), " or ")
 		case "name":
 			return nameForm
+		case "window":
+			return windowForm
 		}
 	}
 	switch {
@@ -72,7 +77,11 @@
 
 // allowedAt returns the allowed range of the value at path, or "".
 func allowedAt(path string) string {
-	return allowed()[path[strings.LastIndexByte(path, '.')+1:]]
+	names := strings.Split(path, ".")
+	if len(names) > 1 && names[len(names)-2] == guaranteeName {
+		return windowForm
+	}
+	return allowed()[names[len(names)-1]]
 }
 
 // Validate checks every value, name and reference of the tree. Errors are
@@ -81,7 +90,10 @@
 	if err := newValidator().Struct(t); err != nil {
 		return validationError(err)
 	}
-	return t.checkReferences()
+	if err := t.checkReferences(); err != nil {
+		return err
+	}
+	return t.checkGuarantees()
 }
 
 func validationError(err error) error {
@@ -95,6 +107,10 @@
 		e.Reason = "missing"
 	case "max":
 		e.Reason = "more than " + fault.Param + " entries"
+	case "window":
+		e.Path = strictjson.Printable(fault.Path)
+		e.Reason = "not a window of the day"
+		e.Allowed = windowForm
 	case "name":
 		e.Path = strictjson.Printable(fault.Path)
 		e.Reason = "not a name"
--- a/settings/values.go
+++ b/settings/values.go
@@ -32,6 +32,10 @@
 	EvictionsMinute int     `json:"evictions_minute"` // limit per cell
 	ThrottleFloor   float64 `json:"throttle_floor"`   // least share of a throttled task
 	Aging           float64 `json:"aging_per_minute"` // priority gained by a waiting job
+
+	// Sharing between organisations.
+	Guarantee  Guarantees `json:"guarantee_percent"` // of an organisation, of each cell's batch capacity
+	TakeBackMS int64      `json:"take_back_ms"`      // within which lent capacity is taken back
 }
 
 // DataCentreState says whether operators let work into a data centre.
