Decide which lent tasks to take back for guaranteed ones

Cause: nothing made room for an organisation whose capacity others use.

Change: Entitle marks the waiting tasks that their organisation's guarantee covers. They are planned after urgent ones and before all others. TakeBack picks the lent tasks to evict for those that do not fit: least work lost, then fewest, only from organisations above their guarantee, none that is not needed. Workers that are being cleared are reserved, so that a room of several tasks is not filled again by lent ones while it comes free.

A share has two bounds: entitled and protected. With the least and the greatest guarantee of the next take-back time they are the hysteresis at a window's edge.

Ruled out: a dominant share (one number) in place of bounds in every dimension. It hides which dimension is short. Ruled out: the priorities of Preempt for the choice; the users count work lost.

--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -58,6 +58,7 @@
 
 func compareTasks(a, b Task) int {
 	return cmp.Or(
+		cmp.Compare(b.rank(), a.rank()),
 		cmp.Compare(b.Priority, a.Priority),
 		cmp.Compare(a.Order, b.Order),
 		cmp.Compare(a.Task, b.Task),
@@ -84,6 +85,10 @@
 	for i := range p.workers {
 		w := &p.workers[i]
 		size := Size(t.Declared, t.Observed, w.Capacity)
+		if w.Reserved && t.rank() == 0 {
+			reason = ReasonReserved
+			continue
+		}
 		if r, ok := p.feasible(w, size); !ok {
 			reason = r
 			continue
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -11,10 +11,11 @@
 // Victim is a running task that may be evicted to make room.
 type Victim struct {
 	platform.AttemptRef
-	Worker   fleet.WorkerID
-	Size     fleet.Resources
-	Priority int
-	Lost     float64 // share of its work done since the last checkpoint
+	Organisation fleet.Organisation
+	Worker       fleet.WorkerID
+	Size         fleet.Resources
+	Priority     int
+	Lost         float64 // work done since the last checkpoint, in the caller's unit
 }
 
 // room is what it takes to make room for a task on one worker.
@@ -32,7 +33,10 @@
 		return nil
 	}
 	p := newPlanner(s)
-	byWorker := groupVictims(victims)
+	byWorker := groupVictims(victims, compareVictims)
+	choose := func(w *Worker, size fleet.Resources) ([]Victim, bool) {
+		return makeRoom(w, size, byWorker[w.ID], anyVictim)
+	}
 	tasks := slices.Clone(s.Tasks)
 	slices.SortFunc(tasks, compareTasks)
 	var evicted []platform.AttemptRef
@@ -40,39 +44,53 @@
 		if _, _, ok := p.place(&tasks[i]); ok {
 			continue
 		}
-		r, ok := p.cheapestRoom(&tasks[i], byWorker)
+		r, ok := p.cheapestRoom(&tasks[i], choose, room.compare)
 		if !ok {
 			continue
 		}
-		for _, v := range r.victims {
-			r.worker.Used = r.worker.Used.Sub(v.Size)
-			evicted = append(evicted, v.AttemptRef)
-		}
-		byWorker[r.worker.ID] = without(byWorker[r.worker.ID], r.victims)
+		evicted = append(evicted, p.clear(r, byWorker)...)
 		p.take(&tasks[i], r.worker)
 	}
 	return evicted
 }
 
-// groupVictims returns the victims of each worker, the cheapest first.
-func groupVictims(victims []Victim) map[fleet.WorkerID][]Victim {
+// clear evicts the victims of a room.
+func (p *planner) clear(r room, byWorker map[fleet.WorkerID][]Victim) []platform.AttemptRef {
+	evicted := make([]platform.AttemptRef, 0, len(r.victims))
+	for _, v := range r.victims {
+		r.worker.Used = r.worker.Used.Sub(v.Size)
+		evicted = append(evicted, v.AttemptRef)
+	}
+	byWorker[r.worker.ID] = without(byWorker[r.worker.ID], r.victims)
+	return evicted
+}
+
+func anyVictim(Victim) bool { return true }
+
+// groupVictims returns the victims of each worker in the order of compare.
+func groupVictims(victims []Victim, compare func(a, b Victim) int) map[fleet.WorkerID][]Victim {
 	byWorker := make(map[fleet.WorkerID][]Victim)
 	for _, v := range victims {
 		byWorker[v.Worker] = append(byWorker[v.Worker], v)
 	}
 	for _, group := range byWorker {
-		slices.SortFunc(group, func(a, b Victim) int {
-			return cmp.Or(
-				cmp.Compare(a.Priority, b.Priority),
-				cmp.Compare(a.Lost, b.Lost),
-				cmp.Compare(a.Task, b.Task),
-			)
-		})
+		slices.SortFunc(group, compare)
 	}
 	return byWorker
 }
 
-func (p *planner) cheapestRoom(t *Task, byWorker map[fleet.WorkerID][]Victim) (room, bool) {
+func compareVictims(a, b Victim) int {
+	return cmp.Or(
+		cmp.Compare(a.Priority, b.Priority),
+		cmp.Compare(a.Lost, b.Lost),
+		cmp.Compare(a.Task, b.Task),
+	)
+}
+
+// chooser returns victims that make room for a size on a worker, or false.
+type chooser func(w *Worker, size fleet.Resources) ([]Victim, bool)
+
+func (p *planner) cheapestRoom(t *Task, choose chooser, compare func(a, b room) int) (room, bool) {
 	var best room
 	found := false
 	for i := range p.workers {
@@ -81,12 +99,12 @@
 			continue
 		}
 		size := Size(t.Declared, t.Observed, w.Capacity)
-		victims, ok := makeRoom(w, size, byWorker[w.ID])
+		victims, ok := choose(w, size)
 		if !ok {
 			continue
 		}
 		r := room{worker: w, victims: victims}
-		if !found || r.compare(best) < 0 {
+		if !found || compare(r, best) < 0 {
 			best, found = r, true
 		}
 	}
@@ -95,13 +113,16 @@
 
 // makeRoom returns the cheapest victims that leave room for size, without any
 // that are not needed.
-func makeRoom(w *Worker, size fleet.Resources, candidates []Victim) ([]Victim, bool) {
+func makeRoom(w *Worker, size fleet.Resources, candidates []Victim, may func(Victim) bool) ([]Victim, bool) {
 	used := w.Used.Add(size)
 	var chosen []Victim
 	for _, v := range candidates {
 		if used.Fits(w.Capacity) {
 			break
 		}
+		if !may(v) {
+			continue
+		}
 		used = used.Sub(v.Size)
 		chosen = append(chosen, v)
 	}
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -17,6 +17,9 @@
 	Quarantined bool
 	Probe       bool
 	Tasks       int // placed there and not surely ended
+	// Reserved workers are being cleared for entitled tasks and take no
+	// others but urgent ones.
+	Reserved bool
 
 	planned int64 // thousandths of cores given by this plan
 }
@@ -24,14 +27,16 @@
 // Task is a task that waits for a worker.
 type Task struct {
 	platform.AttemptRef
-	Job        fleet.JobID
-	Class      fleet.JobClass
-	Priority   int
-	Declared   fleet.Resources
-	Observed   fleet.Resources // high quantile of what tasks of the class used; zero if unknown
-	Checkpoint bool            // resumes from a checkpoint
-	LastWorker fleet.WorkerID  // ran the attempt before, "" if unknown
-	Order      uint64          // of acceptance; earlier first at equal priority
+	Organisation fleet.Organisation
+	Job          fleet.JobID
+	Class        fleet.JobClass
+	Priority     int
+	Entitled     bool // covered by its organisation's guarantee
+	Declared     fleet.Resources
+	Observed     fleet.Resources // high quantile of what tasks of the class used; zero if unknown
+	Checkpoint   bool            // resumes from a checkpoint
+	LastWorker   fleet.WorkerID  // ran the attempt before, "" if unknown
+	Order        uint64          // of acceptance; earlier first at equal priority
 }
 
 // CostModel gives the pressure expected on the worst-off service of a worker if
@@ -75,6 +80,7 @@
 	ReasonNotLive     Reason = "worker_not_live"
 	ReasonQuarantined Reason = "worker_quarantined"
 	ReasonNoFit       Reason = "no_capacity"
+	ReasonReserved    Reason = "reserved"
 	ReasonBudget      Reason = "refilling"
 	ReasonNoWorkers   Reason = "no_workers"
 )
--- /dev/null
+++ b/scheduler/takeback_test.go
@@ -0,0 +1,202 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+)
+
+func share(used, entitled, protected int64) Share {
+	return Share{Used: cores(used), Entitled: cores(entitled), Protected: cores(protected)}
+}
+
+func taskOf(org fleet.Organisation, id string, need int64, priority int) Task {
+	t := task(id, need)
+	t.Organisation, t.Priority = org, priority
+	return t
+}
+
+func lentTo(org fleet.Organisation, id string, w fleet.WorkerID, size int64, lost float64) Victim {
+	v := victim(id, w, size, 50, lost)
+	v.Organisation = org
+	return v
+}
+
+func ids(refs []platform.AttemptRef) string {
+	text := ""
+	for _, ref := range refs {
+		text += string(ref.Task)
+	}
+	return text
+}
+
+func TestTakeBack(t *testing.T) {
+	full := []Worker{live("w1", "r1", 4000, 4000), live("w2", "r1", 4000, 4000)}
+	below, lent, met := share(0, 4000, 4000), share(8000, 4000, 4000), share(4000, 4000, 4000)
+	t1, u1 := taskOf("a", "t", 1000, 0), taskOf("a", "u", 1000, 0)
+	x1, y1 := lentTo("b", "x", "w1", 1000, 0), lentTo("b", "y", "w1", 1000, 0)
+	tests := map[string]struct {
+		workers []Worker
+		tasks   []Task
+		a, b    Share
+		victims []Victim
+		evict   string
+		served  string
+	}{
+		"nothing if it fits":                        {[]Worker{live("w1", "r1", 4000, 3000)}, []Task{t1}, below, lent, []Victim{x1}, "", "t"},
+		"least work lost":                           {full, []Task{taskOf("a", "t", 2000, 0)}, below, lent, []Victim{lentTo("b", "z", "w2", 2000, 9), x1, y1}, "xy", "t"},
+		"fewest tasks at equal loss":                {full, []Task{taskOf("a", "t", 2000, 0)}, below, lent, []Victim{x1, y1, lentTo("b", "z", "w2", 2000, 0)}, "z", "t"},
+		"the lender is at its guarantee":            {full, []Task{t1}, met, lent, []Victim{x1}, "", ""},
+		"the borrower is at its guarantee":          {full, []Task{t1}, below, met, []Victim{x1}, "", ""},
+		"only down to the borrower's guarantee":     {full, []Task{t1, u1}, below, share(4500, 4000, 4000), []Victim{x1, y1}, "x", "t"},
+		"the borrower's own guarantee begins soon":  {full, []Task{t1}, below, share(8000, 0, 8000), []Victim{x1}, "", ""},
+		"the lender's guarantee ends soon":          {full, []Task{t1}, share(0, 0, 4000), lent, []Victim{x1}, "", ""},
+		"only as far as the guarantee reaches":      {full, []Task{t1, u1}, share(2500, 4000, 4000), lent, []Victim{x1, y1}, "x", "t"},
+		"an urgent task uses the guarantee first":   {full, []Task{t1, taskOf("a", "u", 1000, 95)}, share(3000, 4000, 4000), lent, []Victim{x1}, "", ""},
+		"nothing in vain":                           {full, []Task{taskOf("a", "t", 3000, 0)}, below, lent, []Victim{lentTo("b", "x", "w1", 2000, 0), lentTo("b", "y", "w2", 2000, 0)}, "", ""},
+		"from another, as the first is not lent to": {full, []Task{t1}, below, met, []Victim{x1, lentTo("c", "y", "w2", 1000, 7)}, "y", "t"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			shares := map[fleet.Organisation]Share{"a": tt.a, "b": tt.b, "c": share(4000, 0, 0)}
+			Entitle(tt.tasks, tt.workers, shares)
+			got := TakeBack(Snapshot{Open: true, Workers: tt.workers, Tasks: tt.tasks}, shares, tt.victims)
+			if ids(got.Evict) != tt.evict || ids(got.Served) != tt.served {
+				t.Errorf("evicted %q for %q, want %q for %q", ids(got.Evict), ids(got.Served), tt.evict, tt.served)
+			}
+		})
+	}
+}
+
+// TestPlanOrder has room for one task on a worker.
+func TestPlanOrder(t *testing.T) {
+	entitled, other, urgent := taskOf("a", "entitled", 1000, 1), taskOf("b", "other", 1000, 89), taskOf("b", "urgent", 1000, 90)
+	entitled.Entitled = true
+	tests := map[string]struct {
+		reserved bool
+		tasks    []Task
+		want     []fleet.TaskID
+	}{
+		"urgent first":                 {false, []Task{entitled, other, urgent}, []fleet.TaskID{"urgent"}},
+		"then what is guaranteed":      {false, []Task{other, entitled}, []fleet.TaskID{"entitled"}},
+		"reserved, nothing guaranteed": {true, []Task{other}, nil},
+		"reserved for what is":         {true, []Task{other, entitled}, []fleet.TaskID{"entitled"}},
+		"reserved, but urgent":         {true, []Task{urgent}, []fleet.TaskID{"urgent"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := live("w1", "r1", 1000, 0)
+			w.Reserved = tt.reserved
+			var got []fleet.TaskID
+			for _, p := range Plan(Snapshot{Open: true, Workers: []Worker{w}, Tasks: tt.tasks}).Placements {
+				got = append(got, p.Task.Task)
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("placed (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// drawLending draws a cell in which three organisations use and want capacity.
+func drawLending(t *rapid.T) (s Snapshot, shares map[fleet.Organisation]Share, victims []Victim) {
+	s.Open = true
+	used := make(map[fleet.Organisation]fleet.Resources)
+	org := rapid.SampledFrom([]fleet.Organisation{"a", "b", "c"})
+	size := rapid.Custom(func(t *rapid.T) int64 { return rapid.Int64Range(1, 4).Draw(t, "cores") * 1000 })
+	for i := range rapid.IntRange(1, 4).Draw(t, "workers") {
+		w := live(fleet.WorkerID(fmt.Sprint("w", i)), "r", 8000, 0)
+		for k := range rapid.IntRange(0, 8).Draw(t, "running") {
+			v := lentTo(org.Draw(t, "of"), fmt.Sprint("v", i, k), w.ID, size.Draw(t, "size"), float64(rapid.IntRange(0, 5).Draw(t, "lost")))
+			if after := w.Used.Add(v.Size); after.Fits(w.Capacity) {
+				w.Used = after
+				used[v.Organisation] = used[v.Organisation].Add(v.Size)
+				victims = append(victims, v)
+			}
+		}
+		s.Workers = append(s.Workers, w)
+	}
+	shares = make(map[fleet.Organisation]Share)
+	left := 100
+	for _, org := range []fleet.Organisation{"a", "b", "c"} {
+		percent := rapid.IntRange(0, left).Draw(t, "percent")
+		left -= percent
+		guaranteed := Percent(cores(8000*int64(len(s.Workers))), float64(percent))
+		shares[org] = Share{Used: used[org], Entitled: guaranteed, Protected: guaranteed}
+	}
+	for i := range rapid.IntRange(0, 12).Draw(t, "tasks") {
+		s.Tasks = append(s.Tasks, taskOf(org.Draw(t, "of"), fmt.Sprint("t", i), size.Draw(t, "need"), rapid.IntRange(0, 89).Draw(t, "priority")))
+	}
+	Entitle(s.Tasks, s.Workers, shares)
+	return s, shares, victims
+}
+
+func TestTakeBackKeepsGuarantees(t *testing.T) {
+	recovered := 0
+	rapid.Check(t, func(t *rapid.T) {
+		s, shares, victims := drawLending(t)
+		got := TakeBack(s, shares, victims)
+		recovered += len(got.Evict)
+		need := int64(0)
+		for _, task := range s.Tasks {
+			if slices.Contains(got.Served, task.AttemptRef) {
+				need += task.Declared.MilliCores
+			}
+		}
+		freed, excess := int64(0), int64(0)
+		for i := range s.Workers {
+			largest := int64(0)
+			for _, v := range victims {
+				if v.Worker == s.Workers[i].ID && slices.Contains(got.Evict, v.AttemptRef) {
+					s.Workers[i].Used = s.Workers[i].Used.Sub(v.Size)
+					freed += v.Size.MilliCores
+					largest = max(largest, v.Size.MilliCores)
+				}
+			}
+			excess += max(0, largest-1)
+		}
+		if freed > need+excess {
+			t.Fatalf("%d are freed for %d, more than one task too many on a worker", freed, need)
+		}
+		for org, share := range shares {
+			left, largest := share.Used.MilliCores, int64(0)
+			for _, v := range victims {
+				if v.Organisation == org && slices.Contains(got.Evict, v.AttemptRef) {
+					left -= v.Size.MilliCores
+					largest = max(largest, v.Size.MilliCores)
+				}
+			}
+			if largest > 0 && left+largest <= share.Protected.MilliCores {
+				t.Fatalf("%s is left with %d, it is guaranteed %d", org, left, share.Protected.MilliCores)
+			}
+		}
+		checkServed(t, s, shares, victims, got)
+	})
+	if recovered == 0 {
+		t.Error("nothing was taken back: the test shows nothing")
+	}
+}
+
+// checkServed fails the test if no task is served although an organisation
+// without a guarantee holds what one of them needs on one worker.
+func checkServed(t *rapid.T, s Snapshot, shares map[fleet.Organisation]Share, victims []Victim, got Recovery) {
+	for _, task := range s.Tasks {
+		for _, w := range s.Workers {
+			room := w.Capacity.MilliCores - w.Used.MilliCores
+			for _, v := range victims {
+				if v.Worker == w.ID && shares[v.Organisation].Protected.IsZero() {
+					room += v.Size.MilliCores
+				}
+			}
+			if task.Entitled && len(got.Served) == 0 && room >= task.Declared.MilliCores {
+				t.Fatalf("%v has no room, %s could give %d", task.AttemptRef, w.ID, room)
+			}
+		}
+	}
+}
