Take lent capacity back for guaranteed organisations

Cause: a cell full of one organisation's work kept the other one waiting at its peak: its offers did not reach the cell, and nothing made room.

Change: the owner of a cell works out what each organisation uses and is guaranteed, takes back lent capacity by journaled stops (a new owner goes on with the same tasks) through the existing eviction path, clears a worker without letting lent tasks in between, and keeps an entitled task waiting while its room is made. Room that an organisation had by its guarantee is held for its next task for 5 to 10 s. Cells tell queues how much each organisation is still owed; a queue sends tasks there when nothing is free. Urgent tasks come first as before. Take-back does not count against evictions_minute, which limits evictions for services: it is bounded by what waiting tasks are owed, and a limit per minute would break the stated time.

A flag in the offer; the owner of the cell knows the settings, and a late offer's flag may be out of date. Refusing offers beyond the guarantee; the queue's pause after a refusal is up to 30 s.

Found on the way: in a hand-over the room was lent between the lender's not-run attempt and its next offer, and taken back again (6 evictions for 3 tasks). Hence the hold. A new owner that had not heard from all workers took back elsewhere too (4 to 6 for 3). Hence awaitsWorkers.

Tests: queue's TestLoadAnswered compares loads with cmp.Equal, since a load has a map now, and TestChooseCell makes a new memory of what was sent for each of its 20 choices, since a guarantee is used up by what is on its way. Seen to fail with the journaled choice forgotten, no reservation, no hold, no longer wait, no stop, no wait for the workers, no offer to a cell that owes.

--- a/cell/control.go
+++ b/cell/control.go
@@ -37,6 +37,7 @@
 	s.judgeUnreported(placed, now)
 	s.stopCancelled(placed, now)
 	s.evacuate(placed, now)
+	s.stopTakenBack(placed, now)
 	s.relieve(placed, now)
 	s.makeRoom(now)
 	s.share(placed, now)
--- a/cell/fixture_test.go
+++ b/cell/fixture_test.go
@@ -27,11 +27,13 @@
 
 // fakeSettings is a settings.View and Snapshot.
 type fakeSettings struct {
-	mu        sync.Mutex
-	out       bool
-	frozen    time.Time // confirmation stands still here, if not zero
-	values    settings.Resolved
-	staleness bool // Current goes on showing the data centre as in
+	mu     sync.Mutex
+	out    bool
+	frozen time.Time // confirmation stands still here, if not zero
+	values settings.Resolved
+	// guarantees are those of the organisations that have one.
+	guarantees map[fleet.Organisation]settings.Guarantees
+	staleness  bool // Current goes on showing the data centre as in
 }
 
 func (f *fakeSettings) Current() settings.Snapshot { return f }
@@ -43,8 +45,14 @@
 	}
 	return time.Now()
 }
-func (f *fakeSettings) Revision() store.Revision            { return 1 }
-func (f *fakeSettings) Teams() map[fleet.Team]settings.Team { return nil }
+func (f *fakeSettings) Revision() store.Revision { return 1 }
+func (f *fakeSettings) Teams() map[fleet.Team]settings.Team {
+	teams := make(map[fleet.Team]settings.Team)
+	for org := range f.guarantees {
+		teams[fleet.Team(org)] = settings.Team{Organisation: org}
+	}
+	return teams
+}
 func (f *fakeSettings) DataCentres() map[fleet.DataCentre]settings.DataCentre {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -57,8 +65,10 @@
 func (f *fakeSettings) Service(fleet.Organisation, fleet.DataCentre, fleet.Service) settings.Resolved {
 	return f.values
 }
-func (f *fakeSettings) JobClass(fleet.Organisation, fleet.DataCentre, fleet.JobClass) settings.Resolved {
-	return f.values
+func (f *fakeSettings) JobClass(org fleet.Organisation, _ fleet.DataCentre, _ fleet.JobClass) settings.Resolved {
+	values := f.values
+	values.Guarantee = f.guarantees[org]
+	return values
 }
 func (f *fakeSettings) set(change func(*fakeSettings)) {
 	f.mu.Lock()
--- a/cell/journal.go
+++ b/cell/journal.go
@@ -23,7 +23,7 @@
 		if !s.hasWork() {
 			continue
 		}
-		if err := s.commit(ctx, s.endDecided, s.endWaiting, s.placeWaiting, s.hold); err != nil {
+		if err := s.commit(ctx, s.endDecided, s.takeBackLent, s.endWaiting, s.placeWaiting, s.hold); err != nil {
 			return err
 		}
 	}
--- a/cell/judge.go
+++ b/cell/judge.go
@@ -22,6 +22,7 @@
 	reasonNoCapacity  = "no_capacity"
 	reasonLateOffer   = "late_offer"
 	reasonEvicted     = "evicted"
+	reasonTakenBack   = "taken_back"
 )
 
 // maxErrorBytes bounds a failed task's error in the journal.
@@ -39,6 +40,7 @@
 	// checkpointAt is when the last checkpoint, or the start, was seen.
 	checkpointAt time.Time
 	peak         fleet.Resources // highest use seen
+	takenBack    bool            // journaled as taken back
 	stopping     bool            // an eviction or cancellation was decided
 	stopBy       time.Time       // no checkpoint is asked for later
 	stopSent     time.Time
--- a/cell/load.go
+++ b/cell/load.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"reflect"
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
@@ -15,7 +16,7 @@
 	now := s.measure()
 	now.Epoch = s.owner.Epoch
 	now.Sequence = s.told.Sequence
-	if now != s.told {
+	if !reflect.DeepEqual(now, s.told) {
 		now.Sequence++
 		s.told = now
 	}
@@ -30,6 +31,8 @@
 	for _, a := range waiting {
 		load.Queued = load.Queued.Add(a.Task.Resources)
 	}
+	load.Owed = s.owed(time.Now())
+	held := s.held(time.Now(), s.shares(time.Now()))
 	in := s.isIn()
 	emptiest := int64(-1)
 	for _, w := range s.schedulable(time.Now()) {
@@ -40,6 +43,9 @@
 		if w.Capacity.MilliCores > load.LargestWorker.MilliCores {
 			load.LargestWorker = w.Capacity
 		}
+		if w.Reserved {
+			continue
+		}
 		free := positive(w.Capacity.Sub(w.Used))
 		load.Free = load.Free.Add(free)
 		if free.MilliCores > emptiest {
@@ -47,9 +53,19 @@
 			load.LargestFit = free
 		}
 	}
+	load.Free = positive(load.Free.Sub(held))
+	load.LargestFit = least(load.LargestFit, load.Free)
 	return load
 }
 
+func least(a, b fleet.Resources) fleet.Resources {
+	return fleet.Resources{
+		MilliCores:   min(a.MilliCores, b.MilliCores),
+		MemoryMB:     min(a.MemoryMB, b.MemoryMB),
+		Accelerators: min(a.Accelerators, b.Accelerators),
+	}
+}
+
 func positive(r fleet.Resources) fleet.Resources {
 	return fleet.Resources{
 		MilliCores:   max(0, r.MilliCores),
--- a/cell/machine.go
+++ b/cell/machine.go
@@ -39,7 +39,8 @@
 	Order      uint64             `cbor:"4,keyasint"`
 	Placement  placement          `cbor:"5,keyasint"` // from phasePlaced on
 	Cancelled  bool               `cbor:"6,keyasint,omitempty"`
-	Outcome    delegation.Outcome `cbor:"7,keyasint"` // in phaseEnded
+	Outcome    delegation.Outcome `cbor:"7,keyasint"`           // in phaseEnded
+	TakenBack  bool               `cbor:"8,keyasint,omitempty"` // to be stopped, its room was lent
 }
 
 // closed is an attempt that the cell refused or whose return was
@@ -192,6 +193,11 @@
 			a.Cancelled = true
 		}
 	}
+	for _, ref := range r.TakeBack {
+		if a := m.find(ref); a != nil {
+			a.TakenBack = true
+		}
+	}
 	for _, o := range r.End {
 		if err := m.end(o, r.AtMS); err != nil {
 			return err
--- a/cell/offer.go
+++ b/cell/offer.go
@@ -10,8 +10,8 @@
 )
 
 // maxWaiting is how many accepted attempts may wait for a worker. A cell that
-// holds more than it can place soon keeps other cells from them. Urgent ones
-// are accepted beyond it.
+// holds more than it can place soon keeps other cells from them. Urgent and
+// guaranteed ones are accepted beyond it.
 const maxWaiting = 200
 
 // maxOfferBytes bounds the tasks that one record accepts, far below what the
@@ -37,7 +37,7 @@
 		}
 		return r
 	}
-	if err := s.commit(ctx, accept, s.placeWaiting, s.makeRoomNow); err != nil {
+	if err := s.commit(ctx, accept, s.placeWaiting, s.makeRoomNow, s.takeBackLent); err != nil {
 		return delegation.OfferReply{}, err
 	}
 	if late {
@@ -101,7 +101,7 @@
 	switch {
 	case !s.isIn():
 		return reasonOut
-	case waiting >= maxWaiting && !isUrgent(t.Priority):
+	case waiting >= maxWaiting && !isUrgent(t.Priority) && !s.isOwed(t):
 		return reasonBacklog
 	case !s.couldHold(t):
 		return reasonTooLarge
@@ -167,7 +167,7 @@
 		return reasonCancelled
 	case !s.isIn():
 		return reasonOut
-	case now.UnixMilli()-a.AcceptedMS > waitLimit.Milliseconds():
+	case now.UnixMilli()-a.AcceptedMS > s.waitLimit(a).Milliseconds():
 		return reasonNoCapacity
 	default:
 		return ""
--- a/cell/place.go
+++ b/cell/place.go
@@ -69,6 +69,7 @@
 		if a.Phase == phasePlaced && ours {
 			workers[i].Used = workers[i].Used.Add(a.Placement.Size)
 			workers[i].Tasks++
+			workers[i].Reserved = workers[i].Reserved || a.TakenBack
 		}
 	}
 	return workers
@@ -98,6 +99,7 @@
 		return scheduler.Result{}
 	}
 	snapshot.Workers = s.schedulable(now)
+	s.entitle(&snapshot, now)
 	snapshot.Budget = s.gate.budget(now, snapshot.Workers)
 	if s.deps.Latencies != nil {
 		snapshot.Cost = learnedCost{s}
@@ -113,15 +115,16 @@
 
 func (s *session) schedulableTask(a *attempt) scheduler.Task {
 	return scheduler.Task{
-		AttemptRef: a.Task.AttemptRef,
-		Job:        jobOf(a.Task.Task),
-		Class:      a.Task.Class,
-		Priority:   a.Task.Priority,
-		Declared:   a.Task.Resources,
-		Observed:   s.machine.observedSize(a.Task.Class),
-		Checkpoint: a.Task.Checkpoint != "",
-		LastWorker: s.machine.state.Closed[a.Task.Task].Worker,
-		Order:      a.Order,
+		AttemptRef:   a.Task.AttemptRef,
+		Organisation: a.Task.Organisation,
+		Job:          jobOf(a.Task.Task),
+		Class:        a.Task.Class,
+		Priority:     a.Task.Priority,
+		Declared:     a.Task.Resources,
+		Observed:     s.machine.observedSize(a.Task.Class),
+		Checkpoint:   a.Task.Checkpoint != "",
+		LastWorker:   s.machine.state.Closed[a.Task.Task].Worker,
+		Order:        a.Order,
 	}
 }
 
--- a/cell/queue_fake_test.go
+++ b/cell/queue_fake_test.go
@@ -35,16 +35,19 @@
 
 func newFakeQueue() *fakeQueue { return &fakeQueue{tasks: make(map[fleet.TaskID]*queued)} }
 
-func (q *fakeQueue) add(n int, size fleet.Resources) {
+func (q *fakeQueue) add(n int, size fleet.Resources) { q.addOf("", n, size) }
+
+func (q *fakeQueue) addOf(org fleet.Organisation, n int, size fleet.Resources) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for range n {
 		id := fleet.TaskID(fmt.Sprintf("job%d/%03d", len(q.tasks)%testJobs, len(q.tasks)))
 		task := delegation.Task{
-			AttemptRef: platform.AttemptRef{Task: id, Attempt: 1},
-			Queue:      testQueue,
-			Class:      "claims",
-			Resources:  size,
+			AttemptRef:   platform.AttemptRef{Task: id, Attempt: 1},
+			Queue:        testQueue,
+			Organisation: org,
+			Class:        "claims",
+			Resources:    size,
 		}
 		q.tasks[id] = &queued{task: task}
 	}
--- a/cell/record.go
+++ b/cell/record.go
@@ -18,17 +18,18 @@
 
 // record is one journal record. Its parts apply in the order of the fields.
 type record struct {
-	Version uint8                 `cbor:"1,keyasint"`
-	AtMS    int64                 `cbor:"2,keyasint"` // owner's clock, Unix time
-	Open    *ownerRecord          `cbor:"3,keyasint,omitempty"`
-	Accept  []delegation.Task     `cbor:"4,keyasint,omitempty"`
-	Refuse  []delegation.Refusal  `cbor:"5,keyasint,omitempty"`
-	Place   []placement           `cbor:"6,keyasint,omitempty"`
-	Cancel  []platform.AttemptRef `cbor:"7,keyasint,omitempty"`
-	End     []delegation.Outcome  `cbor:"8,keyasint,omitempty"`
-	Acked   []platform.AttemptRef `cbor:"9,keyasint,omitempty"`
-	Marks   []offerMark           `cbor:"11,keyasint,omitempty"`
-	Release bool                  `cbor:"10,keyasint,omitempty"` // the present owner sends no call to a worker any more
+	Version  uint8                 `cbor:"1,keyasint"`
+	AtMS     int64                 `cbor:"2,keyasint"` // owner's clock, Unix time
+	Open     *ownerRecord          `cbor:"3,keyasint,omitempty"`
+	Accept   []delegation.Task     `cbor:"4,keyasint,omitempty"`
+	Refuse   []delegation.Refusal  `cbor:"5,keyasint,omitempty"`
+	Place    []placement           `cbor:"6,keyasint,omitempty"`
+	Cancel   []platform.AttemptRef `cbor:"7,keyasint,omitempty"`
+	TakeBack []platform.AttemptRef `cbor:"12,keyasint,omitempty"`
+	End      []delegation.Outcome  `cbor:"8,keyasint,omitempty"`
+	Acked    []platform.AttemptRef `cbor:"9,keyasint,omitempty"`
+	Marks    []offerMark           `cbor:"11,keyasint,omitempty"`
+	Release  bool                  `cbor:"10,keyasint,omitempty"` // the present owner sends no call to a worker any more
 }
 
 // ownerRecord is an owner of the cell.
--- a/cell/session.go
+++ b/cell/session.go
@@ -58,6 +58,7 @@
 	started   map[shard.ID][]platform.AttemptRef         // to be reported to queues
 	calling   map[shard.ID]bool                          // queues with a call under way
 	retryAt   map[shard.ID]time.Time                     // after a failed call
+	openedAt  time.Time                                  // when this term began
 	durableAt time.Time                                  // when the last durable entry was begun
 	others    time.Time                                  // when the last predecessor stops sending
 	gate      gate
@@ -69,6 +70,7 @@
 	values    map[resolvedKey]settings.Resolved
 	valuesAt  store.Revision
 	told      member.CellLoad // as load last returned it
+	lending   lending
 }
 
 // returning is an outcome on its way to its queue.
@@ -119,6 +121,7 @@
 		started:   make(map[shard.ID][]platform.AttemptRef),
 		calling:   make(map[shard.ID]bool),
 		retryAt:   make(map[shard.ID]time.Time),
+		openedAt:  time.Now(),
 		durableAt: time.Now(),
 		model:     sharing.NewModel(),
 	}
@@ -206,7 +209,7 @@
 func (s *session) recover(a *attempt) {
 	switch a.Phase {
 	case phasePlaced:
-		s.runs[a.Task.AttemptRef] = &run{}
+		s.runs[a.Task.AttemptRef] = &run{takenBack: a.TakenBack}
 	case phaseEnded:
 		s.returns[a.Task.AttemptRef] = returning{queue: a.Task.Queue, outcome: a.Outcome}
 	case phaseWaiting:
@@ -270,6 +273,11 @@
 			s.wakeWorker(p.Worker)
 		}
 	}
+	for _, ref := range r.TakeBack {
+		if run := s.runs[ref]; run != nil {
+			run.takenBack = true
+		}
+	}
 	for _, o := range r.End {
 		s.ended(o)
 	}
--- a/cell/vars.go
+++ b/cell/vars.go
@@ -17,6 +17,7 @@
 	varUnanswered = "worker_calls_unanswered"
 	varStops      = "stops_decided"
 	varReturned   = "outcomes_returned"
+	varTakenBack  = "tasks_taken_back"
 )
 
 // Vars returns the counters of all cells that this host has owned.
@@ -33,6 +34,7 @@
 	add(varRefused, len(r.Refuse))
 	add(varPlaced, len(r.Place))
 	add(varReturned, len(r.Acked))
+	add(varTakenBack, len(r.TakeBack))
 	ends := make(map[delegation.End]int)
 	for _, o := range r.End {
 		ends[o.End]++
--- a/queue/decide_test.go
+++ b/queue/decide_test.go
@@ -202,6 +202,10 @@
 	backlog.LargestWorker = big
 	waiting := backlog
 	waiting.Queued = resources(big.MilliCores/backlogShare, 0, 0)
+	owing, small, others := waiting, waiting, waiting
+	owing.Owed = map[fleet.Organisation]fleet.Resources{testOrg: tiny}
+	small.Owed = map[fleet.Organisation]fleet.Resources{testOrg: resources(9, 9, 0)}
+	others.Owed = map[fleet.Organisation]fleet.Resources{"another": big}
 	out := settings.DataCentre{Region: "bg", State: settings.DataCentreOut, Cells: 1}
 	tests := map[string]struct {
 		sofia, ruse *member.CellLoad // nil: no summary
@@ -223,6 +227,10 @@
 		"may wait in a full cell":    {sofia: &full, ruse: &backlog, cell: "cell/ruse/0"},
 		"room goes before waiting":   {sofia: &half, ruse: &backlog, cell: "cell/sofia/0"},
 		"enough waits already":       {sofia: &full, ruse: &waiting, wait: waitRoom},
+		"covered by a guarantee":     {sofia: &backlog, ruse: &owing, cell: "cell/ruse/0"},
+		"room before a guarantee":    {sofia: &half, ruse: &owing, cell: "cell/sofia/0"},
+		"too large for a guarantee":  {sofia: &full, ruse: &small, wait: waitRoom},
+		"another's guarantee":        {sofia: &full, ruse: &others, wait: waitRoom},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -238,6 +246,7 @@
 			}
 			chooser := testChooser(world)
 			for range 20 { // the choice is random
+				chooser.sent = newRecentlySent()
 				cell, wait := chooser.Choose(tiny, tt.allowed, tt.urgent)
 				if cell != tt.cell || wait != tt.wait {
 					t.Fatalf("chose %q, %q, want %q, %q", cell, wait, tt.cell, tt.wait)
@@ -250,10 +259,11 @@
 func testChooser(w *world) *cellChooser {
 	summary, _ := w.Summary(testHost)
 	return &cellChooser{
-		cells: viewCells("bg", w.Current(), []member.Summary{summary}, nil),
-		rand:  newRand(1),
-		sent:  newRecentlySent(),
-		now:   time.Unix(1_000_000, 0),
+		cells:        viewCells("bg", w.Current(), []member.Summary{summary}, nil),
+		rand:         newRand(1),
+		sent:         newRecentlySent(),
+		now:          time.Unix(1_000_000, 0),
+		organisation: testOrg,
 	}
 }
 
@@ -403,7 +413,7 @@
 	older := load
 	older.Sequence = 1
 	c.sent.answered(cell, nil, older)
-	if got := c.sent.loads[cell]; got != load {
+	if got := c.sent.loads[cell]; !cmp.Equal(got, load) {
 		t.Errorf("an older load %+v replaced %+v", got, load)
 	}
 }
--- a/queue/placement.go
+++ b/queue/placement.go
@@ -43,6 +43,8 @@
 	rand  *rand.Rand
 	sent  *recentlySent
 	now   time.Time
+	// organisation is whose tasks are placed.
+	organisation fleet.Organisation
 }
 
 var _ Chooser = (*cellChooser)(nil)
@@ -94,10 +96,12 @@
 }
 
 // Choose implements Chooser: of two random cells that have room, the one with
-// more of it; if there is none, of those where it may wait for room. An urgent task for which none has room goes to one that is
-// large enough: the cell makes room.
+// more of it; if there is none, of those where the organisation's guarantee
+// covers the task, then of those where it may wait for room. An urgent task
+// for which there is none of these goes to a cell that is large enough. There
+// and for a guarantee the cell makes room.
 func (c *cellChooser) Choose(need fleet.Resources, allowed []fleet.DataCentre, urgent bool) (shard.ID, string) {
-	var fitting, nearly, largeEnough []*cellView
+	var fitting, owing, nearly, largeEnough []*cellView
 	anyIn := false
 	for i := range c.cells {
 		cell := &c.cells[i]
@@ -111,6 +115,9 @@
 		if c.hasRoom(cell, need) {
 			fitting = append(fitting, cell)
 		}
+		if c.isOwed(cell, need) {
+			owing = append(owing, cell)
+		}
 		if c.hasBacklogRoom(cell, need) {
 			nearly = append(nearly, cell)
 		}
@@ -118,6 +125,9 @@
 			largeEnough = append(largeEnough, cell)
 		}
 	}
+	if len(fitting) == 0 {
+		fitting = owing
+	}
 	if len(fitting) == 0 {
 		fitting = nearly
 	}
@@ -153,6 +163,15 @@
 	return need.Fits(c.free(cell).Add(backlog).Sub(cell.load.Queued))
 }
 
+// isOwed reports whether the cell takes back lent capacity for the task.
+func (c *cellChooser) isOwed(cell *cellView, need fleet.Resources) bool {
+	owed, guaranteed := cell.load.Owed[c.organisation]
+	if !guaranteed || !need.Fits(cell.load.LargestWorker) {
+		return false
+	}
+	return need.Fits(owed.Sub(c.sent.since(cell.id, c.now)))
+}
+
 // free returns what the cell's summary shows as free, less what was sent
 // since.
 func (c *cellChooser) free(cell *cellView) fleet.Resources {
--- a/queue/shard.go
+++ b/queue/shard.go
@@ -160,10 +160,11 @@
 		}
 	}
 	return &cellChooser{
-		cells: viewCells(deps.Region, snapshot, summaries, q.sent.loads),
-		rand:  q.rand,
-		sent:  q.sent,
-		now:   now,
+		cells:        viewCells(deps.Region, snapshot, summaries, q.sent.loads),
+		rand:         q.rand,
+		sent:         q.sent,
+		now:          now,
+		organisation: snapshot.Teams()[q.team].Organisation,
 	}
 }
 
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -15,6 +15,8 @@
 	filters []Filter
 	scorers []WeightedScorer
 	budget  *fleet.Resources
+
+	lendable *fleet.Resources
 }
 
 // Plan places as many tasks as fit, the most important first. It never gives
@@ -52,6 +54,10 @@
 		budget := *s.Budget
 		p.budget = &budget
 	}
+	if s.Lendable != nil {
+		lendable := *s.Lendable
+		p.lendable = &lendable
+	}
 	slices.SortFunc(p.workers, func(a, b Worker) int { return cmp.Compare(a.ID, b.ID) })
 	return p
 }
@@ -80,6 +86,9 @@
 	if p.budget != nil && !t.Declared.Fits(*p.budget) {
 		return Placement{}, ReasonBudget, false
 	}
+	if p.lendable != nil && t.rank() == 0 && !t.Declared.Fits(*p.lendable) {
+		return Placement{}, ReasonReserved, false
+	}
 	best, reason := -1, ReasonNoWorkers
 	bestScore := 0.0
 	for i := range p.workers {
@@ -129,5 +138,8 @@
 	if p.budget != nil {
 		*p.budget = p.budget.Sub(t.Declared)
 	}
+	if p.lendable != nil && t.rank() == 0 {
+		*p.lendable = p.lendable.Sub(size)
+	}
 	return Placement{Task: t.AttemptRef, Worker: w.ID, Size: size}
 }
--- a/scheduler/plan_test.go
+++ b/scheduler/plan_test.go
@@ -68,6 +68,7 @@
 		"to the checkpoint":   {snapshot: Snapshot{Open: true, Workers: []Worker{live("w1", "r1", 4000, 0), live("w2", "r1", 4000, 0)}, Tasks: []Task{resumed}}, want: map[fleet.TaskID]fleet.WorkerID{"a": "w2"}},
 		"size as observed":    {snapshot: Snapshot{Open: true, Workers: []Worker{live("w1", "r1", 4000, 2000)}, Tasks: []Task{observed}}, reason: ReasonNoFit},
 		"size within worker":  {snapshot: Snapshot{Open: true, Workers: []Worker{live("w1", "r1", 4000, 0)}, Tasks: []Task{huge}}, want: map[fleet.TaskID]fleet.WorkerID{"a": "w1"}},
+		"within the lendable": {snapshot: Snapshot{Open: true, Lendable: &budget, Workers: []Worker{live("w1", "r1", 4000, 0)}, Tasks: []Task{task("a", 1000), task("b", 1000), urgent}}, want: map[fleet.TaskID]fleet.WorkerID{"a": "w1", "z": "w1"}, reason: ReasonReserved},
 		"within the budget":   {snapshot: Snapshot{Open: true, Budget: &budget, Workers: []Worker{live("w1", "r1", 4000, 0)}, Tasks: []Task{task("a", 1000), task("b", 1000)}}, want: map[fleet.TaskID]fleet.WorkerID{"a": "w1"}, reason: ReasonBudget},
 	}
 	for name, tt := range tests {
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -61,6 +61,9 @@
 	Cost    CostModel        // nil: no interference known
 	// Budget is how much may be placed in all; nil is no limit.
 	Budget *fleet.Resources
+	// Lendable is how much may be placed in all of tasks that are neither
+	// urgent nor entitled; nil is no limit.
+	Lendable *fleet.Resources
 }
 
 // Placement gives a task to a worker.
