Wait for room to come free before lent tasks are evicted

Change: TakeBack returns the room of each entitled task apart. The owner evicts for a task after two fifths of the take-back time only; till then room that comes free is kept for it. Two fifths more are left for a checkpoint. take_back_ms is 10 s at least, so that the parts stay longer than a commit.

TestTakeBackOfSeveral looks at the lender after the take-back time and at the borrower later, since its last task resumes after that.

--- a/cell/lending.go
+++ b/cell/lending.go
@@ -12,9 +12,14 @@
 	"github.com/fuchsiahill/fuchsiahill/store"
 )
 
-// checkpointShare is the part of the take-back time that a task may take for
-// its checkpoint; the rest is for its end and the start of what replaces it.
-const checkpointShare = 0.5
+const (
+	// waitShare is the part of the take-back time in which an entitled task
+	// waits for room that comes free by itself, and is kept for it.
+	waitShare = 0.4
+	// checkpointShare is the part that a task may take for its checkpoint.
+	// The rest is for its end and the start of what replaces it.
+	checkpointShare = 0.4
+)
 
 // lending is what a session knows of capacity lent between organisations.
 type lending struct {
@@ -193,15 +198,25 @@
 		v.Lost = coreSecondsLost(a, r, now)
 		victims = append(victims, v)
 	}
-	recovery := scheduler.TakeBack(snapshot, shares, victims)
-	s.lending.served = make(map[platform.AttemptRef]bool, len(recovery.Served))
-	for _, ref := range recovery.Served {
-		s.lending.served[ref] = true
+	return s.takeBackDue(scheduler.TakeBack(snapshot, shares, victims), now)
+}
+
+// takeBackDue evicts for the tasks that have waited long enough.
+func (s *session) takeBackDue(rooms []scheduler.Room, now time.Time) *record {
+	s.lending.served = make(map[platform.AttemptRef]bool, len(rooms))
+	r := &record{}
+	for _, room := range rooms {
+		s.lending.served[room.Task] = true
+		a := s.machine.find(room.Task)
+		limit := waitShare * float64(takeBackTime(s.valuesOf(a.Task.Organisation)))
+		if float64(now.Sub(time.UnixMilli(a.AcceptedMS))) >= limit {
+			r.TakeBack = append(r.TakeBack, room.Evict...)
+		}
 	}
-	if len(recovery.Evict) == 0 {
+	if len(r.TakeBack) == 0 {
 		return nil
 	}
-	return &record{TakeBack: recovery.Evict}
+	return r
 }
 
 // awaitsWorkers reports whether a new owner has still to hear from a worker:
--- a/cell/lending_test.go
+++ b/cell/lending_test.go
@@ -101,6 +101,10 @@
 		b.queue.addOf("borrower", 2, fleet.Resources{MilliCores: 2000, MemoryMB: 1000})
 		o.set(func() { o.delays = map[string]time.Duration{"stop": 1900 * time.Millisecond} })
 		o.finish(testTakeBack)
+		if got := b.runningOf("lender"); got != 4000 {
+			t.Errorf("lender runs %d after the take-back time", got)
+		}
+		o.finish(2 * holdTime)
 		b.wantRunning(4000, 18_000, 3)
 		if got := b.queue.tasks[lent.Task].task.Attempt; got != 1 {
 			t.Errorf("the lender's task runs as attempt %d, want it to wait for its room", got)
--- a/scheduler/takeback.go
+++ b/scheduler/takeback.go
@@ -81,10 +81,10 @@
 	}
 }
 
-// Recovery is what is to be done so that entitled tasks get room.
-type Recovery struct {
-	Evict  []platform.AttemptRef // tasks on lent capacity
-	Served []platform.AttemptRef // entitled tasks that fit after that
+// Room is how an entitled task gets room.
+type Room struct {
+	Task  platform.AttemptRef
+	Evict []platform.AttemptRef // tasks on lent capacity; none if it fits without
 }
 
 // lender takes back lent capacity.
@@ -94,36 +94,35 @@
 	byWorker map[fleet.WorkerID][]Victim
 }
 
-// TakeBack returns the tasks to evict so that the entitled tasks of the
-// snapshot fit, as far as lent capacity allows. Each that does not fit gets
+// TakeBack returns how the entitled tasks of the snapshot get room, as far as
+// lent capacity allows. Each that does not fit gets
 // the worker where the least work is lost, then the fewest tasks are evicted.
 // Nothing is taken from an organisation that is at or below its guarantee.
 // Urgent tasks take room that is free first; for those that find none Preempt
 // makes room.
-func TakeBack(s Snapshot, shares map[fleet.Organisation]Share, victims []Victim) Recovery {
+func TakeBack(s Snapshot, shares map[fleet.Organisation]Share, victims []Victim) []Room {
 	if !s.Open {
-		return Recovery{}
+		return nil
 	}
 	l := lender{planner: newPlanner(s), shares: maps.Clone(shares), byWorker: groupVictims(victims, compareLost)}
 	tasks := slices.Clone(s.Tasks)
 	slices.SortFunc(tasks, compareTasks)
-	var recovery Recovery
+	var rooms []Room
 	for i := range tasks {
 		t := &tasks[i]
 		if t.rank() == 0 {
 			continue
 		}
+		var evict []platform.AttemptRef
 		_, _, fits := l.place(t)
 		if !fits && !t.isUrgent() {
-			var evict []platform.AttemptRef
 			evict, fits = l.makeRoom(t)
-			recovery.Evict = append(recovery.Evict, evict...)
 		}
 		if fits && t.Entitled {
-			recovery.Served = append(recovery.Served, t.AttemptRef)
+			rooms = append(rooms, Room{Task: t.AttemptRef, Evict: evict})
 		}
 	}
-	return recovery
+	return rooms
 }
 
 // makeRoom takes back what t needs and gives it to t.
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -35,7 +35,7 @@
 
 	// Sharing between organisations.
 	Guarantee  *Guarantees `json:"guarantee_percent,omitempty" validate:"omitempty,max=48,dive,keys,window,endkeys,gte=0,lte=100"`
-	TakeBackMS *int64      `json:"take_back_ms,omitempty" validate:"omitempty,gte=5000,lte=3600000"`
+	TakeBackMS *int64      `json:"take_back_ms,omitempty" validate:"omitempty,gte=10000,lte=3600000"`
 }
 
 // Tree is the whole tree of settings. Its JSON is what operators see; paths
