Keep room for the next task of a guaranteed organisation

Cause: when a task of the lender ends before its next one is offered, the room was lent and soon taken back again.

Change: room is kept for 30 to 60 s after it was last wanted, in place of 5 to 10 s.

Tests: TestTakeBackOverHandOver has twice the points, up to the end of the take-back, since the wait before evictions moved it behind them; TestTakeBackWaitsForEnds is new; TestTakeBackIsRemembered accepts the lender's tasks before the hand-over. Seen to fail without the peak (hand-over), without the wait for ends, without the wait for the workers, with the journaled choice forgotten.

--- a/cell/hold.go
+++ b/cell/hold.go
@@ -8,10 +8,9 @@
 )
 
 // holdTime is how long at least room that an organisation had by its
-// guarantee is kept for its next task. It covers the way of an outcome to the
-// queue and of the next offer back: lent meanwhile, the room would be taken
-// back at once.
-const holdTime = 5 * time.Second
+// guarantee is kept for its next task: lent meanwhile, it would soon be taken
+// back.
+const holdTime = 30 * time.Second
 
 // peak is the greatest demand of an organisation in the last one to two hold
 // times.
@@ -35,8 +34,8 @@
 }
 
 // held returns the room that is kept from lending: what organisations lately
-// wanted of their guarantees and do not use now. A new owner does not know
-// and keeps all that is guaranteed.
+// wanted of their guarantees and do not use now. A new owner knows what the
+// journal shows.
 func (s *session) held(now time.Time, shares map[fleet.Organisation]scheduler.Share) fleet.Resources {
 	var sum fleet.Resources
 	if shares == nil {
@@ -50,7 +49,7 @@
 		share := shares[org]
 		p := s.lending.peaks[org]
 		if p == nil {
-			p = &peak{began: now, now: share.Entitled}
+			p = &peak{began: now}
 			s.lending.peaks[org] = p
 		}
 		p.note(now, share.Used.Add(waiting[org]))
--- a/cell/lending_test.go
+++ b/cell/lending_test.go
@@ -20,8 +20,8 @@
 
 // newLendingBench is a cell of workers of 4 cores. Its clock starts at midnight
 // UTC.
-func newLendingBench(t *testing.T, workers int, lender, borrower settings.Guarantees) *bench {
-	b := newBench(t, workers, 5*time.Hour)
+func newLendingBench(t *testing.T, workers int, runTime time.Duration, lender, borrower settings.Guarantees) *bench {
+	b := newBench(t, workers, runTime)
 	b.settings.values.TakeBackMS = testTakeBack.Milliseconds()
 	b.settings.guarantees = map[fleet.Organisation]settings.Guarantees{"lender": lender, "borrower": borrower}
 	return b
@@ -52,7 +52,7 @@
 // is full, and both organisations want all of it all the time.
 func TestTakeBackAtTheWindowsEdge(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newLendingBench(t, 3, settings.Guarantees{"00:02-00:08": 50}, settings.Guarantees{"00:00-00:08": 25, "00:08-00:14": 75})
+		b := newLendingBench(t, 3, time.Hour, settings.Guarantees{"00:02-00:08": 50}, settings.Guarantees{"00:00-00:08": 25, "00:08-00:14": 75})
 		o := b.start("a")
 		defer o.stop()
 		time.Sleep(500 * time.Millisecond)
@@ -84,12 +84,12 @@
 // is free in all on the other workers, but on none of them.
 func TestTakeBackOfSeveral(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newLendingBench(t, 6, settings.Guarantees{"00:00-24:00": 40}, nil)
+		b := newLendingBench(t, 6, time.Hour, settings.Guarantees{"00:00-24:00": 40}, nil)
 		o := b.start("a")
 		defer o.stop()
 		time.Sleep(500 * time.Millisecond)
 		b.queue.addOf("borrower", 24, small)
-		o.finish(4 * holdTime)
+		o.finish(testTakeBack)
 		onWorker := make(map[fleet.WorkerID]delegation.Task)
 		for _, r := range b.records.Runs() {
 			onWorker[r.Worker] = b.queue.tasks[r.Task].task
@@ -113,16 +113,35 @@
 	})
 }
 
+// TestTakeBackWaitsForEnds lets tasks end by themselves shortly after a
+// guaranteed one needs room.
+func TestTakeBackWaitsForEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newLendingBench(t, 3, time.Minute, settings.Guarantees{"00:00-24:00": 50}, nil)
+		o := b.start("a")
+		defer o.stop()
+		time.Sleep(500 * time.Millisecond)
+		b.queue.addOf("borrower", 20, small)
+		o.finish(59 * time.Second)
+		b.queue.addOf("lender", 2, small)
+		o.finish(testTakeBack)
+		b.wantRunning(2000, 8000, 0)
+		b.check()
+	})
+}
+
 // TestTakeBackIsRemembered lets an owner find tasks that its predecessor has
 // journaled as taken back, but not stopped, and hear late from the worker of
 // one. Others would do as well.
 func TestTakeBackIsRemembered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newLendingBench(t, 3, settings.Guarantees{"00:00-24:00": 50}, nil)
+		b := newLendingBench(t, 3, time.Hour, settings.Guarantees{"00:00-24:00": 50}, nil)
 		first := b.start("a")
 		time.Sleep(500 * time.Millisecond)
 		b.queue.addOf("borrower", 12, small)
-		first.finish(4 * holdTime)
+		first.finish(testTakeBack)
+		b.queue.addOf("lender", 2, small)
+		first.offer()
 		first.crash()
 		chosen := []platform.AttemptRef{b.records.Runs()[11].AttemptRef, b.records.Runs()[5].AttemptRef}
 		entry, err := newCodec().encode(record{Version: recordVersion, AtMS: time.Now().UnixMilli(), TakeBack: chosen})
@@ -130,7 +149,7 @@
 			t.Fatal(err)
 		}
 		b.log.entries = append(b.log.entries, [][]byte{entry})
-		b.queue.addOf("lender", 2, small)
+		time.Sleep(3 * time.Second) // less than the lease of the tasks
 		second := b.start("b")
 		defer second.stop()
 		slow := slices.IndexFunc(b.workers, func(w *standin.Worker) bool { return w.Info().ID == b.records.Runs()[11].Worker })
@@ -153,7 +172,7 @@
 // TestTakeBackOverHandOver ends the owner at each point of a take-back. The
 // next one goes on with the same tasks.
 func TestTakeBackOverHandOver(t *testing.T) {
-	for point := 1; point <= crashPoints; point++ {
+	for point := 1; point <= 2*crashPoints; point++ {
 		for _, kind := range []string{"journal write", "worker call"} {
 			for _, after := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s %d, after=%v", kind, point, after), func(t *testing.T) {
@@ -165,12 +184,12 @@
 }
 
 func takeBackOverHandOver(t *testing.T, kind string, point int, after bool) {
-	b := newLendingBench(t, 3, settings.Guarantees{"00:00-24:00": 50}, nil)
+	b := newLendingBench(t, 3, time.Hour, settings.Guarantees{"00:00-24:00": 50}, nil)
 	b.log.delay = 300 * time.Millisecond
 	first := b.start("a")
 	time.Sleep(500 * time.Millisecond)
 	b.queue.addOf("borrower", 14, small)
-	first.finish(4 * holdTime)
+	first.finish(testTakeBack)
 	b.queue.addOf("lender", 3, small)
 	var once sync.Once
 	crashed := make(chan struct{})
@@ -192,10 +211,10 @@
 	} else {
 		b.setHook(hook)
 	}
-	go first.finish(4 * time.Second)
+	go first.finish(testTakeBack)
 	select {
 	case <-crashed:
-	case <-time.After(4 * time.Second):
+	case <-time.After(testTakeBack):
 		once.Do(crash) // the point lies behind the take-back
 	}
 	time.Sleep(2 * time.Second) // less than the lease of the tasks
--- a/scheduler/day_test.go
+++ b/scheduler/day_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -22,6 +23,7 @@
 	dayQuiet      = 0.15            // and in the others
 	dayTakeBack   = time.Minute
 	dayWait       = 20 * time.Second // before lent capacity is taken back
+	dayHold       = 4                // ticks for which room is kept for a
 	dayBacklog    = 16               // tasks of an organisation that a plan looks at
 )
 
@@ -55,8 +57,9 @@
 	waits           map[fleet.Organisation][]time.Duration
 	takeBacks       []time.Duration // from entitled to started
 	evicted, orders int
-	lost            float64         // core hours
-	misfits         map[uint64]bool // entitled tasks that found no room on one worker for a time
+	lost            float64           // core hours
+	demands         []fleet.Resources // of a, covered by its guarantee
+	misfits         map[uint64]bool   // entitled tasks that found no room on one worker for a time
 }
 
 func (d *day) at() time.Time { return time.Date(2026, 3, 2, 0, 0, 0, 0, time.UTC).Add(d.now) }
@@ -143,6 +146,7 @@
 func (d *day) hold(s *Snapshot) {
 	Entitle(s.Tasks, s.Workers, d.shares)
 	lendable := fleet.Resources{}
+	demand := d.shares["a"].Used
 	for _, w := range s.Workers {
 		lendable = lendable.Add(w.Capacity).Sub(w.Used)
 	}
@@ -152,11 +156,19 @@
 		case !s.Tasks[i].Entitled:
 			t.entitled = 0
 			continue
-		case t.entitled == 0:
-			t.entitled = d.now
+		case t.Organisation == "a":
+			demand = demand.Add(t.Declared)
+		default:
+			lendable = lendable.Sub(t.Declared)
 		}
-		lendable = lendable.Sub(t.Declared)
+		t.entitled = cmp.Or(t.entitled, d.now)
 	}
+	d.demands = append(d.demands, demand)
+	for _, before := range d.demands[max(0, len(d.demands)-dayHold):] {
+		demand = atLeast(demand, before)
+	}
+	demand = cores(min(demand.MilliCores, d.shares["a"].Entitled.MilliCores))
+	lendable = lendable.Sub(atLeast(demand.Sub(d.shares["a"].Used), fleet.Resources{}))
 	s.Lendable = &lendable
 }
 
