--- a/cell/fixture_test.go
+++ b/cell/fixture_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"sync"
@@ -102,6 +103,7 @@
 	hook     func(call int, after bool) // before and after each call to a worker
 	calls    int
 	queue    *fakeQueue
+	runTimes map[fleet.JobClass]time.Duration // instead of the run time of all tasks
 	latency  Latencies
 	shares   []float64 // asked for by throttle calls
 	epoch    fleet.Epoch
@@ -120,6 +122,7 @@
 			WorkerLeaseMS: 6000, GraceMS: 10_000, ThrottleFloor: 0.1, EvictionsMinute: 2, ObjectiveMS: 100,
 		}},
 	}
+	b.runTimes = make(map[fleet.JobClass]time.Duration)
 	for i := range workers {
 		info := platform.Worker{
 			ID:         fleet.WorkerID(fmt.Sprintf("w%02d", i)),
@@ -129,7 +132,7 @@
 			Capacity:   fleet.Resources{MilliCores: 4000, MemoryMB: 4000},
 			State:      platform.StateLive,
 		}
-		run := func(platform.StartRequest) time.Duration { return runTime }
+		run := func(req platform.StartRequest) time.Duration { return cmp.Or(b.runTimes[req.Class], runTime) }
 		b.workers = append(b.workers, standin.NewWorker(info, fleet.Resources{}, run, b.records))
 	}
 	b.control = standin.NewWorkers(b.workers...)
--- a/cell/vars.go
+++ b/cell/vars.go
@@ -18,6 +18,10 @@
 	varStops      = "stops_decided"
 	varReturned   = "outcomes_returned"
 	varTakenBack  = "tasks_taken_back"
+	varOverruns   = "tasks_overrun"
+
+	varLatencyCalls  = "latency_calls" // to owners of fronts
+	varLatencyFailed = "latency_calls_failed"
 )
 
 // Vars returns the counters of all cells that this host has owned.
