--- a/scheduler/day_test.go
+++ b/scheduler/day_test.go
@@ -251,7 +251,7 @@
 			d.work()
 			d.plan()
 		}
-		t.Logf("%-10s core hours a %.0f b %.0f, a's tasks waited %v at p50, %v at p99", policy, d.kept["a"], d.kept["b"], quantile(d.waits["a"], 0.5), quantile(d.waits["a"], 0.99))
+		t.Logf("%-10s core hours a %.0f b %.0f, a's tasks waited %v at p50, %v at p90, %v at p99", policy, d.kept["a"], d.kept["b"], quantile(d.waits["a"], 0.5), quantile(d.waits["a"], 0.9), quantile(d.waits["a"], 0.99))
 		t.Logf("%-10s %d tasks, %d evictions, %.1f core hours lost, %d tasks in pieces too small, take-back p50 %v p99 %v longest %v", policy, d.orders, d.evicted, d.lost, len(d.misfits),
 			quantile(d.takeBacks, 0.5), quantile(d.takeBacks, 0.99), quantile(d.takeBacks, 1))
 		if longest := quantile(d.takeBacks, 1); longest > dayTakeBack {
