Give waiting tasks their time again under a new owner

The guaranteed tasks had waited for longer than 5 s when the new owner opened, which did not know yet for which room was being made, and gave them back; their room was lent and taken back again.

Ruled out: a journaled promise for each task; a new owner knows after a round of answers.

TestTakeBackIsRemembered lets the lender's tasks wait before the hand-over and wants them to run as first attempts.

--- a/cell/lending_test.go
+++ b/cell/lending_test.go
@@ -141,7 +141,9 @@
 		b.queue.addOf("borrower", 12, small)
 		first.finish(testTakeBack)
 		b.queue.addOf("lender", 2, small)
+		lender := b.queue.pending()[:2]
 		first.offer()
+		time.Sleep(2500 * time.Millisecond)
 		first.crash()
 		chosen := []platform.AttemptRef{b.records.Runs()[11].AttemptRef, b.records.Runs()[5].AttemptRef}
 		entry, err := newCodec().encode(record{Version: recordVersion, AtMS: time.Now().UnixMilli(), TakeBack: chosen})
@@ -159,6 +161,11 @@
 		})
 		second.finish(testTakeBack)
 		b.wantRunning(2000, 10_000, 2)
+		for _, task := range lender {
+			if got := b.queue.tasks[task.Task].task.Attempt; got != 1 {
+				t.Errorf("%s runs as attempt %d, want it to wait for its room", task.Task, got)
+			}
+		}
 		for _, ref := range chosen {
 			evicted := func(o delegation.Outcome) bool { return o.AttemptRef == ref && o.End == delegation.EndEvicted }
 			if !slices.ContainsFunc(b.queue.tasks[ref.Task].outcomes, evicted) {
--- a/cell/offer.go
+++ b/cell/offer.go
@@ -160,14 +160,15 @@
 }
 
 // waitOver returns why an attempt is not to wait for a worker any longer, or
-// "".
+// "". A new owner gives each its time again: it knows only later for which
+// room is being made.
 func (s *session) waitOver(a *attempt, now time.Time) string {
 	switch {
 	case a.Cancelled:
 		return reasonCancelled
 	case !s.isIn():
 		return reasonOut
-	case now.UnixMilli()-a.AcceptedMS > s.waitLimit(a).Milliseconds():
+	case now.UnixMilli()-max(a.AcceptedMS, s.openedAt.UnixMilli()) > s.waitLimit(a).Milliseconds():
 		return reasonNoCapacity
 	default:
 		return ""
