--- a/cell/load.go
+++ b/cell/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"reflect"
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
@@ -16,7 +17,7 @@
 	now := s.measure(time.Now())
 	now.Epoch = s.owner.Epoch
 	now.Sequence = s.told.Sequence
-	if now != s.told {
+	if !reflect.DeepEqual(now, s.told) {
 		now.Sequence++
 		s.told = now
 	}
@@ -32,6 +33,8 @@
 	for _, a := range waiting {
 		load.Queued = load.Queued.Add(a.Task.Resources)
 	}
+	load.Owed = s.owed(now)
+	held := s.held(now, s.shares(now))
 	in := s.isIn()
 	emptiest := int64(-1)
 	workers := s.schedulable(now)
@@ -43,6 +46,9 @@
 		if w.Capacity.MilliCores > load.LargestWorker.MilliCores {
 			load.LargestWorker = w.Capacity
 		}
+		if w.Reserved {
+			continue
+		}
 		free := positive(w.Capacity.Sub(w.Used))
 		load.Free = load.Free.Add(free)
 		if free.MilliCores > emptiest {
@@ -50,6 +56,8 @@
 			load.LargestFit = free
 		}
 	}
+	load.Free = positive(load.Free.Sub(held))
+	load.LargestFit = least(load.LargestFit, load.Free)
 	if budget := s.gate.budget(now, workers); in && budget != nil {
 		load.Capacity = scale(load.Capacity, s.gate.refill(now))
 		load.Free = least(load.Free, positive(*budget))
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -15,6 +15,8 @@
 	filters []Filter
 	scorers []WeightedScorer
 	budget  *fleet.Resources
+
+	lendable *fleet.Resources
 }
 
 // Plan places as many tasks as fit, the most important first. It never gives
@@ -52,12 +54,17 @@
 		budget := *s.Budget
 		p.budget = &budget
 	}
+	if s.Lendable != nil {
+		lendable := *s.Lendable
+		p.lendable = &lendable
+	}
 	slices.SortFunc(p.workers, func(a, b Worker) int { return cmp.Compare(a.ID, b.ID) })
 	return p
 }
 
 func compareTasks(a, b Task) int {
 	return cmp.Or(
+		cmp.Compare(b.rank(), a.rank()),
 		cmp.Compare(b.Priority, a.Priority),
 		cmp.Compare(a.Order, b.Order),
 		cmp.Compare(a.Task, b.Task),
@@ -79,11 +86,18 @@
 	if p.budget != nil && !t.Declared.Fits(*p.budget) {
 		return Placement{}, ReasonBudget, false
 	}
+	if p.lendable != nil && t.rank() == 0 && !t.Declared.Fits(*p.lendable) {
+		return Placement{}, ReasonReserved, false
+	}
 	best, reason := -1, ReasonNoWorkers
 	bestScore := 0.0
 	for i := range p.workers {
 		w := &p.workers[i]
 		size := Size(t.Declared, t.Observed, w.Capacity)
+		if w.Reserved && t.rank() == 0 {
+			reason = ReasonReserved
+			continue
+		}
 		if r, ok := p.feasible(w, size); !ok {
 			reason = r
 			continue
@@ -124,5 +138,8 @@
 	if p.budget != nil {
 		*p.budget = p.budget.Sub(t.Declared)
 	}
+	if p.lendable != nil && t.rank() == 0 {
+		*p.lendable = p.lendable.Sub(size)
+	}
 	return Placement{Task: t.AttemptRef, Worker: w.ID, Size: size}
 }
