Let the site suite notice more, and strike twice at once and over whole areas

Cause: with seven mechanisms broken the site suite passed. Callers never sent an ID again, the site was never full, no host ended between an acknowledgement and its write, and no case lost a rack, a switch, a data centre, two hosts or two workers.

Change: - Callers send a non-idempotent request once more under its ID, to another host, when its outcome is unknown; a second run counts as wrong. - Chosen cases beside the 171: two hosts, two workers, a host and its successor killed; the owner of a queue killed as it acknowledges, with a slow store; a worker killed and a data centre out under full load; a worker's answers lost past its leases; a rack, a switch, a data centre lost, judged besides by whether lost tasks ran again exactly once and work went on elsewhere. - TestProcessFaults ends or freezes one or two of three processes. With three processes the victim is now the last instead of the second one; checks are the same. - Stand-ins: a backend server can be silent as a whole, and requests under way when a connection goes silent are not answered either; a worker can be both dead and silent; a host's way to the store can be cut and restored.

--- a/internal/dev/callers.go
+++ b/internal/dev/callers.go
@@ -40,6 +40,7 @@
 	reason     string // of the header
 	whole      bool   // the body answers this request
 	latency    time.Duration
+	resent     bool // the ID was sent before
 }
 
 // tally collects calls. Safe for concurrent use.
@@ -59,6 +60,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := Requests{Sent: len(t.calls), Reasons: make(map[string]int)}
+	for _, c := range t.calls {
+		if c.resent {
+			r.Resent++
+		}
+	}
 	var latencies []time.Duration
 	for _, c := range t.calls {
 		switch c.outcome {
@@ -122,22 +128,57 @@
 			c.client.CloseIdleConnections()
 			return
 		case <-ticker.C:
-			if known := c.addresses(); len(known) > 0 {
-				c.tally.add(c.send(known[c.random.IntN(len(known))]))
-			}
+			c.request()
 		}
 	}
 }
 
-// send makes one request. It is not cut short when the load ends, so that
-// the run judges only finished exchanges.
+// request makes one request. A non-idempotent one whose outcome is unknown is
+// sent once more under its ID, to another host if there is one.
+func (c *caller) request() {
+	first, ok := c.pick("")
+	if !ok {
+		return
+	}
+	result := c.send(first)
+	c.tally.add(result)
+	if result.idempotent || result.isFinal() {
+		return
+	}
+	if other, ok := c.pick(first); ok {
+		c.tally.add(c.exchange(other, call{id: result.id, resent: true}))
+	}
+}
+
+// pick returns a random address, other than avoid if there is another.
+func (c *caller) pick(avoid string) (string, bool) {
+	known := c.addresses()
+	if len(known) == 0 {
+		return "", false
+	}
+	i := c.random.IntN(len(known))
+	if known[i] == avoid {
+		i = (i + 1) % len(known)
+	}
+	return known[i], true
+}
+
+// isFinal reports whether the caller knows if its request was run.
+func (c call) isFinal() bool { return c.outcome == outcomeAnswered || c.outcome == outcomeNotRun }
+
+// send makes one request under a new ID.
 func (c *caller) send(address string) call {
 	id, err := uuid.NewV7()
 	if err != nil {
 		return call{}
 	}
-	result := call{id: id.String(), idempotent: c.random.IntN(100) >= nonIdempotentPct}
-	body := fmt.Sprintf("invoice %s", id)
+	return c.exchange(address, call{id: id.String(), idempotent: c.random.IntN(100) >= nonIdempotentPct})
+}
+
+// exchange sends a request and returns it with what came back. It is not cut
+// short when the load ends, so that the run judges only finished exchanges.
+func (c *caller) exchange(address string, result call) call {
+	body := fmt.Sprintf("invoice %s", result.id)
 	url := fmt.Sprintf("http://%s/svc/%s/check", address, c.service)
 	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url, bytes.NewReader([]byte(body)))
 	if err != nil {
--- a/internal/dev/entry.go
+++ b/internal/dev/entry.go
@@ -47,7 +47,6 @@
 func newConfig(site *standin.Site, id fleet.HostID, dc fleet.DataCentre) *config.Host {
 	cfg := config.Default()
 	cfg.ID = id
-	cfg.Region = region
 	cfg.DataCentre = dc
 	cfg.HTTPAddress = "127.0.0.1:0"
 	cfg.PeerAddress = "127.0.0.1:0"
@@ -60,13 +59,22 @@
 // start runs a host under a new ID. The n-th is in the n-th data centre,
 // round robin.
 func (e *entries) start() error {
+	id, n := e.newID()
+	return e.startIn(id, dataCentres[(n-1)%len(dataCentres)], region)
+}
+
+func (e *entries) newID() (id fleet.HostID, n int) {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.next++
-	id := fleet.HostID(fmt.Sprintf("entry-%d", e.next))
-	dc := dataCentres[(e.next-1)%len(dataCentres)]
-	e.mu.Unlock()
+	return fleet.HostID(fmt.Sprintf("entry-%d", e.next)), e.next
+}
+
+// startIn runs a host in a data centre.
+func (e *entries) startIn(id fleet.HostID, dc fleet.DataCentre, in fleet.Region) error {
 	cut := standin.NewCut()
 	cfg := newConfig(e.site, id, dc)
+	cfg.Region = in
 	h, err := host.New(cfg, host.Options{
 		Store:   cut.Store(cfg.StoreURL),
 		Workers: cut.Workers(),
@@ -126,6 +134,16 @@
 	return append([]*entry(nil), e.up...)
 }
 
+// find returns a host that is up, or nil.
+func (e *entries) find(id fleet.HostID) *entry {
+	for _, up := range e.list() {
+		if up.cfg.ID == id {
+			return up
+		}
+	}
+	return nil
+}
+
 // addresses implements the balancer: where callers may send to.
 func (e *entries) addresses() []string {
 	var addresses []string
--- a/internal/dev/faults.go
+++ b/internal/dev/faults.go
@@ -121,17 +121,27 @@
 // after its lag. The repair starts another one.
 func (r *run) killHost(_ context.Context, random *rand.Rand) func(context.Context) {
 	up := r.hosts.list()
-	victim := up[random.IntN(len(up))]
-	r.hosts.kill(victim)
-	<-victim.done
+	r.killEntries(up[random.IntN(len(up))])
+	return r.replaceHost
+}
+
+// killEntries ends hosts at the same moment.
+func (r *run) killEntries(victims ...*entry) {
+	for _, victim := range victims {
+		r.hosts.kill(victim)
+	}
+	for _, victim := range victims {
+		<-victim.done
+	}
 	r.site.HostList.Update(func(l *platform.HostList) {
-		l.EntryHosts = append(l.EntryHosts, platform.EntryHost{
-			ID:          victim.cfg.ID,
-			Incarnation: victim.host.Self().Incarnation,
-			State:       platform.StateGone,
-		})
+		for _, victim := range victims {
+			l.EntryHosts = append(l.EntryHosts, platform.EntryHost{
+				ID:          victim.cfg.ID,
+				Incarnation: victim.host.Self().Incarnation,
+				State:       platform.StateGone,
+			})
+		}
 	})
-	return r.replaceHost
 }
 
 // terminateHost shuts a host down gracefully. The repair starts another one.
@@ -159,17 +169,17 @@
 func (r *run) killWorker(_ context.Context, random *rand.Rand) func(context.Context) {
 	victim := r.batchWorker(random)
 	victim.Kill()
-	r.setWorker(victim.Info().ID, platform.StateGone)
+	r.setWorkers(platform.StateGone, victim.Info().ID)
 	return func(context.Context) {
 		victim.Restart()
-		r.setWorker(victim.Info().ID, platform.StateLive)
+		r.setWorkers(platform.StateLive, victim.Info().ID)
 	}
 }
 
-func (r *run) setWorker(id fleet.WorkerID, state platform.HostState) {
+func (r *run) setWorkers(state platform.HostState, ids ...fleet.WorkerID) {
 	r.site.HostList.Update(func(l *platform.HostList) {
 		for i := range l.Workers {
-			if l.Workers[i].ID == id {
+			if slices.Contains(ids, l.Workers[i].ID) {
 				l.Workers[i].State = state
 			}
 		}
--- a/internal/dev/faults_test.go
+++ b/internal/dev/faults_test.go
@@ -14,9 +14,16 @@
 )
 
 // TestFaults runs the site under each fault alone and under each pair at
-// once. Whatever comes, no promise may be broken, and all work ends.
+// once, and under chosen cases that need a load or a length of their own.
+// Whatever comes, no promise may be broken, and all work ends.
 func TestFaults(t *testing.T) {
 	slots := make(chan struct{}, suiteRuns)
+	for _, c := range chosenCases() {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			playCase(t, slots, c)
+		})
+	}
 	all := faults()
 	for i, first := range all {
 		t.Run(first.name, func(t *testing.T) {
@@ -33,16 +40,24 @@
 }
 
 func playFaults(t *testing.T, slots chan struct{}, seed uint64, together ...fault) {
+	var episodes []episode
+	for _, f := range together {
+		episodes = append(episodes, episode{f, faultFrom, faultUntil})
+	}
+	playCase(t, slots, faultCase{opts: Options{For: suiteLoad, Seed: seed}, episodes: episodes})
+}
+
+func playCase(t *testing.T, slots chan struct{}, c faultCase) {
 	slots <- struct{}{}
 	defer func() { <-slots }()
-	r, err := start(t.Context(), Options{For: suiteLoad, Seed: seed})
+	r, err := start(t.Context(), c.opts)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer r.site.Close()
 	var group sync.WaitGroup
-	for _, f := range together {
-		group.Go(func() { r.bringFaults(t.Context(), []episode{{f, faultFrom, faultUntil}}) })
+	for _, e := range c.episodes {
+		group.Go(func() { r.bringFaults(t.Context(), []episode{e}) })
 	}
 	report := r.load(t.Context())
 	group.Wait()
@@ -52,4 +67,7 @@
 	if report.Requests.Answered == 0 || report.Tasks.Finished == 0 {
 		t.Errorf("nothing was done: %+v", report)
 	}
+	if c.check != nil {
+		c.check(t, r)
+	}
 }
--- a/internal/dev/process_test.go
+++ b/internal/dev/process_test.go
@@ -87,38 +87,67 @@
 	}
 }
 
-// TestProcessFaults runs separate processes and ends or freezes one of them
-// in the middle of a mixed load.
+// end kills processes at the same moment; the platform's list shows it after
+// its lag.
+func end(t *testing.T, site *standin.Site, victims []*daemon) {
+	t.Helper()
+	for _, victim := range victims {
+		victim.signal(t, syscall.SIGKILL)
+	}
+	for _, victim := range victims {
+		<-victim.exited
+	}
+	site.HostList.Update(func(l *platform.HostList) {
+		for _, victim := range victims {
+			l.EntryHosts = append(l.EntryHosts, platform.EntryHost{
+				ID: victim.id, Incarnation: victim.self.Incarnation, State: platform.StateGone,
+			})
+		}
+	})
+}
+
+// freeze pauses processes for longer than their leases last.
+func freeze(t *testing.T, _ *standin.Site, victims []*daemon) {
+	t.Helper()
+	for _, victim := range victims {
+		victim.signal(t, syscall.SIGSTOP)
+	}
+	time.Sleep(20 * time.Second)
+	for _, victim := range victims {
+		victim.signal(t, syscall.SIGCONT)
+	}
+}
+
+func terminate(t *testing.T, _ *standin.Site, victims []*daemon) {
+	t.Helper()
+	for _, victim := range victims {
+		victim.signal(t, syscall.SIGTERM)
+	}
+	for _, victim := range victims {
+		<-victim.exited
+	}
+}
+
+// TestProcessFaults runs three separate processes and ends or freezes one or
+// two of them in the middle of a mixed load.
 func TestProcessFaults(t *testing.T) {
 	tests := map[string]struct {
-		fault func(t *testing.T, victim *daemon, site *standin.Site)
+		victims int
+		fault   func(t *testing.T, site *standin.Site, victims []*daemon)
 		// cutsNothing: every caller gets a final answer.
 		cutsNothing bool
 	}{
-		"killed": {fault: func(t *testing.T, victim *daemon, site *standin.Site) {
-			victim.signal(t, syscall.SIGKILL)
-			<-victim.exited
-			site.HostList.Update(func(l *platform.HostList) {
-				l.EntryHosts = append(l.EntryHosts, platform.EntryHost{
-					ID: victim.id, Incarnation: victim.self.Incarnation, State: platform.StateGone,
-				})
-			})
-		}},
-		"frozen past its leases": {fault: func(t *testing.T, victim *daemon, _ *standin.Site) {
-			victim.signal(t, syscall.SIGSTOP)
-			time.Sleep(20 * time.Second)
-			victim.signal(t, syscall.SIGCONT)
-		}},
-		"terminated": {cutsNothing: true, fault: func(t *testing.T, victim *daemon, _ *standin.Site) {
-			victim.signal(t, syscall.SIGTERM)
-			<-victim.exited
-		}},
+		"killed":                     {victims: 1, fault: end},
+		"two killed":                 {victims: 2, fault: end},
+		"frozen past its leases":     {victims: 1, fault: freeze},
+		"two frozen past their leases": {victims: 2, fault: freeze},
+		"terminated":                 {victims: 1, fault: terminate, cutsNothing: true},
 	}
 	binary := buildDaemon(t)
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			report := runDaemons(t, binary, tc.fault)
+			report := runDaemons(t, binary, tc.victims, tc.fault)
 			t.Logf("%+v", report)
 			if !report.OK() || !report.Drained {
 				t.Errorf("a promise was broken: %+v", report)
@@ -176,7 +205,7 @@
 	loadAfter  = 5 * time.Second
 )
 
-func runDaemons(t *testing.T, binary string, fault func(*testing.T, *daemon, *standin.Site)) Report {
+func runDaemons(t *testing.T, binary string, victims int, fault func(*testing.T, *standin.Site, []*daemon)) Report {
 	site, err := standin.StartSite(siteConfig(1))
 	if err != nil {
 		t.Fatal(err)
@@ -189,7 +218,12 @@
 	for i, id := range []fleet.HostID{"entry-1", "entry-2", "entry-3"} {
 		daemons = append(daemons, startDaemon(t, binary, site, id, dataCentres[i%len(dataCentres)]))
 	}
-	survivors := []string{daemons[0].http, daemons[2].http}
+	var addresses []string
+	for _, d := range daemons {
+		addresses = append(addresses, d.http)
+	}
+	stay := len(daemons) - victims
+	survivors := addresses[:stay]
 	client := api.NewClient("http://"+daemons[0].operators, "")
 	r := &run{site: site, calls: &tally{}, jobs: &submissions{service: func() job.Service { return client }, org: organisation, team: team, tasksOf: tasksPerJob}}
 	if err := awaitShards(t.Context(), client); err != nil {
@@ -199,7 +233,7 @@
 	awaitVouching(t, survivors[0])
 	ctx, stop := context.WithCancel(t.Context())
 	var group sync.WaitGroup
-	known := &balancer{addresses: append([]string{daemons[1].http}, survivors...)}
+	known := &balancer{addresses: addresses}
 	for i := range callers {
 		c := newCaller(serviceName, known.list, r.calls, uint64(i))
 		group.Go(func() { c.run(ctx) })
@@ -209,7 +243,7 @@
 	// The balancer stops sending to a host before it ends on purpose, and
 	// learns of a crash at once.
 	known.set(survivors)
-	fault(t, daemons[1], site)
+	fault(t, site, daemons[stay:])
 	time.Sleep(loadAfter)
 	stop()
 	group.Wait()
--- a/internal/dev/report.go
+++ b/internal/dev/report.go
@@ -36,6 +36,9 @@
 	Refused  int `json:"refused"`
 	Unknown  int `json:"unknown"`
 	Wrong    int `json:"wrong"`
+	// Resent counts those of Sent that went out again under the ID of an
+	// earlier one.
+	Resent int `json:"resent"`
 	// Cut counts the unknown ones that ended without a whole answer.
 	Cut int `json:"cut"`
 	// Reasons counts the reasons that came with refused and unknown ones.
--- a/internal/dev/run.go
+++ b/internal/dev/run.go
@@ -34,7 +34,8 @@
 	For      time.Duration // of the load; 0: until the context ends
 	Faults   bool          // bring about failures during the load
 	Seed     uint64
-	Tasks    int        // of each job; 0: a light load
+	Tasks    int           // of each job; 0: a light load
+	TaskTime time.Duration // of a task, unthrottled; 0: short
 	Progress io.Writer  // nil: none
 	Logger   log.Logger // of the hosts; nil: none
 }
@@ -69,13 +70,19 @@
 	calls *tally
 	jobs  *submissions
 	force *inForce
+	loss  loss
 }
 
 func start(ctx context.Context, opts Options) (*run, error) {
 	if opts.Tasks == 0 {
 		opts.Tasks = tasksPerJob
 	}
-	site, err := standin.StartSite(siteConfig(opts.Seed))
+	if opts.TaskTime == 0 {
+		opts.TaskTime = taskTime
+	}
+	cfg := siteConfig(opts.Seed)
+	cfg.TaskTime = opts.TaskTime
+	site, err := standin.StartSite(cfg)
 	if err != nil {
 		return nil, &StartError{Step: "stand-ins", Cause: err}
 	}
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -23,6 +23,7 @@
 	Chunked     bool          // announce no length
 	DropBefore  bool          // close the connection before the answer
 	GoSilent    bool          // connections open now never answer again; new ones work
+	Silent      bool          // no connection ever answers; those used meanwhile stay silent
 	RefuseDials bool          // close new connections at once
 
 	Garbage         bool // answer with bytes that are not HTTP
@@ -100,7 +101,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.faults = f
-	if f.GoSilent {
+	if f.GoSilent || f.Silent {
 		for c := range b.conns {
 			b.silent[c] = true
 		}
@@ -136,7 +137,10 @@
 	}
 	// The slot is free before the answer is written, so that the next request
 	// of a fast caller is not counted together with this one.
-	b.finish(index)
+	if b.finish(conn, index) {
+		<-r.Context().Done()
+		return
+	}
 	if err != nil || f.DropBefore {
 		panic(http.ErrAbortHandler)
 	}
@@ -146,6 +150,9 @@
 func (b *Backend) begin(conn net.Conn, id string) (BackendFaults, int, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.faults.Silent {
+		b.silent[conn] = true
+	}
 	if b.silent[conn] {
 		return b.faults, 0, true
 	}
@@ -155,11 +162,13 @@
 	return b.faults, len(b.records) - 1, false
 }
 
-func (b *Backend) finish(index int) {
+// finish ends a request and reports whether its connection has gone silent.
+func (b *Backend) finish(conn net.Conn, index int) (silent bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.running--
 	b.records[index].Ended = time.Now()
+	return b.silent[conn]
 }
 
 func (b *Backend) answer(w http.ResponseWriter, r *http.Request, f BackendFaults, body []byte) {
--- a/internal/standin/cut.go
+++ b/internal/standin/cut.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,12 +18,37 @@
 	off    atomic.Bool
 	ctx    context.Context
 	cancel context.CancelFunc
+
+	mu       sync.Mutex
+	outage   bool            // the store can't be reached
+	toStore  context.Context // of calls to the store, ended by an outage
+	endStore context.CancelFunc
 }
 
 // NewCut returns connections that work.
 func NewCut() *Cut {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Cut{ctx: ctx, cancel: cancel}
+	c := &Cut{ctx: ctx, cancel: cancel}
+	c.toStore, c.endStore = context.WithCancel(ctx)
+	return c
+}
+
+// SetStoreDown cuts the connections to the store alone, or lets them work
+// again. Calls under way end without an answer.
+func (c *Cut) SetStoreDown(down bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outage = down
+	c.endStore()
+	c.toStore, c.endStore = context.WithCancel(c.ctx)
+}
+
+// storeContext returns the context that ends with the connections to the
+// store, and whether they work.
+func (c *Cut) storeContext() (context.Context, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.toStore, !c.outage
 }
 
 // Off cuts the connections for good. Calls under way end without an answer.
@@ -31,10 +57,10 @@
 	c.cancel()
 }
 
-// join returns ctx ended by the cut.
-func (c *Cut) join(ctx context.Context) (context.Context, context.CancelFunc) {
+// join returns ctx ended by the end of the connections.
+func join(ctx, connections context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
-	stop := context.AfterFunc(c.ctx, cancel)
+	stop := context.AfterFunc(connections, cancel)
 	return ctx, func() {
 		stop()
 		cancel()
@@ -56,90 +82,94 @@
 	next store.Store
 }
 
-func (s *cutStore) gone(op string) error {
-	if s.cut.off.Load() {
-		return eris.Wrap(&store.UnavailableError{Op: op, Cause: errDown}, "cut")
+// enter returns the context of one call, or an error if the store is out of
+// reach.
+func (s *cutStore) enter(ctx context.Context, op string) (context.Context, context.CancelFunc, error) {
+	connections, up := s.cut.storeContext()
+	if !up || s.cut.off.Load() {
+		return nil, nil, eris.Wrap(&store.UnavailableError{Op: op, Cause: errDown}, "cut")
 	}
-	return nil
+	ctx, done := join(ctx, connections)
+	return ctx, done, nil
 }
 
 func (s *cutStore) Get(ctx context.Context, key string) (store.Entry, error) {
-	if err := s.gone("read"); err != nil {
+	ctx, done, err := s.enter(ctx, "read")
+	if err != nil {
 		return store.Entry{}, err
 	}
-	ctx, done := s.cut.join(ctx)
 	defer done()
 	return s.next.Get(ctx, key)
 }
 
 func (s *cutStore) GetNewer(ctx context.Context, key string, known store.Revision) (store.Entry, bool, error) {
-	if err := s.gone("read"); err != nil {
+	ctx, done, err := s.enter(ctx, "read")
+	if err != nil {
 		return store.Entry{}, false, err
 	}
-	ctx, done := s.cut.join(ctx)
 	defer done()
 	return s.next.GetNewer(ctx, key, known)
 }
 
 func (s *cutStore) List(ctx context.Context, prefix string) ([]store.Entry, store.Revision, error) {
-	if err := s.gone("list"); err != nil {
+	ctx, done, err := s.enter(ctx, "list")
+	if err != nil {
 		return nil, 0, err
 	}
-	ctx, done := s.cut.join(ctx)
 	defer done()
 	return s.next.List(ctx, prefix)
 }
 
 func (s *cutStore) CompareAndSwap(ctx context.Context, key string, expect store.Revision, value []byte, lease store.LeaseID) (store.Revision, error) {
-	if err := s.gone("write"); err != nil {
+	ctx, done, err := s.enter(ctx, "write")
+	if err != nil {
 		return 0, err
 	}
-	ctx, done := s.cut.join(ctx)
 	defer done()
 	return s.next.CompareAndSwap(ctx, key, expect, value, lease)
 }
 
 func (s *cutStore) Delete(ctx context.Context, key string, expect store.Revision) error {
-	if err := s.gone("delete"); err != nil {
+	ctx, done, err := s.enter(ctx, "delete")
+	if err != nil {
 		return err
 	}
-	ctx, done := s.cut.join(ctx)
 	defer done()
 	return s.next.Delete(ctx, key, expect)
 }
 
 func (s *cutStore) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
-	if err := s.gone("grant"); err != nil {
+	ctx, done, err := s.enter(ctx, "grant")
+	if err != nil {
 		return 0, err
 	}
-	ctx, done := s.cut.join(ctx)
 	defer done()
 	return s.next.Grant(ctx, ttl)
 }
 
 func (s *cutStore) Renew(ctx context.Context, lease store.LeaseID) error {
-	if err := s.gone("renew"); err != nil {
+	ctx, done, err := s.enter(ctx, "renew")
+	if err != nil {
 		return err
 	}
-	ctx, done := s.cut.join(ctx)
 	defer done()
 	return s.next.Renew(ctx, lease)
 }
 
 func (s *cutStore) Revoke(ctx context.Context, lease store.LeaseID) error {
-	if err := s.gone("revoke"); err != nil {
+	ctx, done, err := s.enter(ctx, "revoke")
+	if err != nil {
 		return err
 	}
-	ctx, done := s.cut.join(ctx)
 	defer done()
 	return s.next.Revoke(ctx, lease)
 }
 
 func (s *cutStore) Watch(ctx context.Context, prefix string, after store.Revision) (<-chan store.Event, error) {
-	if err := s.gone("watch"); err != nil {
+	ctx, done, err := s.enter(ctx, "watch")
+	if err != nil {
 		return nil, err
 	}
-	ctx, done := s.cut.join(ctx)
 	events, err := s.next.Watch(ctx, prefix, after)
 	if err != nil {
 		done()
@@ -159,7 +189,7 @@
 	if c.off.Load() {
 		return platform.WorkerReport{}, eris.Wrap(&platform.WorkerUnknownError{Op: op, Cause: errDown}, "cut")
 	}
-	ctx, done := c.join(ctx)
+	ctx, done := join(ctx, c.ctx)
 	defer done()
 	return call(ctx, address, req)
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -15,7 +15,7 @@
 
 // WorkerFaults are the faults of a Worker.
 type WorkerFaults struct {
-	Silent     bool          // takes calls and never answers; tasks go on
+	Silent     bool          // takes calls and never answers, also when it is dead; tasks go on
 	FailStarts bool          // every started task fails at once
 	LoseReply  int           // the next n calls take effect and their replies are lost
 	UsageLag   time.Duration // age of the usage in reports
@@ -119,13 +119,13 @@
 	f := w.faults
 	dead := w.dead
 	w.mu.Unlock()
-	if dead {
-		return eris.Wrap(&platform.WorkerUnknownError{Op: op, Cause: errDown}, "standin")
-	}
 	if f.Silent {
 		<-ctx.Done()
 		return eris.Wrap(&platform.WorkerUnknownError{Op: op, Cause: ctx.Err()}, "standin")
 	}
+	if dead {
+		return eris.Wrap(&platform.WorkerUnknownError{Op: op, Cause: errDown}, "standin")
+	}
 	if err := wait.For(ctx, f.Delay); err != nil {
 		return eris.Wrap(&platform.WorkerUnknownError{Op: op, Cause: err}, "standin")
 	}
