--- a/cell/session.go
+++ b/cell/session.go
@@ -52,6 +52,7 @@
 	runs      map[platform.AttemptRef]*run // of placed attempts
 	workers   map[fleet.WorkerID]*worker
 	ends      map[platform.AttemptRef]delegation.Outcome // decided, not yet journaled
+	ran       []ranRecord                                // of them, not yet journaled
 	returns   map[platform.AttemptRef]returning          // durable, not yet acknowledged
 	acked     []platform.AttemptRef                      // acknowledged, not yet journaled
 	marks     map[shard.ID]offerMark                     // of acknowledgements, not yet journaled
@@ -61,11 +62,13 @@
 	durableAt time.Time                                  // when the last durable entry was begun
 	others    time.Time                                  // when the last predecessor stops sending
 	gate      gate
+	gateSeen  *gateRecord // last change of the gate, not yet journaled
 	members   membership
 	sharedAt  time.Time // when the policy was last asked
 	model     *sharing.Model
 	policy    *sharing.Policy
 	shared    map[fleet.WorkerID]sharing.Worker // as the policy last saw them
+	fronts    frontLatencies
 	values    map[resolvedKey]settings.Resolved
 	valuesAt  store.Revision
 	told      member.CellLoad // as load last returned it
@@ -195,6 +198,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.others = othersUntil(now, s.machine.state.Previous, s.hasEnded)
+	s.gate.restore(s.machine.state.Gate, now)
 	for _, a := range s.machine.state.Attempts {
 		s.recover(a)
 	}
--- a/host/http.go
+++ b/host/http.go
@@ -42,6 +42,7 @@
 func (h *Host) vars() *expvar.Map {
 	vars := new(expvar.Map).Init()
 	vars.Set("store_calls", h.metered.Counts())
+	vars.Set("peer_calls", h.caller.Vars())
 	vars.Set("settings", h.tracker.Vars())
 	vars.Set("api", h.calls)
 	vars.Set("requests", h.gateway.Metrics())
@@ -80,29 +81,3 @@
 	}
 	return list
 }
-
-// health implements api.Health.
-type health struct{ h *Host }
-
-// NotReadyError is why a host should get no callers' work.
-type NotReadyError struct{ Reason string }
-
-func (e *NotReadyError) Error() string { return e.Reason }
-
-// Live implements api.Health.
-func (health) Live() error { return nil }
-
-// Ready implements api.Health. An outage of the store does not make a host
-// unready: it serves requests with what it last knew.
-func (s health) Ready() error {
-	switch {
-	case s.h.draining.Load():
-		return &NotReadyError{Reason: "draining"}
-	case !s.h.tracker.Ready():
-		return &NotReadyError{Reason: "settings not confirmed yet"}
-	case s.h.poller.Hosts().Version == 0:
-		return &NotReadyError{Reason: "no host list yet"}
-	default:
-		return nil
-	}
-}
