--- a/internal/dev/chosen_test.go
+++ b/internal/dev/chosen_test.go
@@ -48,8 +48,8 @@
 	}
 	answersLost := fault{"", workerFault(standin.WorkerFaults{LoseReply: 1 << 30})}
 	full := Options{For: suiteLoad, Seed: 3100, Tasks: fullTasks}
-	// Tasks wait in the cells of the data centre that is taken out, and would
-	// not find room in the time in which they might still start.
+	// Tasks are longer than the time in which starts are allowed after their
+	// data centre was taken out.
 	backlog := Options{For: 4 * time.Second, Seed: 3103, Tasks: fullTasks, TaskTime: 2 * standin.OutDelay}
 	long := Options{For: suiteLoad, Seed: 3101, Tasks: longTasks, TaskTime: longTask}
 	area := Options{For: areaLoad, Seed: 3102, Tasks: areaTasks, TaskTime: areaTask}
