Take lent capacity back across a site

Cause: guarantees were proved for one cell and its fake queue only. The way from a submission through the queue to four cells that are full of another organisation's work was not.

Change: TestFaults/capacity taken back fills a site with tasks of 40 s of one organisation and submits 20 tasks of another that is guaranteed half of each cell. All must start within the stated 20 s, counted from the acceptance by a cell, and 5 s for the way there; all work ends exactly once, the evicted tasks included.

--- a/internal/dev/faults_test.go
+++ b/internal/dev/faults_test.go
@@ -28,6 +28,10 @@
 		t.Parallel()
 		playRegionApart(t, slots)
 	})
+	t.Run("capacity taken back", func(t *testing.T) {
+		t.Parallel()
+		playTakeBack(t, slots)
+	})
 	all := faults()
 	for i, first := range all {
 		t.Run(first.name, func(t *testing.T) {
--- a/member/registry.go
+++ b/member/registry.go
@@ -93,7 +93,7 @@
 }
 
 // Serve keeps the record, watches the other hosts and exchanges summaries
-// until ctx ends; then it revokes its lease. It returns a *SupersededError
+// until ctx ends; then it records its end. It returns a *SupersededError
 // when a later process runs under this host's ID.
 func (r *Registry) Serve(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
