--- a/cell/lending.go
+++ b/cell/lending.go
@@ -194,7 +194,7 @@
 		if isUrgent(a.Task.Priority) || !r.own && r.seen.IsZero() {
 			continue
 		}
-		v := asVictim(a, r)
+		v := s.asVictim(a, r, now)
 		v.Lost = coreSecondsLost(a, r, now)
 		victims = append(victims, v)
 	}
--- a/member/exchange.go
+++ b/member/exchange.go
@@ -90,12 +90,7 @@
 
 // pickPeers returns different random hosts of the region.
 func (r *Registry) pickPeers() []fleet.HostID {
-	var ids []fleet.HostID
-	for _, h := range r.Hosts() {
-		if h.ID != r.deps.Self.ID && h.Region == r.deps.Self.Region {
-			ids = append(ids, h.ID)
-		}
-	}
+	ids := r.regionPeers()
 	r.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
 	return ids[:min(peersPerRound, len(ids))]
 }
@@ -134,7 +129,7 @@
 	batch := r.summary.changes(now, id, p, batchLimit)
 	msg := exchangeMessage{Incarnation: r.deps.Self.Incarnation, Ack: p.lastReply}
 	r.mu.Unlock()
-	data, err := r.batches.encode(batch)
+	data, err := encodeBatch(batch)
 	msg.Summaries = data
 	return batch, msg, err
 }
@@ -149,7 +144,7 @@
 	if err != nil {
 		return exchangeMessage{}, err
 	}
-	data, err := r.batches.encode(batch)
+	data, err := encodeBatch(batch)
 	return exchangeMessage{Incarnation: r.deps.Self.Incarnation, ID: id, Summaries: data}, err
 }
 
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -15,7 +15,7 @@
 	Worker       fleet.WorkerID
 	Size         fleet.Resources
 	Priority     int
-	Lost         float64 // work done since the last checkpoint, in the caller's unit
+	Lost         float64 // core seconds of work since the last checkpoint
 }
 
 // room is what it takes to make room for a task on one worker.
