--- a/cell/lending.go
+++ b/cell/lending.go
@@ -194,9 +194,7 @@
 		if isUrgent(a.Task.Priority) || !r.own && r.seen.IsZero() {
 			continue
 		}
-		v := s.asVictim(a, r, now)
-		v.Lost = coreSecondsLost(a, r, now)
-		victims = append(victims, v)
+		victims = append(victims, asVictim(a, r, now))
 	}
 	return s.takeBackDue(scheduler.TakeBack(snapshot, shares, victims), now)
 }
--- a/cell/load.go
+++ b/cell/load.go
@@ -56,13 +56,13 @@
 			load.LargestFit = free
 		}
 	}
+	load.Free = positive(load.Free.Sub(held))
+	load.LargestFit = least(load.LargestFit, load.Free)
 	if budget := s.gate.budget(now, workers); in && budget != nil {
 		load.Capacity = scale(load.Capacity, s.gate.refill(now))
 		load.Free = least(load.Free, positive(*budget))
 		load.LargestFit = least(load.LargestFit, load.Free)
 	}
-	load.Free = positive(load.Free.Sub(held))
-	load.LargestFit = least(load.LargestFit, load.Free)
 	return load
 }
 
--- a/cell/urgent.go
+++ b/cell/urgent.go
@@ -18,7 +18,7 @@
 	var victims []scheduler.Victim
 	for _, a := range placed {
 		if !isUrgent(a.Task.Priority) {
-			victims = append(victims, s.asVictim(a, s.runs[a.Task.AttemptRef], now))
+			victims = append(victims, asVictim(a, s.runs[a.Task.AttemptRef], now))
 		}
 	}
 	for _, ref := range scheduler.Preempt(snapshot, victims) {
@@ -58,18 +58,14 @@
 	return snapshot, left
 }
 
-func (s *session) asVictim(a *attempt, r *run, now time.Time) scheduler.Victim {
-	lost := 0.0
-	if !r.seen.IsZero() {
-		lost = s.sharingTask(a, r, now).SinceCheckpoint.Seconds()
-	}
+func asVictim(a *attempt, r *run, now time.Time) scheduler.Victim {
 	return scheduler.Victim{
 		AttemptRef:   a.Task.AttemptRef,
 		Organisation: a.Task.Organisation,
 		Worker:       a.Placement.Worker,
 		Size:         a.Placement.Size,
 		Priority:     a.Task.Priority,
-		Lost:         lost,
+		Lost:         coreSecondsLost(a, r, now),
 	}
 }
 
--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -192,8 +192,9 @@
 	lost := func(i int, since time.Duration, progress float64) float64 {
 		a := s.machine.find(benchTask(i).AttemptRef)
 		r := s.runs[a.Task.AttemptRef]
-		r.checkpointAt, r.status.Progress, r.status.Share = now.Add(-since), progress, 1
-		return s.asVictim(a, r, now).Lost
+		a.Placement.StartByMS = now.Add(placeWindow - since).UnixMilli()
+		r.status.Progress = progress
+		return asVictim(a, r, now).Lost
 	}
 	long, short := lost(0, time.Hour, 0.1), lost(1, 54*time.Second, 0.9)
 	if long <= short {
--- a/internal/dev/run.go
+++ b/internal/dev/run.go
@@ -34,9 +34,10 @@
 	For      time.Duration // of the load; 0: until the context ends
 	Faults   bool          // bring about failures during the load
 	Seed     uint64
-	Tasks    int        // of each job; 0: a light load
-	Progress io.Writer  // nil: none
-	Logger   log.Logger // of the hosts; nil: none
+	Tasks    int           // of each job; 0: a light load
+	TaskTime time.Duration // of a task, unthrottled; 0: short
+	Progress io.Writer     // nil: none
+	Logger   log.Logger    // of the hosts; nil: none
 }
 
 // StartError reports a run that could not start.
@@ -69,13 +70,19 @@
 	calls *tally
 	jobs  *submissions
 	force *inForce
+	loss  loss
 }
 
 func start(ctx context.Context, opts Options) (*run, error) {
 	if opts.Tasks == 0 {
 		opts.Tasks = tasksPerJob
 	}
-	site, err := standin.StartSite(siteConfig(opts.Seed))
+	if opts.TaskTime == 0 {
+		opts.TaskTime = taskTime
+	}
+	cfg := siteConfig(opts.Seed)
+	cfg.TaskTime = opts.TaskTime
+	site, err := standin.StartSite(cfg)
 	if err != nil {
 		return nil, &StartError{Step: "stand-ins", Cause: err}
 	}
@@ -173,7 +180,7 @@
 	defer stop()
 	var group sync.WaitGroup
 	for i := range callers {
-		c := newCaller(serviceName, r.hosts.addresses, r.calls, r.opts.Seed+uint64(i))
+		c := newCaller(r.hosts.addresses, r.calls, r.opts.Seed+uint64(i))
 		group.Go(func() { c.run(loadCtx) })
 	}
 	group.Go(func() { r.jobs.run(loadCtx) })
--- a/member/announce_test.go
+++ b/member/announce_test.go
@@ -16,7 +16,7 @@
 // once it was announced.
 func TestAnnounce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := world{t: t, store: &noGrants{Store: standin.NewStore()}, net: peertest.NewNetwork()}
+		w := world{t: t, store: &faulty{Store: standin.NewStore()}, net: peertest.NewNetwork()}
 		var draining atomic.Bool
 		ids := []fleet.HostID{"a", "b", "c", "d", "e"}
 		hosts := make(map[fleet.HostID]running)
