--- a/cell/judge.go
+++ b/cell/judge.go
@@ -22,6 +22,7 @@
 	reasonNoCapacity  = "no_capacity"
 	reasonLateOffer   = "late_offer"
 	reasonEvicted     = "evicted"
+	reasonTakenBack   = "taken_back"
 )
 
 // maxErrorBytes bounds a failed task's error in the journal.
@@ -34,12 +35,14 @@
 	durable  bool      // the placement can't be lost
 	sent     bool      // a start call was made by this owner
 	deadline time.Time // of that call
+	decided  bool      // the end was decided
 	seen     time.Time // when the call was sent whose report first showed it running
 	running  time.Time // when the call was sent whose report last showed it running
 	status   platform.TaskStatus
 	// checkpointAt is when the last checkpoint, or the start, was seen.
 	checkpointAt time.Time
 	peak         fleet.Resources // highest use seen
+	takenBack    bool            // journaled as taken back
 	stopping     bool            // an eviction or cancellation was decided
 	stopBy       time.Time       // no checkpoint is asked for later
 	stopSent     time.Time
--- a/cell/offer.go
+++ b/cell/offer.go
@@ -10,8 +10,8 @@
 )
 
 // maxWaiting is how many accepted attempts may wait for a worker. A cell that
-// holds more than it can place soon keeps other cells from them. Urgent ones
-// are accepted beyond it.
+// holds more than it can place soon keeps other cells from them. Urgent and
+// guaranteed ones are accepted beyond it.
 const maxWaiting = 200
 
 // maxOfferBytes bounds the tasks that one record accepts, far below what the
@@ -37,7 +37,7 @@
 		}
 		return r
 	}
-	if err := s.commit(ctx, accept, s.placeWaiting, s.makeRoomNow); err != nil {
+	if err := s.commit(ctx, accept, s.placeWaiting, s.makeRoomNow, s.takeBackLent); err != nil {
 		return delegation.OfferReply{}, err
 	}
 	if late {
@@ -101,7 +101,7 @@
 	switch {
 	case !s.isIn():
 		return reasonOut
-	case waiting >= maxWaiting && !isUrgent(t.Priority):
+	case waiting >= maxWaiting && !isUrgent(t.Priority) && !s.isOwed(t):
 		return reasonBacklog
 	case !s.couldHold(t):
 		return reasonTooLarge
@@ -160,14 +160,15 @@
 }
 
 // waitOver returns why an attempt is not to wait for a worker any longer, or
-// "".
+// "". A new owner gives each its time again: it knows only later for which
+// room is being made.
 func (s *session) waitOver(a *attempt, now time.Time) string {
 	switch {
 	case a.Cancelled:
 		return reasonCancelled
 	case !s.isIn():
 		return reasonOut
-	case now.UnixMilli()-a.AcceptedMS > waitLimit.Milliseconds():
+	case now.UnixMilli()-max(a.AcceptedMS, s.openedAt.UnixMilli()) > s.waitLimit(a).Milliseconds():
 		return reasonNoCapacity
 	default:
 		return ""
