Allow only worker leases that cells keep to

Cause: settings took worker_lease_ms from 2,000 to 600,000, and cells silently raised or lowered it to 3 to 60 s.

Change: the settings refuse what cells would not keep to; the site asks for the 3 s that it got.

The case in TestDecodeRefuses failed before.

--- a/internal/dev/tree.go
+++ b/internal/dev/tree.go
@@ -60,7 +60,7 @@
 		t.DataCentres[dc] = &settings.DataCentre{Region: region, State: settings.DataCentreIn, Cells: cellsPerDataCentre}
 	}
 	t.Values.RequestTimeoutMS = ptr(int64(2_000))
-	t.Values.WorkerLeaseMS = ptr(int64(2_000))
+	t.Values.WorkerLeaseMS = ptr(int64(3_000))
 	return t
 }
 
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -28,7 +28,7 @@
 	Priority        *int     `json:"priority,omitempty" validate:"omitempty,gte=0,lte=100"`
 	MaxAttempts     *int     `json:"max_attempts,omitempty" validate:"omitempty,gte=1,lte=1000"`
 	GraceMS         *int64   `json:"grace_ms,omitempty" validate:"omitempty,gte=0,lte=600000"`
-	WorkerLeaseMS   *int64   `json:"worker_lease_ms,omitempty" validate:"omitempty,gte=2000,lte=600000"`
+	WorkerLeaseMS   *int64   `json:"worker_lease_ms,omitempty" validate:"omitempty,gte=3000,lte=60000"`
 	EvictionsMinute *int     `json:"evictions_minute,omitempty" validate:"omitempty,gte=0,lte=10000"`
 	ThrottleFloor   *float64 `json:"throttle_floor,omitempty" validate:"omitempty,gte=0.01,lte=1"`
 	Aging           *float64 `json:"aging_per_minute,omitempty" validate:"omitempty,gte=0,lte=100"`
--- a/settings/tree_test.go
+++ b/settings/tree_test.go
@@ -69,6 +69,7 @@
 		{"overflow", `{"values": {"buffer_bytes": 99999999999999999999}}`, "settings: values.buffer_bytes: 99999999999999999999 is not a whole number, allowed: 0 to 16777216"},
 		{"below", `{"values": {"objective_ms": 0}}`, "settings: values.objective_ms: 0 is out of range, allowed: 1 to 600000"},
 		{"above", `{"values": {"retry_budget_percent": 100.5}}`, "settings: values.retry_budget_percent: 100.5 is out of range, allowed: 0 to 100"},
+		{"lease that cells would not keep to", `{"values": {"worker_lease_ms": 2000}}`, "settings: values.worker_lease_ms: 2000 is out of range, allowed: 3000 to 60000"},
 		{"throttle floor of 0", `{"values": {"throttle_floor": 0}}`, "settings: values.throttle_floor: 0 is out of range, allowed: 0.01 to 1"},
 		{"state", `{"data_centres": {"a": {"region": "r", "state": "away", "cells": 1}}}`, "settings: data_centres.a.state: away is out of range, allowed: in or out"},
 		{"no region", `{"data_centres": {"a": {"state": "in", "cells": 1}}}`, "settings: data_centres.a.region: missing"},
