--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -276,6 +276,9 @@
 	return n
 }
 
+// margins are short, since all hosts of a test share a clock.
+var margins = dedupe.Margins{Future: 20 * time.Millisecond, Clock: 50 * time.Millisecond, Mapping: 30 * time.Millisecond}
+
 // host is one gateway under test.
 type host struct {
 	*gateway.Gateway
@@ -296,7 +299,7 @@
 	h.Gateway = gateway.New(gateway.Deps{
 		Self: self, Platform: s.view, Settings: s.view, Rights: h.port, Shards: s.net, Former: s.net.former,
 		Members: members{s.view}, Caller: h.port, Registry: h.port, Logger: log.NewNopLogger(),
-		Margins: dedupe.Margins{Future: 20 * time.Millisecond, Clock: 50 * time.Millisecond, Mapping: 30 * time.Millisecond},
+		Margins: margins,
 	})
 	server.Config.Handler = h.Gateway
 	server.Start()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -305,19 +305,24 @@
 
 // TestDrain checks that a graceful shutdown cuts off nothing.
 func TestDrain(t *testing.T) {
-	s := newSite(t, 1, func() time.Duration { return 50 * time.Millisecond })
+	full := make(chan struct{}) // closed once half of the requests run and half wait
+	release := sync.OnceFunc(func() { close(full) })
+	defer release()
+	s := newSite(t, 1, func() time.Duration { <-full; return 50 * time.Millisecond })
+	s.setSettings(func(v *settings.Resolved, _ map[fleet.DataCentre]settings.DataCentre) {
+		v.RequestTimeoutMS, v.FirstByteTimeoutMS = 10_000, 10_000
+	})
 	h := s.start(t, "h1", true)
 	var wg sync.WaitGroup
-	for range 16 { // half of them wait
+	for range 16 {
 		wg.Go(func() {
 			if r := h.call(t.Context(), "POST", ""); r.outcome() != "answered" {
 				t.Errorf("cut off: %s (%s) %v", r.outcome(), r.reason(), r.err)
 			}
 		})
 	}
-	for s.seen("") < 8 || h.Summary()[svc].Waiting < 8 {
-		time.Sleep(time.Millisecond)
-	}
+	eventually(t, func() bool { return s.seen("") == 8 && h.Summary()[svc].Waiting == 8 })
+	release()
 	if err := h.Drain(t.Context()); err != nil {
 		t.Error(err)
 	}
