Hold the servers of gateway tests that wait for a moment

Cause: TestHandover and TestForwardToPeerThatWasFull waited in loops without a bound for a state that lasts 60 to 80 ms; on a busy machine they could miss it and hang (six runs of the package at once: 5 of 18 failed or hung).

Change: the servers work on nothing before the moment has come (newHeldSite). The assertions are the same.

Broken once each in a scratch copy: a front that ends at once fails TestHandover, a full peer that rests for 2 s fails TestForwardToPeerThatWasFull, a drain that does not wait fails TestDrain.

--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -248,6 +248,20 @@
 	return s
 }
 
+// newHeldSite returns a site whose one server works on no request before
+// release is called, and then on each for a time.
+func newHeldSite(t testing.TB, work time.Duration) (s *site, release func()) {
+	t.Helper()
+	held := make(chan struct{})
+	release = sync.OnceFunc(func() { close(held) })
+	s = newSite(t, 1, func() time.Duration { <-held; return work })
+	t.Cleanup(release) // before the server is closed
+	s.setSettings(func(v *settings.Resolved, _ map[fleet.DataCentre]settings.DataCentre) {
+		v.RequestTimeoutMS, v.FirstByteTimeoutMS = 10_000, 10_000
+	})
+	return s, release
+}
+
 // closeBackend checks that the server was never given more than its share.
 func closeBackend(t testing.TB, b *standin.Backend) {
 	t.Helper()
--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -38,7 +38,7 @@
 // TestForwardToPeerThatWasFull checks that a peer that refused a request for
 // want of room is soon asked again.
 func TestForwardToPeerThatWasFull(t *testing.T) {
-	s := newSite(t, 1, func() time.Duration { return 80 * time.Millisecond })
+	s, release := newHeldSite(t, 0)
 	owner := s.start(t, "h1", true)
 	other := s.start(t, "h2", false)
 	s.sums["h1"] = member.Summary{Host: "h1", Incarnation: 1, Services: owner.Summary()} // never updated
@@ -46,12 +46,11 @@
 	for range 8 {
 		busy.Go(func() { owner.call(t.Context(), "POST", "") })
 	}
-	for owner.Summary()[svc].Free > 0 {
-		time.Sleep(time.Millisecond)
-	}
+	eventually(t, func() bool { return owner.Summary()[svc].Free == 0 })
 	if r := other.call(t.Context(), "POST", ""); r.outcome() != "not-run" {
 		t.Errorf("full: %s (%s)", r.outcome(), r.reason())
 	}
+	release()
 	busy.Wait()
 	time.Sleep(300 * time.Millisecond)
 	if r := other.call(t.Context(), "POST", ""); r.outcome() != "answered" {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -252,26 +252,26 @@
 // TestHandover checks that Run lets requests in progress finish, starts none,
 // and returns only when the server has surely stopped.
 func TestHandover(t *testing.T) {
-	s := newSite(t, 1, func() time.Duration { return 60 * time.Millisecond })
+	s, release := newHeldSite(t, 60*time.Millisecond)
 	h := s.start(t, "h1", true)
+	left, leave := context.WithCancel(t.Context())
+	defer leave()
 	var wg sync.WaitGroup
 	for i := range 8 {
 		wg.Go(func() {
 			ctx := t.Context()
 			if i < 4 { // callers that leave
-				var cancel context.CancelFunc
-				ctx, cancel = context.WithTimeout(ctx, 30*time.Millisecond)
-				defer cancel()
+				ctx = left
 			}
 			if r := h.call(ctx, "POST", ""); i >= 4 && r.outcome() != "answered" {
 				t.Errorf("cut off: %s (%s) %v", r.outcome(), r.reason(), r.err)
 			}
 		})
 	}
-	for s.seen("") < 8 {
-		time.Sleep(time.Millisecond)
-	}
+	eventually(t, func() bool { return s.seen("") == 8 })
+	leave()
 	h.stop()
+	release()
 	<-h.ended
 	for _, r := range s.backends[0].Stats().Requests {
 		if r.Ended.IsZero() {
@@ -305,13 +305,7 @@
 
 // TestDrain checks that a graceful shutdown cuts off nothing.
 func TestDrain(t *testing.T) {
-	full := make(chan struct{}) // closed once half of the requests run and half wait
-	release := sync.OnceFunc(func() { close(full) })
-	defer release()
-	s := newSite(t, 1, func() time.Duration { <-full; return 50 * time.Millisecond })
-	s.setSettings(func(v *settings.Resolved, _ map[fleet.DataCentre]settings.DataCentre) {
-		v.RequestTimeoutMS, v.FirstByteTimeoutMS = 10_000, 10_000
-	})
+	s, release := newHeldSite(t, 50*time.Millisecond)
 	h := s.start(t, "h1", true)
 	var wg sync.WaitGroup
 	for range 16 {
