--- a/host/relay_test.go
+++ b/host/relay_test.go
@@ -47,6 +47,11 @@
 
 // startHost returns a host and what shuts it down in order.
 func startHost(t *testing.T, site *standin.Site, cut *standin.Cut, id fleet.HostID) (*host.Host, func()) {
+	t.Helper()
+	return startWith(t, site, id, host.Options{Store: cut.Store(site.StoreURL)})
+}
+
+func startWith(t *testing.T, site *standin.Site, id fleet.HostID, opts host.Options) (*host.Host, func()) {
 	t.Helper()
 	cfg := config.Default()
 	cfg.ID = id
@@ -54,7 +59,7 @@
 	cfg.DataCentre = "sofia-1"
 	cfg.HTTPAddress, cfg.PeerAddress, cfg.OperatorsAddress = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	cfg.StoreURL, cfg.HostListURL = site.StoreURL, site.HostsURL
-	h, err := host.New(cfg, host.Options{Store: cut.Store(site.StoreURL)})
+	h, err := host.New(cfg, opts)
 	if err != nil {
 		t.Fatal(err)
 	}
