Count calls atomically in the test of a take-back over a hand-over

Cause: `go test -race ./cell` reported races in the hook of TestTakeBackOverHandOver, which counts calls to several workers at once without a lock. All 26 reports were of that counter; none of the product.

Change: an atomic counter. The points and checks are the same.

Before: 26 reports. After: `go test -race ./cell -run TestTakeBackOverHandOver` passes.

--- a/cell/lending_test.go
+++ b/cell/lending_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -204,12 +205,13 @@
 		first.crash()
 		close(crashed)
 	}
-	count := 0
+	var count atomic.Int64 // calls to several workers go on at once
 	hook := func(_ int, isAfter bool) {
+		n := count.Load()
 		if !isAfter {
-			count++
+			n = count.Add(1)
 		}
-		if count == point && isAfter == after {
+		if n == int64(point) && isAfter == after {
 			once.Do(crash)
 		}
 	}
