--- a/backend/pool_test.go
+++ b/backend/pool_test.go
@@ -17,7 +17,7 @@
 
 	"github.com/fuchsiahill/fuchsiahill/backend"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -38,7 +38,7 @@
 
 func start(t *testing.T, work func() time.Duration) *standin.Backend {
 	t.Helper()
-	b, err := standin.StartBackend(platform.Server{ID: "s1", Address: "127.0.0.1:0", Slots: slots, Connections: connections}, work)
+	b, err := standin.StartBackend(inventory.Server{ID: "s1", Address: "127.0.0.1:0", Slots: slots, Connections: connections}, work)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cell/bench_test.go
+++ b/cell/bench_test.go
@@ -13,10 +13,10 @@
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
-	"github.com/fuchsiahill/fuchsiahill/journal"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/shard"
+	"github.com/fuchsiahill/fuchsiahill/wal"
 )
 
 const (
@@ -26,37 +26,37 @@
 
 // answering is a WorkerControl whose workers run what they are told.
 type answering struct {
-	running map[string][]platform.TaskStatus
+	running map[string][]inventory.TaskStatus
 }
 
-func (a *answering) report(address string) (platform.WorkerReport, error) {
-	return platform.WorkerReport{Worker: fleet.WorkerID(address), Tasks: a.running[address]}, nil
+func (a *answering) report(address string) (inventory.WorkerReport, error) {
+	return inventory.WorkerReport{Worker: fleet.WorkerID(address), Tasks: a.running[address]}, nil
 }
 
-func (a *answering) Start(_ context.Context, address string, req platform.StartRequest) (platform.WorkerReport, error) {
-	ref := platform.AttemptRef{Task: req.Task, Attempt: req.Attempt}
-	status := platform.TaskStatus{AttemptRef: ref, State: platform.TaskRunning, Share: 1, Used: req.Resources}
+func (a *answering) Start(_ context.Context, address string, req inventory.StartRequest) (inventory.WorkerReport, error) {
+	ref := inventory.AttemptRef{Task: req.Task, Attempt: req.Attempt}
+	status := inventory.TaskStatus{AttemptRef: ref, State: inventory.TaskRunning, Share: 1, Used: req.Resources}
 	a.running[address] = append(a.running[address], status)
 	return a.report(address)
 }
 
-func (a *answering) Renew(_ context.Context, address string, _ platform.RenewRequest) (platform.WorkerReport, error) {
+func (a *answering) Renew(_ context.Context, address string, _ inventory.RenewRequest) (inventory.WorkerReport, error) {
 	return a.report(address)
 }
 
-func (a *answering) Stop(_ context.Context, address string, _ platform.StopRequest) (platform.WorkerReport, error) {
+func (a *answering) Stop(_ context.Context, address string, _ inventory.StopRequest) (inventory.WorkerReport, error) {
 	return a.report(address)
 }
 
-func (a *answering) Throttle(_ context.Context, address string, _ platform.ThrottleRequest) (platform.WorkerReport, error) {
+func (a *answering) Throttle(_ context.Context, address string, _ inventory.ThrottleRequest) (inventory.WorkerReport, error) {
 	return a.report(address)
 }
 
 // directJournal makes everything durable at once.
-type directJournal struct{ machine journal.Machine }
+type directJournal struct{ machine wal.Machine }
 
 func (j *directJournal) Serve(context.Context) error { return nil }
-func (j *directJournal) Do(_ context.Context, fn func(journal.Tx) error) error {
+func (j *directJournal) Do(_ context.Context, fn func(wal.Tx) error) error {
 	tx := &memTx{j: &memJournal{machine: j.machine}}
 	if err := fn(tx); err != nil {
 		return err
@@ -69,7 +69,7 @@
 
 func benchTask(i int) delegation.Task {
 	return delegation.Task{
-		AttemptRef:   platform.AttemptRef{Task: fleet.TaskID(fmt.Sprintf("refunds-2026-12-04/%d", i)), Attempt: 1},
+		AttemptRef:   inventory.AttemptRef{Task: fleet.TaskID(fmt.Sprintf("refunds-2026-12-04/%d", i)), Attempt: 1},
 		Queue:        testQueue,
 		Organisation: "balkantrans",
 		Team:         "refunds",
@@ -82,21 +82,21 @@
 // benchSession returns a session of 20 workers without loops: the benchmark
 // takes each step itself.
 func benchSession(b testing.TB) *session {
-	var list platform.HostList
+	var list inventory.HostList
 	for i := range benchWorkers {
 		id := fmt.Sprintf("w%02d", i)
-		list.Workers = append(list.Workers, platform.Worker{
+		list.Workers = append(list.Workers, inventory.Worker{
 			ID: fleet.WorkerID(id), Address: id, DataCentre: testDC, Rack: fleet.Rack(fmt.Sprint("r", i/6)),
-			Capacity: fleet.Resources{MilliCores: 64_000, MemoryMB: 64_000}, State: platform.StateLive,
+			Capacity: fleet.Resources{MilliCores: 64_000, MemoryMB: 64_000}, State: inventory.StateLive,
 		})
 	}
 	hosts := standin.NewHostList(0)
-	hosts.Update(func(l *platform.HostList) { *l = list })
+	hosts.Update(func(l *inventory.HostList) { *l = list })
 	server := NewServer(Deps{
-		Open: func(_ context.Context, _ shard.ID, _ shard.Owner, m journal.Machine) (Journal, error) {
+		Open: func(_ context.Context, _ shard.ID, _ shard.Owner, m wal.Machine) (Journal, error) {
 			return &directJournal{machine: m}, nil
 		},
-		Workers:  &answering{running: make(map[string][]platform.TaskStatus)},
+		Workers:  &answering{running: make(map[string][]inventory.TaskStatus)},
 		Hosts:    staticView{hosts},
 		Settings: &fakeSettings{values: settings.Resolved{WorkerLeaseMS: 15_000, GraceMS: 10_000}},
 		Registry: make(handlers),
@@ -153,7 +153,7 @@
 		a := s.machine.find(ref)
 		id := a.Placement.Worker
 		s.mu.Lock()
-		s.decide(judgeListed(a, s.runs[ref], platform.TaskStatus{AttemptRef: ref, State: platform.TaskFinished}))
+		s.decide(judgeListed(a, s.runs[ref], inventory.TaskStatus{AttemptRef: ref, State: inventory.TaskFinished}))
 		s.acked = append(s.acked, ref)
 		s.mu.Unlock()
 		address := string(id)
@@ -171,7 +171,7 @@
 		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
 			s := benchSession(b)
 			for id := range s.members.workers {
-				s.members.servers[id] = []platform.Server{{Reserved: fleet.Resources{MilliCores: 64_000}}}
+				s.members.servers[id] = []inventory.Server{{Reserved: fleet.Resources{MilliCores: 64_000}}}
 			}
 			s.members.servers["w00"] = nil // all tasks go here
 			runTasks(b, s, 0, tasks)
@@ -243,15 +243,15 @@
 	for _, tasks := range []int{50, 200, 1000} {
 		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
 			kv := standin.NewStore()
-			deps := journal.Deps{Store: kv, Logger: log.NewNopLogger()}
+			deps := wal.Deps{Store: kv, Logger: log.NewNopLogger()}
 			fillJournal(b, deps, tasks)
 			reads, _ := kv.Calls()
 			n := 0
 			for b.Loop() {
 				n++
 				m := NewMachine()
-				owner := journal.Owner{Host: "b", Incarnation: 1, Epoch: fleet.Epoch(n + 1)}
-				if _, err := journal.Open(context.Background(), deps, string(testCell), owner, m); err != nil {
+				owner := wal.Owner{Host: "b", Incarnation: 1, Epoch: fleet.Epoch(n + 1)}
+				if _, err := wal.Open(context.Background(), deps, string(testCell), owner, m); err != nil {
 					b.Fatal(err)
 				}
 				if len(m.inPhase(phasePlaced)) != tasks {
@@ -265,16 +265,16 @@
 }
 
 // fillJournal journals tasks that are accepted and placed, four to a record.
-func fillJournal(b *testing.B, deps journal.Deps, tasks int) {
+func fillJournal(b *testing.B, deps wal.Deps, tasks int) {
 	m := NewMachine()
-	j, err := journal.Open(context.Background(), deps, string(testCell), journal.Owner{Host: "a", Incarnation: 1, Epoch: 1}, m)
+	j, err := wal.Open(context.Background(), deps, string(testCell), wal.Owner{Host: "a", Incarnation: 1, Epoch: 1}, m)
 	if err != nil {
 		b.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan error, 1)
 	go func() { served <- j.Serve(ctx) }()
-	err = j.Do(ctx, func(tx journal.Tx) error {
+	err = j.Do(ctx, func(tx wal.Tx) error {
 		for i := 0; i < tasks; i += 4 {
 			r := record{Version: recordVersion, AtMS: testStart.UnixMilli()}
 			for k := i; k < i+4 && k < tasks; k++ {
@@ -291,7 +291,7 @@
 		return nil
 	})
 	cancel()
-	var stopped *journal.StoppedError
+	var stopped *wal.StoppedError
 	if serveErr := <-served; err != nil || !errors.As(serveErr, &stopped) {
 		b.Fatal(err, serveErr)
 	}
--- a/cell/control.go
+++ b/cell/control.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/store"
 )
@@ -128,7 +128,7 @@
 // taken a later attempt.
 func precedesList(a *attempt, now time.Time) bool {
 	started := time.UnixMilli(a.Placement.StartByMS)
-	return now.Sub(started) > platform.MaxLag
+	return now.Sub(started) > inventory.MaxLag
 }
 
 // stopCancelled marks cancelled attempts for a stop. One that was never sent
--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 // crashPoints is how many journal writes and worker calls of the session the
@@ -171,7 +171,7 @@
 			runTime: 5 * time.Second,
 			faults: func(b *bench, o *owner) *owner {
 				o.stop()
-				b.hosts.Update(func(l *platform.HostList) { l.Workers = nil })
+				b.hosts.Update(func(l *inventory.HostList) { l.Workers = nil })
 				o = b.start("b")
 				time.Sleep(500 * time.Millisecond)
 				o.offer()
--- a/cell/deps.go
+++ b/cell/deps.go
@@ -7,32 +7,32 @@
 	"github.com/go-kit/log"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/journal"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/member"
 	"github.com/fuchsiahill/fuchsiahill/peer"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/shard"
+	"github.com/fuchsiahill/fuchsiahill/wal"
 )
 
 // Journal is the open journal of one cell.
 type Journal interface {
-	journal.Committer
+	wal.Committer
 	// Serve runs the shard until ctx ends or the journal is lost to another
-	// owner; then it returns a *journal.StoppedError.
+	// owner; then it returns a *wal.StoppedError.
 	Serve(ctx context.Context) error
 }
 
 // OpenFunc opens a cell's journal for owner: it recovers the state into m and
 // appends the first entry, which fences every owner before.
-type OpenFunc func(ctx context.Context, id shard.ID, owner shard.Owner, m journal.Machine) (Journal, error)
+type OpenFunc func(ctx context.Context, id shard.ID, owner shard.Owner, m wal.Machine) (Journal, error)
 
 // Deps is what a Server works with. All fields but Latencies and Members are
 // required.
 type Deps struct {
 	Open      OpenFunc
-	Workers   platform.WorkerControl
-	Hosts     platform.View
+	Workers   inventory.WorkerControl
+	Hosts     inventory.View
 	Settings  settings.View
 	Directory shard.Directory
 	Members   member.Directory // nil: no process is known to have ended by its successor
--- a/cell/fixture_test.go
+++ b/cell/fixture_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/peer"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 	"github.com/fuchsiahill/fuchsiahill/store"
@@ -77,10 +77,10 @@
 	change(f)
 }
 
-// staticView is a platform.View over the stand-in host list without a lag.
+// staticView is a inventory.View over the stand-in host list without a lag.
 type staticView struct{ list *standin.HostList }
 
-func (v staticView) Hosts() *platform.HostList {
+func (v staticView) Hosts() *inventory.HostList {
 	list, _, _ := v.list.Hosts(context.Background(), -1)
 	return &list
 }
@@ -99,7 +99,7 @@
 	hosts    *standin.HostList
 	records  *standin.Records
 	workers  []*standin.Worker
-	control  platform.WorkerControl
+	control  inventory.WorkerControl
 	hook     func(call int, after bool) // before and after each call to a worker
 	calls    int
 	queue    *fakeQueue
@@ -124,15 +124,15 @@
 	}
 	b.runTimes = make(map[fleet.JobClass]time.Duration)
 	for i := range workers {
-		info := platform.Worker{
+		info := inventory.Worker{
 			ID:         fleet.WorkerID(fmt.Sprintf("w%02d", i)),
 			DataCentre: testDC,
 			Rack:       fleet.Rack(fmt.Sprintf("r%d", i%3)),
 			Address:    fmt.Sprintf("10.0.0.%d:1", i),
 			Capacity:   fleet.Resources{MilliCores: 4000, MemoryMB: 4000},
-			State:      platform.StateLive,
+			State:      inventory.StateLive,
 		}
-		run := func(req platform.StartRequest) time.Duration { return cmp.Or(b.runTimes[req.Class], runTime) }
+		run := func(req inventory.StartRequest) time.Duration { return cmp.Or(b.runTimes[req.Class], runTime) }
 		b.workers = append(b.workers, standin.NewWorker(info, fleet.Resources{}, run, b.records))
 	}
 	b.control = standin.NewWorkers(b.workers...)
@@ -147,7 +147,7 @@
 }
 
 func (b *bench) listWorkers() {
-	b.hosts.Update(func(l *platform.HostList) {
+	b.hosts.Update(func(l *inventory.HostList) {
 		l.Workers = nil
 		for _, w := range b.workers {
 			l.Workers = append(l.Workers, w.Info())
--- a/cell/frontlatency.go
+++ b/cell/frontlatency.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/peer"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 )
 
@@ -73,7 +73,7 @@
 
 // latency returns what was measured of a backend server lately: by this host,
 // or else by the owner of the cell's front.
-func (s *session) latency(server platform.Server, now time.Time) (Latency, bool) {
+func (s *session) latency(server inventory.Server, now time.Time) (Latency, bool) {
 	if measured, ok := s.deps.Latencies.Latency(server); ok {
 		return measured, true
 	}
--- a/cell/journal_fake_test.go
+++ b/cell/journal_fake_test.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/journal"
 	"github.com/fuchsiahill/fuchsiahill/shard"
+	"github.com/fuchsiahill/fuchsiahill/wal"
 )
 
 // sharedLog is the journal in the store: it outlives owners.
@@ -24,7 +24,7 @@
 // memJournal is one owner's handle of a sharedLog.
 type memJournal struct {
 	log     *sharedLog
-	machine journal.Machine
+	machine wal.Machine
 	epoch   fleet.Epoch
 	turn    chan struct{} // held by the transaction that runs
 	stopped chan struct{}
@@ -32,7 +32,7 @@
 	owner   *owner
 }
 
-func (l *sharedLog) open(_ context.Context, _ shard.ID, owner shard.Owner, m journal.Machine) (*memJournal, error) {
+func (l *sharedLog) open(_ context.Context, _ shard.ID, owner shard.Owner, m wal.Machine) (*memJournal, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, entry := range l.entries {
@@ -72,7 +72,7 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-j.stopped:
-		return &journal.StoppedError{Shard: string(testCell), Cause: context.Canceled}
+		return &wal.StoppedError{Shard: string(testCell), Cause: context.Canceled}
 	}
 }
 
@@ -91,12 +91,12 @@
 	t.records = append(t.records, record)
 }
 
-func (j *memJournal) Do(ctx context.Context, fn func(journal.Tx) error) error {
+func (j *memJournal) Do(ctx context.Context, fn func(wal.Tx) error) error {
 	j.turn <- struct{}{}
 	defer func() { <-j.turn }()
 	select {
 	case <-j.stopped: // the state may hold what was not written
-		return &journal.StoppedError{Shard: string(testCell), Cause: context.Canceled}
+		return &wal.StoppedError{Shard: string(testCell), Cause: context.Canceled}
 	default:
 	}
 	tx := &memTx{j: j}
@@ -137,7 +137,7 @@
 			}
 			select {
 			case <-j.stopped:
-				return &journal.StoppedError{Shard: string(testCell), Cause: context.Canceled}
+				return &wal.StoppedError{Shard: string(testCell), Cause: context.Canceled}
 			default:
 				return err
 			}
@@ -146,7 +146,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-j.stopped:
-			return &journal.StoppedError{Shard: string(testCell), Cause: context.Canceled}
+			return &wal.StoppedError{Shard: string(testCell), Cause: context.Canceled}
 		case <-time.After(100 * time.Millisecond):
 		}
 	}
@@ -158,12 +158,12 @@
 	defer l.mu.Unlock()
 	select {
 	case <-j.stopped:
-		return &journal.StoppedError{Shard: string(testCell), Cause: context.Canceled}
+		return &wal.StoppedError{Shard: string(testCell), Cause: context.Canceled}
 	default:
 	}
 	if l.holder != j {
 		j.stop()
-		return &journal.StoppedError{Shard: string(testCell), Cause: context.Canceled}
+		return &wal.StoppedError{Shard: string(testCell), Cause: context.Canceled}
 	}
 	l.entries = append(l.entries, records)
 	return nil
--- a/cell/judge.go
+++ b/cell/judge.go
@@ -6,7 +6,7 @@
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 // Errors in outcomes, machine-readable.
@@ -38,7 +38,7 @@
 	decided  bool      // the end was decided
 	seen     time.Time // when the call was sent whose report first showed it running
 	running  time.Time // when the call was sent whose report last showed it running
-	status   platform.TaskStatus
+	status   inventory.TaskStatus
 	// checkpointAt is when the last checkpoint, or the start, was seen.
 	checkpointAt time.Time
 	peak         fleet.Resources // highest use seen
@@ -53,7 +53,7 @@
 }
 
 // note takes a report that shows the attempt.
-func (r *run) note(st platform.TaskStatus, sentAt time.Time) {
+func (r *run) note(st inventory.TaskStatus, sentAt time.Time) {
 	if r.seen.IsZero() || st.CheckpointProgress > r.status.CheckpointProgress {
 		r.checkpointAt = sentAt
 	}
@@ -83,14 +83,14 @@
 
 // judgeListed returns the outcome of an attempt that a worker reports as
 // final.
-func judgeListed(a *attempt, r *run, st platform.TaskStatus) delegation.Outcome {
+func judgeListed(a *attempt, r *run, st inventory.TaskStatus) delegation.Outcome {
 	o := outcome(a, r)
 	o.Checkpoint = st.Checkpoint
 	o.CheckpointProgress = st.CheckpointProgress
 	switch {
-	case st.State == platform.TaskFinished:
+	case st.State == inventory.TaskFinished:
 		o.End = delegation.EndFinished
-	case st.State == platform.TaskFailed:
+	case st.State == inventory.TaskFailed:
 		o.End = delegation.EndFailed
 		o.Error = shorten(st.Error)
 	case a.Cancelled:
--- a/cell/judge_test.go
+++ b/cell/judge_test.go
@@ -4,7 +4,7 @@
 	"testing"
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 // TestNewestCheckpointIsHandedBack checks which checkpoint the next attempt
@@ -25,7 +25,7 @@
 		for end, judge := range ends {
 			t.Run(name+"/"+end, func(t *testing.T) {
 				a := &attempt{Task: delegation.Task{Checkpoint: tt.resumed}}
-				r := &run{status: platform.TaskStatus{Checkpoint: tt.reported}}
+				r := &run{status: inventory.TaskStatus{Checkpoint: tt.reported}}
 				if got := judge(a, r, reasonLapsed).Checkpoint; got != tt.want {
 					t.Errorf("checkpoint %q, want %q", got, tt.want)
 				}
--- a/cell/lending.go
+++ b/cell/lending.go
@@ -6,7 +6,7 @@
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/scheduler"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/store"
@@ -27,7 +27,7 @@
 	revision   store.Revision       // of the settings that were read
 	guaranteed []fleet.Organisation // that have a guarantee here
 	// served are waiting attempts for which room is being taken back.
-	served map[platform.AttemptRef]bool
+	served map[inventory.AttemptRef]bool
 	peaks  map[fleet.Organisation]*peak
 }
 
@@ -103,7 +103,7 @@
 func (m *membership) liveCapacity() fleet.Resources {
 	var sum fleet.Resources
 	for id, w := range m.workers {
-		if w.State == platform.StateLive {
+		if w.State == inventory.StateLive {
 			sum = sum.Add(m.capacity(id))
 		}
 	}
@@ -201,7 +201,7 @@
 
 // takeBackDue evicts for the tasks that have waited long enough.
 func (s *session) takeBackDue(rooms []scheduler.Room, now time.Time) *record {
-	s.lending.served = make(map[platform.AttemptRef]bool, len(rooms))
+	s.lending.served = make(map[inventory.AttemptRef]bool, len(rooms))
 	r := &record{}
 	for _, room := range rooms {
 		s.lending.served[room.Task] = true
@@ -225,7 +225,7 @@
 	}
 	ttl := s.leaseTTL(nil)
 	for id, w := range s.members.workers {
-		if w.State == platform.StateLive && !s.takesWork(id, now, ttl) {
+		if w.State == inventory.StateLive && !s.takesWork(id, now, ttl) {
 			return true
 		}
 	}
--- a/cell/lending_test.go
+++ b/cell/lending_test.go
@@ -13,7 +13,7 @@
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 )
 
@@ -32,7 +32,7 @@
 func (b *bench) runningOf(org fleet.Organisation) int64 {
 	sum := int64(0)
 	for _, r := range b.records.Runs() {
-		if r.State == platform.TaskRunning && b.queue.tasks[r.Task].task.Organisation == org {
+		if r.State == inventory.TaskRunning && b.queue.tasks[r.Task].task.Organisation == org {
 			sum += b.queue.tasks[r.Task].task.Resources.MilliCores
 		}
 	}
@@ -146,7 +146,7 @@
 		first.offer()
 		time.Sleep(2500 * time.Millisecond)
 		first.crash()
-		chosen := []platform.AttemptRef{b.records.Runs()[11].AttemptRef, b.records.Runs()[5].AttemptRef}
+		chosen := []inventory.AttemptRef{b.records.Runs()[11].AttemptRef, b.records.Runs()[5].AttemptRef}
 		entry, err := newCodec().encode(record{Version: recordVersion, AtMS: time.Now().UnixMilli(), TakeBack: chosen})
 		if err != nil {
 			t.Fatal(err)
--- a/cell/machine.go
+++ b/cell/machine.go
@@ -9,9 +9,9 @@
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/journal"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/shard"
+	"github.com/fuchsiahill/fuchsiahill/wal"
 )
 
 // closedWindow is how long a cell remembers an attempt that it no longer
@@ -81,7 +81,7 @@
 	placed map[fleet.WorkerID][]*attempt // in phasePlaced, by worker, in order of placing
 }
 
-var _ journal.Machine = (*Machine)(nil)
+var _ wal.Machine = (*Machine)(nil)
 
 // NewMachine returns the state of a cell without tasks.
 func NewMachine() *Machine {
@@ -136,10 +136,10 @@
 	return false
 }
 
-// Snapshot implements journal.Machine.
+// Snapshot implements wal.Machine.
 func (m *Machine) Snapshot() ([]byte, error) { return m.codec.encode(&m.state) }
 
-// Restore implements journal.Machine.
+// Restore implements wal.Machine.
 func (m *Machine) Restore(snapshot []byte) error {
 	if len(snapshot) == 0 {
 		*m = *NewMachine()
@@ -164,7 +164,7 @@
 	return nil
 }
 
-// Apply implements journal.Machine.
+// Apply implements wal.Machine.
 func (m *Machine) Apply(data []byte) error {
 	r, err := m.codec.decodeRecord(data)
 	if err != nil {
@@ -263,7 +263,7 @@
 // canAccept reports whether ref is newer than everything known of its task. A
 // queue delegates a task again only when it has durably got the outcome of
 // the attempt before, so a newer attempt acknowledges an ended one.
-func (m *Machine) canAccept(ref platform.AttemptRef) bool {
+func (m *Machine) canAccept(ref inventory.AttemptRef) bool {
 	if a, ok := m.state.Attempts[ref.Task]; ok {
 		return a.Phase == phaseEnded && ref.Attempt > a.Task.Attempt
 	}
@@ -306,7 +306,7 @@
 	m.placed[id] = left
 }
 
-func (m *Machine) acknowledge(ref platform.AttemptRef, atMS int64) {
+func (m *Machine) acknowledge(ref inventory.AttemptRef, atMS int64) {
 	a := m.find(ref)
 	if a == nil || a.Phase != phaseEnded {
 		return
@@ -315,7 +315,7 @@
 	delete(m.state.Attempts, ref.Task)
 }
 
-func (m *Machine) close(ref platform.AttemptRef, c closed, atMS int64) {
+func (m *Machine) close(ref inventory.AttemptRef, c closed, atMS int64) {
 	c.Attempt = ref.Attempt
 	c.AtMS = atMS
 	m.state.Closed[ref.Task] = c
@@ -340,7 +340,7 @@
 }
 
 // find returns the attempt, or nil if the cell does not hold exactly it.
-func (m *Machine) find(ref platform.AttemptRef) *attempt {
+func (m *Machine) find(ref inventory.AttemptRef) *attempt {
 	a := m.state.Attempts[ref.Task]
 	if a == nil || a.Task.Attempt != ref.Attempt {
 		return nil
--- a/cell/machine_test.go
+++ b/cell/machine_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/scheduler"
 )
 
@@ -32,12 +32,12 @@
 // finishOn lets one task of a job run and end on a worker.
 func finishOn(t testing.TB, m *Machine, at time.Time, job, index int, w fleet.WorkerID, end delegation.End, used fleet.Resources) {
 	t.Helper()
-	ref := platform.AttemptRef{Task: fleet.TaskID(fmt.Sprintf("job%d/%d", job, index)), Attempt: 1}
+	ref := inventory.AttemptRef{Task: fleet.TaskID(fmt.Sprintf("job%d/%d", job, index)), Attempt: 1}
 	err := apply(t, m, at, record{
 		Accept: []delegation.Task{{AttemptRef: ref, Class: "claims"}},
 		Place:  []placement{{AttemptRef: ref, Worker: w}},
 		End:    []delegation.Outcome{{AttemptRef: ref, End: end, Worker: w, Used: used}},
-		Acked:  []platform.AttemptRef{ref},
+		Acked:  []inventory.AttemptRef{ref},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -158,12 +158,12 @@
 	for i := range 10 {
 		finishOn(t, m, testStart, i%3, i, fleet.WorkerID(fmt.Sprint("w", i%4)), delegation.EndFailed, small)
 	}
-	ref := platform.AttemptRef{Task: "job9/0", Attempt: 2}
+	ref := inventory.AttemptRef{Task: "job9/0", Attempt: 2}
 	err := apply(t, m, testStart, record{
 		Open:   &ownerRecord{Host: "a", Incarnation: 3, Epoch: 1},
 		Accept: []delegation.Task{{AttemptRef: ref, Class: "claims"}},
 		Place:  []placement{{AttemptRef: ref, Worker: "w1", Size: small}},
-		Cancel: []platform.AttemptRef{ref},
+		Cancel: []inventory.AttemptRef{ref},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -192,7 +192,7 @@
 }
 
 func TestRecordsThatAreRefused(t *testing.T) {
-	ref := platform.AttemptRef{Task: "job/0", Attempt: 1}
+	ref := inventory.AttemptRef{Task: "job/0", Attempt: 1}
 	place := record{Place: []placement{{AttemptRef: ref, Worker: "w1"}}}
 	accept := record{Accept: []delegation.Task{{AttemptRef: ref}}}
 	end := record{End: []delegation.Outcome{{AttemptRef: ref, End: delegation.EndFinished}}}
@@ -221,9 +221,9 @@
 }
 
 func TestLongErrorIsJournaled(t *testing.T) {
-	ref := platform.AttemptRef{Task: "job/0", Attempt: 1}
+	ref := inventory.AttemptRef{Task: "job/0", Attempt: 1}
 	a := &attempt{Task: delegation.Task{AttemptRef: ref}, Phase: phasePlaced}
-	status := platform.TaskStatus{State: platform.TaskFailed, Error: "x" + strings.Repeat("Fehlschläge ", 1000)}
+	status := inventory.TaskStatus{State: inventory.TaskFailed, Error: "x" + strings.Repeat("Fehlschläge ", 1000)}
 	m := NewMachine()
 	for _, r := range []record{
 		{Accept: []delegation.Task{a.Task}},
--- a/cell/membership.go
+++ b/cell/membership.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 )
 
@@ -13,28 +13,28 @@
 	version int64
 	cells   int
 	read    bool
-	workers map[fleet.WorkerID]platform.Worker
-	servers map[fleet.WorkerID][]platform.Server // not gone
+	workers map[fleet.WorkerID]inventory.Worker
+	servers map[fleet.WorkerID][]inventory.Server // not gone
 }
 
 // update takes the list if it differs from the one taken last. number is the
 // cell's number in the data centre.
-func (m *membership) update(list *platform.HostList, dc fleet.DataCentre, number, cells int) {
+func (m *membership) update(list *inventory.HostList, dc fleet.DataCentre, number, cells int) {
 	if m.read && list.Version == m.version && cells == m.cells {
 		return
 	}
 	m.read = true
 	m.version = list.Version
 	m.cells = cells
-	m.workers = make(map[fleet.WorkerID]platform.Worker)
-	m.servers = make(map[fleet.WorkerID][]platform.Server)
+	m.workers = make(map[fleet.WorkerID]inventory.Worker)
+	m.servers = make(map[fleet.WorkerID][]inventory.Server)
 	for _, w := range list.Workers {
 		if w.DataCentre == dc && shard.NumberOf(w.ID, cells) == number {
 			m.workers[w.ID] = w
 		}
 	}
 	for _, s := range list.Servers {
-		if _, ours := m.workers[s.Worker]; ours && s.State != platform.StateGone {
+		if _, ours := m.workers[s.Worker]; ours && s.State != inventory.StateGone {
 			m.servers[s.Worker] = append(m.servers[s.Worker], s)
 		}
 	}
@@ -52,13 +52,13 @@
 // isGone reports whether the platform says that the worker has ended.
 func (m *membership) isGone(id fleet.WorkerID) bool {
 	w, listed := m.workers[id]
-	return listed && w.State == platform.StateGone
+	return listed && w.State == inventory.StateGone
 }
 
 // isCallable reports whether a worker without tasks is worth a call.
 func (m *membership) isCallable(id fleet.WorkerID) bool {
 	w, listed := m.workers[id]
-	return listed && w.State != platform.StateGone
+	return listed && w.State != inventory.StateGone
 }
 
 // hasEnded reports whether the process of an owner has surely ended: its host
@@ -74,12 +74,12 @@
 		}
 	}
 	for _, h := range s.deps.Hosts.Hosts().EntryHosts {
-		if h.ID != o.Host || h.State != platform.StateGone {
+		if h.ID != o.Host || h.State != inventory.StateGone {
 			continue
 		}
 		// An entry for every incarnation may be older than the process.
 		age := time.Since(time.Unix(0, int64(o.Incarnation)))
-		if h.Incarnation >= o.Incarnation || h.Incarnation == 0 && age > platform.MaxLag {
+		if h.Incarnation >= o.Incarnation || h.Incarnation == 0 && age > inventory.MaxLag {
 			return true
 		}
 	}
--- a/cell/offer.go
+++ b/cell/offer.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/peer"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 )
 
 // maxWaiting is how many accepted attempts may wait for a worker. A cell that
@@ -54,7 +54,7 @@
 	r := &record{}
 	waiting := s.machine.waiting()
 	size := 0
-	seen := make(map[platform.AttemptRef]bool, len(tasks))
+	seen := make(map[inventory.AttemptRef]bool, len(tasks))
 	for _, t := range tasks {
 		if seen[t.AttemptRef] {
 			continue
@@ -87,7 +87,7 @@
 // answerKnown answers for an attempt that was decided on before. An older
 // attempt than the known one needs no answer that matters: its outcome is
 // with the queue.
-func (s *session) answerKnown(ref platform.AttemptRef, reply *delegation.OfferReply) {
+func (s *session) answerKnown(ref inventory.AttemptRef, reply *delegation.OfferReply) {
 	c, isClosed := s.machine.state.Closed[ref.Task]
 	if s.machine.find(ref) == nil && isClosed && c.Attempt == ref.Attempt && c.Refused != "" {
 		reply.Refused = append(reply.Refused, delegation.Refusal{AttemptRef: ref, Reason: c.Refused})
@@ -126,7 +126,7 @@
 
 // cancel journals that attempts are to stop. One that the cell does not hold
 // is refused from now on, in case its offer is still under way.
-func (s *session) cancel(ctx context.Context, refs []platform.AttemptRef) error {
+func (s *session) cancel(ctx context.Context, refs []inventory.AttemptRef) error {
 	return s.commit(ctx, func() *record {
 		r := &record{}
 		for _, ref := range refs {
--- a/cell/out_test.go
+++ b/cell/out_test.go
@@ -10,7 +10,7 @@
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 )
 
@@ -99,7 +99,7 @@
 func running(records *standin.Records) int {
 	n := 0
 	for _, r := range records.Runs() {
-		if r.State == platform.TaskRunning {
+		if r.State == inventory.TaskRunning {
 			n++
 		}
 	}
--- a/cell/owner_fake_test.go
+++ b/cell/owner_fake_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/journal"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/shard"
+	"github.com/fuchsiahill/fuchsiahill/wal"
 )
 
 // owner is one term of ownership.
@@ -66,9 +66,9 @@
 }
 
 // call makes one call to a worker as far as the owner can reach it.
-func (o *owner) call(ctx context.Context, address, op string, do func(context.Context) (platform.WorkerReport, error)) (platform.WorkerReport, error) {
+func (o *owner) call(ctx context.Context, address, op string, do func(context.Context) (inventory.WorkerReport, error)) (inventory.WorkerReport, error) {
 	o.gate()
-	unanswered := &platform.WorkerUnknownError{Op: op, Cause: context.DeadlineExceeded}
+	unanswered := &inventory.WorkerUnknownError{Op: op, Cause: context.DeadlineExceeded}
 	o.mu.Lock()
 	cut := o.dead
 	for _, w := range o.b.workers {
@@ -77,7 +77,7 @@
 	o.mu.Unlock()
 	if cut {
 		<-ctx.Done()
-		return platform.WorkerReport{}, unanswered
+		return inventory.WorkerReport{}, unanswered
 	}
 	o.b.queue.mu.Lock()
 	o.b.calls++
@@ -86,7 +86,7 @@
 	if hook != nil {
 		hook(n, false)
 		if o.is(&o.dead) {
-			return platform.WorkerReport{}, unanswered
+			return inventory.WorkerReport{}, unanswered
 		}
 	}
 	report, err := o.deliver(ctx, address, op, do)
@@ -94,14 +94,14 @@
 		hook(n, true)
 	}
 	if o.is(&o.dead) {
-		return platform.WorkerReport{}, unanswered
+		return inventory.WorkerReport{}, unanswered
 	}
 	return report, err
 }
 
 // deliver makes the call after the delay for its op. What was sent arrives,
 // also when the caller has given up.
-func (o *owner) deliver(ctx context.Context, address, op string, do func(context.Context) (platform.WorkerReport, error)) (platform.WorkerReport, error) {
+func (o *owner) deliver(ctx context.Context, address, op string, do func(context.Context) (inventory.WorkerReport, error)) (inventory.WorkerReport, error) {
 	o.mu.Lock()
 	delay := o.delays[op]
 	if o.slow != "" && o.slow != address {
@@ -119,32 +119,32 @@
 		_, _ = do(sent)
 	})
 	<-ctx.Done()
-	return platform.WorkerReport{}, &platform.WorkerUnknownError{Op: op, Cause: ctx.Err()}
+	return inventory.WorkerReport{}, &inventory.WorkerUnknownError{Op: op, Cause: ctx.Err()}
 }
 
-func (o *owner) Start(ctx context.Context, address string, req platform.StartRequest) (platform.WorkerReport, error) {
-	return o.call(ctx, address, "start", func(ctx context.Context) (platform.WorkerReport, error) {
+func (o *owner) Start(ctx context.Context, address string, req inventory.StartRequest) (inventory.WorkerReport, error) {
+	return o.call(ctx, address, "start", func(ctx context.Context) (inventory.WorkerReport, error) {
 		return o.b.control.Start(ctx, address, req)
 	})
 }
 
-func (o *owner) Renew(ctx context.Context, address string, req platform.RenewRequest) (platform.WorkerReport, error) {
-	return o.call(ctx, address, "renew", func(ctx context.Context) (platform.WorkerReport, error) {
+func (o *owner) Renew(ctx context.Context, address string, req inventory.RenewRequest) (inventory.WorkerReport, error) {
+	return o.call(ctx, address, "renew", func(ctx context.Context) (inventory.WorkerReport, error) {
 		return o.b.control.Renew(ctx, address, req)
 	})
 }
 
-func (o *owner) Stop(ctx context.Context, address string, req platform.StopRequest) (platform.WorkerReport, error) {
-	return o.call(ctx, address, "stop", func(ctx context.Context) (platform.WorkerReport, error) {
+func (o *owner) Stop(ctx context.Context, address string, req inventory.StopRequest) (inventory.WorkerReport, error) {
+	return o.call(ctx, address, "stop", func(ctx context.Context) (inventory.WorkerReport, error) {
 		return o.b.control.Stop(ctx, address, req)
 	})
 }
 
-func (o *owner) Throttle(ctx context.Context, address string, req platform.ThrottleRequest) (platform.WorkerReport, error) {
+func (o *owner) Throttle(ctx context.Context, address string, req inventory.ThrottleRequest) (inventory.WorkerReport, error) {
 	o.b.queue.mu.Lock()
 	o.b.shares = append(o.b.shares, req.Share)
 	o.b.queue.mu.Unlock()
-	return o.call(ctx, address, "throttle", func(ctx context.Context) (platform.WorkerReport, error) {
+	return o.call(ctx, address, "throttle", func(ctx context.Context) (inventory.WorkerReport, error) {
 		return o.b.control.Throttle(ctx, address, req)
 	})
 }
@@ -161,7 +161,7 @@
 	o.cancel()
 }
 
-func (o *owner) open(ctx context.Context, id shard.ID, claim shard.Owner, m journal.Machine) (Journal, error) {
+func (o *owner) open(ctx context.Context, id shard.ID, claim shard.Owner, m wal.Machine) (Journal, error) {
 	if o.b.open != nil {
 		return o.b.open(ctx, id, claim, m)
 	}
--- a/cell/owners_test.go
+++ b/cell/owners_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 // TestPredecessorStillRenews cuts the first owner from the store and the
@@ -75,8 +75,8 @@
 		if second.finish(5 * time.Minute) {
 			t.Error("task was started again while its first owner may renew its lease")
 		}
-		b.hosts.Update(func(l *platform.HostList) {
-			l.EntryHosts = []platform.EntryHost{{ID: "a", State: platform.StateGone}}
+		b.hosts.Update(func(l *inventory.HostList) {
+			l.EntryHosts = []inventory.EntryHost{{ID: "a", State: inventory.StateGone}}
 		})
 		if !second.finish(4 * time.Minute) {
 			t.Error("task is not done")
--- a/cell/place.go
+++ b/cell/place.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/scheduler"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 )
@@ -80,7 +80,7 @@
 // journal does not know.
 func (s *session) takesWork(id fleet.WorkerID, now time.Time, ttl time.Duration) bool {
 	w := s.workers[id]
-	if w == nil || s.members.workers[id].State != platform.StateLive {
+	if w == nil || s.members.workers[id].State != inventory.StateLive {
 		return false
 	}
 	return w.lease.isReachable(now, ttl) && len(w.foreign) == 0
--- a/cell/queue_fake_test.go
+++ b/cell/queue_fake_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/peer"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 )
 
@@ -52,7 +52,7 @@
 	defer q.mu.Unlock()
 	for range n {
 		id := fleet.TaskID(fmt.Sprintf("job%d/%03d", len(q.tasks)%testJobs, len(q.tasks)))
-		task.AttemptRef = platform.AttemptRef{Task: id, Attempt: 1}
+		task.AttemptRef = inventory.AttemptRef{Task: id, Attempt: 1}
 		task.Queue = testQueue
 		q.tasks[id] = &queued{task: task}
 	}
@@ -90,7 +90,7 @@
 	}
 }
 
-func (q *fakeQueue) next(ref platform.AttemptRef) {
+func (q *fakeQueue) next(ref inventory.AttemptRef) {
 	t := q.tasks[ref.Task]
 	if t.task.Attempt == ref.Attempt && !t.done {
 		t.task.Attempt++
--- a/cell/record.go
+++ b/cell/record.go
@@ -9,7 +9,7 @@
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 	"github.com/fuchsiahill/fuchsiahill/store"
 )
@@ -19,20 +19,20 @@
 
 // record is one journal record. Its parts apply in the order of the fields.
 type record struct {
-	Version  uint8                 `cbor:"1,keyasint"`
-	AtMS     int64                 `cbor:"2,keyasint"` // owner's clock, Unix time
-	Open     *ownerRecord          `cbor:"3,keyasint,omitempty"`
-	Accept   []delegation.Task     `cbor:"4,keyasint,omitempty"`
-	Refuse   []delegation.Refusal  `cbor:"5,keyasint,omitempty"`
-	Place    []placement           `cbor:"6,keyasint,omitempty"`
-	Cancel   []platform.AttemptRef `cbor:"7,keyasint,omitempty"`
-	TakeBack []platform.AttemptRef `cbor:"14,keyasint,omitempty"`
-	End      []delegation.Outcome  `cbor:"8,keyasint,omitempty"`
-	Ran      []ranRecord           `cbor:"12,keyasint,omitempty"`
-	Acked    []platform.AttemptRef `cbor:"9,keyasint,omitempty"`
-	Marks    []offerMark           `cbor:"11,keyasint,omitempty"`
-	Gate     *gateRecord           `cbor:"13,keyasint,omitempty"`
-	Release  bool                  `cbor:"10,keyasint,omitempty"` // the present owner sends no call to a worker any more
+	Version  uint8                  `cbor:"1,keyasint"`
+	AtMS     int64                  `cbor:"2,keyasint"` // owner's clock, Unix time
+	Open     *ownerRecord           `cbor:"3,keyasint,omitempty"`
+	Accept   []delegation.Task      `cbor:"4,keyasint,omitempty"`
+	Refuse   []delegation.Refusal   `cbor:"5,keyasint,omitempty"`
+	Place    []placement            `cbor:"6,keyasint,omitempty"`
+	Cancel   []inventory.AttemptRef `cbor:"7,keyasint,omitempty"`
+	TakeBack []inventory.AttemptRef `cbor:"14,keyasint,omitempty"`
+	End      []delegation.Outcome   `cbor:"8,keyasint,omitempty"`
+	Ran      []ranRecord            `cbor:"12,keyasint,omitempty"`
+	Acked    []inventory.AttemptRef `cbor:"9,keyasint,omitempty"`
+	Marks    []offerMark            `cbor:"11,keyasint,omitempty"`
+	Gate     *gateRecord            `cbor:"13,keyasint,omitempty"`
+	Release  bool                   `cbor:"10,keyasint,omitempty"` // the present owner sends no call to a worker any more
 }
 
 // ownerRecord is an owner of the cell.
@@ -67,7 +67,7 @@
 
 // placement gives an accepted attempt to a worker.
 type placement struct {
-	platform.AttemptRef
+	inventory.AttemptRef
 	Worker    fleet.WorkerID  `cbor:"3,keyasint"`
 	Size      fleet.Resources `cbor:"4,keyasint"`
 	StartByMS int64           `cbor:"5,keyasint"` // no start call has a later deadline; Unix time
@@ -92,7 +92,7 @@
 
 // ContradictionError reports a record that does not follow from the state.
 type ContradictionError struct {
-	platform.AttemptRef
+	inventory.AttemptRef
 	Record string
 }
 
--- a/cell/report.go
+++ b/cell/report.go
@@ -5,12 +5,12 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 // answered takes the result of a call that was sent at sentAt.
-func (s *session) answered(w *worker, c *call, report platform.WorkerReport, err error, sentAt, now time.Time) {
-	var refused *platform.RefusedError
+func (s *session) answered(w *worker, c *call, report inventory.WorkerReport, err error, sentAt, now time.Time) {
+	var refused *inventory.RefusedError
 	defer s.logReturn(w, w.silent)
 	switch {
 	case errors.As(err, &refused):
@@ -64,8 +64,8 @@
 
 // refused takes a refusal. It is an answer of the worker under this owner's
 // token, unless the worker knows a later owner.
-func (s *session) refused(w *worker, c *call, refused *platform.RefusedError, sentAt, now time.Time) {
-	if refused.Reason == platform.RefusedFenced {
+func (s *session) refused(w *worker, c *call, refused *inventory.RefusedError, sentAt, now time.Time) {
+	if refused.Reason == inventory.RefusedFenced {
 		if refused.Token > s.owner.Epoch {
 			s.fence(&FencedError{Worker: w.id, Token: refused.Token})
 		}
@@ -82,8 +82,8 @@
 	}
 }
 
-func (s *session) startRefused(req *platform.StartRequest, reason platform.RefusalReason) {
-	ref := platform.AttemptRef{Task: req.Task, Attempt: req.Attempt}
+func (s *session) startRefused(req *inventory.StartRequest, reason inventory.RefusalReason) {
+	ref := inventory.AttemptRef{Task: req.Task, Attempt: req.Attempt}
 	a, r := s.machine.find(ref), s.runs[ref]
 	if a == nil || r == nil || a.Phase != phasePlaced {
 		return
@@ -99,9 +99,9 @@
 }
 
 // takeReport takes the report of a call that was sent at sentAt.
-func (s *session) takeReport(w *worker, report platform.WorkerReport, sentAt time.Time) {
+func (s *session) takeReport(w *worker, report inventory.WorkerReport, sentAt time.Time) {
 	w.used = report.Used
-	listed := make(map[platform.AttemptRef]bool, len(report.Tasks))
+	listed := make(map[inventory.AttemptRef]bool, len(report.Tasks))
 	for _, st := range report.Tasks {
 		listed[st.AttemptRef] = true
 		s.takeStatus(w, st, sentAt)
@@ -124,7 +124,7 @@
 	}
 }
 
-func (s *session) takeStatus(w *worker, st platform.TaskStatus, sentAt time.Time) {
+func (s *session) takeStatus(w *worker, st inventory.TaskStatus, sentAt time.Time) {
 	ref := st.AttemptRef
 	a := s.machine.find(ref)
 	if a == nil || a.Phase == phaseWaiting || a.Placement.Worker != w.id {
@@ -152,7 +152,7 @@
 
 // takeForeign takes an attempt that the journal does not know: it is stopped
 // and forgotten.
-func (s *session) takeForeign(w *worker, st platform.TaskStatus) {
+func (s *session) takeForeign(w *worker, st inventory.TaskStatus) {
 	if st.State.Final() {
 		delete(w.foreign, st.AttemptRef)
 		w.forget[st.AttemptRef] = true
--- a/cell/returns.go
+++ b/cell/returns.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 )
 
@@ -39,7 +39,7 @@
 // batch is what is to be told to one queue.
 type batch struct {
 	outcomes []delegation.Outcome
-	started  []platform.AttemptRef
+	started  []inventory.AttemptRef
 }
 
 // nextBatches returns what is due for each queue without a call under way.
--- a/cell/runtime_test.go
+++ b/cell/runtime_test.go
@@ -9,7 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 func TestRunTime(t *testing.T) {
@@ -79,7 +79,7 @@
 		time.Sleep(11 * time.Second)
 		evicted := make(map[time.Duration]int)
 		for _, r := range b.records.Runs() {
-			if r.State == platform.TaskStopped {
+			if r.State == inventory.TaskStopped {
 				evicted[b.runTimes[b.queue.classOf(r.Task)]]++
 			}
 		}
@@ -155,7 +155,7 @@
 	runTasks(t, s, 0, 1)
 	a := s.machine.find(benchTask(0).AttemptRef)
 	later := time.Now().Add(time.Second)
-	s.takeReport(s.workers[a.Placement.Worker], platform.WorkerReport{Worker: a.Placement.Worker, Partial: true}, later)
+	s.takeReport(s.workers[a.Placement.Worker], inventory.WorkerReport{Worker: a.Placement.Worker, Partial: true}, later)
 	if got := s.runs[a.Task.AttemptRef].running; !got.Equal(later) {
 		t.Errorf("last shown running at %v, want %v", got, later)
 	}
--- a/cell/server.go
+++ b/cell/server.go
@@ -13,10 +13,10 @@
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/journal"
 	"github.com/fuchsiahill/fuchsiahill/member"
 	"github.com/fuchsiahill/fuchsiahill/peer"
 	"github.com/fuchsiahill/fuchsiahill/shard"
+	"github.com/fuchsiahill/fuchsiahill/wal"
 )
 
 // Server runs the cells that this host owns. It is safe for concurrent use.
@@ -54,7 +54,7 @@
 }
 
 // Run implements shard.Runner for cells. Errors: *ShardError, *FencedError,
-// *journal.StoppedError, those of the journal's recovery, ctx's error.
+// *wal.StoppedError, those of the journal's recovery, ctx's error.
 func (s *Server) Run(ctx context.Context, id shard.ID, owner shard.Owner) error {
 	dc, n, err := parseID(id)
 	if err != nil {
@@ -145,7 +145,7 @@
 
 // remoteError tells the caller that a lost journal means another owner.
 func remoteError(err error) error {
-	var stopped *journal.StoppedError
+	var stopped *wal.StoppedError
 	if errors.As(err, &stopped) {
 		return &peer.RemoteError{Kind: peer.KindNotOwner, Message: err.Error()}
 	}
--- a/cell/server_test.go
+++ b/cell/server_test.go
@@ -11,7 +11,7 @@
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
-	"github.com/fuchsiahill/fuchsiahill/journal"
+	"github.com/fuchsiahill/fuchsiahill/wal"
 )
 
 func TestTasksRunToTheirEnd(t *testing.T) {
@@ -36,7 +36,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 3, 30*time.Second)
 		kv := standin.NewStore()
-		b.open = OpenJournal(journal.Deps{Store: kv, Logger: log.NewNopLogger()})
+		b.open = OpenJournal(wal.Deps{Store: kv, Logger: log.NewNopLogger()})
 		first := b.start("a")
 		b.queue.add(20, small)
 		first.finish(5 * time.Second)
@@ -69,7 +69,7 @@
 func TestLargeOffer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 3, time.Second)
-		b.open = OpenJournal(journal.Deps{Store: standin.NewStore(), Logger: log.NewNopLogger()})
+		b.open = OpenJournal(wal.Deps{Store: standin.NewStore(), Logger: log.NewNopLogger()})
 		o := b.start("a")
 		defer o.stop()
 		b.queue.add(190, fleet.Resources{MilliCores: 50})
--- a/cell/session.go
+++ b/cell/session.go
@@ -13,13 +13,13 @@
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/journal"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/member"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 	"github.com/fuchsiahill/fuchsiahill/sharing"
 	"github.com/fuchsiahill/fuchsiahill/store"
+	"github.com/fuchsiahill/fuchsiahill/wal"
 )
 
 const (
@@ -49,19 +49,19 @@
 
 	mu        sync.Mutex // guards what follows
 	machine   *Machine
-	runs      map[platform.AttemptRef]*run // of placed attempts
+	runs      map[inventory.AttemptRef]*run // of placed attempts
 	workers   map[fleet.WorkerID]*worker
-	ends      map[platform.AttemptRef]delegation.Outcome // decided, not yet journaled
-	ran       []ranRecord                                // of them, not yet journaled
-	returns   map[platform.AttemptRef]returning          // durable, not yet acknowledged
-	acked     []platform.AttemptRef                      // acknowledged, not yet journaled
-	marks     map[shard.ID]offerMark                     // of acknowledgements, not yet journaled
-	started   map[shard.ID][]platform.AttemptRef         // to be reported to queues
-	calling   map[shard.ID]bool                          // queues with a call under way
-	retryAt   map[shard.ID]time.Time                     // after a failed call
-	openedAt  time.Time                                  // when this term began
-	durableAt time.Time                                  // when the last durable entry was begun
-	others    time.Time                                  // when the last predecessor stops sending
+	ends      map[inventory.AttemptRef]delegation.Outcome // decided, not yet journaled
+	ran       []ranRecord                                 // of them, not yet journaled
+	returns   map[inventory.AttemptRef]returning          // durable, not yet acknowledged
+	acked     []inventory.AttemptRef                      // acknowledged, not yet journaled
+	marks     map[shard.ID]offerMark                      // of acknowledgements, not yet journaled
+	started   map[shard.ID][]inventory.AttemptRef         // to be reported to queues
+	calling   map[shard.ID]bool                           // queues with a call under way
+	retryAt   map[shard.ID]time.Time                      // after a failed call
+	openedAt  time.Time                                   // when this term began
+	durableAt time.Time                                   // when the last durable entry was begun
+	others    time.Time                                   // when the last predecessor stops sending
 	gate      gate
 	gateSeen  *gateRecord // last change of the gate, not yet journaled
 	members   membership
@@ -116,12 +116,12 @@
 		wake:      make(chan struct{}, 1),
 		fenced:    make(chan error, 1),
 		machine:   NewMachine(),
-		runs:      make(map[platform.AttemptRef]*run),
+		runs:      make(map[inventory.AttemptRef]*run),
 		workers:   make(map[fleet.WorkerID]*worker),
-		ends:      make(map[platform.AttemptRef]delegation.Outcome),
-		returns:   make(map[platform.AttemptRef]returning),
+		ends:      make(map[inventory.AttemptRef]delegation.Outcome),
+		returns:   make(map[inventory.AttemptRef]returning),
 		marks:     make(map[shard.ID]offerMark),
-		started:   make(map[shard.ID][]platform.AttemptRef),
+		started:   make(map[shard.ID][]inventory.AttemptRef),
 		calling:   make(map[shard.ID]bool),
 		retryAt:   make(map[shard.ID]time.Time),
 		openedAt:  time.Now(),
@@ -238,7 +238,7 @@
 // those before it. It is called with the mutex held.
 func (s *session) commit(ctx context.Context, steps ...func() *record) error {
 	begun := time.Now()
-	return s.journal.Do(ctx, func(tx journal.Tx) error {
+	return s.journal.Do(ctx, func(tx wal.Tx) error {
 		for _, step := range steps {
 			s.appendStep(tx, begun, step)
 		}
@@ -246,7 +246,7 @@
 	})
 }
 
-func (s *session) appendStep(tx journal.Tx, begun time.Time, step func() *record) {
+func (s *session) appendStep(tx wal.Tx, begun time.Time, step func() *record) {
 	s.mu.Lock()
 	r := step()
 	s.mu.Unlock()
--- a/cell/share.go
+++ b/cell/share.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/sharing"
 )
 
@@ -18,7 +18,7 @@
 type Latencies interface {
 	// Latency returns what this host measured of a backend server lately, or
 	// false if another host sends to it.
-	Latency(server platform.Server) (Latency, bool)
+	Latency(server inventory.Server) (Latency, bool)
 }
 
 // Latency is what was measured of a backend server.
--- a/cell/share_test.go
+++ b/cell/share_test.go
@@ -9,21 +9,21 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 // pressed is the latency of every server as a multiple of its objective, in
 // percent.
 type pressed struct{ percent atomic.Int64 }
 
-func (p *pressed) Latency(platform.Server) (Latency, bool) {
+func (p *pressed) Latency(inventory.Server) (Latency, bool) {
 	return Latency{P99: time.Duration(p.percent.Load()) * time.Millisecond, Load: 0.5}, true
 }
 
 // elsewhere measures nothing: another host sends to the servers.
 type elsewhere struct{}
 
-func (elsewhere) Latency(platform.Server) (Latency, bool) { return Latency{}, false }
+func (elsewhere) Latency(inventory.Server) (Latency, bool) { return Latency{}, false }
 
 // TestSharingByAnotherHostsFront lets another host own the front, fall silent
 // while tasks are at their floor, and answer again.
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 const (
@@ -20,11 +20,11 @@
 	address  string
 	hasAgent bool
 	lease    lease
-	used     fleet.Resources              // as last reported
-	forget   map[platform.AttemptRef]bool // durable ends
-	foreign  map[platform.AttemptRef]bool // running there, not in the journal
-	probeAt  time.Time                    // next probe while silent
-	silent   bool                         // the last call was not answered
+	used     fleet.Resources               // as last reported
+	forget   map[inventory.AttemptRef]bool // durable ends
+	foreign  map[inventory.AttemptRef]bool // running there, not in the journal
+	probeAt  time.Time                     // next probe while silent
+	silent   bool                          // the last call was not answered
 	wake     chan struct{}
 }
 
@@ -32,8 +32,8 @@
 	return &worker{
 		id:      id,
 		lease:   newLease(now, others),
-		forget:  make(map[platform.AttemptRef]bool),
-		foreign: make(map[platform.AttemptRef]bool),
+		forget:  make(map[inventory.AttemptRef]bool),
+		foreign: make(map[inventory.AttemptRef]bool),
 		wake:    make(chan struct{}, 1),
 	}
 }
@@ -90,13 +90,13 @@
 
 // call is one call to a worker; exactly one request is set.
 type call struct {
-	start    *platform.StartRequest
-	renew    *platform.RenewRequest
-	stop     *platform.StopRequest
-	throttle *platform.ThrottleRequest
+	start    *inventory.StartRequest
+	renew    *inventory.RenewRequest
+	stop     *inventory.StopRequest
+	throttle *inventory.ThrottleRequest
 }
 
-func (c *call) do(ctx context.Context, control platform.WorkerControl, address string) (platform.WorkerReport, error) {
+func (c *call) do(ctx context.Context, control inventory.WorkerControl, address string) (inventory.WorkerReport, error) {
 	switch {
 	case c.start != nil:
 		return control.Start(ctx, address, *c.start)
@@ -142,7 +142,7 @@
 	if now.Before(w.lease.nextRenewal) && !s.isLookDue(w, now, ttl, placed) {
 		return nil
 	}
-	req := &platform.RenewRequest{
+	req := &inventory.RenewRequest{
 		Cell:    string(s.id),
 		Token:   s.owner.Epoch,
 		LeaseMS: ttl.Milliseconds(),
@@ -170,7 +170,7 @@
 }
 
 func (s *session) throttleCall(a *attempt, share float64) *call {
-	return &call{throttle: &platform.ThrottleRequest{
+	return &call{throttle: &inventory.ThrottleRequest{
 		AttemptRef: a.Task.AttemptRef,
 		Cell:       string(s.id),
 		Token:      s.owner.Epoch,
@@ -197,7 +197,7 @@
 
 // isDecided reports whether the attempt has ended and only its journal entry
 // is missing or under way.
-func (s *session) isDecided(ref platform.AttemptRef) bool {
+func (s *session) isDecided(ref inventory.AttemptRef) bool {
 	if r := s.runs[ref]; r != nil && r.decided {
 		return true
 	}
@@ -205,8 +205,8 @@
 	return decided
 }
 
-func (s *session) stopCall(ref platform.AttemptRef, checkpoint bool) *call {
-	return &call{stop: &platform.StopRequest{
+func (s *session) stopCall(ref inventory.AttemptRef, checkpoint bool) *call {
+	return &call{stop: &inventory.StopRequest{
 		AttemptRef: ref,
 		Cell:       string(s.id),
 		Token:      s.owner.Epoch,
@@ -241,7 +241,7 @@
 }
 
 func (s *session) startCall(a *attempt, deadline time.Time, ttl time.Duration) *call {
-	return &call{start: &platform.StartRequest{
+	return &call{start: &inventory.StartRequest{
 		Task:       a.Task.Task,
 		Attempt:    a.Task.Attempt,
 		Cell:       string(s.id),
--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -8,15 +8,15 @@
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/job"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 )
 
 // runningOn returns how many tasks run on a worker.
 func (b *bench) runningOn(id fleet.WorkerID) int {
 	n := 0
 	for _, r := range b.records.Runs() {
-		if r.Worker == id && r.State == platform.TaskRunning {
+		if r.Worker == id && r.State == inventory.TaskRunning {
 			n++
 		}
 	}
@@ -25,10 +25,10 @@
 
 // reserve lists a backend server on the first worker.
 func (b *bench) reserve(milliCores int64) {
-	b.hosts.Update(func(l *platform.HostList) {
-		l.Servers = []platform.Server{{
+	b.hosts.Update(func(l *inventory.HostList) {
+		l.Servers = []inventory.Server{{
 			ID: "s1", Service: "reclaim", DataCentre: testDC, Worker: b.workers[0].Info().ID,
-			Reserved: fleet.Resources{MilliCores: milliCores}, State: platform.StateLive,
+			Reserved: fleet.Resources{MilliCores: milliCores}, State: inventory.StateLive,
 		}}
 	})
 }
@@ -38,7 +38,7 @@
 func TestUnknownAttemptIsStopped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 1, time.Hour)
-		_, err := b.control.Start(context.Background(), b.workers[0].Info().Address, platform.StartRequest{
+		_, err := b.control.Start(context.Background(), b.workers[0].Info().Address, inventory.StartRequest{
 			Task: "stray/0", Attempt: 1, Cell: string(testCell), LeaseMS: 3_600_000,
 			DeadlineMS: time.Now().Add(time.Minute).UnixMilli(), Resources: fleet.Resources{MilliCores: 4000},
 		})
@@ -49,7 +49,7 @@
 		defer o.stop()
 		b.queue.add(4, small)
 		o.finish(10 * time.Second)
-		if b.records.Runs()[0].State != platform.TaskStopped {
+		if b.records.Runs()[0].State != inventory.TaskStopped {
 			t.Error("unknown attempt goes on")
 		}
 		if got := b.runningOn("w00"); got != 4 {
@@ -92,9 +92,9 @@
 		o := b.start("a")
 		defer o.stop()
 		b.queue.add(2, small)
-		o.finish(platform.MaxLag + 10*time.Second)
+		o.finish(inventory.MaxLag + 10*time.Second)
 		b.workers[0].Kill()
-		b.hosts.Update(func(l *platform.HostList) { l.Workers[0].State = platform.StateGone })
+		b.hosts.Update(func(l *inventory.HostList) { l.Workers[0].State = inventory.StateGone })
 		o.finish(2 * time.Second)
 		if got := b.runningOn("w01"); got != 2 {
 			t.Errorf("%d tasks run 2 s after their worker was listed as gone, want 2", got)
@@ -112,8 +112,8 @@
 		defer o.stop()
 		b.queue.add(2, small)
 		o.finish(5 * time.Second)
-		b.hosts.Update(func(l *platform.HostList) { l.Workers[0].State = platform.StateGone })
-		o.finish(platform.MaxLag / 2)
+		b.hosts.Update(func(l *inventory.HostList) { l.Workers[0].State = inventory.StateGone })
+		o.finish(inventory.MaxLag / 2)
 		b.check()
 		if got := b.runningOn("w00"); got != 2 {
 			t.Errorf("%d tasks run on the restarted worker, want 2", got)
@@ -169,7 +169,7 @@
 		b.queue.add(2, small)
 		o.finish(5 * time.Second)
 		before := b.runningOn("w00")
-		b.hosts.Update(func(l *platform.HostList) { l.Workers[0].State = platform.StateLeaving })
+		b.hosts.Update(func(l *inventory.HostList) { l.Workers[0].State = inventory.StateLeaving })
 		time.Sleep(time.Second)
 		b.queue.add(4, small)
 		o.finish(5 * time.Second)
--- a/delegation/delegation.go
+++ b/delegation/delegation.go
@@ -12,8 +12,8 @@
 
 import (
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/member"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 )
 
@@ -27,7 +27,7 @@
 
 // Task is one attempt of a task as a cell gets it.
 type Task struct {
-	platform.AttemptRef
+	inventory.AttemptRef
 	Queue              shard.ID           `json:"queue" cbor:"3,keyasint"` // where the outcome goes
 	Organisation       fleet.Organisation `json:"organisation" cbor:"4,keyasint"`
 	Team               fleet.Team         `json:"team" cbor:"5,keyasint"`
@@ -59,21 +59,21 @@
 // OfferReply tells for each task whether the cell has accepted it. A task in
 // neither list was not looked at and stays delegated.
 type OfferReply struct {
-	Accepted []platform.AttemptRef `json:"accepted"`
-	Refused  []Refusal             `json:"refused"`
-	Load     member.CellLoad       `json:"load"` // after the decision
+	Accepted []inventory.AttemptRef `json:"accepted"`
+	Refused  []Refusal              `json:"refused"`
+	Load     member.CellLoad        `json:"load"` // after the decision
 }
 
 // Refusal durably gives an attempt back: the cell never starts it.
 type Refusal struct {
-	platform.AttemptRef
+	inventory.AttemptRef
 	Reason string `json:"reason"` // machine-readable
 }
 
 // Cancel asks a cell to stop tasks. They come back by Return.
 type Cancel struct {
-	Cell  shard.ID              `json:"cell"`
-	Tasks []platform.AttemptRef `json:"tasks"`
+	Cell  shard.ID               `json:"cell"`
+	Tasks []inventory.AttemptRef `json:"tasks"`
 }
 
 // CancelReply acknowledges a Cancel.
@@ -94,7 +94,7 @@
 
 // Outcome is the end of one attempt. The attempt runs nowhere any more.
 type Outcome struct {
-	platform.AttemptRef
+	inventory.AttemptRef
 	End                End             `json:"end" cbor:"3,keyasint"`
 	Worker             fleet.WorkerID  `json:"worker,omitempty" cbor:"4,keyasint,omitempty"`
 	Checkpoint         string          `json:"checkpoint,omitempty" cbor:"5,keyasint,omitempty"`
@@ -120,8 +120,8 @@
 
 // Started reports attempts that a worker was seen running, for status only.
 type Started struct {
-	Queue shard.ID              `json:"queue"`
-	Tasks []platform.AttemptRef `json:"tasks"`
+	Queue shard.ID               `json:"queue"`
+	Tasks []inventory.AttemptRef `json:"tasks"`
 }
 
 // StartedReply acknowledges a Started.
--- a/gateway/chaos_test.go
+++ b/gateway/chaos_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/member"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
@@ -78,8 +78,8 @@
 				b.SetFaults(randomFaults(rng))
 			}
 			if i%9 == 4 {
-				state := []platform.HostState{platform.StateLive, platform.StateLeaving}[rng.IntN(2)]
-				s.setList(func(l *platform.HostList) { l.Servers[0].State = state })
+				state := []inventory.HostState{inventory.StateLive, inventory.StateLeaving}[rng.IntN(2)]
+				s.setList(func(l *inventory.HostList) { l.Servers[0].State = state })
 			}
 			if i%20 == 10 { // hand the front over
 				hosts[owner].stop()
--- a/gateway/claimed.go
+++ b/gateway/claimed.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/member"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 )
@@ -22,9 +22,9 @@
 
 // isUsable reports whether the platform and the settings let a server of this
 // host's region take requests.
-func (g *Gateway) isUsable(info *platform.Server, centres map[fleet.DataCentre]settings.DataCentre) bool {
+func (g *Gateway) isUsable(info *inventory.Server, centres map[fleet.DataCentre]settings.DataCentre) bool {
 	centre, ok := centres[info.DataCentre]
-	return ok && centre.Region == g.deps.Self.Region && centre.State == settings.DataCentreIn && info.State == platform.StateLive
+	return ok && centre.Region == g.deps.Self.Region && centre.State == settings.DataCentreIn && info.State == inventory.StateLive
 }
 
 // claimedPeer returns a host that has claimed servers of the service of which
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -22,9 +22,9 @@
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/gateway"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/member"
 	"github.com/fuchsiahill/fuchsiahill/peer"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 	"github.com/fuchsiahill/fuchsiahill/store"
@@ -41,7 +41,7 @@
 // view is a settable host list, settings and directory of members.
 type view struct {
 	mu       sync.Mutex
-	list     *platform.HostList
+	list     *inventory.HostList
 	changed  chan struct{}
 	snapshot *snapshot
 	hosts    []member.Host
@@ -64,7 +64,7 @@
 	return s.values
 }
 
-func (v *view) Hosts() *platform.HostList {
+func (v *view) Hosts() *inventory.HostList {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.list
@@ -85,7 +85,7 @@
 func (v *view) ConfirmedAt() time.Time { return time.Now() }
 
 // setList changes the host list; setSettings the settings.
-func (v *view) setList(change func(*platform.HostList)) {
+func (v *view) setList(change func(*inventory.HostList)) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	next := *v.list
@@ -222,7 +222,7 @@
 func newSite(t testing.TB, backends int, work func() time.Duration) *site {
 	t.Helper()
 	s := &site{
-		view: &view{list: &platform.HostList{Version: 1}, changed: make(chan struct{}), sums: make(map[fleet.HostID]member.Summary)},
+		view: &view{list: &inventory.HostList{Version: 1}, changed: make(chan struct{}), sums: make(map[fleet.HostID]member.Summary)},
 		net:  &network{handlers: make(map[fleet.HostID]map[string]peer.Handler), owners: make(map[shard.ID]fleet.HostID)},
 	}
 	s.snapshot = &snapshot{
@@ -234,16 +234,16 @@
 		},
 	}
 	for i := range backends {
-		b, err := standin.StartBackend(platform.Server{
+		b, err := standin.StartBackend(inventory.Server{
 			ID: fleet.ServerID(fmt.Sprintf("s%d", i)), Service: svc, Organisation: "balkantrans", DataCentre: dc,
-			Worker: "w1", Address: "127.0.0.1:0", Slots: 8, Connections: 64, State: platform.StateLive,
+			Worker: "w1", Address: "127.0.0.1:0", Slots: 8, Connections: 64, State: inventory.StateLive,
 		}, work)
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { closeBackend(t, b) })
 		s.backends = append(s.backends, b)
-		s.setList(func(l *platform.HostList) { l.Servers = append(l.Servers, b.Info()) })
+		s.setList(func(l *inventory.HostList) { l.Servers = append(l.Servers, b.Info()) })
 	}
 	return s
 }
--- a/gateway/fronts.go
+++ b/gateway/fronts.go
@@ -8,7 +8,7 @@
 
 	"github.com/fuchsiahill/fuchsiahill/backend"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 )
@@ -18,8 +18,8 @@
 	address string
 	front   shard.ID
 	pool    *backend.Pool
-	info    platform.Server // guarded by the gateway's mutex
-	recent  recent          // guarded by its service's mutex
+	info    inventory.Server // guarded by the gateway's mutex
+	recent  recent           // guarded by its service's mutex
 
 	usable atomic.Bool                       // live, data centre in, right to send
 	values atomic.Pointer[settings.Resolved] // for the server's data centre
@@ -186,7 +186,7 @@
 		seen[s] = true
 		resolved := snapshot.Service(info.Organisation, info.DataCentre, info.Service)
 		s.values.Store(&resolved)
-		usable := g.fronts[s.front].sending && info.State == platform.StateLive &&
+		usable := g.fronts[s.front].sending && info.State == inventory.StateLive &&
 			centres[info.DataCentre].State == settings.DataCentreIn
 		s.usable.Store(usable)
 		if !usable {
@@ -210,7 +210,7 @@
 	g.revision.Store(int64(snapshot.Revision()))
 }
 
-func (g *Gateway) ensureService(now time.Time, info *platform.Server, snapshot settings.Snapshot, values map[fleet.Service]settings.Resolved) {
+func (g *Gateway) ensureService(now time.Time, info *inventory.Server, snapshot settings.Snapshot, values map[fleet.Service]settings.Resolved) {
 	if _, ok := values[info.Service]; ok {
 		return
 	}
@@ -221,9 +221,9 @@
 }
 
 // own returns the record of a server whose front this host runs, or nil.
-func (g *Gateway) own(info *platform.Server, centres map[fleet.DataCentre]settings.DataCentre) *server {
+func (g *Gateway) own(info *inventory.Server, centres map[fleet.DataCentre]settings.DataCentre) *server {
 	centre, ok := centres[info.DataCentre]
-	if !ok || info.State == platform.StateGone {
+	if !ok || info.State == inventory.StateGone {
 		return nil
 	}
 	f := g.fronts[g.frontOf(info, centre.Cells)]
@@ -242,7 +242,7 @@
 	return s
 }
 
-func (g *Gateway) frontOf(info *platform.Server, cells int) shard.ID {
+func (g *Gateway) frontOf(info *inventory.Server, cells int) shard.ID {
 	n, ok := g.numbers[info.Worker]
 	if !ok {
 		n = shard.NumberOf(info.Worker, cells)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,9 +20,9 @@
 	"github.com/fuchsiahill/fuchsiahill/backend"
 	"github.com/fuchsiahill/fuchsiahill/dedupe"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/member"
 	"github.com/fuchsiahill/fuchsiahill/peer"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 )
@@ -37,7 +37,7 @@
 // the gateway's locks held, so they must not call it.
 type Deps struct {
 	Self     member.Host
-	Platform platform.View
+	Platform inventory.View
 	Settings settings.View
 	Rights   shard.Rights
 	Shards   shard.Directory
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 )
 
@@ -223,8 +223,8 @@
 	}
 	for name, change := range map[string]func(*site){
 		"data centre out": func(s *site) { s.setSettings(out) },
-		"server leaving":  func(s *site) { s.setList(func(l *platform.HostList) { l.Servers[0].State = platform.StateLeaving }) },
-		"server unlisted": func(s *site) { s.setList(func(l *platform.HostList) { l.Servers = nil }) },
+		"server leaving":  func(s *site) { s.setList(func(l *inventory.HostList) { l.Servers[0].State = inventory.StateLeaving }) },
+		"server unlisted": func(s *site) { s.setList(func(l *inventory.HostList) { l.Servers = nil }) },
 		"right lost":      nil,
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -290,7 +290,7 @@
 func TestEarlierUnknownIsTold(t *testing.T) {
 	var s *site
 	s = newSite(t, 1, func() time.Duration {
-		s.setList(func(l *platform.HostList) { l.Servers[0].State = platform.StateLeaving })
+		s.setList(func(l *inventory.HostList) { l.Servers[0].State = inventory.StateLeaving })
 		return 0
 	})
 	h := s.start(t, "h1", true)
--- a/gateway/headers_test.go
+++ b/gateway/headers_test.go
@@ -10,7 +10,7 @@
 	"github.com/google/uuid"
 
 	"github.com/fuchsiahill/fuchsiahill/gateway"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 // TestWhatTheServerSees checks path and headers on their way to the backend
@@ -27,9 +27,9 @@
 	}))
 	defer server.Close()
 	s := newSite(t, 0, instant)
-	s.setList(func(l *platform.HostList) {
-		l.Servers = []platform.Server{{
-			ID: "s0", Service: svc, DataCentre: dc, Worker: "w1", Slots: 8, Connections: 64, State: platform.StateLive,
+	s.setList(func(l *inventory.HostList) {
+		l.Servers = []inventory.Server{{
+			ID: "s0", Service: svc, DataCentre: dc, Worker: "w1", Slots: 8, Connections: 64, State: inventory.StateLive,
 			Address: strings.TrimPrefix(server.URL, "http://"),
 		}}
 	})
--- a/gateway/hosts_test.go
+++ b/gateway/hosts_test.go
@@ -11,8 +11,8 @@
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/gateway"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/member"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 )
 
 // TestForward checks the hop to a peer with free slots, and that a refusal
@@ -49,8 +49,8 @@
 // TestOneHop checks that a forwarded request is not forwarded again.
 func TestOneHop(t *testing.T) {
 	s := newSite(t, 0, instant)
-	s.setList(func(l *platform.HostList) {
-		l.Servers = []platform.Server{{ID: "s0", Service: svc, DataCentre: dc, Worker: "w1", State: platform.StateLive}}
+	s.setList(func(l *inventory.HostList) {
+		l.Servers = []inventory.Server{{ID: "s0", Service: svc, DataCentre: dc, Worker: "w1", State: inventory.StateLive}}
 	})
 	a, b := s.start(t, "h1", false), s.start(t, "h2", false)
 	for _, id := range []fleet.HostID{"h1", "h2"} { // neither has what its summary says
@@ -132,11 +132,11 @@
 	h := s.start(t, "h1", true)
 	s.waitForMemory(t, h)
 	id := uuid.Must(uuid.NewV7()).String()
-	s.setList(func(l *platform.HostList) { l.Servers[0].State = platform.StateLeaving })
+	s.setList(func(l *inventory.HostList) { l.Servers[0].State = inventory.StateLeaving })
 	if r := h.call(t.Context(), "POST", "", gateway.HeaderRequestID, id); r.outcome() != "not-run" {
 		t.Errorf("refused: %s (%s)", r.outcome(), r.reason())
 	}
-	s.setList(func(l *platform.HostList) { l.Servers[0].State = platform.StateLive })
+	s.setList(func(l *inventory.HostList) { l.Servers[0].State = inventory.StateLive })
 	if r := h.call(t.Context(), "POST", "", gateway.HeaderRequestID, id); r.outcome() != "answered" {
 		t.Errorf("sent again: %s (%s)", r.outcome(), r.reason())
 	}
--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -17,9 +17,9 @@
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/gateway"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/member"
 	"github.com/fuchsiahill/fuchsiahill/peer"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 )
@@ -42,7 +42,7 @@
 // newPipeGateway returns a gateway that owns servers in memory, and a
 // function that ends it. Call both inside a synctest bubble.
 func newPipeGateway(servers int, work func() time.Duration, change func(*settings.Resolved)) (*gateway.Gateway, func()) {
-	v := &view{list: &platform.HostList{Version: 1}, changed: make(chan struct{})}
+	v := &view{list: &inventory.HostList{Version: 1}, changed: make(chan struct{})}
 	v.snapshot = &snapshot{
 		revision: 1,
 		centres:  map[fleet.DataCentre]settings.DataCentre{dc: {Region: "bg", State: settings.DataCentreIn, Cells: 1}},
@@ -53,9 +53,9 @@
 	}
 	change(&v.snapshot.values)
 	for i := range servers {
-		v.list.Servers = append(v.list.Servers, platform.Server{
+		v.list.Servers = append(v.list.Servers, inventory.Server{
 			ID: fleet.ServerID(fmt.Sprintf("s%d", i)), Service: svc, DataCentre: dc, Worker: "w1",
-			Address: fmt.Sprintf("s%d", i), Slots: 8, Connections: 64, State: platform.StateLive,
+			Address: fmt.Sprintf("s%d", i), Slots: 8, Connections: 64, State: inventory.StateLive,
 		})
 	}
 	net1 := &network{handlers: make(map[fleet.HostID]map[string]peer.Handler), owners: map[shard.ID]fleet.HostID{front: "h1"}}
--- a/gateway/rights_test.go
+++ b/gateway/rights_test.go
@@ -6,7 +6,7 @@
 	"testing"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 )
@@ -28,7 +28,7 @@
 		v.RetryBudgetPercent = 0
 		c[dc] = settings.DataCentre{Region: "bg", State: settings.DataCentreIn, Cells: 2}
 	})
-	s.setList(func(l *platform.HostList) {
+	s.setList(func(l *inventory.HostList) {
 		l.Servers[0].Worker = workerOf(0)
 		l.Servers[1].Worker = workerOf(1)
 	})
--- a/host/batch.go
+++ b/host/batch.go
@@ -2,10 +2,10 @@
 
 import (
 	"github.com/fuchsiahill/fuchsiahill/cell"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/job"
-	"github.com/fuchsiahill/fuchsiahill/journal"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/queue"
+	"github.com/fuchsiahill/fuchsiahill/wal"
 )
 
 // batch is the batch half of a host.
@@ -18,12 +18,12 @@
 func (h *Host) wireBatch() *batch {
 	workers := h.opts.Workers
 	if workers == nil {
-		workers = platform.NewHTTPWorkers(platform.HTTPWorkersOptions{})
+		workers = inventory.NewHTTPWorkers(inventory.HTTPWorkersOptions{})
 	}
-	pace := journal.Pace{Writes: h.journalWrites}
+	pace := wal.Pace{Writes: h.journalWrites}
 	return &batch{
 		cells: cell.NewServer(cell.Deps{
-			Open:      cell.OpenJournal(journal.Deps{Store: h.metered, Logger: h.logger, Pace: pace}),
+			Open:      cell.OpenJournal(wal.Deps{Store: h.metered, Logger: h.logger, Pace: pace}),
 			Workers:   workers,
 			Hosts:     h.poller,
 			Settings:  h.tracker,
--- a/host/host.go
+++ b/host/host.go
@@ -21,9 +21,9 @@
 	"github.com/fuchsiahill/fuchsiahill/dedupe"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/gateway"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/member"
 	"github.com/fuchsiahill/fuchsiahill/peer"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 	"github.com/fuchsiahill/fuchsiahill/store"
@@ -33,8 +33,8 @@
 // embedding. Nil fields mean the HTTP clients of the configured addresses.
 type Options struct {
 	Store   store.Store
-	Hosts   platform.HostLister
-	Workers platform.WorkerControl
+	Hosts   inventory.HostLister
+	Workers inventory.WorkerControl
 	Logger  log.Logger
 	Timing  shard.Timing
 	Margins dedupe.Margins // of request IDs
@@ -61,7 +61,7 @@
 	journalWrites *rate.Limiter
 	tracker       *settings.Tracker
 	editor        *settings.Editor
-	poller        *platform.Poller
+	poller        *inventory.Poller
 	peers         *peer.Server
 	caller        *peer.Client
 	registry      *member.Registry
@@ -140,11 +140,11 @@
 	}
 	hosts := h.opts.Hosts
 	if hosts == nil {
-		hosts = platform.NewHTTPHostLister(h.cfg.HostListURL)
+		hosts = inventory.NewHTTPHostLister(h.cfg.HostListURL)
 	}
 	h.journalWrites = newJournalWrites()
 	h.metered = store.NewMetered(backing, storeBudget.Share(leastHosts))
-	h.poller = platform.NewPoller(hosts, 0, h.logger)
+	h.poller = inventory.NewPoller(hosts, 0, h.logger)
 	h.tracker = settings.NewTracker(h.metered, settings.TrackerOptions{Logger: h.logger})
 	h.editor = settings.NewEditor(h.metered, time.Now)
 	h.editor.OnApplied(func(value []byte, revision store.Revision) {
--- a/host/serve_test.go
+++ b/host/serve_test.go
@@ -9,16 +9,16 @@
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/host"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 // panicking is a host list whose first calls panic.
 type panicking struct {
-	platform.HostLister
+	inventory.HostLister
 	left atomic.Int64
 }
 
-func (p *panicking) Hosts(ctx context.Context, known int64) (platform.HostList, bool, error) {
+func (p *panicking) Hosts(ctx context.Context, known int64) (inventory.HostList, bool, error) {
 	if p.left.Add(-1) >= 0 {
 		panic("host list")
 	}
@@ -33,7 +33,7 @@
 		t.Fatal(err)
 	}
 	defer site.Close()
-	lister := &panicking{HostLister: platform.NewHTTPHostLister(site.HostsURL)}
+	lister := &panicking{HostLister: inventory.NewHTTPHostLister(site.HostsURL)}
 	lister.left.Store(2)
 	h, _ := startWith(t, site, "entry-1", host.Options{Store: standin.NewCut().Store(site.StoreURL), Hosts: lister})
 	client := api.NewClient("http://"+h.OperatorsAddress(), "")
--- a/internal/dev/area.go
+++ b/internal/dev/area.go
@@ -9,7 +9,7 @@
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
 	"github.com/fuchsiahill/fuchsiahill/internal/wait"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 // area is a part of the site that fails as a whole.
@@ -29,12 +29,12 @@
 // and all of its backend servers.
 func (r *run) rack() area {
 	rack := r.site.Workers[0].Info().Rack
-	return r.machines(func(w platform.Worker) bool { return w.Rack == rack })
+	return r.machines(func(w inventory.Worker) bool { return w.Rack == rack })
 }
 
 // machines returns the workers for which in answers true, with the backend
 // servers on them.
-func (r *run) machines(in func(platform.Worker) bool) area {
+func (r *run) machines(in func(inventory.Worker) bool) area {
 	var a area
 	on := make(map[fleet.WorkerID]bool)
 	for _, w := range r.site.Workers {
@@ -78,7 +78,7 @@
 // with as many new entry hosts.
 func (r *run) loseDataCentre(ctx context.Context, _ *rand.Rand) func(context.Context) {
 	dc := dataCentres[0]
-	a := r.machines(func(w platform.Worker) bool { return w.DataCentre == dc })
+	a := r.machines(func(w inventory.Worker) bool { return w.DataCentre == dc })
 	for _, e := range r.hosts.list() {
 		if e.cfg.DataCentre == dc {
 			a.hosts = append(a.hosts, e)
@@ -101,7 +101,7 @@
 	for _, w := range a.workers {
 		w.Kill()
 	}
-	r.setArea(a, platform.StateGone)
+	r.setArea(a, inventory.StateGone)
 	r.killEntries(a.hosts...)
 }
 
@@ -110,7 +110,7 @@
 		w.Restart()
 	}
 	a.hear()
-	r.setArea(a, platform.StateLive)
+	r.setArea(a, inventory.StateLive)
 	r.loss.until = time.Now()
 }
 
@@ -163,8 +163,8 @@
 
 // setArea shows the machines of an area in another state, by one change of
 // the list.
-func (r *run) setArea(a area, state platform.HostState) {
-	r.site.HostList.Update(func(l *platform.HostList) {
+func (r *run) setArea(a area, state inventory.HostState) {
+	r.site.HostList.Update(func(l *inventory.HostList) {
 		for i := range l.Workers {
 			if slices.ContainsFunc(a.workers, func(w *standin.Worker) bool { return w.Info().ID == l.Workers[i].ID }) {
 				l.Workers[i].State = state
--- a/internal/dev/chosen_test.go
+++ b/internal/dev/chosen_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 // faultCase is one run of the site with its faults.
@@ -118,7 +118,7 @@
 	var lost []standin.Record
 	for _, rec := range runs {
 		during := rec.Ended.After(l.from) && rec.Ended.Before(l.until)
-		if during && rec.State == platform.TaskStopped && slices.Contains(l.workers, rec.Worker) {
+		if during && rec.State == inventory.TaskStopped && slices.Contains(l.workers, rec.Worker) {
 			lost = append(lost, rec)
 		}
 	}
@@ -138,7 +138,7 @@
 
 func tasksRan(runs []standin.Record, l loss, dc fleet.DataCentre) bool {
 	return slices.ContainsFunc(runs, func(rec standin.Record) bool {
-		return rec.DataCentre == dc && rec.State == platform.TaskFinished &&
+		return rec.DataCentre == dc && rec.State == inventory.TaskFinished &&
 			rec.Started.After(l.from) && rec.Started.Before(l.until)
 	})
 }
--- a/internal/dev/faults.go
+++ b/internal/dev/faults.go
@@ -10,7 +10,7 @@
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
 	"github.com/fuchsiahill/fuchsiahill/internal/wait"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 )
 
@@ -133,12 +133,12 @@
 	for _, victim := range victims {
 		<-victim.done
 	}
-	r.site.HostList.Update(func(l *platform.HostList) {
+	r.site.HostList.Update(func(l *inventory.HostList) {
 		for _, victim := range victims {
-			l.EntryHosts = append(l.EntryHosts, platform.EntryHost{
+			l.EntryHosts = append(l.EntryHosts, inventory.EntryHost{
 				ID:          victim.cfg.ID,
 				Incarnation: victim.host.Self().Incarnation,
-				State:       platform.StateGone,
+				State:       inventory.StateGone,
 			})
 		}
 	})
@@ -169,15 +169,15 @@
 func (r *run) killWorker(_ context.Context, random *rand.Rand) func(context.Context) {
 	victim := r.batchWorker(random)
 	victim.Kill()
-	r.setWorkers(platform.StateGone, victim.Info().ID)
+	r.setWorkers(inventory.StateGone, victim.Info().ID)
 	return func(context.Context) {
 		victim.Restart()
-		r.setWorkers(platform.StateLive, victim.Info().ID)
+		r.setWorkers(inventory.StateLive, victim.Info().ID)
 	}
 }
 
-func (r *run) setWorkers(state platform.HostState, ids ...fleet.WorkerID) {
-	r.site.HostList.Update(func(l *platform.HostList) {
+func (r *run) setWorkers(state inventory.HostState, ids ...fleet.WorkerID) {
+	r.site.HostList.Update(func(l *inventory.HostList) {
 		for i := range l.Workers {
 			if slices.Contains(ids, l.Workers[i].ID) {
 				l.Workers[i].State = state
@@ -204,12 +204,12 @@
 
 func (r *run) backendLeaving(_ context.Context, random *rand.Rand) func(context.Context) {
 	victim := r.site.Backends[random.IntN(len(r.site.Backends))].Info().ID
-	r.setBackend(victim, platform.StateLeaving)
-	return func(context.Context) { r.setBackend(victim, platform.StateLive) }
+	r.setBackend(victim, inventory.StateLeaving)
+	return func(context.Context) { r.setBackend(victim, inventory.StateLive) }
 }
 
-func (r *run) setBackend(id fleet.ServerID, state platform.HostState) {
-	r.site.HostList.Update(func(l *platform.HostList) {
+func (r *run) setBackend(id fleet.ServerID, state inventory.HostState) {
+	r.site.HostList.Update(func(l *inventory.HostList) {
 		for i := range l.Servers {
 			if l.Servers[i].ID == id {
 				l.Servers[i].State = state
--- a/internal/dev/process_test.go
+++ b/internal/dev/process_test.go
@@ -15,9 +15,9 @@
 	"github.com/fuchsiahill/fuchsiahill/api"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/job"
 	"github.com/fuchsiahill/fuchsiahill/member"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 )
 
 // daemon is a fuchsiahilld process.
@@ -97,10 +97,10 @@
 	for _, victim := range victims {
 		<-victim.exited
 	}
-	site.HostList.Update(func(l *platform.HostList) {
+	site.HostList.Update(func(l *inventory.HostList) {
 		for _, victim := range victims {
-			l.EntryHosts = append(l.EntryHosts, platform.EntryHost{
-				ID: victim.id, Incarnation: victim.self.Incarnation, State: platform.StateGone,
+			l.EntryHosts = append(l.EntryHosts, inventory.EntryHost{
+				ID: victim.id, Incarnation: victim.self.Incarnation, State: inventory.StateGone,
 			})
 		}
 	})
--- a/internal/dev/report.go
+++ b/internal/dev/report.go
@@ -9,7 +9,7 @@
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 // Report is the verdict on a run.
@@ -134,7 +134,7 @@
 func judgeTasks(runs []standin.Record, v standin.Violations, submitted []fleet.TaskID) Tasks {
 	finished := make(map[fleet.TaskID]int)
 	for _, r := range runs {
-		if r.State == platform.TaskFinished {
+		if r.State == inventory.TaskFinished {
 			finished[r.Task]++
 		}
 	}
--- a/internal/dev/twice.go
+++ b/internal/dev/twice.go
@@ -8,7 +8,7 @@
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
 	"github.com/fuchsiahill/fuchsiahill/internal/wait"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 )
 
@@ -106,11 +106,11 @@
 	for _, w := range victims {
 		w.Kill()
 	}
-	r.setWorkers(platform.StateGone, ids...)
+	r.setWorkers(inventory.StateGone, ids...)
 	return func(context.Context) {
 		for _, w := range victims {
 			w.Restart()
 		}
-		r.setWorkers(platform.StateLive, ids...)
+		r.setWorkers(inventory.StateLive, ids...)
 	}
 }
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/internal/wait"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 // BackendFaults are the faults of a Backend.
@@ -51,7 +51,7 @@
 // answers with its ID, the request ID and the request body, so that a caller
 // can tell a whole answer to its own request. Safe for concurrent use.
 type Backend struct {
-	info    platform.Server
+	info    inventory.Server
 	service func() time.Duration // time to work on a request
 
 	mu       sync.Mutex
@@ -69,7 +69,7 @@
 
 // StartBackend listens on info.Address ("127.0.0.1:0" picks a port) and
 // serves until Close.
-func StartBackend(info platform.Server, service func() time.Duration) (*Backend, error) {
+func StartBackend(info inventory.Server, service func() time.Duration) (*Backend, error) {
 	ln, err := new(net.ListenConfig).Listen(context.Background(), "tcp", info.Address)
 	if err != nil {
 		return nil, err
@@ -91,7 +91,7 @@
 }
 
 // Info returns the server's entry for the host list.
-func (b *Backend) Info() platform.Server { return b.info }
+func (b *Backend) Info() inventory.Server { return b.info }
 
 // Close ends the server and its connections.
 func (b *Backend) Close() error { return b.server.Close() }
@@ -236,7 +236,7 @@
 }
 
 // Answer is the body that a Backend answers with.
-func Answer(info platform.Server, id string, body []byte) string {
+func Answer(info inventory.Server, id string, body []byte) string {
 	return fmt.Sprintf("server=%s request=%s body=%s\n", info.ID, id, body)
 }
 
--- a/internal/standin/cut.go
+++ b/internal/standin/cut.go
@@ -8,7 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/store"
 )
 
@@ -73,8 +73,8 @@
 }
 
 // Workers returns a client of workers over these connections.
-func (c *Cut) Workers() platform.WorkerControl {
-	return &cutWorkers{cut: c, next: platform.NewHTTPWorkers(platform.HTTPWorkersOptions{})}
+func (c *Cut) Workers() inventory.WorkerControl {
+	return &cutWorkers{cut: c, next: inventory.NewHTTPWorkers(inventory.HTTPWorkersOptions{})}
 }
 
 type cutStore struct {
@@ -181,31 +181,31 @@
 
 type cutWorkers struct {
 	cut  *Cut
-	next platform.WorkerControl
+	next inventory.WorkerControl
 }
 
 // through makes one call unless the connections are cut.
-func through[Req any](ctx context.Context, c *Cut, op string, call func(context.Context, string, Req) (platform.WorkerReport, error), address string, req Req) (platform.WorkerReport, error) {
+func through[Req any](ctx context.Context, c *Cut, op string, call func(context.Context, string, Req) (inventory.WorkerReport, error), address string, req Req) (inventory.WorkerReport, error) {
 	if c.off.Load() {
-		return platform.WorkerReport{}, eris.Wrap(&platform.WorkerUnknownError{Op: op, Cause: errDown}, "cut")
+		return inventory.WorkerReport{}, eris.Wrap(&inventory.WorkerUnknownError{Op: op, Cause: errDown}, "cut")
 	}
 	ctx, done := join(ctx, c.ctx)
 	defer done()
 	return call(ctx, address, req)
 }
 
-func (w *cutWorkers) Start(ctx context.Context, address string, req platform.StartRequest) (platform.WorkerReport, error) {
+func (w *cutWorkers) Start(ctx context.Context, address string, req inventory.StartRequest) (inventory.WorkerReport, error) {
 	return through(ctx, w.cut, "start", w.next.Start, address, req)
 }
 
-func (w *cutWorkers) Renew(ctx context.Context, address string, req platform.RenewRequest) (platform.WorkerReport, error) {
+func (w *cutWorkers) Renew(ctx context.Context, address string, req inventory.RenewRequest) (inventory.WorkerReport, error) {
 	return through(ctx, w.cut, "renew", w.next.Renew, address, req)
 }
 
-func (w *cutWorkers) Stop(ctx context.Context, address string, req platform.StopRequest) (platform.WorkerReport, error) {
+func (w *cutWorkers) Stop(ctx context.Context, address string, req inventory.StopRequest) (inventory.WorkerReport, error) {
 	return through(ctx, w.cut, "stop", w.next.Stop, address, req)
 }
 
-func (w *cutWorkers) Throttle(ctx context.Context, address string, req platform.ThrottleRequest) (platform.WorkerReport, error) {
+func (w *cutWorkers) Throttle(ctx context.Context, address string, req inventory.ThrottleRequest) (inventory.WorkerReport, error) {
 	return through(ctx, w.cut, "throttle", w.next.Throttle, address, req)
 }
--- a/internal/standin/hostlist.go
+++ b/internal/standin/hostlist.go
@@ -9,7 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 // HostList is the platform's host list. Changes show after Lag. Safe for
@@ -18,13 +18,13 @@
 	mu      sync.Mutex
 	lag     time.Duration
 	down    bool
-	shown   platform.HostList
-	pending platform.HostList
+	shown   inventory.HostList
+	pending inventory.HostList
 	changed map[any]int64 // version at which a shown entry last changed
 	removed int64         // version at which entries were last removed
 }
 
-var _ platform.HostLister = (*HostList)(nil)
+var _ inventory.HostLister = (*HostList)(nil)
 
 // NewHostList returns an empty list whose changes show after lag.
 func NewHostList(lag time.Duration) *HostList {
@@ -32,7 +32,7 @@
 }
 
 // Update changes the truth; the change shows after the lag.
-func (h *HostList) Update(change func(*platform.HostList)) {
+func (h *HostList) Update(change func(*inventory.HostList)) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	change(&h.pending)
@@ -49,7 +49,7 @@
 	})
 }
 
-func (h *HostList) show(next platform.HostList) {
+func (h *HostList) show(next inventory.HostList) {
 	if next.Version <= h.shown.Version {
 		return
 	}
@@ -66,10 +66,10 @@
 	h.shown = next
 }
 
-func entries(l platform.HostList) int { return len(l.Workers) + len(l.Servers) + len(l.EntryHosts) }
+func entries(l inventory.HostList) int { return len(l.Workers) + len(l.Servers) + len(l.EntryHosts) }
 
 // eachEntry visits the entries of a list. They are comparable values.
-func eachEntry(l platform.HostList, visit func(entry any)) {
+func eachEntry(l inventory.HostList, visit func(entry any)) {
 	for _, w := range l.Workers {
 		visit(w)
 	}
@@ -82,25 +82,25 @@
 }
 
 // since returns the entries that changed after a version. The mutex is held.
-func (h *HostList) since(known int64) platform.HostList {
-	changes := platform.HostList{Version: h.shown.Version, Since: known}
+func (h *HostList) since(known int64) inventory.HostList {
+	changes := inventory.HostList{Version: h.shown.Version, Since: known}
 	eachEntry(h.shown, func(entry any) {
 		if h.changed[entry] <= known {
 			return
 		}
 		switch e := entry.(type) {
-		case platform.Worker:
+		case inventory.Worker:
 			changes.Workers = append(changes.Workers, e)
-		case platform.Server:
+		case inventory.Server:
 			changes.Servers = append(changes.Servers, e)
-		case platform.EntryHost:
+		case inventory.EntryHost:
 			changes.EntryHosts = append(changes.EntryHosts, e)
 		}
 	})
 	return changes
 }
 
-func clone(l platform.HostList) platform.HostList {
+func clone(l inventory.HostList) inventory.HostList {
 	l.Workers = slices.Clone(l.Workers)
 	l.Servers = slices.Clone(l.Servers)
 	l.EntryHosts = slices.Clone(l.EntryHosts)
@@ -114,15 +114,15 @@
 	h.down = down
 }
 
-// Hosts implements platform.HostLister.
-func (h *HostList) Hosts(_ context.Context, known int64) (platform.HostList, bool, error) {
+// Hosts implements inventory.HostLister.
+func (h *HostList) Hosts(_ context.Context, known int64) (inventory.HostList, bool, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.down {
-		return platform.HostList{}, false, eris.Wrap(errDown, "host list")
+		return inventory.HostList{}, false, eris.Wrap(errDown, "host list")
 	}
 	if h.shown.Version <= known {
-		return platform.HostList{}, false, nil
+		return inventory.HostList{}, false, nil
 	}
 	if known > h.removed {
 		return h.since(known), true, nil
--- a/internal/standin/records.go
+++ b/internal/standin/records.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 // Records is what all workers of a test saw. Safe for concurrent use.
@@ -53,7 +53,7 @@
 		if other.Ended.IsZero() {
 			r.overlaps = append(r.overlaps, rec)
 		}
-		if other.State == platform.TaskFinished {
+		if other.State == inventory.TaskFinished {
 			r.resumed = append(r.resumed, rec)
 		}
 	}
@@ -70,7 +70,7 @@
 	return &stored
 }
 
-func (r *Records) end(rec *Record, state platform.TaskState, progress float64) {
+func (r *Records) end(rec *Record, state inventory.TaskState, progress float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rec.Ended = time.Now()
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 const readHeaderTimeout = 10 * time.Second
@@ -108,14 +108,14 @@
 }
 
 func (s *Site) startWorker(cfg SiteConfig, dc fleet.DataCentre, id fleet.WorkerID, i int, reserved fleet.Resources) error {
-	info := platform.Worker{
+	info := inventory.Worker{
 		ID:         id,
 		DataCentre: dc,
 		Rack:       fleet.Rack(fmt.Sprintf("%s-r%d", dc, i/max(1, cfg.WorkersPerRack)+1)),
 		Capacity:   cfg.Capacity,
-		State:      platform.StateLive,
+		State:      inventory.StateLive,
 	}
-	runTime := func(req platform.StartRequest) time.Duration {
+	runTime := func(req inventory.StartRequest) time.Duration {
 		if special, ok := cfg.ClassTimes[req.Class]; ok {
 			return special
 		}
@@ -133,7 +133,7 @@
 }
 
 func (s *Site) startBackend(cfg SiteConfig, dc fleet.DataCentre, worker fleet.WorkerID, i int) error {
-	b, err := StartBackend(platform.Server{
+	b, err := StartBackend(inventory.Server{
 		ID:           fleet.ServerID(fmt.Sprintf("%s-%s-%d", cfg.Service, dc, i+1)),
 		Service:      cfg.Service,
 		Organisation: cfg.Organisation,
@@ -143,7 +143,7 @@
 		Slots:        cfg.Slots,
 		Connections:  cfg.Connections,
 		Reserved:     cfg.Reserved,
-		State:        platform.StateLive,
+		State:        inventory.StateLive,
 	}, func() time.Duration { return s.exponential(cfg.ServiceTime) })
 	if err != nil {
 		return err
@@ -159,7 +159,7 @@
 }
 
 func (s *Site) publish() {
-	s.HostList.Update(func(l *platform.HostList) {
+	s.HostList.Update(func(l *inventory.HostList) {
 		for _, w := range s.Workers {
 			l.Workers = append(l.Workers, w.Info())
 		}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -10,7 +10,7 @@
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/wait"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 // WorkerFaults are the faults of a Worker.
@@ -23,11 +23,11 @@
 }
 
 // RunTime decides how long a task runs unthrottled.
-type RunTime func(req platform.StartRequest) time.Duration
+type RunTime func(req inventory.StartRequest) time.Duration
 
 // Record is one run of an attempt on a worker.
 type Record struct {
-	platform.AttemptRef
+	inventory.AttemptRef
 	Worker     fleet.WorkerID
 	DataCentre fleet.DataCentre
 	Cell       string
@@ -35,15 +35,15 @@
 	Checkpoint string // resumed from
 	Started    time.Time
 	Ended      time.Time // zero while running
-	State      platform.TaskState
+	State      inventory.TaskState
 	Progress   float64
 }
 
 // Worker is a worker host's control interface. It implements the calls of
-// platform.WorkerControl without the address; Workers routes by address. Safe
+// inventory.WorkerControl without the address; Workers routes by address. Safe
 // for concurrent use.
 type Worker struct {
-	info    platform.Worker
+	info    inventory.Worker
 	runTime RunTime
 	records *Records
 
@@ -51,15 +51,15 @@
 	faults  WorkerFaults
 	dead    bool
 	tokens  map[string]fleet.Epoch
-	runs    map[platform.AttemptRef]*run
-	ended   map[platform.AttemptRef]bool // stopped or forgotten
-	reserve fleet.Resources              // taken by backend servers
+	runs    map[inventory.AttemptRef]*run
+	ended   map[inventory.AttemptRef]bool // stopped or forgotten
+	reserve fleet.Resources               // taken by backend servers
 }
 
 type run struct {
-	req         platform.StartRequest
+	req         inventory.StartRequest
 	record      *Record
-	state       platform.TaskState
+	state       inventory.TaskState
 	err         string
 	share       float64
 	progress    float64 // at updated
@@ -73,20 +73,20 @@
 }
 
 // NewWorker returns a worker that logs its runs in records.
-func NewWorker(info platform.Worker, reserve fleet.Resources, runTime RunTime, records *Records) *Worker {
+func NewWorker(info inventory.Worker, reserve fleet.Resources, runTime RunTime, records *Records) *Worker {
 	return &Worker{
 		info:    info,
 		runTime: runTime,
 		records: records,
 		reserve: reserve,
 		tokens:  make(map[string]fleet.Epoch),
-		runs:    make(map[platform.AttemptRef]*run),
-		ended:   make(map[platform.AttemptRef]bool),
+		runs:    make(map[inventory.AttemptRef]*run),
+		ended:   make(map[inventory.AttemptRef]bool),
 	}
 }
 
 // Info returns the worker's entry for the host list.
-func (w *Worker) Info() platform.Worker { return w.info }
+func (w *Worker) Info() inventory.Worker { return w.info }
 
 // SetFaults replaces the faults.
 func (w *Worker) SetFaults(f WorkerFaults) {
@@ -101,7 +101,7 @@
 	defer w.mu.Unlock()
 	w.dead = true
 	for _, r := range w.runs {
-		w.finish(r, platform.TaskStopped, "worker died")
+		w.finish(r, inventory.TaskStopped, "worker died")
 	}
 }
 
@@ -111,7 +111,7 @@
 	defer w.mu.Unlock()
 	w.dead = false
 	w.tokens = make(map[string]fleet.Epoch)
-	w.runs = make(map[platform.AttemptRef]*run)
+	w.runs = make(map[inventory.AttemptRef]*run)
 }
 
 // enter applies faults and returns with the mutex held if err is nil.
@@ -122,13 +122,13 @@
 	w.mu.Unlock()
 	if f.Silent {
 		<-ctx.Done()
-		return eris.Wrap(&platform.WorkerUnknownError{Op: op, Cause: ctx.Err()}, "standin")
+		return eris.Wrap(&inventory.WorkerUnknownError{Op: op, Cause: ctx.Err()}, "standin")
 	}
 	if dead {
-		return eris.Wrap(&platform.WorkerUnknownError{Op: op, Cause: errDown}, "standin")
+		return eris.Wrap(&inventory.WorkerUnknownError{Op: op, Cause: errDown}, "standin")
 	}
 	if err := wait.For(ctx, f.Delay); err != nil {
-		return eris.Wrap(&platform.WorkerUnknownError{Op: op, Cause: err}, "standin")
+		return eris.Wrap(&inventory.WorkerUnknownError{Op: op, Cause: err}, "standin")
 	}
 	w.mu.Lock()
 	return nil
@@ -139,49 +139,49 @@
 		return nil
 	}
 	w.faults.LoseReply--
-	return eris.Wrap(&platform.WorkerUnknownError{Op: op, Cause: errReplyLost}, "standin")
+	return eris.Wrap(&inventory.WorkerUnknownError{Op: op, Cause: errReplyLost}, "standin")
 }
 
 // fence checks a token and remembers it if it is the highest.
 func (w *Worker) fence(cell string, token fleet.Epoch) error {
 	if token < w.tokens[cell] {
-		return w.refuse(cell, platform.RefusedFenced)
+		return w.refuse(cell, inventory.RefusedFenced)
 	}
 	w.tokens[cell] = token
 	return nil
 }
 
-func (w *Worker) refuse(cell string, reason platform.RefusalReason) error {
-	return eris.Wrap(&platform.RefusedError{Reason: reason, Token: w.tokens[cell]}, "standin")
+func (w *Worker) refuse(cell string, reason inventory.RefusalReason) error {
+	return eris.Wrap(&inventory.RefusedError{Reason: reason, Token: w.tokens[cell]}, "standin")
 }
 
 // Start runs an attempt.
-func (w *Worker) Start(ctx context.Context, req platform.StartRequest) (platform.WorkerReport, error) {
+func (w *Worker) Start(ctx context.Context, req inventory.StartRequest) (inventory.WorkerReport, error) {
 	if err := w.enter(ctx, "start"); err != nil {
-		return platform.WorkerReport{}, err
+		return inventory.WorkerReport{}, err
 	}
 	defer w.mu.Unlock()
 	if err := w.fence(req.Cell, req.Token); err != nil {
-		return platform.WorkerReport{}, err
+		return inventory.WorkerReport{}, err
 	}
-	ref := platform.AttemptRef{Task: req.Task, Attempt: req.Attempt}
+	ref := inventory.AttemptRef{Task: req.Task, Attempt: req.Attempt}
 	if w.ended[ref] {
-		return platform.WorkerReport{}, w.refuse(req.Cell, platform.RefusedEnded)
+		return inventory.WorkerReport{}, w.refuse(req.Cell, inventory.RefusedEnded)
 	}
 	if _, known := w.runs[ref]; !known {
 		if time.Now().UnixMilli() > req.DeadlineMS {
-			return platform.WorkerReport{}, w.refuse(req.Cell, platform.RefusedLate)
+			return inventory.WorkerReport{}, w.refuse(req.Cell, inventory.RefusedLate)
 		}
 		w.begin(ref, req)
 	}
 	return w.partial(req.Cell, ref), w.leave("start")
 }
 
-func (w *Worker) begin(ref platform.AttemptRef, req platform.StartRequest) {
+func (w *Worker) begin(ref inventory.AttemptRef, req inventory.StartRequest) {
 	now := time.Now()
 	r := &run{
 		req:         req,
-		state:       platform.TaskRunning,
+		state:       inventory.TaskRunning,
 		share:       1,
 		progress:    checkpointProgress(req.Checkpoint),
 		updated:     now,
@@ -197,13 +197,13 @@
 		Resources:  req.Resources,
 		Checkpoint: req.Checkpoint,
 		Started:    now,
-		State:      platform.TaskRunning,
+		State:      inventory.TaskRunning,
 	}, w.info.Capacity.Sub(w.reserve))
 	w.runs[ref] = r
 	lease := time.Duration(req.LeaseMS) * time.Millisecond
 	r.lease = time.AfterFunc(lease, func() { w.expire(r) })
 	if w.faults.FailStarts {
-		w.finish(r, platform.TaskFailed, "exit status 1")
+		w.finish(r, inventory.TaskFailed, "exit status 1")
 		return
 	}
 	w.schedule(r)
@@ -231,7 +231,7 @@
 		defer w.mu.Unlock()
 		r.advance()
 		if r.progress >= 0.999 {
-			w.finish(r, platform.TaskFinished, "")
+			w.finish(r, inventory.TaskFinished, "")
 		}
 	})
 }
@@ -248,10 +248,10 @@
 func (w *Worker) expire(r *run) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.finish(r, platform.TaskStopped, "lease lapsed")
+	w.finish(r, inventory.TaskStopped, "lease lapsed")
 }
 
-func (w *Worker) finish(r *run, state platform.TaskState, reason string) {
+func (w *Worker) finish(r *run, state inventory.TaskState, reason string) {
 	if r.state.Final() {
 		return
 	}
@@ -266,16 +266,16 @@
 }
 
 // Renew extends the leases of a cell's tasks.
-func (w *Worker) Renew(ctx context.Context, req platform.RenewRequest) (platform.WorkerReport, error) {
+func (w *Worker) Renew(ctx context.Context, req inventory.RenewRequest) (inventory.WorkerReport, error) {
 	if err := w.enter(ctx, "renew"); err != nil {
-		return platform.WorkerReport{}, err
+		return inventory.WorkerReport{}, err
 	}
 	defer w.mu.Unlock()
 	if err := w.fence(req.Cell, req.Token); err != nil {
-		return platform.WorkerReport{}, err
+		return inventory.WorkerReport{}, err
 	}
 	if req.DeadlineMS != 0 && time.Now().UnixMilli() > req.DeadlineMS {
-		return platform.WorkerReport{}, w.refuse(req.Cell, platform.RefusedLate)
+		return inventory.WorkerReport{}, w.refuse(req.Cell, inventory.RefusedLate)
 	}
 	for _, ref := range req.Forget {
 		if r, ok := w.runs[ref]; ok && r.state.Final() {
@@ -293,40 +293,40 @@
 
 // Stop ends an attempt. Stopping one that was never started makes a later
 // start of it be refused.
-func (w *Worker) Stop(ctx context.Context, req platform.StopRequest) (platform.WorkerReport, error) {
+func (w *Worker) Stop(ctx context.Context, req inventory.StopRequest) (inventory.WorkerReport, error) {
 	if err := w.enter(ctx, "stop"); err != nil {
-		return platform.WorkerReport{}, err
+		return inventory.WorkerReport{}, err
 	}
 	defer w.mu.Unlock()
 	if err := w.fence(req.Cell, req.Token); err != nil {
-		return platform.WorkerReport{}, err
+		return inventory.WorkerReport{}, err
 	}
 	r, ok := w.runs[req.AttemptRef]
 	if !ok {
 		w.ended[req.AttemptRef] = true
-		return platform.WorkerReport{}, w.refuse(req.Cell, platform.RefusedUnknown)
+		return inventory.WorkerReport{}, w.refuse(req.Cell, inventory.RefusedUnknown)
 	}
 	if !r.state.Final() && req.Checkpoint {
 		r.advance()
 		r.checkpoint = fmt.Sprintf("cp-%.6f", r.progress)
 		r.checkpointP = r.progress
 	}
-	w.finish(r, platform.TaskStopped, "stopped")
+	w.finish(r, inventory.TaskStopped, "stopped")
 	return w.partial(req.Cell, req.AttemptRef), w.leave("stop")
 }
 
 // Throttle sets an attempt's share of its processors.
-func (w *Worker) Throttle(ctx context.Context, req platform.ThrottleRequest) (platform.WorkerReport, error) {
+func (w *Worker) Throttle(ctx context.Context, req inventory.ThrottleRequest) (inventory.WorkerReport, error) {
 	if err := w.enter(ctx, "throttle"); err != nil {
-		return platform.WorkerReport{}, err
+		return inventory.WorkerReport{}, err
 	}
 	defer w.mu.Unlock()
 	if err := w.fence(req.Cell, req.Token); err != nil {
-		return platform.WorkerReport{}, err
+		return inventory.WorkerReport{}, err
 	}
 	r, ok := w.runs[req.AttemptRef]
 	if !ok {
-		return platform.WorkerReport{}, w.refuse(req.Cell, platform.RefusedUnknown)
+		return inventory.WorkerReport{}, w.refuse(req.Cell, inventory.RefusedUnknown)
 	}
 	r.advance()
 	r.share = req.Share
@@ -335,21 +335,21 @@
 }
 
 // report lists every task of a cell.
-func (w *Worker) report(cell string) platform.WorkerReport {
-	return w.reportOf(cell, func(platform.AttemptRef, *run) bool { return true })
+func (w *Worker) report(cell string) inventory.WorkerReport {
+	return w.reportOf(cell, func(inventory.AttemptRef, *run) bool { return true })
 }
 
 // partial lists one attempt and those whose end was not told yet.
-func (w *Worker) partial(cell string, asked platform.AttemptRef) platform.WorkerReport {
-	rep := w.reportOf(cell, func(ref platform.AttemptRef, r *run) bool {
+func (w *Worker) partial(cell string, asked inventory.AttemptRef) inventory.WorkerReport {
+	rep := w.reportOf(cell, func(ref inventory.AttemptRef, r *run) bool {
 		return ref == asked || r.state.Final() && !r.told
 	})
 	rep.Partial = true
 	return rep
 }
 
-func (w *Worker) reportOf(cell string, listed func(platform.AttemptRef, *run) bool) platform.WorkerReport {
-	rep := platform.WorkerReport{Worker: w.info.ID, Token: w.tokens[cell]}
+func (w *Worker) reportOf(cell string, listed func(inventory.AttemptRef, *run) bool) inventory.WorkerReport {
+	rep := inventory.WorkerReport{Worker: w.info.ID, Token: w.tokens[cell]}
 	for ref, r := range w.runs {
 		if r.req.Cell != cell {
 			continue
@@ -367,8 +367,8 @@
 	return rep
 }
 
-func (r *run) status(ref platform.AttemptRef, lag time.Duration) platform.TaskStatus {
-	st := platform.TaskStatus{
+func (r *run) status(ref inventory.AttemptRef, lag time.Duration) inventory.TaskStatus {
+	st := inventory.TaskStatus{
 		AttemptRef:         ref,
 		State:              r.state,
 		Progress:           r.progress,
@@ -376,7 +376,7 @@
 		CheckpointProgress: r.checkpointP,
 		Share:              r.share,
 	}
-	if r.state == platform.TaskFailed {
+	if r.state == inventory.TaskFailed {
 		st.Error = r.err
 	}
 	if time.Since(r.record.Started) > lag {
--- a/internal/standin/worker_http.go
+++ b/internal/standin/worker_http.go
@@ -9,7 +9,7 @@
 	"github.com/gorilla/mux"
 	"github.com/rotisserie/eris"
 
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 // ServeHTTP serves the worker control interface.
@@ -22,14 +22,14 @@
 	router.ServeHTTP(rw, r)
 }
 
-func serve[T any](call func(context.Context, T) (platform.WorkerReport, error)) http.HandlerFunc {
+func serve[T any](call func(context.Context, T) (inventory.WorkerReport, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		var req T
 		if !decode(w, r, &req) {
 			return
 		}
 		report, err := call(r.Context(), req)
-		var refused *platform.RefusedError
+		var refused *inventory.RefusedError
 		switch {
 		case err == nil:
 			writeCompressed(w, r, report)
@@ -41,13 +41,13 @@
 	}
 }
 
-// Workers is a platform.WorkerControl over workers in this process.
+// Workers is a inventory.WorkerControl over workers in this process.
 type Workers struct {
 	mu        sync.Mutex
 	byAddress map[string]*Worker
 }
 
-var _ platform.WorkerControl = (*Workers)(nil)
+var _ inventory.WorkerControl = (*Workers)(nil)
 
 // NewWorkers returns the control of the given workers, found by the address
 // in their host list entry.
@@ -64,43 +64,43 @@
 	defer w.mu.Unlock()
 	worker, ok := w.byAddress[address]
 	if !ok {
-		return nil, eris.Wrap(&platform.WorkerUnknownError{Op: op, Cause: errDown}, address)
+		return nil, eris.Wrap(&inventory.WorkerUnknownError{Op: op, Cause: errDown}, address)
 	}
 	return worker, nil
 }
 
-// Start implements platform.WorkerControl.
-func (w *Workers) Start(ctx context.Context, address string, req platform.StartRequest) (platform.WorkerReport, error) {
+// Start implements inventory.WorkerControl.
+func (w *Workers) Start(ctx context.Context, address string, req inventory.StartRequest) (inventory.WorkerReport, error) {
 	worker, err := w.find(address, "start")
 	if err != nil {
-		return platform.WorkerReport{}, err
+		return inventory.WorkerReport{}, err
 	}
 	return worker.Start(ctx, req)
 }
 
-// Renew implements platform.WorkerControl.
-func (w *Workers) Renew(ctx context.Context, address string, req platform.RenewRequest) (platform.WorkerReport, error) {
+// Renew implements inventory.WorkerControl.
+func (w *Workers) Renew(ctx context.Context, address string, req inventory.RenewRequest) (inventory.WorkerReport, error) {
 	worker, err := w.find(address, "renew")
 	if err != nil {
-		return platform.WorkerReport{}, err
+		return inventory.WorkerReport{}, err
 	}
 	return worker.Renew(ctx, req)
 }
 
-// Stop implements platform.WorkerControl.
-func (w *Workers) Stop(ctx context.Context, address string, req platform.StopRequest) (platform.WorkerReport, error) {
+// Stop implements inventory.WorkerControl.
+func (w *Workers) Stop(ctx context.Context, address string, req inventory.StopRequest) (inventory.WorkerReport, error) {
 	worker, err := w.find(address, "stop")
 	if err != nil {
-		return platform.WorkerReport{}, err
+		return inventory.WorkerReport{}, err
 	}
 	return worker.Stop(ctx, req)
 }
 
-// Throttle implements platform.WorkerControl.
-func (w *Workers) Throttle(ctx context.Context, address string, req platform.ThrottleRequest) (platform.WorkerReport, error) {
+// Throttle implements inventory.WorkerControl.
+func (w *Workers) Throttle(ctx context.Context, address string, req inventory.ThrottleRequest) (inventory.WorkerReport, error) {
 	worker, err := w.find(address, "throttle")
 	if err != nil {
-		return platform.WorkerReport{}, err
+		return inventory.WorkerReport{}, err
 	}
 	return worker.Throttle(ctx, req)
 }
--- a/platform/http_test.go
+++ b/inventory/http_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package inventory_test
 
 import (
 	"context"
@@ -15,7 +15,7 @@
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 const testCell = "cell/sofia-1/0"
@@ -23,13 +23,13 @@
 // rig is a worker behind a WorkerControl.
 type rig struct {
 	worker  *standin.Worker
-	control platform.WorkerControl
+	control inventory.WorkerControl
 	address string
 }
 
 func newWorker(address string) *standin.Worker {
-	info := platform.Worker{ID: "w1", Address: address, Capacity: fleet.Resources{MilliCores: 4000, MemoryMB: 4000}}
-	run := func(platform.StartRequest) time.Duration { return time.Hour }
+	info := inventory.Worker{ID: "w1", Address: address, Capacity: fleet.Resources{MilliCores: 4000, MemoryMB: 4000}}
+	run := func(inventory.StartRequest) time.Duration { return time.Hour }
 	return standin.NewWorker(info, fleet.Resources{}, run, standin.NewRecords())
 }
 
@@ -43,12 +43,12 @@
 	server := httptest.NewServer(w)
 	t.Cleanup(server.Close)
 	t.Cleanup(server.CloseClientConnections)
-	control := platform.NewHTTPWorkers(platform.HTTPWorkersOptions{Timeout: 200 * time.Millisecond})
+	control := inventory.NewHTTPWorkers(inventory.HTTPWorkersOptions{Timeout: 200 * time.Millisecond})
 	return rig{worker: w, control: control, address: strings.TrimPrefix(server.URL, "http://")}
 }
 
-func startOf(attempt fleet.Attempt, token fleet.Epoch, deadline time.Duration) platform.StartRequest {
-	return platform.StartRequest{
+func startOf(attempt fleet.Attempt, token fleet.Epoch, deadline time.Duration) inventory.StartRequest {
+	return inventory.StartRequest{
 		Task:       "job/0",
 		Attempt:    attempt,
 		Cell:       testCell,
@@ -59,8 +59,8 @@
 	}
 }
 
-func renewOf(token fleet.Epoch, deadline time.Duration) platform.RenewRequest {
-	return platform.RenewRequest{
+func renewOf(token fleet.Epoch, deadline time.Duration) inventory.RenewRequest {
+	return inventory.RenewRequest{
 		Cell:       testCell,
 		Token:      token,
 		DeadlineMS: time.Now().Add(deadline).UnixMilli(),
@@ -70,87 +70,87 @@
 
 func TestWorkerControlContract(t *testing.T) {
 	ctx := context.Background()
-	first := platform.AttemptRef{Task: "job/0", Attempt: 1}
-	start := func(r rig) (platform.WorkerReport, error) {
+	first := inventory.AttemptRef{Task: "job/0", Attempt: 1}
+	start := func(r rig) (inventory.WorkerReport, error) {
 		return r.control.Start(ctx, r.address, startOf(1, 1, time.Minute))
 	}
 	tests := map[string]struct {
-		call       func(r rig) (platform.WorkerReport, error)
-		wantReason platform.RefusalReason
-		wantState  platform.TaskState // of the first attempt in the report; "" for none
+		call       func(r rig) (inventory.WorkerReport, error)
+		wantReason inventory.RefusalReason
+		wantState  inventory.TaskState // of the first attempt in the report; "" for none
 		unknown    bool
 	}{
-		"a start is reported": {call: start, wantState: platform.TaskRunning},
+		"a start is reported": {call: start, wantState: inventory.TaskRunning},
 		"a second start has no effect": {
-			call: func(r rig) (platform.WorkerReport, error) {
+			call: func(r rig) (inventory.WorkerReport, error) {
 				_, _ = start(r)
 				return start(r)
 			},
-			wantState: platform.TaskRunning,
+			wantState: inventory.TaskRunning,
 		},
 		"a late start is refused": {
-			call: func(r rig) (platform.WorkerReport, error) {
+			call: func(r rig) (inventory.WorkerReport, error) {
 				return r.control.Start(ctx, r.address, startOf(1, 1, -time.Second))
 			},
-			wantReason: platform.RefusedLate,
+			wantReason: inventory.RefusedLate,
 		},
 		"a lower token is refused": {
-			call: func(r rig) (platform.WorkerReport, error) {
+			call: func(r rig) (inventory.WorkerReport, error) {
 				_, _ = r.control.Renew(ctx, r.address, renewOf(7, time.Minute))
 				return start(r)
 			},
-			wantReason: platform.RefusedFenced,
+			wantReason: inventory.RefusedFenced,
 		},
 		"a late renewal is refused": {
-			call: func(r rig) (platform.WorkerReport, error) {
+			call: func(r rig) (inventory.WorkerReport, error) {
 				_, _ = start(r)
 				return r.control.Renew(ctx, r.address, renewOf(1, -time.Second))
 			},
-			wantReason: platform.RefusedLate,
+			wantReason: inventory.RefusedLate,
 		},
 		"a higher token adopts": {
-			call: func(r rig) (platform.WorkerReport, error) {
+			call: func(r rig) (inventory.WorkerReport, error) {
 				_, _ = start(r)
 				return r.control.Renew(ctx, r.address, renewOf(2, time.Minute))
 			},
-			wantState: platform.TaskRunning,
+			wantState: inventory.TaskRunning,
 		},
 		"a stop shows the end": {
-			call: func(r rig) (platform.WorkerReport, error) {
+			call: func(r rig) (inventory.WorkerReport, error) {
 				_, _ = start(r)
-				return r.control.Stop(ctx, r.address, platform.StopRequest{AttemptRef: first, Cell: testCell, Token: 1})
+				return r.control.Stop(ctx, r.address, inventory.StopRequest{AttemptRef: first, Cell: testCell, Token: 1})
 			},
-			wantState: platform.TaskStopped,
+			wantState: inventory.TaskStopped,
 		},
 		"a stopped attempt never starts": {
-			call: func(r rig) (platform.WorkerReport, error) {
-				_, _ = r.control.Stop(ctx, r.address, platform.StopRequest{AttemptRef: first, Cell: testCell, Token: 1})
+			call: func(r rig) (inventory.WorkerReport, error) {
+				_, _ = r.control.Stop(ctx, r.address, inventory.StopRequest{AttemptRef: first, Cell: testCell, Token: 1})
 				return start(r)
 			},
-			wantReason: platform.RefusedEnded,
+			wantReason: inventory.RefusedEnded,
 		},
 		"a throttle is reported": {
-			call: func(r rig) (platform.WorkerReport, error) {
+			call: func(r rig) (inventory.WorkerReport, error) {
 				_, _ = start(r)
-				return r.control.Throttle(ctx, r.address, platform.ThrottleRequest{AttemptRef: first, Cell: testCell, Token: 1, Share: 0.5})
+				return r.control.Throttle(ctx, r.address, inventory.ThrottleRequest{AttemptRef: first, Cell: testCell, Token: 1, Share: 0.5})
 			},
-			wantState: platform.TaskRunning,
+			wantState: inventory.TaskRunning,
 		},
 		"a throttle of an unknown attempt is refused": {
-			call: func(r rig) (platform.WorkerReport, error) {
-				return r.control.Throttle(ctx, r.address, platform.ThrottleRequest{AttemptRef: first, Cell: testCell, Token: 1, Share: 0.5})
+			call: func(r rig) (inventory.WorkerReport, error) {
+				return r.control.Throttle(ctx, r.address, inventory.ThrottleRequest{AttemptRef: first, Cell: testCell, Token: 1, Share: 0.5})
 			},
-			wantReason: platform.RefusedUnknown,
+			wantReason: inventory.RefusedUnknown,
 		},
 		"a lost reply is an unknown outcome": {
-			call: func(r rig) (platform.WorkerReport, error) {
+			call: func(r rig) (inventory.WorkerReport, error) {
 				r.worker.SetFaults(standin.WorkerFaults{LoseReply: 1})
 				return start(r)
 			},
 			unknown: true,
 		},
 		"a dead worker is an unknown outcome": {
-			call: func(r rig) (platform.WorkerReport, error) {
+			call: func(r rig) (inventory.WorkerReport, error) {
 				r.worker.Kill()
 				return start(r)
 			},
@@ -173,10 +173,10 @@
 	}
 }
 
-func checkError(t *testing.T, err error, reason platform.RefusalReason, unknown bool) {
+func checkError(t *testing.T, err error, reason inventory.RefusalReason, unknown bool) {
 	t.Helper()
-	var refused *platform.RefusedError
-	var lost *platform.WorkerUnknownError
+	var refused *inventory.RefusedError
+	var lost *inventory.WorkerUnknownError
 	switch {
 	case reason != "":
 		if !errors.As(err, &refused) || refused.Reason != reason {
@@ -209,7 +209,7 @@
 	}))
 	defer server.Close()
 	defer close(release)
-	control := platform.NewHTTPWorkers(platform.HTTPWorkersOptions{Timeout: 100 * time.Millisecond})
+	control := inventory.NewHTTPWorkers(inventory.HTTPWorkersOptions{Timeout: 100 * time.Millisecond})
 	address := strings.TrimPrefix(server.URL, "http://")
 	renew := func() error {
 		_, err := control.Renew(context.Background(), address, renewOf(1, time.Minute))
@@ -242,7 +242,7 @@
 		w.Write([]byte(`{"worker":"w1"}`))
 	}))
 	defer server.Close()
-	control := platform.NewHTTPWorkers(platform.HTTPWorkersOptions{})
+	control := inventory.NewHTTPWorkers(inventory.HTTPWorkersOptions{})
 	address := strings.TrimPrefix(server.URL, "http://")
 	for range 2 {
 		_, _ = control.Renew(context.Background(), address, renewOf(1, time.Minute))
@@ -272,7 +272,7 @@
 				w.Write([]byte(tt.body))
 			}))
 			defer server.Close()
-			control := platform.NewHTTPWorkers(platform.HTTPWorkersOptions{})
+			control := inventory.NewHTTPWorkers(inventory.HTTPWorkersOptions{})
 			_, err := control.Start(context.Background(), strings.TrimPrefix(server.URL, "http://"), startOf(1, 1, time.Minute))
 			checkError(t, err, "", true)
 		})
@@ -288,28 +288,28 @@
 	if err := listener.Close(); err != nil {
 		t.Fatal(err)
 	}
-	control := platform.NewHTTPWorkers(platform.HTTPWorkersOptions{})
+	control := inventory.NewHTTPWorkers(inventory.HTTPWorkersOptions{})
 	_, err = control.Start(context.Background(), address, startOf(1, 1, time.Minute))
 	checkError(t, err, "", true)
 }
 
 // scripted is a HostLister that answers from a list.
 type scripted struct {
-	answers chan func() (platform.HostList, bool, error)
+	answers chan func() (inventory.HostList, bool, error)
 }
 
-func (s scripted) Hosts(ctx context.Context, _ int64) (platform.HostList, bool, error) {
+func (s scripted) Hosts(ctx context.Context, _ int64) (inventory.HostList, bool, error) {
 	select {
 	case answer := <-s.answers:
 		return answer()
 	case <-ctx.Done():
-		return platform.HostList{}, false, ctx.Err()
+		return inventory.HostList{}, false, ctx.Err()
 	}
 }
 
 func TestPollerVersionNeverGoesBack(t *testing.T) {
-	lister := scripted{answers: make(chan func() (platform.HostList, bool, error))}
-	poller := platform.NewPoller(lister, time.Millisecond, log.NewNopLogger())
+	lister := scripted{answers: make(chan func() (inventory.HostList, bool, error))}
+	poller := inventory.NewPoller(lister, time.Millisecond, log.NewNopLogger())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- poller.Serve(ctx) }()
@@ -318,13 +318,13 @@
 		version int64
 		err     error
 		want    int64
-	}{{5, nil, 5}, {3, nil, 5}, {0, &platform.HostListError{Cause: context.Canceled}, 5}, {5, nil, 5}, {6, nil, 6}}
+	}{{5, nil, 5}, {3, nil, 5}, {0, &inventory.HostListError{Cause: context.Canceled}, 5}, {5, nil, 5}, {6, nil, 6}}
 	for _, step := range steps {
-		lister.answers <- func() (platform.HostList, bool, error) {
-			return platform.HostList{Version: step.version}, step.err == nil, step.err
+		lister.answers <- func() (inventory.HostList, bool, error) {
+			return inventory.HostList{Version: step.version}, step.err == nil, step.err
 		}
 		// The next read begins after the answer was taken.
-		lister.answers <- func() (platform.HostList, bool, error) { return platform.HostList{}, false, nil }
+		lister.answers <- func() (inventory.HostList, bool, error) { return inventory.HostList{}, false, nil }
 		if got := poller.Hosts().Version; got != step.want {
 			t.Errorf("version %d after an answer of %d, want %d", got, step.version, step.want)
 		}
@@ -344,8 +344,8 @@
 	hosts := standin.NewHostList(0)
 	server := httptest.NewServer(hosts)
 	defer server.Close()
-	lister := platform.NewHTTPHostLister(server.URL)
-	hosts.Update(func(l *platform.HostList) { l.Workers = []platform.Worker{{ID: "w1"}} })
+	lister := inventory.NewHTTPHostLister(server.URL)
+	hosts.Update(func(l *inventory.HostList) { l.Workers = []inventory.Worker{{ID: "w1"}} })
 	list, newer, err := lister.Hosts(context.Background(), 0)
 	if err != nil || !newer || len(list.Workers) != 1 {
 		t.Errorf("list %+v, newer %v, error %v", list, newer, err)
@@ -354,7 +354,7 @@
 		t.Errorf("newer %v, error %v for the known version", newer, err)
 	}
 	hosts.SetDown(true)
-	var failed *platform.HostListError
+	var failed *inventory.HostListError
 	if _, _, err := lister.Hosts(context.Background(), 0); !errors.As(err, &failed) {
 		t.Errorf("error %v, want *HostListError", err)
 	}
--- a/platform/platform.go
+++ b/inventory/inventory.go
@@ -1,10 +1,10 @@
-// Package platform describes the platform's protocols for hosts and workers
+// Package inventory describes the platform's protocols for hosts and workers
 // as the scheduler meets them: the lagging host list and the worker control
 // interface. docs/PLATFORM.md lists the assumptions.
 //
 // The types are the JSON bodies on the wire. Durations and times carry their
 // unit in their name.
-package platform
+package inventory
 
 import (
 	"context"
--- a/platform/list_bytes_test.go
+++ b/inventory/list_bytes_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package inventory_test
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 // countedListener counts what its connections send.
@@ -42,38 +42,38 @@
 // fleet of six data centres.
 func largeList(workers, servers, entryHosts int) *standin.HostList {
 	hosts := standin.NewHostList(0)
-	hosts.Update(func(l *platform.HostList) {
+	hosts.Update(func(l *inventory.HostList) {
 		for i := range workers {
-			l.Workers = append(l.Workers, platform.Worker{
+			l.Workers = append(l.Workers, inventory.Worker{
 				ID: fleet.WorkerID(fmt.Sprintf("dc-%d-w%d", i%6, i)), DataCentre: fleet.DataCentre(fmt.Sprintf("dc-%d", i%6)),
 				Rack: fleet.Rack(fmt.Sprintf("dc-%d-r%d", i%6, i/66)), Address: fmt.Sprintf("10.%d.%d.%d:7000", i%6, i/250, i%250),
-				Capacity: fleet.Resources{MilliCores: 64_000, MemoryMB: 250_000}, State: platform.StateLive,
+				Capacity: fleet.Resources{MilliCores: 64_000, MemoryMB: 250_000}, State: inventory.StateLive,
 			})
 		}
 		for i := range servers {
 			w := l.Workers[i%workers]
-			l.Servers = append(l.Servers, platform.Server{
+			l.Servers = append(l.Servers, inventory.Server{
 				ID: fleet.ServerID(fmt.Sprintf("planning-%d", i)), Service: "planning", Organisation: "verband", DataCentre: w.DataCentre,
 				Worker: w.ID, Address: fmt.Sprintf("10.%d.%d.%d:8080", i%6, i/250, i%250), Slots: 8, Connections: 64,
-				Reserved: fleet.Resources{MilliCores: 4000, MemoryMB: 8000}, State: platform.StateLive,
+				Reserved: fleet.Resources{MilliCores: 4000, MemoryMB: 8000}, State: inventory.StateLive,
 			})
 		}
 		for i := range entryHosts {
-			l.EntryHosts = append(l.EntryHosts, platform.EntryHost{ID: fleet.HostID(fmt.Sprintf("entry-%d", i)), State: platform.StateLive})
+			l.EntryHosts = append(l.EntryHosts, inventory.EntryHost{ID: fleet.HostID(fmt.Sprintf("entry-%d", i)), State: inventory.StateLive})
 		}
 	})
 	return hosts
 }
 
 // readWhole reads a list over HTTP and returns it with the bytes of the answer.
-func readWhole(tb testing.TB, handler http.Handler) (platform.HostList, int64) {
+func readWhole(tb testing.TB, handler http.Handler) (inventory.HostList, int64) {
 	tb.Helper()
 	var sent atomic.Int64
 	server := httptest.NewUnstartedServer(handler)
 	server.Listener = countedListener{server.Listener, &sent}
 	server.Start()
 	defer server.Close()
-	list, newer, err := platform.NewHTTPHostLister(server.URL).Hosts(context.Background(), 0)
+	list, newer, err := inventory.NewHTTPHostLister(server.URL).Hosts(context.Background(), 0)
 	if err != nil || !newer {
 		tb.Fatalf("newer %v, error %v", newer, err)
 	}
--- a/platform/merge_test.go
+++ b/inventory/merge_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package inventory_test
 
 import (
 	"context"
@@ -11,22 +11,22 @@
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 // TestPollerMergesChanges draws changes of the list. Polled as changes it is
 // always what it is when read whole.
 func TestPollerMergesChanges(t *testing.T) {
-	states := rapid.SampledFrom([]platform.HostState{platform.StateLive, platform.StateLeaving, platform.StateGone})
+	states := rapid.SampledFrom([]inventory.HostState{inventory.StateLive, inventory.StateLeaving, inventory.StateGone})
 	rapid.Check(t, func(rt *rapid.T) {
 		list := standin.NewHostList(0)
 		lister := &counting{next: list}
-		poller := platform.NewPoller(lister, 0, log.NewNopLogger())
+		poller := inventory.NewPoller(lister, 0, log.NewNopLogger())
 		for range rapid.IntRange(2, 12).Draw(rt, "polls") {
 			for range rapid.IntRange(0, 3).Draw(rt, "changes") {
 				n := rapid.IntRange(0, 5).Draw(rt, "entry")
 				state := states.Draw(rt, "state")
-				list.Update(func(l *platform.HostList) { put(l, n, state) })
+				list.Update(func(l *inventory.HostList) { put(l, n, state) })
 			}
 			poller.Poll(t.Context())
 			whole, newer, err := list.Hosts(t.Context(), 0)
@@ -44,8 +44,8 @@
 }
 
 // put adds or changes the n-th worker and entry host.
-func put(l *platform.HostList, n int, state platform.HostState) {
-	worker := platform.Worker{ID: fleet.WorkerID(fmt.Sprint("w", n)), State: state}
+func put(l *inventory.HostList, n int, state inventory.HostState) {
+	worker := inventory.Worker{ID: fleet.WorkerID(fmt.Sprint("w", n)), State: state}
 	for i := range l.Workers {
 		if l.Workers[i].ID == worker.ID {
 			l.Workers[i].State = state
@@ -53,16 +53,16 @@
 		}
 	}
 	l.Workers = append(l.Workers, worker)
-	l.EntryHosts = append(l.EntryHosts, platform.EntryHost{ID: "entry", Incarnation: fleet.Incarnation(n), State: state})
+	l.EntryHosts = append(l.EntryHosts, inventory.EntryHost{ID: "entry", Incarnation: fleet.Incarnation(n), State: state})
 }
 
 // counting counts the whole lists that its lister answers with.
 type counting struct {
-	next  platform.HostLister
+	next  inventory.HostLister
 	whole int
 }
 
-func (c *counting) Hosts(ctx context.Context, known int64) (platform.HostList, bool, error) {
+func (c *counting) Hosts(ctx context.Context, known int64) (inventory.HostList, bool, error) {
 	list, newer, err := c.next.Hosts(ctx, known)
 	if newer && list.Since == 0 {
 		c.whole++
--- a/platform/partial_test.go
+++ b/inventory/partial_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package inventory_test
 
 import (
 	"slices"
@@ -7,7 +7,7 @@
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 // TestPartialReports has a worker with several tasks: a start's answer lists
@@ -16,12 +16,12 @@
 	for rigName, open := range map[string]func(*testing.T) rig{"in process": inProcess, "HTTP": overHTTP} {
 		t.Run(rigName, func(t *testing.T) {
 			r := open(t)
-			start := func(task fleet.TaskID) platform.WorkerReport {
+			start := func(task fleet.TaskID) inventory.WorkerReport {
 				req := startOf(1, 1, time.Minute)
 				req.Task = task
 				return must(r.control.Start(t.Context(), r.address, req))
 			}
-			stop := platform.StopRequest{AttemptRef: platform.AttemptRef{Task: "job/0", Attempt: 1}, Cell: testCell, Token: 1}
+			stop := inventory.StopRequest{AttemptRef: inventory.AttemptRef{Task: "job/0", Attempt: 1}, Cell: testCell, Token: 1}
 			checkTasks(t, start("job/0"), true, "job/0")
 			checkTasks(t, start("job/1"), true, "job/1")
 			r.worker.SetFaults(standin.WorkerFaults{FailStarts: true})
@@ -44,7 +44,7 @@
 	return v
 }
 
-func checkTasks(t *testing.T, report platform.WorkerReport, partial bool, want ...fleet.TaskID) {
+func checkTasks(t *testing.T, report inventory.WorkerReport, partial bool, want ...fleet.TaskID) {
 	t.Helper()
 	var got []fleet.TaskID
 	for _, st := range report.Tasks {
--- a/platform/poller.go
+++ b/inventory/poller.go
@@ -1,4 +1,4 @@
-package platform
+package inventory
 
 import (
 	"context"
--- a/platform/seed_test.go
+++ b/inventory/seed_test.go
@@ -1,3 +1,3 @@
-package platform_test
+package inventory_test
 
 import _ "github.com/fuchsiahill/fuchsiahill/internal/fixedseed"
--- a/queue/admit.go
+++ b/queue/admit.go
@@ -8,8 +8,8 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/job"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 )
 
@@ -22,7 +22,7 @@
 // checkSpec refuses a submission that the settings or the workers could never
 // satisfy. Errors: *job.InvalidError, *job.TooLargeError,
 // *job.UnavailableError.
-func checkSpec(spec job.Spec, region fleet.Region, snapshot settings.Snapshot, hosts *platform.HostList) error {
+func checkSpec(spec job.Spec, region fleet.Region, snapshot settings.Snapshot, hosts *inventory.HostList) error {
 	if err := checkFields(spec); err != nil {
 		return err
 	}
@@ -94,13 +94,13 @@
 
 // checkSize refuses tasks that no worker of the data centres could hold even
 // when empty.
-func checkSize(need fleet.Resources, allowed []fleet.DataCentre, hosts *platform.HostList) error {
+func checkSize(need fleet.Resources, allowed []fleet.DataCentre, hosts *inventory.HostList) error {
 	if hosts == nil || hosts.Version == 0 {
 		return eris.Wrap(&job.UnavailableError{Reason: "the host list is not known yet", RetryAfter: retryAfter}, "submit")
 	}
 	var capacities []fleet.Resources
 	for _, w := range hosts.Workers {
-		if w.State != platform.StateGone && slices.Contains(allowed, w.DataCentre) {
+		if w.State != inventory.StateGone && slices.Contains(allowed, w.DataCentre) {
 			capacities = append(capacities, w.Capacity)
 		}
 	}
--- a/queue/cells_test.go
+++ b/queue/cells_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/peer"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 )
 
@@ -23,11 +23,11 @@
 	mu       sync.Mutex
 	newest   map[shard.ID]delegation.Offer // of each cell
 	stale    int                           // offers that were refused as such
-	attempts map[platform.AttemptRef]*fakeAttempt
-	running  map[fleet.TaskID]platform.AttemptRef
+	attempts map[inventory.AttemptRef]*fakeAttempt
+	running  map[fleet.TaskID]inventory.AttemptRef
 	finished map[fleet.TaskID]int
-	tried    map[fleet.TaskID]int  // attempts
-	doubled  []platform.AttemptRef // offered while another attempt was running or after the end
+	tried    map[fleet.TaskID]int   // attempts
+	doubled  []inventory.AttemptRef // offered while another attempt was running or after the end
 	runtime  func(delegation.Task) time.Duration
 	end      func(delegation.Task) delegation.Outcome // nil: finished
 	refuse   func(shard.ID, delegation.Task) string   // reason, "" to accept
@@ -45,8 +45,8 @@
 		net:      net,
 		newest:   make(map[shard.ID]delegation.Offer),
 		tried:    make(map[fleet.TaskID]int),
-		attempts: make(map[platform.AttemptRef]*fakeAttempt),
-		running:  make(map[fleet.TaskID]platform.AttemptRef),
+		attempts: make(map[inventory.AttemptRef]*fakeAttempt),
+		running:  make(map[fleet.TaskID]inventory.AttemptRef),
 		finished: make(map[fleet.TaskID]int),
 		runtime:  func(delegation.Task) time.Duration { return time.Second },
 	}
--- a/queue/decide_test.go
+++ b/queue/decide_test.go
@@ -11,12 +11,12 @@
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/job"
-	"github.com/fuchsiahill/fuchsiahill/journal"
 	"github.com/fuchsiahill/fuchsiahill/member"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/shard"
+	"github.com/fuchsiahill/fuchsiahill/wal"
 )
 
 func resources(cores, memory, accelerators int64) fleet.Resources {
@@ -25,11 +25,11 @@
 
 func TestSubmissionChecks(t *testing.T) {
 	world := newWorld()
-	world.hosts.Workers = []platform.Worker{
-		{ID: "wide", DataCentre: "sofia", Capacity: resources(64000, 1000, 0), State: platform.StateLive},
-		{ID: "tall", DataCentre: "sofia", Capacity: resources(1000, 64000, 2), State: platform.StateLeaving},
-		{ID: "gone", DataCentre: "sofia", Capacity: resources(99000, 99000, 9), State: platform.StateGone},
-		{ID: "far", DataCentre: "ruse", Capacity: resources(2000, 2000, 8), State: platform.StateLive},
+	world.hosts.Workers = []inventory.Worker{
+		{ID: "wide", DataCentre: "sofia", Capacity: resources(64000, 1000, 0), State: inventory.StateLive},
+		{ID: "tall", DataCentre: "sofia", Capacity: resources(1000, 64000, 2), State: inventory.StateLeaving},
+		{ID: "gone", DataCentre: "sofia", Capacity: resources(99000, 99000, 9), State: inventory.StateGone},
+		{ID: "far", DataCentre: "ruse", Capacity: resources(2000, 2000, 8), State: inventory.StateLive},
 	}
 	sofia := []fleet.DataCentre{"sofia"}
 	tests := map[string]struct {
@@ -70,7 +70,7 @@
 }
 
 func TestHostListNotKnownYet(t *testing.T) {
-	err := checkSpec(spec("j", 1), "bg", newWorld().Current(), &platform.HostList{})
+	err := checkSpec(spec("j", 1), "bg", newWorld().Current(), &inventory.HostList{})
 	var unavailable *job.UnavailableError
 	if !errors.As(err, &unavailable) {
 		t.Fatalf("error %v, want it to be unavailable", err)
@@ -359,7 +359,7 @@
 					j.tasks[i] = newTask(taskFinished, 1<<20)
 				}
 			}
-			if data := snapshotOf(t, m); len(data) > maxWeight || maxWeight > journal.MaxSnapshotBytes/2 {
+			if data := snapshotOf(t, m); len(data) > maxWeight || maxWeight > wal.MaxSnapshotBytes/2 {
 				t.Fatalf("snapshot of %d bytes, weight %d", len(data), m.weight)
 			}
 		})
--- a/queue/job.go
+++ b/queue/job.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/job"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 )
 
@@ -157,6 +157,6 @@
 	return fleet.JobID(id[:at]), index, err == nil && index >= 0 && strconv.Itoa(index) == text
 }
 
-func attemptRef(id fleet.JobID, index int, attempt fleet.Attempt) platform.AttemptRef {
-	return platform.AttemptRef{Task: TaskID(id, index), Attempt: attempt}
+func attemptRef(id fleet.JobID, index int, attempt fleet.Attempt) inventory.AttemptRef {
+	return inventory.AttemptRef{Task: TaskID(id, index), Attempt: attempt}
 }
--- a/queue/machine.go
+++ b/queue/machine.go
@@ -11,8 +11,8 @@
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/journal"
 	"github.com/fuchsiahill/fuchsiahill/shard"
+	"github.com/fuchsiahill/fuchsiahill/wal"
 )
 
 // Machine is the state machine of one queue shard. It is used by one
@@ -32,7 +32,7 @@
 	weight      int // bytes
 }
 
-var _ journal.Machine = (*Machine)(nil)
+var _ wal.Machine = (*Machine)(nil)
 
 // taskKey names a task in memory.
 type taskKey struct {
@@ -69,7 +69,7 @@
 	}
 }
 
-// Apply implements journal.Machine.
+// Apply implements wal.Machine.
 func (m *Machine) Apply(data []byte) error {
 	r, err := decodeRecord(data)
 	if err != nil {
--- a/queue/messages.go
+++ b/queue/messages.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 )
 
@@ -46,7 +46,7 @@
 	return keys[:min(len(keys), maxOffer)]
 }
 
-func (k taskKey) ref() platform.AttemptRef {
+func (k taskKey) ref() inventory.AttemptRef {
 	return attemptRef(k.job.ID, k.index, k.job.tasks[k.index].attempts())
 }
 
@@ -68,7 +68,7 @@
 
 // accept notes attempts that a cell has accepted. Those of cancelled jobs are
 // now to be cancelled there.
-func (m *Machine) accept(cell shard.ID, refs []platform.AttemptRef) {
+func (m *Machine) accept(cell shard.ID, refs []inventory.AttemptRef) {
 	for _, ref := range refs {
 		key, ok := m.held(cell, ref.Task, ref.Attempt)
 		if !ok {
@@ -84,7 +84,7 @@
 }
 
 // cancelTold notes attempts whose cancellation a cell has acknowledged.
-func (m *Machine) cancelTold(cell shard.ID, refs []platform.AttemptRef) {
+func (m *Machine) cancelTold(cell shard.ID, refs []inventory.AttemptRef) {
 	for _, ref := range refs {
 		if key, ok := m.held(cell, ref.Task, ref.Attempt); ok {
 			delete(m.delegations[key].cell.cancels, key)
--- a/queue/model_test.go
+++ b/queue/model_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 )
 
@@ -126,7 +126,7 @@
 			continue
 		}
 		o := delegation.Outcome{
-			AttemptRef: platform.AttemptRef{Task: id, Attempt: m.held[id].attempt},
+			AttemptRef: inventory.AttemptRef{Task: id, Attempt: m.held[id].attempt},
 			End:        rapid.SampledFrom(ends).Draw(t, "end"),
 			Checkpoint: rapid.SampledFrom([]string{"", "c"}).Draw(t, "checkpoint"),
 		}
@@ -174,16 +174,16 @@
 func (m *model) stray(t *rapid.T) {
 	for id, h := range m.held {
 		refs := []delegation.Outcome{
-			{AttemptRef: platform.AttemptRef{Task: id, Attempt: h.attempt - 1}, End: delegation.EndFinished},
-			{AttemptRef: platform.AttemptRef{Task: id, Attempt: h.attempt + 1}, End: delegation.EndFinished},
-			{AttemptRef: platform.AttemptRef{Task: id + "0", Attempt: h.attempt}, End: delegation.EndFinished},
-			{AttemptRef: platform.AttemptRef{Task: "nobody/0", Attempt: 1}, End: delegation.EndFinished},
-			{AttemptRef: platform.AttemptRef{Task: "garbage", Attempt: 1}, End: delegation.EndFinished},
+			{AttemptRef: inventory.AttemptRef{Task: id, Attempt: h.attempt - 1}, End: delegation.EndFinished},
+			{AttemptRef: inventory.AttemptRef{Task: id, Attempt: h.attempt + 1}, End: delegation.EndFinished},
+			{AttemptRef: inventory.AttemptRef{Task: id + "0", Attempt: h.attempt}, End: delegation.EndFinished},
+			{AttemptRef: inventory.AttemptRef{Task: "nobody/0", Attempt: 1}, End: delegation.EndFinished},
+			{AttemptRef: inventory.AttemptRef{Task: "garbage", Attempt: 1}, End: delegation.EndFinished},
 		}
 		if r := m.machine.returns(h.cell, refs, modelLimits, m.now); r != nil {
 			t.Fatalf("stray outcomes taken: %+v", r)
 		}
-		own := []delegation.Outcome{{AttemptRef: platform.AttemptRef{Task: id, Attempt: h.attempt}, End: delegation.EndFinished}}
+		own := []delegation.Outcome{{AttemptRef: inventory.AttemptRef{Task: id, Attempt: h.attempt}, End: delegation.EndFinished}}
 		if r := m.machine.returns("cell/other/0", own, modelLimits, m.now); r != nil {
 			t.Fatalf("outcome of another cell taken: %+v", r)
 		}
@@ -330,7 +330,7 @@
 		}
 		for _, id := range m.heldIDs() {
 			h := m.held[id]
-			m.conclude(t, h.cell, []delegation.Outcome{{AttemptRef: platform.AttemptRef{Task: id, Attempt: h.attempt}, End: delegation.EndFinished}})
+			m.conclude(t, h.cell, []delegation.Outcome{{AttemptRef: inventory.AttemptRef{Task: id, Attempt: h.attempt}, End: delegation.EndFinished}})
 		}
 	}
 	for id, tasks := range m.jobs {
--- a/queue/protocol.go
+++ b/queue/protocol.go
@@ -10,9 +10,9 @@
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/job"
-	"github.com/fuchsiahill/fuchsiahill/journal"
 	"github.com/fuchsiahill/fuchsiahill/peer"
 	"github.com/fuchsiahill/fuchsiahill/shard"
+	"github.com/fuchsiahill/fuchsiahill/wal"
 )
 
 // Peer methods of the job interface.
@@ -143,7 +143,7 @@
 	if _, ok := wireError(err); ok {
 		return err
 	}
-	var stopped *journal.StoppedError
+	var stopped *wal.StoppedError
 	switch {
 	case began:
 		return eris.Wrap(&job.UnknownError{Cause: err}, "queue")
--- a/queue/record.go
+++ b/queue/record.go
@@ -7,9 +7,9 @@
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/job"
-	"github.com/fuchsiahill/fuchsiahill/journal"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/shard"
+	"github.com/fuchsiahill/fuchsiahill/wal"
 )
 
 const formatVersion = 1
@@ -128,7 +128,7 @@
 
 func (r record) encode() []byte {
 	r.Version = formatVersion
-	data, err := journal.Encode(r)
+	data, err := wal.Encode(r)
 	if err != nil {
 		panic(err) // a record holds only encodable types
 	}
@@ -137,7 +137,7 @@
 
 func decodeRecord(data []byte) (record, error) {
 	var r record
-	if err := journal.Decode(data, &r); err != nil {
+	if err := wal.Decode(data, &r); err != nil {
 		return record{}, err
 	}
 	if r.Version != formatVersion {
--- a/queue/rig_test.go
+++ b/queue/rig_test.go
@@ -12,10 +12,10 @@
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/job"
 	"github.com/fuchsiahill/fuchsiahill/member"
 	"github.com/fuchsiahill/fuchsiahill/peer"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 	"github.com/fuchsiahill/fuchsiahill/store"
@@ -133,7 +133,7 @@
 	dcs    map[fleet.DataCentre]settings.DataCentre
 	teams  map[fleet.Team]settings.Team
 	values settings.Resolved
-	hosts  platform.HostList
+	hosts  inventory.HostList
 	cells  map[string]member.CellLoad
 	stale  bool
 }
@@ -149,9 +149,9 @@
 			testTeam: {Organisation: testOrg, Quota: big, Shards: 1},
 		},
 		values: settings.Resolved{Priority: 50, MaxAttempts: 3, Aging: 1},
-		hosts: platform.HostList{Version: 1, Workers: []platform.Worker{
-			{ID: "w1", DataCentre: "sofia", Capacity: big, State: platform.StateLive},
-			{ID: "w2", DataCentre: "ruse", Capacity: big, State: platform.StateLive},
+		hosts: inventory.HostList{Version: 1, Workers: []inventory.Worker{
+			{ID: "w1", DataCentre: "sofia", Capacity: big, State: inventory.StateLive},
+			{ID: "w2", DataCentre: "ruse", Capacity: big, State: inventory.StateLive},
 		}},
 		cells: map[string]member.CellLoad{"cell/sofia/0": load, "cell/ruse/0": load},
 	}
@@ -206,10 +206,10 @@
 	return time.Now()
 }
 
-// platformView makes a world a platform.View.
+// platformView makes a world a inventory.View.
 type platformView struct{ *world }
 
-func (p platformView) Hosts() *platform.HostList {
+func (p platformView) Hosts() *inventory.HostList {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.hosts
--- a/queue/sender.go
+++ b/queue/sender.go
@@ -9,9 +9,9 @@
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/journal"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/shard"
+	"github.com/fuchsiahill/fuchsiahill/wal"
 )
 
 const (
@@ -46,7 +46,7 @@
 	cell     shard.ID
 	sequence uint64
 	offers   []delegation.Task
-	cancels  []platform.AttemptRef
+	cancels  []inventory.AttemptRef
 }
 
 // address names the queue to which the outcomes go and numbers the message.
@@ -96,7 +96,7 @@
 // until that is durable: nothing is sent before.
 func (s *sender) collect(ctx context.Context) ([]message, error) {
 	var messages []message
-	err := s.shard.journal.Do(ctx, func(journal.Tx) error {
+	err := s.shard.journal.Do(ctx, func(wal.Tx) error {
 		now := time.Now()
 		messages = s.shard.machine.messages(func(cell shard.ID) bool { return s.begin(cell, now) })
 		for i := range messages {
@@ -209,7 +209,7 @@
 			q.accepted(m.cell, reply.Accepted)
 		})
 	}
-	return q.journal.Do(ctx, func(tx journal.Tx) error {
+	return q.journal.Do(ctx, func(tx wal.Tx) error {
 		q.sent.answered(m.cell, sizes, reply.Load)
 		q.accepted(m.cell, reply.Accepted)
 		q.refused(tx, m.cell, reply.Refused)
@@ -217,7 +217,7 @@
 	})
 }
 
-func (q *ownedShard) accepted(cell shard.ID, refs []platform.AttemptRef) {
+func (q *ownedShard) accepted(cell shard.ID, refs []inventory.AttemptRef) {
 	if len(refs) > 0 {
 		q.machine.accept(cell, refs)
 		q.sent.accept(cell)
@@ -226,7 +226,7 @@
 
 // refused ends the attempts that a cell has refused and keeps tasks of their
 // size from it for a while.
-func (q *ownedShard) refused(tx journal.Tx, cell shard.ID, refusals []delegation.Refusal) {
+func (q *ownedShard) refused(tx wal.Tx, cell shard.ID, refusals []delegation.Refusal) {
 	outcomes := make([]delegation.Outcome, 0, len(refusals))
 	now := time.Now()
 	for _, r := range refusals {
--- a/queue/server.go
+++ b/queue/server.go
@@ -13,27 +13,27 @@
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/job"
-	"github.com/fuchsiahill/fuchsiahill/journal"
 	"github.com/fuchsiahill/fuchsiahill/member"
 	"github.com/fuchsiahill/fuchsiahill/peer"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 	"github.com/fuchsiahill/fuchsiahill/store"
+	"github.com/fuchsiahill/fuchsiahill/wal"
 )
 
 // Deps are what a Server needs.
 type Deps struct {
 	Region   fleet.Region
 	Store    store.Store
-	Pace     journal.Pace
+	Pace     wal.Pace
 	Peers    peer.Caller
 	Registry peer.Registry // takes the handlers
 	Members  member.Directory
 	Shards   shard.Directory
 	Settings settings.View
-	Platform platform.View
+	Platform inventory.View
 	Logger   log.Logger
 	// RetainFor is how long ended jobs are kept and their IDs recognised; 0
 	// means DefaultRetainFor.
@@ -92,8 +92,8 @@
 		return err
 	}
 	machine := NewMachine()
-	deps := journal.Deps{Store: s.deps.Store, Logger: s.deps.Logger, Pace: s.deps.Pace}
-	j, err := journal.Open(ctx, deps, string(id), journal.Owner(owner), machine)
+	deps := wal.Deps{Store: s.deps.Store, Logger: s.deps.Logger, Pace: s.deps.Pace}
+	j, err := wal.Open(ctx, deps, string(id), wal.Owner(owner), machine)
 	if err != nil {
 		return err
 	}
--- a/queue/shard.go
+++ b/queue/shard.go
@@ -13,13 +13,13 @@
 
 	"github.com/fuchsiahill/fuchsiahill/delegation"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/job"
-	"github.com/fuchsiahill/fuchsiahill/journal"
 	"github.com/fuchsiahill/fuchsiahill/member"
 	"github.com/fuchsiahill/fuchsiahill/peer"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/shard"
+	"github.com/fuchsiahill/fuchsiahill/wal"
 )
 
 const (
@@ -46,7 +46,7 @@
 	number  int
 	server  *Server
 	logger  log.Logger
-	journal *journal.Shard
+	journal *wal.Shard
 	sender  *sender
 	changed *unsettled
 
@@ -59,7 +59,7 @@
 	kicked chan struct{} // asks for a release
 }
 
-func newOwnedShard(s *Server, id shard.ID, team fleet.Team, n int, j *journal.Shard, m *Machine) *ownedShard {
+func newOwnedShard(s *Server, id shard.ID, team fleet.Team, n int, j *wal.Shard, m *Machine) *ownedShard {
 	q := &ownedShard{
 		id:      id,
 		team:    team,
@@ -118,7 +118,7 @@
 }
 
 // release gives out what quota, settings and cells allow now.
-func (q *ownedShard) release(tx journal.Tx) error {
+func (q *ownedShard) release(tx wal.Tx) error {
 	if len(q.machine.order.lanes) == 0 {
 		return nil
 	}
@@ -168,7 +168,7 @@
 	}
 }
 
-func (q *ownedShard) expire(tx journal.Tx) error {
+func (q *ownedShard) expire(tx wal.Tx) error {
 	before := time.Now().Add(-q.server.deps.RetainFor).UnixMilli()
 	if q.machine.expirable(before) {
 		tx.Append(record{Expired: &expired{Before: before}}.encode())
@@ -177,11 +177,11 @@
 }
 
 // commit runs a transaction for a caller and classifies its errors.
-func (q *ownedShard) commit(ctx context.Context, fn func(journal.Tx) error) error {
+func (q *ownedShard) commit(ctx context.Context, fn func(wal.Tx) error) error {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	began := false
-	err := q.journal.Do(ctx, func(tx journal.Tx) error {
+	err := q.journal.Do(ctx, func(tx wal.Tx) error {
 		began = true
 		return fn(tx)
 	})
@@ -194,7 +194,7 @@
 // submit admits a job. It returns once the job is durable.
 func (q *ownedShard) submit(ctx context.Context, spec job.Spec) (job.Status, error) {
 	var status job.Status
-	err := q.commit(ctx, func(tx journal.Tx) error {
+	err := q.commit(ctx, func(tx wal.Tx) error {
 		known := q.machine.jobs[spec.ID]
 		if known != nil && !known.same(spec) {
 			return eris.Wrap(&job.ConflictError{ID: spec.ID}, "submit")
@@ -211,7 +211,7 @@
 }
 
 // admit journals a new job. An urgent one is given out with the same commit.
-func (q *ownedShard) admit(tx journal.Tx, spec job.Spec) error {
+func (q *ownedShard) admit(tx wal.Tx, spec job.Spec) error {
 	deps := q.server.deps
 	snapshot := deps.Settings.Current()
 	if err := checkSpec(spec, deps.Region, snapshot, deps.Platform.Hosts()); err != nil {
@@ -248,7 +248,7 @@
 	if settled {
 		return nil
 	}
-	return readError(q.commit(ctx, func(journal.Tx) error {
+	return readError(q.commit(ctx, func(wal.Tx) error {
 		fn()
 		return nil
 	}))
@@ -289,7 +289,7 @@
 // cancel cancels a job. It returns once that is durable.
 func (q *ownedShard) cancel(ctx context.Context, id fleet.JobID) (job.Status, error) {
 	var status job.Status
-	err := q.commit(ctx, func(tx journal.Tx) error {
+	err := q.commit(ctx, func(tx wal.Tx) error {
 		j := q.machine.jobs[id]
 		if j == nil {
 			return eris.Wrap(&job.NotFoundError{ID: id}, "cancel")
@@ -317,7 +317,7 @@
 // state without them.
 func (q *ownedShard) takeBack(ctx context.Context, ret delegation.Return) (delegation.ReturnReply, error) {
 	reply := delegation.ReturnReply{Epoch: q.journal.Owner().Epoch}
-	err := q.commit(ctx, func(tx journal.Tx) error {
+	err := q.commit(ctx, func(tx wal.Tx) error {
 		q.sent.answered(ret.Cell, nil, ret.Load)
 		q.end(tx, ret.Cell, ret.Outcomes)
 		reply.Sequence = q.offers
@@ -335,14 +335,14 @@
 }
 
 // end journals outcomes, in records of bounded size.
-func (q *ownedShard) end(tx journal.Tx, cell shard.ID, outcomes []delegation.Outcome) {
+func (q *ownedShard) end(tx wal.Tx, cell shard.ID, outcomes []delegation.Outcome) {
 	for chunk := range slices.Chunk(outcomes, maxReturned) {
 		q.endSome(tx, cell, chunk)
 	}
 	kick(q.kicked)
 }
 
-func (q *ownedShard) endSome(tx journal.Tx, cell shard.ID, outcomes []delegation.Outcome) {
+func (q *ownedShard) endSome(tx wal.Tx, cell shard.ID, outcomes []delegation.Outcome) {
 	r := q.machine.returns(cell, outcomes, q.limits, time.Now())
 	if r == nil {
 		return
@@ -361,7 +361,7 @@
 	}
 }
 
-func (q *ownedShard) logEnd(tx journal.Tx, s job.Status) {
+func (q *ownedShard) logEnd(tx wal.Tx, s job.Status) {
 	tx.OnDurable(func() {
 		q.logger.Log("event", "job_ended", "job", s.Spec.ID, "state", s.State, "finished", s.Finished, "failed", s.Failed)
 	})
@@ -377,7 +377,7 @@
 }
 
 // started notes attempts that run, for status only.
-func (q *ownedShard) started(ctx context.Context, refs []platform.AttemptRef) error {
+func (q *ownedShard) started(ctx context.Context, refs []inventory.AttemptRef) error {
 	err := q.journal.View(ctx, func() { q.machine.markRunning(refs) })
 	if err != nil {
 		return notOwner()
--- a/queue/snapshot.go
+++ b/queue/snapshot.go
@@ -4,8 +4,8 @@
 	"slices"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/journal"
 	"github.com/fuchsiahill/fuchsiahill/shard"
+	"github.com/fuchsiahill/fuchsiahill/wal"
 )
 
 // snapshotImage is the whole state. Jobs are sorted by ID, so equal states
@@ -42,7 +42,7 @@
 	Cell  int // index in snapshotImage.Cells
 }
 
-// Snapshot implements journal.Machine.
+// Snapshot implements wal.Machine.
 func (m *Machine) Snapshot() ([]byte, error) {
 	image := snapshotImage{Version: formatVersion}
 	cells := make(map[shard.ID]int)
@@ -53,7 +53,7 @@
 	for _, id := range m.ids {
 		image.Jobs = append(image.Jobs, m.jobImage(m.jobs[id], cells))
 	}
-	return journal.Encode(image)
+	return wal.Encode(image)
 }
 
 // cellIDs returns the cells that hold tasks, sorted.
@@ -101,14 +101,14 @@
 	return append(runs, heldRun{From: index, Count: 1, Cell: cell})
 }
 
-// Restore implements journal.Machine.
+// Restore implements wal.Machine.
 func (m *Machine) Restore(data []byte) error {
 	m.reset()
 	if len(data) == 0 {
 		return nil
 	}
 	var image snapshotImage
-	if err := journal.Decode(data, &image); err != nil {
+	if err := wal.Decode(data, &image); err != nil {
 		return err
 	}
 	if image.Version != formatVersion {
--- a/queue/status.go
+++ b/queue/status.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/job"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 )
 
 const reasonCancelling = "cancelling"
@@ -120,7 +120,7 @@
 }
 
 // markRunning notes attempts that a worker was seen running.
-func (m *Machine) markRunning(refs []platform.AttemptRef) {
+func (m *Machine) markRunning(refs []inventory.AttemptRef) {
 	for _, ref := range refs {
 		name, index, ok := parseTaskID(ref.Task)
 		j := m.jobs[name]
--- a/queue/unsettled.go
+++ b/queue/unsettled.go
@@ -4,7 +4,7 @@
 	"sync"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/journal"
+	"github.com/fuchsiahill/fuchsiahill/wal"
 )
 
 // unsettled counts the transactions on each job that are not durable yet. The
@@ -18,7 +18,7 @@
 func newUnsettled() *unsettled { return &unsettled{jobs: make(map[fleet.JobID]int)} }
 
 // touch notes that tx has appended a record on jobs.
-func (u *unsettled) touch(tx journal.Tx, jobs ...fleet.JobID) {
+func (u *unsettled) touch(tx wal.Tx, jobs ...fleet.JobID) {
 	u.add(1, jobs)
 	tx.OnDurable(func() { u.add(-1, jobs) })
 }
--- a/scheduler/plan_test.go
+++ b/scheduler/plan_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 func cores(n int64) fleet.Resources { return fleet.Resources{MilliCores: n, MemoryMB: n} }
@@ -18,7 +18,7 @@
 }
 
 func task(id string, need int64) Task {
-	return Task{AttemptRef: platform.AttemptRef{Task: fleet.TaskID(id), Attempt: 1}, Job: "j", Class: "c", Declared: cores(need)}
+	return Task{AttemptRef: inventory.AttemptRef{Task: fleet.TaskID(id), Attempt: 1}, Job: "j", Class: "c", Declared: cores(need)}
 }
 
 // costTable is the pressure that a whole core adds on each worker.
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -5,12 +5,12 @@
 	"slices"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 // Victim is a running task that may be evicted to make room.
 type Victim struct {
-	platform.AttemptRef
+	inventory.AttemptRef
 	Organisation fleet.Organisation
 	Worker       fleet.WorkerID
 	Size         fleet.Resources
@@ -28,7 +28,7 @@
 // can be helped fit. Tasks that fit without an eviction cause none. Each
 // other task gets the worker where the victims have the lowest priority, are
 // the fewest and lose the least work.
-func Preempt(s Snapshot, victims []Victim) []platform.AttemptRef {
+func Preempt(s Snapshot, victims []Victim) []inventory.AttemptRef {
 	if !s.Open {
 		return nil
 	}
@@ -39,7 +39,7 @@
 	}
 	tasks := slices.Clone(s.Tasks)
 	slices.SortFunc(tasks, compareTasks)
-	var evicted []platform.AttemptRef
+	var evicted []inventory.AttemptRef
 	for i := range tasks {
 		if _, _, ok := p.place(&tasks[i]); ok {
 			continue
@@ -55,8 +55,8 @@
 }
 
 // clear evicts the victims of a room.
-func (p *planner) clear(r room, byWorker map[fleet.WorkerID][]Victim) []platform.AttemptRef {
-	evicted := make([]platform.AttemptRef, 0, len(r.victims))
+func (p *planner) clear(r room, byWorker map[fleet.WorkerID][]Victim) []inventory.AttemptRef {
+	evicted := make([]inventory.AttemptRef, 0, len(r.victims))
 	for _, v := range r.victims {
 		r.worker.Used = r.worker.Used.Sub(v.Size)
 		evicted = append(evicted, v.AttemptRef)
--- a/scheduler/preempt_test.go
+++ b/scheduler/preempt_test.go
@@ -9,11 +9,11 @@
 	"pgregory.net/rapid"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 func victim(id string, w fleet.WorkerID, size int64, priority int, lost float64) Victim {
-	ref := platform.AttemptRef{Task: fleet.TaskID(id), Attempt: 1}
+	ref := inventory.AttemptRef{Task: fleet.TaskID(id), Attempt: 1}
 	return Victim{AttemptRef: ref, Worker: w, Size: cores(size), Priority: priority, Lost: lost}
 }
 
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 // Worker is a worker of the cell as the plan sees it.
@@ -26,7 +26,7 @@
 
 // Task is a task that waits for a worker.
 type Task struct {
-	platform.AttemptRef
+	inventory.AttemptRef
 	Organisation fleet.Organisation
 	Job          fleet.JobID
 	Class        fleet.JobClass
@@ -68,7 +68,7 @@
 
 // Placement gives a task to a worker.
 type Placement struct {
-	Task   platform.AttemptRef
+	Task   inventory.AttemptRef
 	Worker fleet.WorkerID
 	Size   fleet.Resources // to set aside, at least what was declared
 }
@@ -90,7 +90,7 @@
 
 // Unplaced is a task without a worker.
 type Unplaced struct {
-	Task   platform.AttemptRef
+	Task   inventory.AttemptRef
 	Reason Reason
 }
 
--- a/scheduler/takeback.go
+++ b/scheduler/takeback.go
@@ -6,8 +6,8 @@
 	"slices"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/job"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 )
 
 // wholePercent is all of a cell's capacity.
@@ -83,8 +83,8 @@
 
 // Room is how an entitled task gets room.
 type Room struct {
-	Task  platform.AttemptRef
-	Evict []platform.AttemptRef // tasks on lent capacity; none if it fits without
+	Task  inventory.AttemptRef
+	Evict []inventory.AttemptRef // tasks on lent capacity; none if it fits without
 }
 
 // lender takes back lent capacity.
@@ -113,7 +113,7 @@
 		if t.rank() == 0 {
 			continue
 		}
-		var evict []platform.AttemptRef
+		var evict []inventory.AttemptRef
 		_, _, fits := l.place(t)
 		if !fits && !t.isUrgent() {
 			evict, fits = l.makeRoom(t)
@@ -126,7 +126,7 @@
 }
 
 // makeRoom takes back what t needs and gives it to t.
-func (l *lender) makeRoom(t *Task) ([]platform.AttemptRef, bool) {
+func (l *lender) makeRoom(t *Task) ([]inventory.AttemptRef, bool) {
 	r, ok := l.cheapestRoom(t, l.chooseLent, compareRoomLost)
 	if !ok {
 		return nil, false
--- a/scheduler/takeback_test.go
+++ b/scheduler/takeback_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 func share(used, entitled, protected int64) Share {
@@ -28,7 +28,7 @@
 	return v
 }
 
-func ids(refs []platform.AttemptRef) string {
+func ids(refs []inventory.AttemptRef) string {
 	text := ""
 	for _, ref := range refs {
 		text += string(ref.Task)
@@ -37,7 +37,7 @@
 }
 
 // recovery is all that a take-back does.
-type recovery struct{ Evict, Served []platform.AttemptRef }
+type recovery struct{ Evict, Served []inventory.AttemptRef }
 
 func takeBack(s Snapshot, shares map[fleet.Organisation]Share, victims []Victim) (r recovery) {
 	for _, room := range TakeBack(s, shares, victims) {
--- a/shard/cluster_test.go
+++ b/shard/cluster_test.go
@@ -15,9 +15,9 @@
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/member"
 	"github.com/fuchsiahill/fuchsiahill/peer/peertest"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 )
 
@@ -56,7 +56,7 @@
 
 	mu          sync.Mutex
 	all         []*process
-	list        platform.HostList
+	list        inventory.HostList
 	runs        map[shard.ID]map[shard.Owner]bool
 	starts      int
 	lastSend    map[shard.ID]map[*process]time.Time // of processes that have not drained
@@ -80,22 +80,22 @@
 	return c
 }
 
-// Hosts implements platform.View.
-func (c *cluster) Hosts() *platform.HostList {
+// Hosts implements inventory.View.
+func (c *cluster) Hosts() *inventory.HostList {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := c.list
 	return &list
 }
 
-// Changed implements platform.View.
+// Changed implements inventory.View.
 func (*cluster) Changed() <-chan struct{} { return nil }
 
 // report makes the platform report a process as gone.
 func (c *cluster) report(p *process) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.list.EntryHosts = append(slices.Clone(c.list.EntryHosts), platform.EntryHost{ID: p.self.ID, Incarnation: p.self.Incarnation, State: platform.StateGone})
+	c.list.EntryHosts = append(slices.Clone(c.list.EntryHosts), inventory.EntryHost{ID: p.self.ID, Incarnation: p.self.Incarnation, State: inventory.StateGone})
 }
 
 func (c *cluster) start(id fleet.HostID) *process {
--- a/shard/front_test.go
+++ b/shard/front_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 )
 
@@ -151,7 +151,7 @@
 	inCluster(t, func(t *testing.T, c *cluster) {
 		front, owner := c.frontOwner(t)
 		c.mu.Lock()
-		c.list.EntryHosts = []platform.EntryHost{{ID: owner, State: platform.StateGone}}
+		c.list.EntryHosts = []inventory.EntryHost{{ID: owner, State: inventory.StateGone}}
 		c.mu.Unlock()
 		c.run(5 * time.Second)
 		if got := c.senders(front); !slices.Equal(got, []fleet.HostID{owner}) {
--- a/shard/manager.go
+++ b/shard/manager.go
@@ -12,8 +12,8 @@
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/wait"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/member"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/store"
 )
 
@@ -32,7 +32,7 @@
 	Runners map[Kind]Runner
 	// Platform is optional: without it no host is known to be gone or
 	// leaving before its lease ends.
-	Platform platform.View
+	Platform inventory.View
 	// Draining is optional and reports whether this host should own nothing.
 	Draining func() bool
 	// LongestRequest is optional and returns the longest time that a request
@@ -218,7 +218,7 @@
 		return true
 	}
 	entry, ok := m.platformEntry(h.ID)
-	if !ok || entry.State == platform.StateLive {
+	if !ok || entry.State == inventory.StateLive {
 		return false
 	}
 	return covers(entry, h.Incarnation, now)
@@ -226,30 +226,30 @@
 
 func (m *Manager) draining() bool { return m.deps.Draining != nil && m.deps.Draining() }
 
-func (m *Manager) platformEntry(id fleet.HostID) (platform.EntryHost, bool) {
+func (m *Manager) platformEntry(id fleet.HostID) (inventory.EntryHost, bool) {
 	if m.deps.Platform == nil {
-		return platform.EntryHost{}, false
+		return inventory.EntryHost{}, false
 	}
 	list := m.deps.Platform.Hosts()
 	if list == nil {
-		return platform.EntryHost{}, false
+		return inventory.EntryHost{}, false
 	}
 	for _, e := range list.EntryHosts {
 		if e.ID == id {
 			return e, true
 		}
 	}
-	return platform.EntryHost{}, false
+	return inventory.EntryHost{}, false
 }
 
 // covers reports whether an entry of the platform's list speaks of a process.
 // An entry for every incarnation may be older than the process, so it counts
 // only when the process is older than the list can lag.
-func covers(e platform.EntryHost, incarnation fleet.Incarnation, now time.Time) bool {
+func covers(e inventory.EntryHost, incarnation fleet.Incarnation, now time.Time) bool {
 	if e.Incarnation != 0 {
 		return e.Incarnation >= incarnation
 	}
-	return now.Sub(time.Unix(0, int64(incarnation))) > platform.MaxLag
+	return now.Sub(time.Unix(0, int64(incarnation))) > inventory.MaxLag
 }
 
 // consider decides about one shard. The mutex is held.
@@ -331,7 +331,7 @@
 	if known && h.Incarnation > o.Incarnation {
 		return false, true
 	}
-	if e, ok := m.platformEntry(o.Host); ok && e.State == platform.StateGone && covers(e, o.Incarnation, now) {
+	if e, ok := m.platformEntry(o.Host); ok && e.State == inventory.StateGone && covers(e, o.Incarnation, now) {
 		return false, true
 	}
 	return known, false
--- a/shard/manager_test.go
+++ b/shard/manager_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 	"github.com/fuchsiahill/fuchsiahill/member"
-	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/shard"
 )
 
@@ -238,7 +238,7 @@
 	inCluster(t, func(t *testing.T, c *cluster) {
 		_, owner := c.frontOwner(t)
 		c.mu.Lock()
-		c.list.EntryHosts = []platform.EntryHost{{ID: owner, Incarnation: c.running[owner].self.Incarnation, State: platform.StateLeaving}}
+		c.list.EntryHosts = []inventory.EntryHost{{ID: owner, Incarnation: c.running[owner].self.Incarnation, State: inventory.StateLeaving}}
 		c.mu.Unlock()
 		c.run(shard.DefaultHandOverAfter + 5*time.Second)
 		if left := c.ownedBy(owner); left != nil {
--- a/sharing/compare_test.go
+++ b/sharing/compare_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 // The calculation: workers with one service each, whose hours differ, and a
@@ -102,7 +102,7 @@
 	for i := range calcTasks {
 		cores := float64(1 + c.rng.IntN(3))
 		c.queue = append(c.queue, &calcTask{
-			Task: Task{Ref: platform.AttemptRef{Task: fleet.TaskID(fmt.Sprint(i)), Attempt: 1}, Class: calcClass(c.rng, i), Cores: cores, Share: 1, Floor: sc.floor},
+			Task: Task{Ref: inventory.AttemptRef{Task: fleet.TaskID(fmt.Sprint(i)), Attempt: 1}, Class: calcClass(c.rng, i), Cores: cores, Share: 1, Floor: sc.floor},
 			need: cores * float64(60+c.rng.IntN(sc.length)),
 		})
 	}
@@ -184,7 +184,7 @@
 }
 
 // evict puts a task back into the queue, from its last checkpoint.
-func (c *calc) evict(w *calcWorker, ref platform.AttemptRef) {
+func (c *calc) evict(w *calcWorker, ref inventory.AttemptRef) {
 	i := slices.IndexFunc(w.tasks, func(t *calcTask) bool { return t.Ref == ref })
 	t := w.tasks[i]
 	w.tasks = slices.Delete(w.tasks, i, i+1)
--- a/sharing/policy_test.go
+++ b/sharing/policy_test.go
@@ -10,12 +10,12 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 var start = time.Unix(1000, 0)
 
-func ref(id fleet.TaskID) platform.AttemptRef { return platform.AttemptRef{Task: id, Attempt: 1} }
+func ref(id fleet.TaskID) inventory.AttemptRef { return inventory.AttemptRef{Task: id, Attempt: 1} }
 
 // taught returns a model that knows a dear and a cheap class.
 func taught(now time.Time) *Model {
--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/inventory"
 )
 
 // Snapshot is the state of a cell at one moment.
@@ -45,7 +45,7 @@
 
 // Task is a running attempt.
 type Task struct {
-	Ref   platform.AttemptRef
+	Ref   inventory.AttemptRef
 	Class fleet.JobClass
 	Cores float64 // that it has been given
 	Share float64 // throttle in force, 0 to 1; 1 is unthrottled
@@ -68,6 +68,6 @@
 type Action struct {
 	Kind   Kind
 	Worker fleet.WorkerID
-	Ref    platform.AttemptRef
+	Ref    inventory.AttemptRef
 	Share  float64 // new share, for Throttle and Restore
 }
--- a/journal/journal.go
+++ b/wal/journal.go
@@ -1,4 +1,4 @@
-// Package journal keeps the state of one shard in the platform's store: a
+// Package wal keeps the state of one shard in the platform's store: a
 // ring of entries plus a snapshot. The ring is also the fence between owners
 // of the shard: a superseded owner collides at its next append.
 //
@@ -7,7 +7,7 @@
 // snapshot covers entry N-RingSize. One write is outstanding per shard; after
 // an unknown outcome the same bytes are sent again. docs/JOURNAL.md gives the
 // reasons for each rule.
-package journal
+package wal
 
 import (
 	"context"
--- a/journal/seed_test.go
+++ b/wal/seed_test.go
@@ -1,3 +1,3 @@
-package journal
+package wal
 
 import _ "github.com/fuchsiahill/fuchsiahill/internal/fixedseed"
--- a/journal/write.go
+++ b/wal/write.go
@@ -1,4 +1,4 @@
-package journal
+package wal
 
 import (
 	"bytes"
