--- a/cmd/fuchsiahilld/main.go
+++ b/cmd/fuchsiahilld/main.go
@@ -13,6 +13,8 @@
 	"github.com/fuchsiahill/fuchsiahill/command"
 	"github.com/fuchsiahill/fuchsiahill/config"
 	"github.com/fuchsiahill/fuchsiahill/host"
+	"github.com/fuchsiahill/fuchsiahill/node"
+	"github.com/fuchsiahill/fuchsiahill/platform"
 )
 
 // version is set when a release is built.
@@ -26,12 +28,22 @@
 		Version: version,
 		Flags:   config.Flags(),
 		Action:  serve,
+		Commands: []*cli.Command{{
+			Name:   "node",
+			Usage:  "serve on a host of the users' platform, with the settings file that it provides",
+			Action: serveNode,
+		}},
 	}
 	code := command.Run(ctx, daemon, os.Args)
 	stop()
 	os.Exit(code)
 }
 
+// serveNode runs a host of the users' platform until the process is told to end.
+func serveNode(context.Context, *cli.Command) error {
+	return node.Run(os.Getenv(platform.SettingsVariable), version)
+}
+
 // serve runs the host until the process is told to end.
 func serve(ctx context.Context, cmd *cli.Command) error {
 	cfg, err := config.Load(cmd)
--- /dev/null
+++ b/dispatch/job.go
@@ -0,0 +1,332 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/store"
+	"github.com/fuchsiahill/fuchsiahill/workload"
+)
+
+// job is a job that this owner dispatches.
+//
+// Invariants: version counts changes of what must be durable; it is at least
+// saving, which is at least saved.
+type job struct {
+	workload.Job
+	state    workload.State
+	revision store.Revision // of the key that holds its state
+	inherits bool           // was accepted under a former owner
+	arrived  time.Duration  // when this owner learned of it
+	occ      []*occurrence  // by number; those to come are missing
+
+	version, saving, saved int64
+	shown                  workload.State // durable state
+	runs                   int            // in all its tasks
+	priority               int
+	key                    float64 // place in line, lower first; set by Plan
+}
+
+// occurrence is one execution of a job's steps.
+type occurrence struct {
+	steps []*step
+	left  int // steps not done
+}
+
+// step is a step of one occurrence.
+type step struct {
+	*workload.Step
+	tasks   []*task
+	done    int
+	waiting int // tasks that are neither done nor have a run
+	gangRun int // highest run of the gang
+	perNode map[fleet.WorkerID]int
+}
+
+// task is one task.
+type task struct {
+	job        *job
+	step       *step
+	name       workload.TaskName
+	done       bool
+	runs       []*run
+	lastRun    int
+	failures   int
+	checkpoint string
+	avoid      fleet.WorkerID // where it failed or stalled last
+	waitsFrom  time.Duration
+}
+
+type runState int
+
+const (
+	runOrdered    runState = iota // start sent, no answer yet
+	runRunning                    // confirmed by an answer or a report
+	runUnresolved                 // no answer to its start: may come yet
+	runStopping                   // to be stopped
+)
+
+// run is one start of a task on a worker.
+type run struct {
+	task   *task
+	number int
+	worker *worker
+	state  runState
+	// confirmed is when the start was answered or the run reported; 0: never.
+	confirmed time.Duration
+	ordered   time.Duration
+	// stopSent and stopAnswered tell how far a stop is.
+	stopSent, stopAnswered time.Duration
+	percent                int
+	percentAt              time.Duration // when percent last changed
+	firstPercent           int
+	firstPercentAt         time.Duration
+	gauge                  int64
+	pace                   int
+	reason                 string // of its stop
+}
+
+func (j *job) changed() { j.version++ }
+
+// AddJob takes in an accepted job with what is durable of it.
+func (m *Machine) AddJob(j *workload.Job, state workload.State, revision store.Revision, progress workload.Progress, now time.Duration, inherited bool) {
+	if _, ok := m.jobs[j.ID]; ok {
+		return
+	}
+	nj := &job{Job: *j, state: state, shown: state, revision: revision, inherits: inherited, arrived: now}
+	m.jobs[j.ID] = nj
+	if state.Final() {
+		return
+	}
+	for _, p := range progress.Tasks {
+		nj.restore(p)
+	}
+	for _, o := range nj.occ {
+		if o != nil {
+			o.settle()
+		}
+	}
+	m.finishIfDone(nj)
+}
+
+// occurrence returns an occurrence, which it creates when needed.
+func (j *job) occurrence(k int) *occurrence {
+	for len(j.occ) <= k {
+		j.occ = append(j.occ, nil)
+	}
+	if j.occ[k] == nil {
+		o := &occurrence{left: len(j.Steps)}
+		for i := range j.Steps {
+			s := &step{Step: &j.Steps[i], waiting: j.Steps[i].Count, perNode: make(map[fleet.WorkerID]int)}
+			for t := range s.Count {
+				s.tasks = append(s.tasks, &task{job: j, step: s, name: workload.TaskName{Job: j.ID, Occurrence: k, Step: i, Index: t}, waitsFrom: j.arrived})
+			}
+			o.steps = append(o.steps, s)
+		}
+		j.occ[k] = o
+	}
+	return j.occ[k]
+}
+
+// find returns a task of the job, or nil if it has none of that name.
+func (j *job) find(n workload.TaskName) *task {
+	if n.Occurrence >= j.Occurrences() || n.Step >= len(j.Steps) || n.Index >= j.Steps[n.Step].Count {
+		return nil
+	}
+	return j.occurrence(n.Occurrence).steps[n.Step].tasks[n.Index]
+}
+
+func (j *job) restore(p workload.TaskProgress) {
+	t := j.find(workload.TaskName{Job: j.ID, Occurrence: p.Occurrence, Step: p.Step, Index: p.Index})
+	if t == nil {
+		return
+	}
+	t.done, t.lastRun, t.failures, t.checkpoint = p.Done, p.Run, p.Failures, p.Checkpoint
+	t.step.gangRun = max(t.step.gangRun, p.Run)
+}
+
+// settle counts a restored occurrence.
+func (o *occurrence) settle() {
+	o.left = 0
+	for _, s := range o.steps {
+		s.done, s.waiting = 0, 0
+		for _, t := range s.tasks {
+			if t.done {
+				s.done++
+			} else if len(t.runs) == 0 {
+				s.waiting++
+			}
+		}
+		if s.done < s.Count {
+			o.left++
+		}
+	}
+}
+
+// ready reports whether the steps before s are done.
+func (o *occurrence) ready(s *step) bool {
+	return !slices.ContainsFunc(s.After, func(i int) bool { return o.steps[i].done < o.steps[i].Count })
+}
+
+// progress is what must be durable of the job's tasks.
+func (j *job) progress() workload.Progress {
+	var p workload.Progress
+	for k, o := range j.occ {
+		if o == nil {
+			continue
+		}
+		for i, s := range o.steps {
+			for x, t := range s.tasks {
+				if t.lastRun == 0 && !t.done {
+					continue
+				}
+				p.Tasks = append(p.Tasks, workload.TaskProgress{
+					Occurrence: k, Step: i, Index: x, Run: t.lastRun, Done: t.done, Failures: t.failures, Checkpoint: t.kept(),
+				})
+			}
+		}
+	}
+	return p
+}
+
+// kept is the checkpoint worth storing: none of a task that is done.
+func (t *task) kept() string {
+	if t.done {
+		return ""
+	}
+	return t.checkpoint
+}
+
+// completedOccurrences reports whether all occurrences are done.
+func (j *job) allDone() bool {
+	if len(j.occ) < j.Occurrences() {
+		return false
+	}
+	return !slices.ContainsFunc(j.occ, func(o *occurrence) bool { return o == nil || o.left > 0 })
+}
+
+func (m *Machine) finishIfDone(j *job) {
+	if !j.state.Final() && j.allDone() {
+		m.end(j, workload.StateCompleted)
+	}
+}
+
+// end makes a state final and stops what still runs.
+func (m *Machine) end(j *job, state workload.State) {
+	j.state = state
+	j.changed()
+	m.event("job_ended", j.ID, "state", state, "queue", j.Queue)
+	for _, o := range j.occ {
+		if o == nil {
+			continue
+		}
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				for _, r := range t.runs {
+					m.stop(r, string(state))
+				}
+			}
+		}
+	}
+}
+
+// StateChanged takes in a state that another host has written.
+func (m *Machine) StateChanged(id fleet.JobID, state workload.State, revision store.Revision) {
+	j, ok := m.jobs[id]
+	if !ok || revision <= j.revision {
+		return
+	}
+	j.revision = revision
+	if state == workload.StateCancelled && j.state != workload.StateCancelled {
+		m.end(j, workload.StateCancelled)
+		j.shown = workload.StateCancelled
+	}
+}
+
+// Write is what has to become durable of one job, in one transaction.
+type Write struct {
+	Job      fleet.JobID
+	Queue    string
+	Accepted int64
+	State    workload.State
+	// StateChanged is set if State differs from what is stored; it may be
+	// written only if its key is still at Revision.
+	StateChanged bool
+	Revision     store.Revision
+	Progress     workload.Progress // not written with a final state
+	version      int64
+}
+
+// TakeWrites returns what has to become durable of up to most jobs. A job is
+// not returned again before WritesDone or WritesFailed.
+func (m *Machine) TakeWrites(most int) []Write {
+	var writes []Write
+	for _, id := range m.sortedDirty() {
+		if len(writes) == most {
+			break
+		}
+		j := m.jobs[id]
+		j.saving = j.version
+		w := Write{
+			Job: id, Queue: j.Queue, Accepted: j.AcceptedMS, State: j.state, StateChanged: j.state != j.shown, Revision: j.revision, version: j.version,
+		}
+		if !j.state.Final() {
+			w.Progress = j.progress()
+		}
+		writes = append(writes, w)
+	}
+	return writes
+}
+
+// Dirty counts the jobs with changes that are neither durable nor on their
+// way to be.
+func (m *Machine) Dirty() int { return len(m.sortedDirty()) }
+
+func (m *Machine) sortedDirty() []fleet.JobID {
+	var ids []fleet.JobID
+	for id, j := range m.jobs {
+		if j.version > j.saved && j.saving == j.saved {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b fleet.JobID) int { return int(m.jobs[a].arrived - m.jobs[b].arrived) })
+	return ids
+}
+
+// WritesDone takes note that writes are durable at a revision.
+func (m *Machine) WritesDone(writes []Write, revision store.Revision) {
+	for _, w := range writes {
+		j, ok := m.jobs[w.Job]
+		if !ok {
+			continue
+		}
+		j.saved, j.saving = w.version, w.version
+		if w.StateChanged {
+			j.shown = w.State
+			j.revision = max(j.revision, revision)
+		}
+	}
+	for _, w := range m.list {
+		w.settleEnds()
+	}
+	m.forgetEnded()
+}
+
+// WritesFailed makes the writes due again.
+func (m *Machine) WritesFailed(writes []Write) {
+	for _, w := range writes {
+		if j, ok := m.jobs[w.Job]; ok {
+			j.saving = j.saved
+		}
+	}
+}
+
+// forgetEnded drops jobs that have ended for good and run nowhere.
+func (m *Machine) forgetEnded() {
+	for id, j := range m.jobs {
+		if j.state.Final() && j.saved == j.version && j.runs == 0 {
+			delete(m.jobs, id)
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/plan.go
@@ -0,0 +1,293 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/workload"
+)
+
+const (
+	// lateFactor is how many times its wanted time a job may take and still be
+	// worth something. Source: the users' rule on late jobs.
+	lateFactor = 3
+	// startsPerPlan bounds the starts of one plan, so that orders go out while
+	// the next is made.
+	startsPerPlan = 64
+)
+
+// Plan gives out what is due at now: stops, starts in order of need, paces.
+// unixMS is the time of day, for occurrences in time.
+func (m *Machine) Plan(now time.Duration, unixMS int64) {
+	m.expire(now)
+	m.sendStops(now)
+	m.watchProgress(now)
+	room := m.newRoom(now)
+	starts := 0
+	for _, j := range m.line(now, unixMS) {
+		if starts >= startsPerPlan {
+			break
+		}
+		starts += m.startReady(j, room, now, startsPerPlan-starts)
+	}
+}
+
+// line returns the jobs with waiting tasks whose turn has come, in the order
+// in which they are to be served: by priority, then by the time left until
+// the rest of their chain must begin to end in time. It answers loads above
+// room: a job that can't be in time any more gives way to those that can.
+func (m *Machine) line(now time.Duration, unixMS int64) []*job {
+	var jobs []*job
+	adopted := m.allAdopted(now)
+	for _, j := range m.jobs {
+		if j.state.Final() || j.inherits && !adopted {
+			continue
+		}
+		m.openOccurrences(j, unixMS)
+		if !j.hasWaiting() {
+			continue
+		}
+		m.rank(j, now)
+		jobs = append(jobs, j)
+	}
+	slices.SortFunc(jobs, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.key, b.key), strings.Compare(string(a.ID), string(b.ID)))
+	})
+	return jobs
+}
+
+// openOccurrences creates the occurrences whose time has come.
+func (m *Machine) openOccurrences(j *job, unixMS int64) {
+	if j.Repeats == 0 {
+		j.occurrence(0)
+		return
+	}
+	for len(j.occ) < j.Repeats && unixMS >= j.FirstMS+int64(len(j.occ))*j.IntervalMS {
+		j.occurrence(len(j.occ))
+	}
+}
+
+func (j *job) hasWaiting() bool {
+	for _, o := range j.occ {
+		if o == nil || o.left == 0 {
+			continue
+		}
+		for _, s := range o.steps {
+			if s.waiting > 0 && o.ready(s) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// rank sets a job's place in line.
+func (m *Machine) rank(j *job, now time.Duration) {
+	q, ok := m.config.Queue(j.Queue)
+	if !ok {
+		j.priority, j.key = 0, float64(j.arrived)
+		return
+	}
+	j.priority = q.Priority
+	if j.Serves() {
+		j.key = 0
+		return
+	}
+	whole, rest := m.chains(j)
+	wanted := time.Duration(q.Stretch*float64(whole)) + q.Objective
+	slack := j.arrived + wanted - now - rest
+	switch {
+	case slack >= 0:
+		j.key = slack.Seconds()
+	case now+rest < j.arrived+lateFactor*wanted:
+		j.key = lateKey - slack.Seconds()
+	default:
+		j.key = lostKey
+	}
+}
+
+// Places in line behind all jobs that can still be in time, in seconds.
+const (
+	lateKey = 1e6
+	lostKey = 1e9
+)
+
+// chains returns the expected longest chain of work of a job, and of what is
+// left of it.
+func (m *Machine) chains(j *job) (whole, rest time.Duration) {
+	var o *occurrence
+	for _, c := range j.occ {
+		if c != nil && c.left > 0 {
+			o = c
+		}
+	}
+	wholes := make([]time.Duration, len(j.Steps))
+	rests := make([]time.Duration, len(j.Steps))
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		for _, before := range s.After {
+			wholes[i] = max(wholes[i], wholes[before])
+			rests[i] = max(rests[i], rests[before])
+		}
+		d := m.expected(j.Queue, s)
+		wholes[i] += d
+		if o == nil || o.steps[i].done < s.Count {
+			rests[i] += d
+		}
+		whole, rest = max(whole, wholes[i]), max(rest, rests[i])
+	}
+	return whole, rest
+}
+
+// startReady starts waiting tasks of a job and returns how many.
+func (m *Machine) startReady(j *job, room *room, now time.Duration, most int) int {
+	q, ok := m.config.Queue(j.Queue)
+	service := fleet.Service("")
+	if ok {
+		service = q.Service
+	} else if len(m.config.Services) == 1 {
+		for name := range m.config.Services {
+			service = name
+		}
+	}
+	started := 0
+	for _, o := range j.occ {
+		if o == nil || o.left == 0 {
+			continue
+		}
+		for _, s := range o.steps {
+			if s.waiting == 0 || !o.ready(s) {
+				continue
+			}
+			if s.Gang {
+				started += m.startGang(j, s, service, room, now)
+				continue
+			}
+			started += m.startTasks(j, s, service, room, now, most-started)
+			if started >= most {
+				return started
+			}
+		}
+	}
+	return started
+}
+
+func (m *Machine) startTasks(j *job, s *step, service fleet.Service, room *room, now time.Duration, most int) int {
+	started := 0
+	for _, t := range s.tasks {
+		if started >= most {
+			break
+		}
+		if t.done || len(t.runs) > 0 {
+			continue
+		}
+		w := room.place(t, service, nil)
+		if w == nil {
+			if t.avoid != "" {
+				continue // another task of the step may fit
+			}
+			break
+		}
+		m.start(t, w, m.nextRun(t), now)
+		started++
+	}
+	return started
+}
+
+// startGang starts all members of a gang, or none.
+func (m *Machine) startGang(j *job, s *step, service fleet.Service, room *room, now time.Duration) int {
+	if s.waiting < s.Count-s.done || s.done > 0 {
+		return 0
+	}
+	var chosen []*worker
+	number := 0
+	for _, t := range s.tasks {
+		number = max(number, m.nextRun(t))
+	}
+	taken := make(map[fleet.WorkerID]int)
+	for _, t := range s.tasks {
+		w := room.place(t, service, taken)
+		if w == nil {
+			break
+		}
+		w.count(s.Step, 1)
+		taken[w.ID]++
+		chosen = append(chosen, w)
+	}
+	for _, w := range chosen {
+		w.count(s.Step, -1)
+	}
+	if len(chosen) < s.Count {
+		return 0
+	}
+	checkpoint := ""
+	for _, t := range s.tasks {
+		checkpoint = max(checkpoint, t.checkpoint)
+	}
+	for i, t := range s.tasks {
+		t.checkpoint = checkpoint
+		m.start(t, chosen[i], number, now)
+	}
+	return s.Count
+}
+
+// nextRun numbers a task's next run above all runs that this or a former
+// owner may have started.
+func (m *Machine) nextRun(t *task) int {
+	last := t.lastRun
+	if t.step.Gang {
+		last = max(last, t.step.gangRun)
+	}
+	return max(last+1, (m.term-1)*runsPerTerm+1)
+}
+
+func (m *Machine) start(t *task, w *worker, number int, now time.Duration) {
+	waited := now - t.waitsFrom
+	m.attach(t, w, number, now)
+	m.orders = append(m.orders, Order{
+		Kind: OrderStart, Worker: w.ID, Task: t.name, Run: number, Payload: t.job.Payload, Checkpoint: t.checkpoint,
+	})
+	m.event("run_started", t.job.ID, "task", t.name, "run", number, "worker", w.ID, "waited", waited, "report_age", now-w.reported)
+}
+
+const (
+	// stalledAfter is how long a batch run may show no progress. Source: a
+	// run of 5 s gains a percent each 50 ms; a fivefold slow one each 250 ms.
+	stalledAfter = 1500 * time.Millisecond
+)
+
+// watchProgress stops batch runs that stand still, so that they run elsewhere.
+// It answers workers whose tasks hang while their reports go on.
+func (m *Machine) watchProgress(now time.Duration) {
+	for _, w := range m.list {
+		if now-w.reported > stalledAfter/2 {
+			continue
+		}
+		for _, r := range w.runs {
+			if r.task.step.Serving || r.state != runRunning || r.pace < 100 || r.percentAt == 0 || w.paceCap < 100 {
+				continue
+			}
+			if now-max(r.percentAt, r.confirmed) < stalledAfter {
+				continue
+			}
+			m.event("run_stalled", r.task.job.ID, "task", r.task.name, "run", r.number, "worker", w.ID, "percent", r.percent, "still", now-r.percentAt)
+			r.task.avoid = w.ID
+			m.strike(w, r.task.job.ID, now)
+			m.stop(r, "no progress")
+		}
+	}
+}
+
+// Pending counts the jobs of a queue of which no task has started.
+func (m *Machine) Pending(queue string) int {
+	n := 0
+	for _, j := range m.jobs {
+		if j.Queue == queue && j.state == workload.StateQueued {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/intake/record.go
@@ -0,0 +1,65 @@
+package intake
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/workload"
+)
+
+// Keys of the product in the store. Those under SharedPrefix are followed by
+// every host, the others by the dispatcher alone.
+const (
+	SharedPrefix   = "f/"
+	StatePrefix    = SharedPrefix + "j/" // state of each job
+	OwnerKey       = SharedPrefix + "owner"
+	LoadKey        = SharedPrefix + "load"
+	TermKey        = "t"  // number of the newest owner
+	BodyPrefix     = "s/" // submission of each job that has not ended
+	ProgressPrefix = "p/" // of the tasks of each job that has not ended
+)
+
+// Record is the durable state of a job.
+type Record struct {
+	Queue      string         `json:"q"`
+	State      workload.State `json:"s"`
+	AcceptedMS int64          `json:"a"`
+	EndedMS    int64          `json:"e,omitempty"`
+}
+
+// Encode returns the value that holds r.
+func (r Record) Encode() []byte {
+	data, err := json.Marshal(r)
+	if err != nil {
+		panic("intake: record: " + err.Error()) // strings and numbers always encode
+	}
+	return data
+}
+
+// DecodeRecord reads the value of a state key.
+func DecodeRecord(data []byte) (Record, error) {
+	var r Record
+	err := json.Unmarshal(data, &r)
+	return r, err
+}
+
+// JobOfKey returns the job that a state key is about.
+func JobOfKey(key string) (fleet.JobID, bool) {
+	id, ok := strings.CutPrefix(key, StatePrefix)
+	return fleet.JobID(id), ok
+}
+
+// Load tells all hosts how much work waits, so that they can refuse what
+// can't be served.
+type Load struct {
+	AtMS   int64                `json:"at"`
+	Queues map[string]QueueLoad `json:"q"`
+}
+
+// QueueLoad is the load of one queue.
+type QueueLoad struct {
+	WaitMS int64   `json:"w"` // expected wait of a job that is accepted now
+	Closed bool    `json:"c,omitempty"`
+	Share  float64 `json:"s,omitempty"` // of new jobs that can be served
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,299 @@
+// Package node runs fuchsiahill on a host of the users' platform: a supervisor
+// tree of the intake, the ownership of dispatching and the copies of the store
+// that both need.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/rotisserie/eris"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/intake"
+	"github.com/fuchsiahill/fuchsiahill/internal/oplog"
+	"github.com/fuchsiahill/fuchsiahill/internal/steady"
+	"github.com/fuchsiahill/fuchsiahill/mirror"
+	"github.com/fuchsiahill/fuchsiahill/owner"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/store"
+	"github.com/fuchsiahill/fuchsiahill/workload"
+)
+
+const (
+	// gcPercent and memoryShare trade memory for processor time: both are
+	// priced, processor time is scarcer on a host of 0.16 cores.
+	gcPercent   = 200
+	memoryShare = 0.7
+	// drainQuiet is kept before the kill for the last answers. Source: the
+	// last sixth of the grace counts against nobody.
+	drainQuiet = 1500 * time.Millisecond
+	// readyFresh is how old a host's view of the store may be for new callers.
+	readyFresh = 2500 * time.Millisecond
+	// headerTimeout and idleTimeout hold until a configuration is known.
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 15 * time.Second
+)
+
+// Node is one process on a host.
+type Node struct {
+	settings *platform.Settings
+	logger   *oplog.Logger
+	metrics  *owner.Metrics
+	shared   *mirror.Mirror
+	operator *mirror.Mirror
+	intake   *intake.Intake
+	owner    *owner.Owner
+	config   atomic.Pointer[configInForce]
+	draining atomic.Bool
+}
+
+type configInForce struct {
+	*workload.Config
+	revision store.Revision
+}
+
+// ListenError reports an address that can't be listened on.
+type ListenError struct {
+	Address string
+	Cause   error
+}
+
+func (e *ListenError) Error() string {
+	return "node: can't listen on " + e.Address + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+// New wires a node.
+func New(s *platform.Settings, out io.Writer) *Node {
+	n := &Node{settings: s, logger: oplog.New(out, "host", s.Host), metrics: owner.NewMetrics()}
+	client := platform.NewStore(s.StoreAddress)
+	n.operator = mirror.New(client, platform.OperatorPrefix, n.operatorChanged, n.logger.Event)
+	n.shared = mirror.New(client, intake.SharedPrefix, n.sharedChanged, n.logger.Event)
+	n.intake = intake.New(client, n.shared)
+	n.owner = owner.New(owner.Deps{Host: s, Store: client, Shared: n.shared, Operator: n.operator, Log: n.logger.Event, Metrics: n.metrics})
+	return n
+}
+
+// Run serves until the process is told to end, within the platform's grace.
+func Run(path, version string) error {
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	n := New(s, os.Stdout)
+	n.logger.Event("start", "version", version, "go", runtime.Version(), "data_centre", s.DataCentre, "cores", s.Cores, "memory_bytes", s.MemoryBytes, "store", s.StoreAddress)
+	return n.Serve(path)
+}
+
+// Serve runs the tree until SIGTERM.
+func (n *Node) Serve(path string) error {
+	callers, err := listen(n.settings.CallersAddress)
+	if err != nil {
+		return err
+	}
+	ready, err := listen(n.settings.ReadyAddress)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	tree := suture.New("node", suture.Spec{EventHook: func(e suture.Event) { n.logger.Event("supervisor", "what", e.String()) }})
+	for _, s := range []suture.Service{n.logger, n.operator, n.shared, n.intake, n.owner} {
+		tree.Add(s)
+	}
+	done := tree.ServeBackground(ctx)
+	server := &http.Server{Handler: platform.NewIngress(n), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	go n.serveHTTP(server, callers)
+	admin := &http.Server{Handler: n.adminRouter(), ReadHeaderTimeout: headerTimeout}
+	go n.serveHTTP(admin, ready)
+	if n.settings.MetricsAddress != "" && n.settings.MetricsAddress != n.settings.ReadyAddress {
+		control, err := listen(n.settings.MetricsAddress)
+		if err != nil {
+			return err
+		}
+		go n.serveHTTP(admin, control)
+	}
+	n.waitForEnd(path)
+	n.drain(server)
+	cancel()
+	<-done
+	n.logger.Event("stop")
+	n.logger.Flush()
+	return nil
+}
+
+func listen(address string) (net.Listener, error) {
+	ln, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", address)
+	if err != nil {
+		return nil, eris.Wrap(&ListenError{Address: address, Cause: err}, "listen")
+	}
+	return ln, nil
+}
+
+func (n *Node) serveHTTP(s *http.Server, ln net.Listener) {
+	if err := s.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		n.logger.Event("listener_failed", "address", ln.Addr(), "err", err)
+	}
+}
+
+// waitForEnd returns at SIGTERM; SIGHUP reads the settings again.
+func (n *Node) waitForEnd(path string) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			n.logger.Event("stop_requested", "signal", s)
+			return
+		}
+		n.reload(path)
+	}
+}
+
+// reload checks changed settings. What a process listens on and belongs to
+// holds until it starts again.
+func (n *Node) reload(path string) {
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		n.logger.Event("reload_failed", "err", err)
+		return
+	}
+	n.logger.Event("reload", "cores", s.Cores, "memory_bytes", s.MemoryBytes)
+}
+
+// drain gives ownership up, tells the balancer, and answers what still comes
+// until the grace is nearly over.
+func (n *Node) drain(server *http.Server) {
+	n.draining.Store(true)
+	n.owner.Drain()
+	until := time.Now().Add(n.settings.Grace - drainQuiet)
+	server.SetKeepAlivesEnabled(false)
+	time.Sleep(time.Until(until))
+	ctx, cancel := context.WithTimeout(context.Background(), drainQuiet/2)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		n.logger.Event("drain_incomplete", "err", err)
+	}
+}
+
+func (n *Node) adminRouter() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/v1/ready", n.serveReady).Methods(http.MethodGet)
+	router.HandleFunc("/metrics", n.serveMetrics).Methods(http.MethodGet)
+	return router
+}
+
+// serveReady tells the balancer whether new callers are served well here.
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if reason := n.notReady(); reason != "" {
+		n.logger.Event("not_ready", "reason", reason)
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (n *Node) notReady() string {
+	fresh, loaded := n.shared.Fresh()
+	switch {
+	case n.draining.Load():
+		return "draining"
+	case n.config.Load() == nil:
+		return "no configuration yet"
+	case !loaded:
+		return "no state yet"
+	case steady.Now()-fresh > readyFresh:
+		return "no contact with the store"
+	}
+	return ""
+}
+
+func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	var text strings.Builder
+	n.metrics.Each(func(name, value string) { fmt.Fprintf(&text, "fuchsiahill_%s %s\n", name, value) })
+	_, _ = io.WriteString(w, text.String()) // a scraper that has gone needs no answer
+}
+
+// operatorChanged takes in what operators write.
+func (n *Node) operatorChanged(e store.Event) {
+	switch {
+	case e.Key == platform.ConfigKey && !e.Deleted:
+		cfg, err := platform.DecodeConfig(e.Value)
+		if err != nil {
+			n.logger.Event("config_unreadable", "revision", e.Revision, "err", err)
+			return
+		}
+		n.config.Store(&configInForce{cfg, e.Revision})
+		n.owner.SetConfig(cfg)
+		n.logger.Event("config_in_force", "version", cfg.Version, "revision", e.Revision, "queues", len(cfg.Queues))
+	default:
+		if dc, ok := platform.EvacuatedDataCentre(e.Key); ok {
+			n.logger.Event("data_centre_out", "data_centre", dc, "out", !e.Deleted, "revision", e.Revision)
+			n.owner.SetOut()
+		}
+	}
+}
+
+func (n *Node) sharedChanged(e store.Event) { n.owner.SharedChanged(e) }
+
+// Config implements platform.Jobs.
+func (n *Node) Config() *workload.Config {
+	c := n.config.Load()
+	if c == nil {
+		return nil
+	}
+	return c.Config
+}
+
+// Submit implements platform.Jobs.
+func (n *Node) Submit(ctx context.Context, _ *workload.Queue, job *workload.Job) error {
+	if n.intake.StoreAway() {
+		return &intake.RefusedError{Reason: "no contact with the store", RetryAfter: time.Second}
+	}
+	return n.intake.Submit(ctx, job)
+}
+
+// State implements platform.Jobs.
+func (n *Node) State(id fleet.JobID, queue string) (workload.State, error) {
+	return n.intake.State(id, queue)
+}
+
+// Cancel implements platform.Jobs.
+func (n *Node) Cancel(id fleet.JobID, queue string) error { return n.intake.Cancel(id, queue) }
+
+// Pending implements platform.Jobs.
+func (n *Node) Pending(queue string) (int, error) {
+	if n.intake.StoreAway() {
+		return 0, &intake.RefusedError{Reason: "no contact with the store", RetryAfter: time.Second}
+	}
+	return n.intake.Pending(queue), nil
+}
+
+// Told implements platform.Jobs.
+func (n *Node) Told(method string, id fleet.JobID, queue string, status int, took time.Duration, reason string) {
+	n.metrics.Observe("answer_"+strings.ToLower(method), took)
+	n.metrics.Count(fmt.Sprintf("answers_%s_%d", strings.ToLower(method), status), 1)
+	if method == http.MethodGet && status == http.StatusOK {
+		return
+	}
+	fresh, _ := n.shared.Fresh()
+	n.logger.Event("answer", "method", method, "job", id, "queue", queue, "status", status, "took", took, "reason", reason, "view_age", steady.Now()-fresh)
+}
--- /dev/null
+++ b/owner/orders.go
@@ -0,0 +1,244 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/dispatch"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/steady"
+	"github.com/fuchsiahill/fuchsiahill/internal/wait"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+)
+
+const (
+	// reportWait is how long a renewal waits for an end. Source: the gauge of
+	// a serving task covers half a second.
+	reportWait = 600 * time.Millisecond
+	// renewRetry follows a renewal that failed.
+	renewRetry = 150 * time.Millisecond
+	// clockRate is the slowest a worker's clock may run.
+	clockRate = 0.98
+	// leastLeft is the least lease left on a worker for a start.
+	leastLeft = time.Second
+)
+
+// workerLoop renews the lease of one worker and knows its clock.
+type workerLoop struct {
+	id      fleet.WorkerID
+	address string
+	client  *platform.Worker
+	cancel  context.CancelFunc
+
+	mu       sync.Mutex
+	clockMS  int64         // of the worker
+	clockAt  time.Duration // when clockMS was received
+	deadline int64         // newest deadline sent, on the worker's clock
+	answered bool          // a renewal with the newest deadline was answered
+}
+
+// syncWorkers keeps a loop for each worker. r.mu is held.
+func (r *reign) syncWorkers(ctx context.Context) {
+	addresses := r.machine.Addresses()
+	for id, w := range r.workers {
+		if addresses[id] != w.address {
+			w.cancel()
+			w.client.Close()
+			delete(r.workers, id)
+		}
+	}
+	for id, address := range addresses {
+		if _, ok := r.workers[id]; ok {
+			continue
+		}
+		loopCtx, cancel := context.WithCancel(ctx)
+		w := &workerLoop{id: id, address: address, client: platform.NewWorker(id, address), cancel: cancel, answered: true}
+		r.workers[id] = w
+		go r.renewWorker(loopCtx, w)
+	}
+}
+
+// noteClock takes in the worker's clock from an answer.
+func (w *workerLoop) noteClock(clockMS int64, now time.Duration) {
+	if clockMS == 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.clockMS, w.clockAt = clockMS, now
+}
+
+// clock is the least that the worker's clock shows now. w.mu is held.
+func (w *workerLoop) clock(now time.Duration) int64 {
+	if w.clockMS == 0 {
+		return 0
+	}
+	return w.clockMS + int64(clockRate*float64((now-w.clockAt).Milliseconds()))
+}
+
+// nextDeadline returns the deadline for a renewal: a later one only if the
+// last was answered, so that a silent worker's lease ends at a known time.
+func (w *workerLoop) nextDeadline(now, lease time.Duration) (deadline int64, extended bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.answered && w.clockMS != 0 {
+		w.deadline, w.answered, extended = w.clock(now)+lease.Milliseconds(), false, true
+	}
+	return w.deadline, extended
+}
+
+// renewWorker renews until ctx ends.
+func (r *reign) renewWorker(ctx context.Context, w *workerLoop) {
+	pause := time.Duration(0)
+	for wait.For(ctx, pause) == nil {
+		pause = renewRetry
+		if !r.authorised(steady.Now()) {
+			continue
+		}
+		if err := r.renewOnce(w, reportWait); err == nil {
+			pause = 0
+		}
+	}
+}
+
+// renewOnce sends one renewal and takes in the report.
+func (r *reign) renewOnce(w *workerLoop, most time.Duration) error {
+	lease := min(time.Duration(leaseShare*float64(r.deps.Host.HoldMax)), leaseMost)
+	sent := steady.Now()
+	deadline, extended := w.nextDeadline(sent, lease)
+	r.mu.Lock()
+	seen := r.machine.Seen(w.id)
+	if extended {
+		r.machine.RenewalSent(w.id, sent)
+	}
+	r.mu.Unlock()
+	if deadline == 0 {
+		most = 0 // the first only learns the worker's clock
+	}
+	report, err := w.client.Renew(int64(r.term), seen, deadline, most)
+	now := steady.Now()
+	if err != nil {
+		r.renewalFailed(w, err)
+		return err
+	}
+	w.noteClock(report.ClockMS, now)
+	w.mu.Lock()
+	w.answered = true
+	w.mu.Unlock()
+	r.mu.Lock()
+	r.machine.Report(w.id, report, sent, now)
+	r.mu.Unlock()
+	r.wake()
+	return nil
+}
+
+func (r *reign) renewalFailed(w *workerLoop, err error) {
+	r.deps.Log("worker_renewal_failed", "worker", w.id, "term", r.term, "err", err)
+	r.deps.Metrics.Count("worker_renewals_failed", 1)
+	var refused *platform.RefusedError
+	if !errors.As(err, &refused) {
+		return
+	}
+	switch refused.Reason {
+	case platform.RefusedFence:
+		r.end("a worker has seen a later owner")
+	case platform.RefusedLife:
+		w.mu.Lock()
+		w.clockMS, w.answered = 0, true
+		w.mu.Unlock()
+	}
+}
+
+// send carries out orders, each on its own, since a worker may not answer.
+func (r *reign) send(orders []dispatch.Order) {
+	for _, o := range orders {
+		r.mu.Lock()
+		w, ok := r.workers[o.Worker]
+		r.mu.Unlock()
+		if !ok {
+			r.answered(o, dispatch.Refused)
+			continue
+		}
+		go r.carryOut(w, o)
+	}
+}
+
+func (r *reign) carryOut(w *workerLoop, o dispatch.Order) {
+	now := steady.Now()
+	if !r.authorised(now) {
+		r.answered(o, dispatch.Refused)
+		return
+	}
+	var clockMS int64
+	var err error
+	switch o.Kind {
+	case dispatch.OrderStart:
+		w.mu.Lock()
+		deadline, left := w.deadline, time.Duration(w.deadline-w.clock(now))*time.Millisecond
+		w.mu.Unlock()
+		if left < leastLeft {
+			r.answered(o, dispatch.Refused)
+			return
+		}
+		clockMS, err = w.client.Start(platform.Start{
+			Task: o.Task, Run: o.Run, Payload: o.Payload, DeadlineMS: deadline, Token: int64(r.term), Checkpoint: o.Checkpoint,
+		})
+		r.deps.Metrics.Observe("start", steady.Now()-now)
+	case dispatch.OrderStop:
+		clockMS, err = w.client.Stop(o.Task, o.Run, int64(r.term))
+	case dispatch.OrderPace:
+		clockMS, err = w.client.Pace(o.Task, o.Run, o.Percent, int64(r.term))
+	case dispatch.OrderLook:
+		// A failed look is made up for by the next renewal, which logs.
+		_ = r.renewOnce(w, 0)
+		return
+	}
+	w.noteClock(clockMS, steady.Now())
+	outcome := outcomeOf(err)
+	if err != nil {
+		r.deps.Log("order_failed", "kind", o.Kind, "job", o.Task.Job, "task", o.Task, "run", o.Run, "worker", o.Worker, "outcome", outcome, "took", steady.Now()-now, "err", err)
+	}
+	r.answered(o, outcome)
+}
+
+// outcomeOf sorts the answer to an order.
+func outcomeOf(err error) dispatch.Outcome {
+	var refused *platform.RefusedError
+	var notSent *platform.NotSentError
+	switch {
+	case err == nil:
+		return dispatch.Accepted
+	case errors.As(err, &refused):
+		switch refused.Reason {
+		case platform.RefusedFence:
+			return dispatch.Superseded
+		case platform.RefusedUnhealthy:
+			return dispatch.Unhealthy
+		default:
+			return dispatch.Refused
+		}
+	case errors.As(err, &notSent):
+		return dispatch.Refused
+	default:
+		return dispatch.NoAnswer
+	}
+}
+
+func (r *reign) answered(o dispatch.Order, outcome dispatch.Outcome) {
+	now := steady.Now()
+	r.mu.Lock()
+	switch o.Kind {
+	case dispatch.OrderStart:
+		r.machine.StartAnswered(o, outcome, now)
+	case dispatch.OrderStop:
+		r.machine.StopAnswered(o, outcome, now)
+	case dispatch.OrderPace:
+		r.machine.PaceAnswered(o, outcome)
+	}
+	r.mu.Unlock()
+	if outcome != dispatch.Accepted || o.Kind == dispatch.OrderStop {
+		r.wake()
+	}
+}
--- /dev/null
+++ b/owner/reign.go
@@ -0,0 +1,484 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/dispatch"
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/intake"
+	"github.com/fuchsiahill/fuchsiahill/internal/steady"
+	"github.com/fuchsiahill/fuchsiahill/internal/wait"
+	"github.com/fuchsiahill/fuchsiahill/mirror"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/store"
+	"github.com/fuchsiahill/fuchsiahill/workload"
+)
+
+const (
+	// planInterval is the least time between two plans. Source: a tenth of
+	// the shortest objective, 250 ms, over the hops of a step.
+	planInterval = 8 * time.Millisecond
+	// idleInterval is the longest time between two plans: time limits pass
+	// without any event.
+	idleInterval = 200 * time.Millisecond
+	// commitInterval gathers changes for a transaction. Source: a completed
+	// job is shown by the answer of its commit, within an objective of 250 ms.
+	commitInterval = 30 * time.Millisecond
+	// commitsInFlight bounds the transactions on their way, as a slow store
+	// takes 240 ms each.
+	commitsInFlight = 6
+	// entriesPerJob bounds what one job puts into a transaction.
+	entriesPerJob = 4
+	// leaseShare of the longest lease is asked for on workers, up to
+	// leaseMost: shorter ones free the tasks of a silent worker sooner, and
+	// must outlast a change of owner.
+	leaseShare = 0.75
+	leaseMost  = 5 * time.Second
+)
+
+// reign is one time of ownership.
+type reign struct {
+	owner    *Owner
+	deps     Deps
+	term     int
+	revision store.Revision // of the owner's key
+	lease    store.LeaseID
+	reason   atomic.Value
+	cancel   context.CancelFunc
+	// authorityEnd is when ownership may pass to another host, on the steady
+	// clock.
+	authorityEnd atomic.Int64
+	// touched is set by every event that a plan could answer.
+	kick chan struct{}
+
+	mu      sync.Mutex
+	machine *dispatch.Machine
+	workers map[fleet.WorkerID]*workerLoop
+	bodies  map[fleet.JobID]bool
+	records map[fleet.JobID]store.Event // states that came before their submission
+	ready   bool
+}
+
+func newReign(o *Owner, term int, revision store.Revision, lease store.LeaseID, sent time.Duration) *reign {
+	h := o.deps.Host
+	limits := dispatch.Limits{
+		Lease:       min(time.Duration(leaseShare*float64(h.HoldMax)), leaseMost),
+		LeaseMax:    min(time.Duration(leaseShare*float64(h.HoldMax)), leaseMost),
+		Early:       h.Early,
+		Checkpoint:  h.Checkpoint,
+		RestoreTime: h.RestoreTime,
+		FarFactor:   h.FarFactor,
+		Notice:      h.Notice,
+	}
+	r := &reign{
+		owner: o, deps: o.deps, term: term, revision: revision, lease: lease, kick: make(chan struct{}, 1),
+		machine: dispatch.New(limits, term, steady.Now()),
+		workers: make(map[fleet.WorkerID]*workerLoop), bodies: make(map[fleet.JobID]bool), records: make(map[fleet.JobID]store.Event),
+	}
+	r.authorityEnd.Store(int64(sent + ownerTTL))
+	r.reason.Store("unknown")
+	return r
+}
+
+// end gives ownership up.
+func (r *reign) end(reason string) {
+	r.reason.CompareAndSwap("unknown", reason)
+	r.cancel()
+}
+
+// authorised reports whether no other host can own dispatching at now.
+func (r *reign) authorised(now time.Duration) bool {
+	return int64(now) < r.authorityEnd.Load()
+}
+
+// run dispatches until ownership ends.
+func (r *reign) run(parent context.Context) {
+	ctx, cancel := context.WithCancel(parent)
+	r.cancel = cancel
+	defer cancel()
+	var group sync.WaitGroup
+	group.Go(func() { r.renewLoop(ctx) })
+	if err := r.load(); err != nil {
+		r.end("load: " + err.Error())
+		group.Wait()
+		return
+	}
+	r.owner.current.Store(r)
+	defer r.owner.current.Store(nil)
+	r.catchUp()
+	bodies := mirror.New(r.deps.Store, intake.BodyPrefix, r.bodyChanged, r.deps.Log)
+	workers := mirror.New(r.deps.Store, platform.WorkerPrefix, r.workerChanged, r.deps.Log)
+	group.Go(func() { _ = bodies.Serve(ctx) })  // ends with ctx only
+	group.Go(func() { _ = workers.Serve(ctx) }) // ends with ctx only
+	group.Go(func() { r.planLoop(ctx) })
+	group.Go(func() { r.commitLoop(ctx) })
+	group.Wait()
+}
+
+// catchUp takes in what changed while the state was loaded.
+func (r *reign) catchUp() {
+	if cfg := r.owner.config.Load(); cfg != nil {
+		r.setConfig(cfg)
+	}
+	r.setOut(r.owner.dataCentresOut())
+	var events []store.Event
+	r.deps.Shared.Each(func(e store.Entry) { events = append(events, store.Event{Entry: e}) })
+	for _, e := range events {
+		r.sharedChanged(e)
+	}
+}
+
+// load reads all that is durable, once.
+func (r *reign) load() error {
+	began := steady.Now()
+	states, err := r.readAll(intake.StatePrefix)
+	if err != nil {
+		return err
+	}
+	bodies, err := r.readAll(intake.BodyPrefix)
+	if err != nil {
+		return err
+	}
+	progress, err := r.readAll(intake.ProgressPrefix)
+	if err != nil {
+		return err
+	}
+	now := steady.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	loaded := 0
+	for id, body := range bodies {
+		state, ok := states[intake.StatePrefix+id[len(intake.BodyPrefix):]]
+		if !ok {
+			continue // accepted between the two reads: its change follows
+		}
+		p := progress[intake.ProgressPrefix+id[len(intake.BodyPrefix):]]
+		if r.addJob(body, state, p.Value, now, true) {
+			loaded++
+		}
+	}
+	r.deps.Log("state_loaded", "term", r.term, "jobs", loaded, "known", len(states), "took", now-began)
+	return nil
+}
+
+func (r *reign) readAll(prefix string) (map[string]store.Entry, error) {
+	all := make(map[string]store.Entry)
+	after, more := "", true
+	for more {
+		entries, truncated, _, err := r.deps.Store.Page(prefix, after)
+		if err != nil {
+			return nil, err
+		}
+		for _, e := range entries {
+			all[e.Key] = e
+			after = e.Key
+		}
+		more = truncated && len(entries) > 0
+	}
+	return all, nil
+}
+
+// addJob gives a submission to the machine.
+func (r *reign) addJob(body, state store.Entry, progress []byte, now time.Duration, inherited bool) bool {
+	var job workload.Job
+	if err := json.Unmarshal(body.Value, &job); err != nil {
+		r.deps.Log("submission_unreadable", "key", body.Key, "revision", body.Revision, "err", err)
+		return false
+	}
+	record, err := intake.DecodeRecord(state.Value)
+	if err != nil {
+		r.deps.Log("record_unreadable", "key", state.Key, "revision", state.Revision, "err", err)
+		return false
+	}
+	var p workload.Progress
+	if len(progress) > 0 {
+		if err := json.Unmarshal(progress, &p); err != nil {
+			r.deps.Log("progress_unreadable", "job", job.ID, "err", err)
+			return false
+		}
+	}
+	r.bodies[job.ID] = true
+	r.machine.AddJob(&job, record.State, state.Revision, p, now, inherited)
+	return true
+}
+
+// bodyChanged takes in a new submission.
+func (r *reign) bodyChanged(e store.Event) {
+	id := fleet.JobID(e.Key[len(intake.BodyPrefix):])
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e.Deleted {
+		delete(r.bodies, id)
+		return
+	}
+	if r.bodies[id] {
+		return
+	}
+	// The state was written in the same transaction.
+	state := store.Entry{Key: intake.StatePrefix + string(id), Revision: e.Revision}
+	if known, ok := r.deps.Shared.Get(state.Key); ok && known.Revision > e.Revision {
+		state = known
+	} else {
+		var job workload.Job
+		if err := json.Unmarshal(e.Value, &job); err == nil {
+			state.Value = intake.Record{Queue: job.Queue, State: workload.StateQueued, AcceptedMS: job.AcceptedMS}.Encode()
+		}
+	}
+	if r.addJob(e.Entry, state, nil, steady.Now(), false) {
+		r.deps.Log("job_taken_over", "job", id, "revision", e.Revision, "term", r.term)
+	}
+	r.wake()
+}
+
+// sharedChanged takes in a change of a job's state or of the owner's key.
+func (r *reign) sharedChanged(e store.Event) {
+	if e.Key == intake.OwnerKey {
+		if e.Revision > r.revision {
+			r.end("the owner's key has changed")
+		}
+		return
+	}
+	id, ok := intake.JobOfKey(e.Key)
+	if !ok || e.Deleted {
+		return
+	}
+	record, err := intake.DecodeRecord(e.Value)
+	if err != nil {
+		r.deps.Log("record_unreadable", "key", e.Key, "revision", e.Revision, "err", err)
+		return
+	}
+	r.mu.Lock()
+	r.machine.StateChanged(id, record.State, e.Revision)
+	r.mu.Unlock()
+	if record.State == workload.StateCancelled {
+		r.wake()
+	}
+}
+
+func (r *reign) setConfig(cfg *workload.Config) {
+	r.mu.Lock()
+	r.machine.SetConfig(cfg)
+	r.mu.Unlock()
+	r.wake()
+}
+
+func (r *reign) setOut(out map[fleet.DataCentre]bool) {
+	r.mu.Lock()
+	r.machine.SetOut(out)
+	r.mu.Unlock()
+	r.wake()
+}
+
+// workerChanged takes in a change of a worker's entry.
+func (r *reign) workerChanged(e store.Event) {
+	id, ok := platform.WorkerOfKey(e.Key)
+	if !ok {
+		return
+	}
+	now := steady.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e.Deleted {
+		r.machine.WorkerGone(id, now)
+		return
+	}
+	info, err := platform.DecodeWorker(id, e.Value)
+	if err != nil {
+		r.deps.Log("worker_entry_unreadable", "worker", id, "revision", e.Revision, "err", err)
+		return
+	}
+	r.machine.SetWorker(info, now)
+}
+
+func (r *reign) wake() {
+	select {
+	case r.kick <- struct{}{}:
+	default:
+	}
+}
+
+// renewLoop keeps the lease of ownership.
+func (r *reign) renewLoop(ctx context.Context) {
+	for wait.For(ctx, renewInterval) == nil {
+		sent := steady.Now()
+		err := r.deps.Store.Renew(r.lease)
+		var gone *store.LeaseGoneError
+		switch {
+		case err == nil:
+			if !r.authorised(steady.Now()) {
+				r.deps.Log("authority_regained", "term", r.term)
+			}
+			r.authorityEnd.Store(int64(sent + ownerTTL))
+		case errors.As(err, &gone):
+			r.end("lease gone")
+		default:
+			r.deps.Log("renewal_failed", "term", r.term, "left", time.Duration(r.authorityEnd.Load())-steady.Now(), "err", err)
+		}
+	}
+}
+
+// planLoop plans whenever something has happened.
+func (r *reign) planLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.kick:
+		case <-time.After(idleInterval):
+		}
+		r.plan(ctx)
+		if wait.For(ctx, planInterval) != nil {
+			return
+		}
+	}
+}
+
+func (r *reign) plan(ctx context.Context) {
+	now := steady.Now()
+	if !r.authorised(now) {
+		return
+	}
+	r.mu.Lock()
+	r.machine.Plan(now, time.Now().UnixMilli())
+	orders, events := r.machine.TakeOrders(), r.machine.TakeEvents()
+	superseded := r.machine.Superseded()
+	r.syncWorkers(ctx)
+	r.mu.Unlock()
+	for _, e := range events {
+		r.tell(e)
+	}
+	if superseded {
+		r.end("a worker has seen a later owner")
+		return
+	}
+	r.send(orders)
+}
+
+func (r *reign) tell(e dispatch.Event) {
+	keyvals := e.KeyVals
+	if e.Job != "" {
+		keyvals = append([]any{"job", e.Job}, keyvals...)
+	}
+	r.deps.Log(e.Name, append(keyvals, "term", r.term)...)
+	r.deps.Metrics.Count(e.Name, 1)
+}
+
+// commitLoop makes what the machine has decided durable.
+func (r *reign) commitLoop(ctx context.Context) {
+	slots := make(chan struct{}, commitsInFlight)
+	for wait.For(ctx, commitInterval) == nil {
+		for {
+			r.mu.Lock()
+			writes := r.machine.TakeWrites((store.MaxTxnEntries - 1) / entriesPerJob)
+			if len(writes) == 0 {
+				r.machine.WritesDone(nil, 0) // ends of unknown jobs need no write
+			}
+			r.mu.Unlock()
+			if len(writes) == 0 {
+				break
+			}
+			slots <- struct{}{}
+			go func() {
+				defer func() { <-slots }()
+				r.commit(writes)
+			}()
+		}
+	}
+}
+
+// commit writes what belongs to some jobs, under the condition that this host
+// still owns dispatching.
+func (r *reign) commit(writes []dispatch.Write) {
+	txn, err := r.transaction(writes)
+	if err != nil {
+		r.deps.Log("commit_failed", "jobs", len(writes), "err", err)
+		return
+	}
+	began := steady.Now()
+	revision, err := r.deps.Store.Commit(txn)
+	r.deps.Metrics.Observe("commit", steady.Now()-began)
+	var conflict *store.TxnConflictError
+	if errors.As(err, &conflict) {
+		if applied, ok := r.appliedBefore(txn, conflict); ok {
+			revision, err = applied, nil
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err == nil {
+		r.machine.WritesDone(writes, revision)
+		return
+	}
+	r.machine.WritesFailed(writes)
+	r.deps.Log("commit_failed", "jobs", len(writes), "age", steady.Now()-began, "err", err)
+	if conflict == nil {
+		return
+	}
+	if conflict.At(intake.OwnerKey).Revision != r.revision {
+		r.end("the owner's key has changed")
+		return
+	}
+	for _, e := range conflict.Current {
+		if id, ok := intake.JobOfKey(e.Key); ok {
+			if record, err := intake.DecodeRecord(e.Value); err == nil {
+				r.machine.StateChanged(id, record.State, e.Revision)
+			}
+		}
+	}
+}
+
+// appliedBefore reports whether a refused transaction has been applied by an
+// earlier try whose answer was lost: all its state keys hold its values.
+func (r *reign) appliedBefore(txn store.Txn, conflict *store.TxnConflictError) (store.Revision, bool) {
+	if conflict.At(intake.OwnerKey).Revision != r.revision {
+		return 0, false
+	}
+	var revision store.Revision
+	for _, c := range txn.Checks[1:] {
+		at := slices.IndexFunc(txn.Puts, func(p store.Put) bool { return p.Key == c.Key })
+		e := conflict.At(c.Key)
+		if at < 0 || !sameRecord(e.Value, txn.Puts[at].Value) {
+			return 0, false
+		}
+		revision = max(revision, e.Revision)
+	}
+	return revision, true
+}
+
+// sameRecord compares two records but for the time they were written at.
+func sameRecord(a, b []byte) bool {
+	ra, errA := intake.DecodeRecord(a)
+	rb, errB := intake.DecodeRecord(b)
+	return errA == nil && errB == nil && ra.State == rb.State && ra.Queue == rb.Queue
+}
+
+func (r *reign) transaction(writes []dispatch.Write) (store.Txn, error) {
+	txn := store.Txn{Checks: []store.Check{{Key: intake.OwnerKey, Revision: r.revision}}}
+	for _, w := range writes {
+		id := string(w.Job)
+		if w.StateChanged {
+			record := intake.Record{Queue: w.Queue, State: w.State, AcceptedMS: w.Accepted}
+			if w.State.Final() {
+				record.EndedMS = time.Now().UnixMilli()
+			}
+			txn.Checks = append(txn.Checks, store.Check{Key: intake.StatePrefix + id, Revision: w.Revision})
+			txn.Puts = append(txn.Puts, store.Put{Key: intake.StatePrefix + id, Value: record.Encode()})
+		}
+		if w.State.Final() {
+			txn.Deletes = append(txn.Deletes, intake.BodyPrefix+id, intake.ProgressPrefix+id)
+			continue
+		}
+		value, err := json.Marshal(w.Progress)
+		if err != nil {
+			return txn, err
+		}
+		txn.Puts = append(txn.Puts, store.Put{Key: intake.ProgressPrefix + id, Value: value})
+	}
+	return txn, nil
+}
