Gather serving tasks by image and learn which filling images press on them

Change: pressures per pair by multiplicative updates; serving tasks gathered by image; pressing images on workers that serve none; ends gathered before the next renewal.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -83,8 +83,10 @@
 	firstPercent           int
 	firstPercentAt         time.Duration
 	gauge                  int64
+	listedBy               int64 // the worker's report that listed it last
 	pace                   int
-	reason                 string // of its stop
+	heldAt                 time.Duration // since when it is held back; 0: it is not
+	reason                 string        // of its stop
 }
 
 func (j *job) changed() { j.version++ }
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -76,16 +76,18 @@
 	limits Limits
 	// term counts the owners; its runs are numbered above those of all owners
 	// before it.
-	term       int
-	config     *workload.Config
-	out        map[fleet.DataCentre]bool
-	workers    map[fleet.WorkerID]*worker
-	list       []*worker // in order of ID
-	jobs       map[fleet.JobID]*job
-	queues     map[string]*queueStats
-	orders     []Order
-	events     []Event
-	superseded bool
+	term         int
+	config       *workload.Config
+	out          map[fleet.DataCentre]bool
+	workers      map[fleet.WorkerID]*worker
+	list         []*worker // in order of ID
+	jobs         map[fleet.JobID]*job
+	queues       map[string]*queueStats
+	interference *interference
+	work         []beside // reused by control
+	orders       []Order
+	events       []Event
+	superseded   bool
 	// started is when this owner began; a run of a former owner that no
 	// worker has shown may exist until former.
 	started time.Duration
@@ -108,6 +110,7 @@
 		limits: limits, term: term, started: now, former: now + leaseBound(limits.LeaseMax),
 		config: &workload.Config{}, out: make(map[fleet.DataCentre]bool),
 		workers: make(map[fleet.WorkerID]*worker), jobs: make(map[fleet.JobID]*job), queues: make(map[string]*queueStats),
+		interference: newInterference(),
 	}
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/workload"
 )
 
 // servingLoad is the share of its processor that a serving task is taken to
@@ -19,6 +20,8 @@
 	// full remembers needs that did not fit, so that like ones are not tried
 	// again in the same plan.
 	full map[placementClass]bool
+	// misses counts filling steps that found no worker in this plan.
+	misses int
 }
 
 type placementClass struct {
@@ -52,7 +55,7 @@
 	s := t.step
 	class := placementClass{s.Need, s.Filling, service}
 	plain := s.PerWorker == 0 && s.Label == "" && t.avoid == ""
-	if plain && r.full[class] {
+	if plain && r.full[class] || s.Filling && r.misses >= missesMost {
 		return nil
 	}
 	var best *worker
@@ -68,6 +71,9 @@
 	if best == nil && plain {
 		r.full[class] = true
 	}
+	if best == nil && s.Filling {
+		r.misses++
+	}
 	return best
 }
 
@@ -77,7 +83,7 @@
 	s := t.step
 	need := s.Need
 	if s.Filling {
-		if idle(w) < need.MilliCores || w.paceCap < 100 {
+		if idle(w) < need.MilliCores || w.alarmAt > 0 && r.now-w.alarmAt < alarmPause {
 			return false
 		}
 		need.MilliCores = 0
@@ -85,6 +91,9 @@
 	if !w.used.Add(need).Fits(w.Capacity) || t.avoid == w.ID {
 		return false
 	}
+	if in := r.m.interference; s.Filling && !w.shared.bears(in, in.filling.number(s.Image), s.Need.MilliCores, w.Capacity.MilliCores) {
+		return false
+	}
 	if s.Label != "" && !slices.Contains(w.Labels, s.Label) {
 		return false
 	}
@@ -97,21 +106,67 @@
 }
 
 const (
+	// missesMost bounds the filling steps that a plan tries in vain. Source:
+	// a try costs about 5 µs at 48 workers; plans come each 8 ms.
+	missesMost = 16
+	// pressureBorne is the pressure that a placement may lead to. Source: a
+	// serving task's own load swings by a half.
+	pressureBorne = 0.8
 	// localityBonus outweighs any difference in idle processor between
 	// workers. Source: away from its data a task takes FarFactor as long.
 	localityBonus = 1 << 40
 )
 
-// score prefers the data's rack, then the worker with the most idle
-// processor: tasks share more than their room shows.
+// score prefers the data's rack, then what leaves the most room for the work
+// to come.
 func (r *room) score(t *task, w *worker) int64 {
-	score := idle(w)
+	var score int64
+	switch {
+	case t.step.Serving:
+		score = servingScore(r.m.interference, t.step.Step, w)
+	case t.step.Filling:
+		score = r.fillingScore(t.step.Step, w)
+	default:
+		score = idle(w)
+	}
 	if t.step.DataRack != "" && w.Rack == t.step.DataRack {
 		score += localityBonus
 	}
-	if t.step.Serving {
-		// A serving task suffers from filling ones: fewest of them first.
-		score = w.Capacity.MilliCores - w.used.MilliCores - w.filling/2
+	return score
+}
+
+// servingScore gathers serving tasks of one image on few workers. It answers
+// mixes of filling images of which each presses on some serving images only:
+// the fewer images a worker serves, the more filling work it bears, and one
+// that serves none bears all.
+func servingScore(in *interference, s *workload.Step, w *worker) int64 {
+	same, others := w.shared.served(in.serving.number(s.Image))
+	score := -idle(w) // among like workers the fullest
+	switch {
+	case others == 0 && same > 0:
+		score += 3 * localityBonus / 8
+	case others == 0:
+		score += 2 * localityBonus / 8
+	case same > 0:
+		score += localityBonus / 8
+	}
+	if w.shared.pressureOf(in, in.serving.number(s.Image), w.Capacity.MilliCores) > pressureBorne {
+		score -= localityBonus / 8
+	}
+	return score
+}
+
+// fillingScore keeps workers without serving tasks for the images that press
+// on some.
+func (r *room) fillingScore(s *workload.Step, w *worker) int64 {
+	score := idle(w)
+	in := r.m.interference
+	if !w.shared.servesAny() {
+		if in.presses(in.filling.number(s.Image)) {
+			score += w.Capacity.MilliCores
+		} else {
+			score -= w.Capacity.MilliCores
+		}
 	}
 	return score
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -267,7 +267,7 @@
 			continue
 		}
 		for _, r := range w.runs {
-			if r.task.step.Serving || r.state != runRunning || r.pace < 100 || r.percentAt == 0 || w.paceCap < 100 {
+			if r.task.step.Serving || r.state != runRunning || r.pace != fullPace || r.percentAt == 0 {
 				continue
 			}
 			if now-max(r.percentAt, r.confirmed) < stalledAfter {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -9,18 +9,13 @@
 	"github.com/fuchsiahill/fuchsiahill/workload"
 )
 
-type runKey struct {
-	task workload.TaskName
-	run  int
-}
-
 // worker is a worker as this owner knows it.
 type worker struct {
 	workload.Worker
 	listed  bool // has an entry at the platform
 	adopted bool // has reported to this owner
 	born    int64
-	runs    map[runKey]*run
+	runs    []*run          // in order of their start
 	used    fleet.Resources // by runs that count against its capacity
 	serving int64           // millicores of serving runs
 	filling int64           // millicores asked for by filling runs
@@ -29,6 +24,7 @@
 	leaseEnd  time.Duration
 	reported  time.Duration // when the last report was received
 	processed int64         // highest end taken in
+	reports   int64         // counts the reports taken in
 	seen      int64         // highest end that is durable, which it may forget
 	marks     []endMark
 	// closedUntil is when it may take work again, after a refusal or failures.
@@ -36,8 +32,10 @@
 	strikes     int // failures in a row, of different jobs
 	struckBy    fleet.JobID
 	struckAt    time.Duration
-	paceCap     int // percent at which filling runs work beside serving ones
-	paceAt      time.Duration
+	paceAt      time.Duration // when paces were changed last
+	learnedAt   time.Duration // when tails were learned from last
+	alarmAt     time.Duration // when a tail was too long last
+	shared      sharedRoom
 }
 
 // endMark is an end that is forgotten on the worker once its job's version is
@@ -52,7 +50,7 @@
 func (m *Machine) SetWorker(info workload.Worker, now time.Duration) {
 	w, ok := m.workers[info.ID]
 	if !ok {
-		w = &worker{runs: make(map[runKey]*run), paceCap: 100, leaseEnd: now + leaseBound(m.limits.LeaseMax)}
+		w = &worker{leaseEnd: now + leaseBound(m.limits.LeaseMax)}
 		m.workers[info.ID] = w
 		at, _ := slices.BinarySearchFunc(m.list, info.ID, func(w *worker, id fleet.WorkerID) int { return strings.Compare(string(w.ID), string(id)) })
 		m.list = slices.Insert(m.list, at, w)
@@ -92,7 +90,7 @@
 func (m *Machine) newLife(w *worker, born int64, now time.Duration) {
 	m.event("worker_reborn", "", "worker", w.ID, "born_ms", born, "runs", len(w.runs))
 	w.born, w.processed, w.seen, w.marks = born, 0, 0, nil
-	for _, r := range sortedRuns(w) {
+	for _, r := range slices.Clone(w.runs) {
 		if r.state == runOrdered || r.state == runUnresolved {
 			r.stopSent, r.stopAnswered = 0, 0
 			continue
@@ -101,18 +99,14 @@
 	}
 }
 
-func sortedRuns(w *worker) []*run {
-	runs := make([]*run, 0, len(w.runs))
+// find returns a run on the worker, or nil.
+func (w *worker) find(task workload.TaskName, number int) *run {
 	for _, r := range w.runs {
-		runs = append(runs, r)
-	}
-	slices.SortFunc(runs, func(a, b *run) int {
-		if c := strings.Compare(a.task.name.String(), b.task.name.String()); c != 0 {
-			return c
+		if r.number == number && r.task.name == task {
+			return r
 		}
-		return a.number - b.number
-	})
-	return runs
+	}
+	return nil
 }
 
 // Addresses returns the workers to renew, with their addresses.
@@ -132,6 +126,12 @@
 	return 0
 }
 
+// EndsPending reports whether a worker lists ends that are not durable yet.
+func (m *Machine) EndsPending(id fleet.WorkerID) bool {
+	w, ok := m.workers[id]
+	return ok && len(w.marks) > 0
+}
+
 // RenewalSent takes note that a renewal or start has been sent to a worker.
 func (m *Machine) RenewalSent(id fleet.WorkerID, now time.Duration) {
 	if w, ok := m.workers[id]; ok {
@@ -162,13 +162,12 @@
 			m.ended(w, e, now)
 		}
 	}
-	listed := make(map[runKey]bool, len(rep.Running))
+	w.reports++
 	for _, r := range rep.Running {
-		listed[runKey{r.Task, r.Run}] = true
 		m.running(w, r, now)
 	}
-	for _, r := range sortedRuns(w) {
-		if !listed[runKey{r.task.name, r.number}] && m.surelyAbsent(r, sent) {
+	for _, r := range slices.Clone(w.runs) {
+		if r.listedBy != w.reports && m.surelyAbsent(r, sent) {
 			m.event("run_absent", r.task.name.Job, "task", r.task.name, "run", r.number, "worker", id, "age", now-r.ordered)
 			m.release(r, now)
 		}
@@ -188,13 +187,13 @@
 
 // running takes in a run that a worker reports.
 func (m *Machine) running(w *worker, rep workload.Running, now time.Duration) {
-	r, ok := w.runs[runKey{rep.Task, rep.Run}]
-	if !ok {
-		r = m.adopt(w, rep, now)
-		if r == nil {
+	r := w.find(rep.Task, rep.Run)
+	if r == nil {
+		if r = m.adopt(w, rep, now); r == nil {
 			return
 		}
 	}
+	r.listedBy = w.reports
 	if r.state == runOrdered || r.state == runUnresolved && r.stopSent == 0 {
 		r.state = runRunning
 	}
@@ -247,8 +246,9 @@
 	t.step.gangRun = max(t.step.gangRun, number)
 	t.step.perNode[w.ID]++
 	t.job.runs++
-	w.runs[runKey{t.name, number}] = r
+	w.runs = append(w.runs, r)
 	w.count(t.step.Step, 1)
+	w.shared.add(m.interference, t.step.Step, 1)
 	if t.job.state == workload.StateQueued {
 		t.job.state = workload.StateRunning
 		t.job.changed()
@@ -272,11 +272,13 @@
 // release takes a run off its worker: it is surely not there and can't come.
 func (m *Machine) release(r *run, now time.Duration) {
 	w, t := r.worker, r.task
-	if w.runs[runKey{t.name, r.number}] != r {
+	at := slices.Index(w.runs, r)
+	if at < 0 {
 		return
 	}
-	delete(w.runs, runKey{t.name, r.number})
+	w.runs = slices.Delete(w.runs, at, at+1)
 	w.count(t.step.Step, -1)
+	w.shared.add(m.interference, t.step.Step, -1)
 	if t.step.perNode[w.ID]--; t.step.perNode[w.ID] == 0 {
 		delete(t.step.perNode, w.ID)
 	}
@@ -299,8 +301,7 @@
 		w.marks = append(w.marks, endMark{number: e.Number})
 		return
 	}
-	r, known := w.runs[runKey{e.Task, e.Run}]
-	if known {
+	if r := w.find(e.Task, e.Run); r != nil {
 		m.learn(r, e, now)
 		m.release(r, now)
 	}
@@ -420,8 +421,8 @@
 	if !ok {
 		return
 	}
-	r, ok := w.runs[runKey{o.Task, o.Run}]
-	if !ok {
+	r := w.find(o.Task, o.Run)
+	if r == nil {
 		return
 	}
 	switch outcome {
@@ -470,10 +471,9 @@
 	if !ok {
 		return
 	}
-	r, known := w.runs[runKey{o.Task, o.Run}]
 	switch outcome {
 	case Accepted:
-		if known {
+		if r := w.find(o.Task, o.Run); r != nil {
 			r.stopAnswered = now
 			m.orders = append(m.orders, Order{Kind: OrderLook, Worker: w.ID, Task: o.Task})
 		}
@@ -504,7 +504,7 @@
 		if now < w.leaseEnd {
 			continue
 		}
-		for _, r := range sortedRuns(w) {
+		for _, r := range slices.Clone(w.runs) {
 			m.event("run_lapsed", r.task.name.Job, "task", r.task.name, "run", r.number, "worker", w.ID, "silent", now-w.reported)
 			m.release(r, now)
 		}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -18,6 +18,9 @@
 	// connection must be found out, by pollWait and the client's margin,
 	// within the 2 s in which a configuration comes in force.
 	pollWait = 800 * time.Millisecond
+	// gatherPause follows a poll with changes, so that the next brings several:
+	// each poll is a priced call. Source: a fifth of the shortest objective.
+	gatherPause = 50 * time.Millisecond
 	// retryPause follows a poll that failed.
 	retryPause = 60 * time.Millisecond
 )
@@ -85,6 +88,9 @@
 			if err == nil {
 				m.take(events)
 				after = max(after, rev)
+				if len(events) > 0 && wait.For(ctx, gatherPause) != nil {
+					break
+				}
 			}
 			var gone *store.HistoryGoneError
 			load = errors.As(err, &gone)
--- a/owner/orders.go
+++ b/owner/orders.go
@@ -17,6 +17,8 @@
 	// reportWait is how long a renewal waits for an end. Source: the gauge of
 	// a serving task covers half a second.
 	reportWait = 600 * time.Millisecond
+	// commitUsual is how long a commit takes at most on a calm day.
+	commitUsual = 15 * time.Millisecond
 	// renewRetry follows a renewal that failed.
 	renewRetry = 150 * time.Millisecond
 	// clockRate is the slowest a worker's clock may run.
@@ -98,11 +100,22 @@
 			continue
 		}
 		if err := r.renewOnce(w, reportWait); err == nil {
-			pause = 0
+			pause = r.endsPause(w.id)
 		}
 	}
 }
 
+// endsPause is how long the next renewal waits: one that is sent before the
+// ends of the last are durable is answered at once with the same ends.
+func (r *reign) endsPause(id fleet.WorkerID) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.machine.EndsPending(id) {
+		return commitInterval + commitUsual
+	}
+	return 0
+}
+
 // renewOnce sends one renewal and takes in the report.
 func (r *reign) renewOnce(w *workerLoop, most time.Duration) error {
 	lease := min(time.Duration(leaseShare*float64(r.deps.Host.HoldMax)), leaseMost)
