--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -14,6 +14,10 @@
 	workload.Worker
 	listed  bool // has an entry at the platform
 	adopted bool // has reported to this owner
+	leased  bool // has a lease of this owner's
+	// strangers are runs of unknown size that it lists: of jobs that have
+	// ended, on their way to be stopped.
+	strangers int
 	born    int64
 	runs    []*run          // in order of their start
 	used    fleet.Resources // by runs that count against its capacity
@@ -89,7 +93,7 @@
 // A start that got no answer may still reach the new life.
 func (m *Machine) newLife(w *worker, born int64, now time.Duration) {
 	m.event("worker_reborn", "", "worker", w.ID, "born_ms", born, "runs", len(w.runs))
-	w.born, w.processed, w.seen, w.marks = born, 0, 0, nil
+	w.born, w.processed, w.seen, w.marks, w.leased, w.strangers = born, 0, 0, nil, false, 0
 	for _, r := range slices.Clone(w.runs) {
 		if r.state == runOrdered || r.state == runUnresolved {
 			r.stopSent, r.stopAnswered = 0, 0
@@ -135,7 +139,7 @@
 // RenewalSent takes note that a renewal or start has been sent to a worker.
 func (m *Machine) RenewalSent(id fleet.WorkerID, now time.Duration) {
 	if w, ok := m.workers[id]; ok {
-		w.leaseEnd = max(w.leaseEnd, now+leaseBound(m.limits.Lease))
+		w.leaseEnd, w.leased = max(w.leaseEnd, now+leaseBound(m.limits.Lease)), true
 	}
 }
 
@@ -155,6 +159,9 @@
 	if rep.BornMS != 0 {
 		w.born = rep.BornMS
 	}
+	if !w.adopted {
+		m.event("worker_adopted", "", "worker", id, "running", len(rep.Running), "ended", len(rep.Ended), "born_ms", rep.BornMS)
+	}
 	w.adopted, w.reported = true, now
 	for _, e := range rep.Ended {
 		if e.Number > w.processed {
@@ -163,6 +170,7 @@
 		}
 	}
 	w.reports++
+	w.strangers = 0
 	for _, r := range rep.Running {
 		m.running(w, r, now)
 	}
@@ -220,6 +228,8 @@
 		t = j.find(rep.Task)
 	}
 	if t == nil {
+		w.strangers++
+		m.event("run_unknown", rep.Task.Job, "task", rep.Task, "run", rep.Run, "worker", w.ID)
 		m.orders = append(m.orders, Order{Kind: OrderStop, Worker: w.ID, Task: rep.Task, Run: rep.Run, Reason: "unknown job"})
 		return nil
 	}
--- a/owner/orders.go
+++ b/owner/orders.go
@@ -23,6 +23,9 @@
 	renewRetry = 150 * time.Millisecond
 	// clockRate is the slowest a worker's clock may run.
 	clockRate = 0.98
+	// clockBack, in ms, is more than two answers of one life can overtake each
+	// other by.
+	clockBack = 3000
 	// leastLeft is the least lease left on a worker for a start.
 	leastLeft = time.Second
 )
@@ -69,6 +72,10 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if clockMS < w.clockMS-clockBack {
+		// Another life: its clock starts anew, and no deadline of before holds.
+		w.deadline, w.answered = 0, true
+	}
 	w.clockMS, w.clockAt = clockMS, now
 }
 
