Teach pressures by what filling runs ask for

Cause: placement counted what runs ask for, lessons their gauges, which lag by half a second; the sum hardly ever passed the calm bound and harmless pairs stayed at their first guess: 271 tasks of a harmless image waited.

--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -55,7 +55,7 @@
 	// fallRate and riseRate are the powers of the corrections by one tail.
 	// Source: there are several serving tasks on a worker and two lessons a
 	// second of each, most of them calm.
-	fallRate = 0.15
+	fallRate = 0.25
 	riseRate = 0.3
 	// correctionMost bounds a correction by one tail.
 	correctionMost = 1.5
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -46,7 +46,7 @@
 		return
 	}
 	w.learnedAt = now
-	work := m.besides(w, filling)
+	work := m.besides(w, filling, now)
 	var worst *run
 	worstTail := 0.0
 	for _, s := range serving {
@@ -145,7 +145,7 @@
 }
 
 // besides sums the processor in use by filling image.
-func (m *Machine) besides(w *worker, filling []*run) []beside {
+func (m *Machine) besides(w *worker, filling []*run, now time.Duration) []beside {
 	work := m.work[:0]
 	for _, f := range filling {
 		image := m.interference.filling.number(f.task.step.Image)
@@ -154,12 +154,24 @@
 			i = len(work)
 			work = append(work, beside{image: image})
 		}
-		work[i].share += float64(f.gauge) / float64(max(w.Capacity.MilliCores, 1))
+		work[i].share += float64(f.working(now)) / float64(max(w.Capacity.MilliCores, 1))
 	}
 	m.work = work
 	return work
 }
 
+// working is the processor that a filling run takes: what it asks for, at its
+// pace, once it has worked for as long as its gauge covers.
+func (r *run) working(now time.Duration) int64 {
+	if r.confirmed == 0 || now-r.confirmed < gaugeSpan {
+		return r.gauge
+	}
+	return r.task.step.Need.MilliCores * int64(max(r.pace, 0)) / fullPace
+}
+
+// gaugeSpan is the time that a gauge covers, and a little for the report's way.
+const gaugeSpan = 600 * time.Millisecond
+
 // PaceAnswered takes in the outcome of a pace: one that failed is sent again.
 func (m *Machine) PaceAnswered(o Order, outcome Outcome) {
 	w, ok := m.workers[o.Worker]
