Count a failed run once; keep an unanswered start past its worker's lease

An end stays listed until it may be forgotten: a new owner counted one whose effect was durable already. Change: failures are kept by run; a start that was never confirmed keeps its task until the present life refuses it, or 13 s have passed. Both tests fail with the change taken out.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -52,7 +52,7 @@
 	done       bool
 	runs       []*run
 	lastRun    int
-	failures   int
+	failed     []int // the runs that failed; ends are listed more than once
 	checkpoint string
 	avoid      fleet.WorkerID // where it failed or stalled last
 	waitsFrom  time.Duration
@@ -144,7 +144,7 @@
 	if t == nil {
 		return
 	}
-	t.done, t.lastRun, t.failures, t.checkpoint = p.Done, p.Run, p.Failures, p.Checkpoint
+	t.done, t.lastRun, t.failed, t.checkpoint = p.Done, p.Run, p.Failed, p.Checkpoint
 	t.step.gangRun = max(t.step.gangRun, p.Run)
 }
 
@@ -184,7 +184,7 @@
 					continue
 				}
 				p.Tasks = append(p.Tasks, workload.TaskProgress{
-					Occurrence: k, Step: i, Index: x, Run: t.lastRun, Done: t.done, Failures: t.failures, Checkpoint: t.kept(),
+					Occurrence: k, Step: i, Index: x, Run: t.lastRun, Done: t.done, Failed: t.failed, Checkpoint: t.kept(),
 				})
 			}
 		}
@@ -192,6 +192,9 @@
 	return p
 }
 
+// failures counts the runs that failed.
+func (t *task) failures() int { return len(t.failed) }
+
 // kept is the checkpoint worth storing: none of a task that is done.
 func (t *task) kept() string {
 	if t.done {
--- a/dispatch/machine_test.go
+++ b/dispatch/machine_test.go
@@ -297,3 +297,60 @@
 		t.Fatalf("started %v, want three of one run", starts)
 	}
 }
+
+// An end is listed again until it may be forgotten, also to a new owner that
+// finds its effect durable already: it counts once.
+func TestFailureCountsOnce(t *testing.T) {
+	r := newRig(t, "w1", "w2")
+	step := cpuStep(1, 100)
+	r.job("a", step)
+	first := r.starts()[0]
+	end := r.ended(first, workload.EndFailed)
+	r.report(first.Worker, workload.Report{Ended: []workload.Ended{end}})
+	writes := r.m.TakeWrites(1)
+	if len(writes) != 1 {
+		t.Fatalf("writes %+v, want one", writes)
+	}
+
+	next := newRig(t)
+	next.m.AddJob(&workload.Job{ID: "a", Queue: testQueue, Steps: []workload.Step{step}}, workload.StateRunning, 2, writes[0].Progress, next.now, true)
+	next.worker(first.Worker, fleet.Resources{MilliCores: 4000, MemoryMB: 8000})
+	next.report(first.Worker, workload.Report{Ended: []workload.Ended{end}})
+	if got := next.m.jobs["a"].find(first.Task).failures(); got != 1 {
+		t.Fatalf("%d failures after one failed run, want 1", got)
+	}
+}
+
+// An order that got no answer may reach the next life of its worker, whose
+// clock starts anew: the lease's end proves nothing of it.
+func TestUnansweredStartOutlivesTheLease(t *testing.T) {
+	r := newRig(t, "w1")
+	r.job("a", cpuStep(1, 1000))
+	r.m.Plan(r.now, 0)
+	start := r.m.TakeOrders()[0]
+	r.m.StartAnswered(start, NoAnswer, r.now)
+	r.now += leaseBound(testLimits.Lease) + time.Second
+	r.worker("w2", fleet.Resources{MilliCores: 4000, MemoryMB: 8000})
+	r.m.Plan(r.now, 0)
+	for _, o := range r.m.TakeOrders() {
+		if o.Kind == OrderStart {
+			t.Fatalf("started %+v while the first order may still arrive", o)
+		}
+	}
+	r.report("w1", workload.Report{BornMS: 2})
+	r.m.Plan(r.now, 0)
+	var stop *Order
+	for _, o := range r.m.TakeOrders() {
+		if o.Kind == OrderStop {
+			stop = &o
+		}
+	}
+	if stop == nil {
+		t.Fatal("the new life was not told to refuse the first order")
+	}
+	r.m.StopAnswered(*stop, Accepted, r.now)
+	r.report("w1", workload.Report{BornMS: 2})
+	if starts := r.starts(); len(starts) != 1 {
+		t.Fatalf("started %v once the new life refuses the first order, want one", starts)
+	}
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -18,11 +18,11 @@
 	// strangers are runs of unknown size that it lists: of jobs that have
 	// ended, on their way to be stopped.
 	strangers int
-	born    int64
-	runs    []*run          // in order of their start
-	used    fleet.Resources // by runs that count against its capacity
-	serving int64           // millicores of serving runs
-	filling int64           // millicores asked for by filling runs
+	born      int64
+	runs      []*run          // in order of their start
+	used      fleet.Resources // by runs that count against its capacity
+	serving   int64           // millicores of serving runs
+	filling   int64           // millicores asked for by filling runs
 	// leaseEnd is when everything on the worker has surely ended unless a
 	// later renewal reaches it.
 	leaseEnd  time.Duration
@@ -320,7 +320,7 @@
 		t.checkpoint = e.Checkpoint
 	}
 	if !j.state.Final() {
-		m.event("run_ended", j.ID, "task", e.Task, "run", e.Run, "worker", w.ID, "how", e.How, "failures", t.failures)
+		m.event("run_ended", j.ID, "task", e.Task, "run", e.Run, "worker", w.ID, "how", e.How, "failures", t.failures())
 		m.applyEnd(w, t, e, now)
 		j.changed()
 	}
@@ -333,11 +333,14 @@
 		w.strikes = 0
 		m.done(t)
 	case workload.EndFailed:
-		t.failures++
+		if slices.Contains(t.failed, e.Run) {
+			return
+		}
+		t.failed = append(t.failed, e.Run)
 		t.avoid = w.ID
 		m.strike(w, t.job.ID, now)
-		if q, ok := m.config.Queue(t.job.Queue); ok && !t.step.Serving && q.MaxAttempts > 0 && t.failures >= q.MaxAttempts && !t.done {
-			m.event("job_failed", t.job.ID, "task", t.name, "failures", t.failures, "max_attempts", q.MaxAttempts)
+		if q, ok := m.config.Queue(t.job.Queue); ok && !t.step.Serving && q.MaxAttempts > 0 && t.failures() >= q.MaxAttempts && !t.done {
+			m.event("job_failed", t.job.ID, "task", t.name, "failures", t.failures(), "max_attempts", q.MaxAttempts)
 			m.end(t.job, workload.StateFailed)
 		}
 	}
@@ -471,6 +474,9 @@
 	// noAnswerPause keeps new work from a worker that did not answer. Source:
 	// about two renewals, which tell whether it lives.
 	noAnswerPause = time.Second
+	// lateOrder is after which an order that got no answer is not carried out
+	// any more. Source: the users' orders come 2 to 12 s late.
+	lateOrder = 13 * time.Second
 	// stopRepeat is after which an unanswered stop is sent again.
 	stopRepeat = 700 * time.Millisecond
 )
@@ -515,6 +521,9 @@
 			continue
 		}
 		for _, r := range slices.Clone(w.runs) {
+			if r.confirmed == 0 && now-r.ordered < lateOrder {
+				continue // may reach the worker's next life
+			}
 			m.event("run_lapsed", r.task.name.Job, "task", r.task.name, "run", r.number, "worker", w.ID, "silent", now-w.reported)
 			m.release(r, now)
 		}
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -237,6 +237,6 @@
 	Index      int    `json:"i,omitempty"`
 	Run        int    `json:"r,omitempty"` // highest run known
 	Done       bool   `json:"d,omitempty"`
-	Failures   int    `json:"f,omitempty"`
+	Failed     []int  `json:"f,omitempty"` // the runs that failed
 	Checkpoint string `json:"c,omitempty"`
 }
