--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -20,8 +20,9 @@
 	// full remembers needs that did not fit, so that like ones are not tried
 	// again in the same plan.
 	full map[placementClass]bool
-	// misses counts filling steps that found no worker in this plan.
-	misses int
+	// missed is the least need, in millicores, of each filling image that
+	// found no worker in this plan.
+	missed map[string]int64
 }
 
 type placementClass struct {
@@ -31,7 +32,7 @@
 }
 
 func (m *Machine) newRoom(now time.Duration) *room {
-	r := &room{m: m, now: now, full: make(map[placementClass]bool)}
+	r := &room{m: m, now: now, full: make(map[placementClass]bool), missed: make(map[string]int64)}
 	for _, w := range m.list {
 		if m.mayStart(w, now) {
 			r.open = append(r.open, w)
@@ -55,7 +56,10 @@
 	s := t.step
 	class := placementClass{s.Need, s.Filling, service}
 	plain := s.PerWorker == 0 && s.Label == "" && t.avoid == ""
-	if plain && r.full[class] || s.Filling && r.misses >= missesMost {
+	if plain && r.full[class] {
+		return nil
+	}
+	if least, ok := r.missed[s.Image]; ok && s.Filling && s.Need.MilliCores >= least {
 		return nil
 	}
 	var best *worker
@@ -71,8 +75,8 @@
 	if best == nil && plain {
 		r.full[class] = true
 	}
-	if best == nil && s.Filling {
-		r.misses++
+	if best == nil && s.Filling && plain {
+		r.missed[s.Image] = s.Need.MilliCores
 	}
 	return best
 }
@@ -106,9 +110,10 @@
 }
 
 const (
-	// missesMost bounds the filling steps that a plan tries in vain. Source:
-	// a try costs about 5 µs at 48 workers; plans come each 8 ms.
-	missesMost = 16
+	// keptFree is the share of the workers that is kept without serving tasks
+	// as long as these fit elsewhere. Source: a third of the filling images
+	// press on most serving ones.
+	keptFree = 0.25
 	// pressureBorne is the pressure that a placement may lead to. Source: a
 	// serving task's own load swings by a half.
 	pressureBorne = 0.8
@@ -123,7 +128,7 @@
 	var score int64
 	switch {
 	case t.step.Serving:
-		score = servingScore(r.m.interference, t.step.Step, w)
+		score = r.servingScore(t.step.Step, w)
 	case t.step.Filling:
 		score = r.fillingScore(t.step.Step, w)
 	default:
@@ -135,27 +140,43 @@
 	return score
 }
 
-// servingScore gathers serving tasks of one image on few workers. It answers
-// mixes of filling images of which each presses on some serving images only:
-// the fewer images a worker serves, the more filling work it bears, and one
-// that serves none bears all.
-func servingScore(in *interference, s *workload.Step, w *worker) int64 {
+// servingScore gathers serving tasks on few workers, and those of one image
+// together as long as enough workers serve none. It answers mixes of filling
+// images of which each presses on some serving images only: the fewer images a
+// worker serves, the more filling work it bears, and one that serves none
+// bears all.
+func (r *room) servingScore(s *workload.Step, w *worker) int64 {
+	in := r.m.interference
 	same, others := w.shared.served(in.serving.number(s.Image))
+	const step = localityBonus / 8
 	score := -idle(w) // among like workers the fullest
 	switch {
 	case others == 0 && same > 0:
-		score += 3 * localityBonus / 8
-	case others == 0:
-		score += 2 * localityBonus / 8
+		score += 4 * step
 	case same > 0:
-		score += localityBonus / 8
+		score += 2 * step
+	case others > 0:
+		score += step
+	case r.unserving() > keptFree:
+		score += 3 * step
 	}
 	if w.shared.pressureOf(in, in.serving.number(s.Image), w.Capacity.MilliCores) > pressureBorne {
-		score -= localityBonus / 8
+		score -= step / 2
 	}
 	return score
 }
 
+// unserving is the share of the open workers that serve nothing.
+func (r *room) unserving() float64 {
+	n := 0
+	for _, w := range r.open {
+		if !w.shared.servesAny() {
+			n++
+		}
+	}
+	return float64(n) / float64(max(len(r.open), 1))
+}
+
 // fillingScore keeps workers without serving tasks for the images that press
 // on some.
 func (r *room) fillingScore(s *workload.Step, w *worker) int64 {
