--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -236,16 +236,16 @@
 	}
 }
 
-// StateChanged takes in a state that another host has written.
+// StateChanged takes in a state that is stored: one that another host has
+// written, or this owner's own.
 func (m *Machine) StateChanged(id fleet.JobID, state workload.State, revision store.Revision) {
 	j, ok := m.jobs[id]
 	if !ok || revision <= j.revision {
 		return
 	}
-	j.revision = revision
+	j.revision, j.shown = revision, state
 	if state == workload.StateCancelled && j.state != workload.StateCancelled {
 		m.end(j, workload.StateCancelled)
-		j.shown = workload.StateCancelled
 	}
 }
 
--- /dev/null
+++ b/owner/commit_test.go
@@ -0,0 +1,125 @@
+package owner
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/intake"
+	"github.com/fuchsiahill/fuchsiahill/mirror"
+	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/store"
+	"github.com/fuchsiahill/fuchsiahill/store/storetest"
+	"github.com/fuchsiahill/fuchsiahill/workload"
+)
+
+const testService = fleet.Service("service-1")
+
+// testReign returns a reign over a store in memory, with one worker that has
+// a lease.
+func testReign(t *testing.T) (*reign, *storetest.Memory) {
+	t.Helper()
+	s := storetest.NewMemory()
+	log := func(name string, keyvals ...any) { t.Log(append([]any{name}, keyvals...)...) }
+	shared := mirror.New(s, intake.SharedPrefix, func(store.Event) {}, log)
+	o := New(Deps{Host: &platform.Settings{Host: "h1", HoldMax: 6 * time.Second}, Store: s, Shared: shared, Log: log, Metrics: NewMetrics()})
+	lease, err := s.Grant(ownerTTL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	revision, err := s.Commit(store.Txn{Puts: []store.Put{{Key: intake.OwnerKey, Value: []byte("{}"), Lease: lease}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := newReign(o, 1, revision, lease, 0)
+	r.cancel = func() {}
+	r.machine.SetConfig(&workload.Config{Queues: []workload.Queue{{Name: "q", Service: testService, MaxAttempts: 3}}})
+	r.machine.SetWorker(workload.Worker{ID: "w1", BornMS: 1, Service: testService, Capacity: fleet.Resources{MilliCores: 8000, MemoryMB: 8000}}, time.Second)
+	r.machine.RenewalSent("w1", time.Second)
+	r.machine.Report("w1", workload.Report{BornMS: 1}, time.Second, time.Second)
+	return r, s
+}
+
+func submit(t *testing.T, r *reign, s store.Transactional, job workload.Job) {
+	t.Helper()
+	body, err := json.Marshal(job)
+	if err != nil {
+		t.Fatal(err)
+	}
+	state := intake.Record{Queue: job.Queue, State: workload.StateQueued}
+	revision, err := s.Commit(store.Txn{Puts: []store.Put{
+		{Key: intake.StatePrefix + string(job.ID), Value: state.Encode()}, {Key: intake.BodyPrefix + string(job.ID), Value: body},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.bodyChanged(store.Event{Entry: store.Entry{Key: intake.BodyPrefix + string(job.ID), Value: body, Revision: revision}})
+}
+
+func (r *reign) commitAll() {
+	if writes := r.machine.TakeWrites(10); len(writes) > 0 {
+		r.commit(writes)
+	}
+}
+
+// A commit whose answer is lost has written the state, and what changed
+// meanwhile is not durable yet: the next commit meets its own state and must
+// still write the tasks' progress before a worker forgets an end.
+func TestProgressAfterLostAnswerIsWritten(t *testing.T) {
+	r, s := testReign(t)
+	submit(t, r, s, workload.Job{ID: "a", Queue: "q", Steps: []workload.Step{{Count: 2, Need: fleet.Resources{MilliCores: 100}, EstimateMS: 1000}}})
+	r.machine.Plan(2*time.Second, 0)
+	orders := r.machine.TakeOrders()
+	if len(orders) != 2 {
+		t.Fatalf("orders %+v, want two starts", orders)
+	}
+	s.SetFault(storetest.FaultLostAnswer)
+	r.commitAll()
+	s.SetFault(storetest.FaultNone)
+	end := workload.Ended{Number: 1, Task: orders[0].Task, Run: orders[0].Run, How: workload.EndDone}
+	r.machine.Report("w1", workload.Report{BornMS: 1, Ended: []workload.Ended{end}}, 2*time.Second, 2*time.Second)
+	for range 3 {
+		r.commitAll()
+	}
+	if seen := r.machine.Seen("w1"); seen != 1 {
+		t.Fatalf("the worker may forget ends up to %d, want 1", seen)
+	}
+	e, err := s.Get(intake.ProgressPrefix + "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var p workload.Progress
+	if err := json.Unmarshal(e.Value, &p); err != nil {
+		t.Fatal(err)
+	}
+	done := 0
+	for _, task := range p.Tasks {
+		if task.Done {
+			done++
+		}
+	}
+	if done != 1 {
+		t.Fatalf("%d tasks are stored as done, want 1: %s", done, e.Value)
+	}
+}
+
+// A commit of a former owner is refused, and ends its dispatching.
+func TestCommitNeedsOwnership(t *testing.T) {
+	r, s := testReign(t)
+	submit(t, r, s, workload.Job{ID: "a", Queue: "q", Steps: []workload.Step{{Count: 1, EstimateMS: 1000}}})
+	r.machine.Plan(2*time.Second, 0)
+	ended := false
+	r.cancel = func() { ended = true }
+	s.Expire(r.lease)
+	r.commitAll()
+	if _, err := s.Get(intake.ProgressPrefix + "a"); err == nil {
+		t.Fatal("progress was written without ownership")
+	}
+	if !ended {
+		t.Fatal("dispatching goes on without ownership")
+	}
+	if dirty := r.machine.Dirty(); dirty != 1 {
+		t.Fatalf("%d jobs wait to be written, want 1", dirty)
+	}
+}
--- a/owner/reign.go
+++ b/owner/reign.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -404,11 +403,7 @@
 	revision, err := r.deps.Store.Commit(txn)
 	r.deps.Metrics.Observe("commit", steady.Now()-began)
 	var conflict *store.TxnConflictError
-	if errors.As(err, &conflict) {
-		if applied, ok := r.appliedBefore(txn, conflict); ok {
-			revision, err = applied, nil
-		}
-	}
+	errors.As(err, &conflict)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err == nil {
@@ -433,31 +428,6 @@
 	}
 }
 
-// appliedBefore reports whether a refused transaction has been applied by an
-// earlier try whose answer was lost: all its state keys hold its values.
-func (r *reign) appliedBefore(txn store.Txn, conflict *store.TxnConflictError) (store.Revision, bool) {
-	if conflict.At(intake.OwnerKey).Revision != r.revision {
-		return 0, false
-	}
-	var revision store.Revision
-	for _, c := range txn.Checks[1:] {
-		at := slices.IndexFunc(txn.Puts, func(p store.Put) bool { return p.Key == c.Key })
-		e := conflict.At(c.Key)
-		if at < 0 || !sameRecord(e.Value, txn.Puts[at].Value) {
-			return 0, false
-		}
-		revision = max(revision, e.Revision)
-	}
-	return revision, true
-}
-
-// sameRecord compares two records but for the time they were written at.
-func sameRecord(a, b []byte) bool {
-	ra, errA := intake.DecodeRecord(a)
-	rb, errB := intake.DecodeRecord(b)
-	return errA == nil && errB == nil && ra.State == rb.State && ra.Queue == rb.Queue
-}
-
 func (r *reign) transaction(writes []dispatch.Write) (store.Txn, error) {
 	txn := store.Txn{Checks: []store.Check{{Key: intake.OwnerKey, Revision: r.revision}}}
 	for _, w := range writes {
