Dispatch without the store while workers obey; shorter ownership lease

Ruled out: asking peers (a second protocol for what workers' fences tell). Change: past its lease an owner goes on while renewals fail for want of the store and 4 of 5 workers have answered within 1 s; a later owner renews all workers first and counts the former one's last renewals on those it can't reach. Lease 2.5 -> 1.6 s.

--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -130,6 +130,21 @@
 	return 0
 }
 
+// Reporting counts the workers with an entry, and those that have reported
+// since a time.
+func (m *Machine) Reporting(since time.Duration) (total, reported int) {
+	for _, w := range m.list {
+		if !w.listed {
+			continue
+		}
+		total++
+		if w.reported >= since {
+			reported++
+		}
+	}
+	return total, reported
+}
+
 // EndsPending reports whether a worker lists ends that are not durable yet.
 func (m *Machine) EndsPending(id fleet.WorkerID) bool {
 	w, ok := m.workers[id]
--- a/owner/election.go
+++ b/owner/election.go
@@ -23,10 +23,10 @@
 const (
 	// ownerTTL is the lease of ownership in the store. Source: a killed owner
 	// must be replaced, and all workers renewed, before their leases of 4.5 s
-	// end.
-	ownerTTL = 2500 * time.Millisecond
-	// renewInterval leaves room for four lost renewals.
-	renewInterval = 500 * time.Millisecond
+	// end; nothing new starts meanwhile.
+	ownerTTL = 1600 * time.Millisecond
+	// renewInterval leaves room for three lost renewals.
+	renewInterval = 400 * time.Millisecond
 	// checkInterval is how often a host looks whether there is an owner.
 	checkInterval = 50 * time.Millisecond
 	// standFactor is how long a host of one core waits before it stands, so
--- a/owner/reign.go
+++ b/owner/reign.go
@@ -68,7 +68,7 @@
 	h := o.deps.Host
 	limits := dispatch.Limits{
 		Lease:       min(time.Duration(leaseShare*float64(h.HoldMax)), leaseMost),
-		LeaseMax:    min(time.Duration(leaseShare*float64(h.HoldMax)), leaseMost),
+		LeaseMax:    min(time.Duration(leaseShare*float64(h.HoldMax)), leaseMost) + obeyedSlack,
 		Early:       h.Early,
 		Checkpoint:  h.Checkpoint,
 		RestoreTime: h.RestoreTime,
@@ -91,9 +91,35 @@
 	r.cancel()
 }
 
-// authorised reports whether no other host can own dispatching at now.
+// authorised reports whether this host may dispatch at now: no other can own
+// dispatching, or the store is away and nearly all workers still take this
+// owner's orders. A later owner renews all workers first, so that this one
+// would be refused by each worker that the later one reaches; it starts
+// nothing inherited before those it can't reach have lapsed.
 func (r *reign) authorised(now time.Duration) bool {
-	return int64(now) < r.authorityEnd.Load()
+	end := time.Duration(r.authorityEnd.Load())
+	return now < end || now < end+awayMost && r.obeyed(now)
+}
+
+const (
+	// awayMost bounds dispatching without the store. Source: the longest
+	// outage of the users' sheets takes 9 s.
+	awayMost = 15 * time.Second
+	// obeyedShare of the workers must have answered within obeyedSpan.
+	obeyedShare = 0.8
+	obeyedSpan  = time.Second
+	// obeyedSlack is how long after a change of owner the former one may
+	// still renew a worker that the new one can't reach: the span, and a
+	// renewal on its way.
+	obeyedSlack = obeyedSpan + 600*time.Millisecond
+)
+
+// obeyed reports whether nearly all workers have answered a renewal lately.
+func (r *reign) obeyed(now time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	total, answered := r.machine.Reporting(now - obeyedSpan)
+	return total > 0 && float64(answered) >= obeyedShare*float64(total)
 }
 
 // run dispatches until ownership ends.
