--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -78,6 +78,7 @@
 	// before it.
 	term         int
 	config       *workload.Config
+	order        lineOrder
 	out          map[fleet.DataCentre]bool
 	workers      map[fleet.WorkerID]*worker
 	list         []*worker // in order of ID
@@ -108,7 +109,7 @@
 func New(limits Limits, term int, now time.Duration) *Machine {
 	return &Machine{
 		limits: limits, term: term, started: now, former: now + leaseBound(limits.LeaseMax),
-		config: &workload.Config{}, out: make(map[fleet.DataCentre]bool),
+		order: leastWork, config: &workload.Config{}, out: make(map[fleet.DataCentre]bool),
 		workers: make(map[fleet.WorkerID]*worker), jobs: make(map[fleet.JobID]*job), queues: make(map[string]*queueStats),
 		interference: newInterference(),
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -101,7 +101,7 @@
 	slack := j.arrived + wanted - now - rest
 	switch {
 	case slack >= 0:
-		j.key = slack.Seconds()
+		j.key = m.order(m, j, slack)
 	case now+rest < j.arrived+lateFactor*wanted:
 		j.key = lateKey - slack.Seconds()
 	default:
@@ -109,6 +109,29 @@
 	}
 }
 
+// lineOrder places a job that can still be in time; lower comes first.
+type lineOrder func(m *Machine, j *job, slack time.Duration) float64
+
+// leastWork lets the job with the least work left come first, so that under
+// a load above room the most jobs are in time.
+func leastWork(m *Machine, j *job, _ time.Duration) float64 { return m.restWork(j) }
+
+// restWork is the expected work left of a job, in core-seconds.
+func (m *Machine) restWork(j *job) float64 {
+	work := 0.0
+	for k := range j.Occurrences() {
+		for i := range j.Steps {
+			s := &j.Steps[i]
+			left := s.Count
+			if k < len(j.occ) && j.occ[k] != nil {
+				left -= j.occ[k].steps[i].done
+			}
+			work += float64(left) * float64(s.Need.MilliCores) / 1000 * m.expected(j.Queue, s).Seconds()
+		}
+	}
+	return work
+}
+
 // Places in line behind all jobs that can still be in time, in seconds.
 const (
 	lateKey = 1e6
