Soak the real daemon with faults from outside

fuchsiahill soak starts hosts as processes, with stand-ins of the platform's store and workers behind proxies, plays overlapping series of faults and judges by what callers and workers see.

--- a/cmd/fuchsiahill/main.go
+++ b/cmd/fuchsiahill/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/fuchsiahill/fuchsiahill/command"
 	"github.com/fuchsiahill/fuchsiahill/internal/dev"
+	"github.com/fuchsiahill/fuchsiahill/internal/soak"
 )
 
 // version is set when a release is built.
@@ -16,7 +17,7 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := command.Run(ctx, command.New(version, dev.Command()), os.Args)
+	code := command.Run(ctx, command.New(version, dev.Command(), soak.Command()), os.Args)
 	stop()
 	os.Exit(code)
 }
--- /dev/null
+++ b/internal/soak/host.go
@@ -0,0 +1,125 @@
+package soak
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// settingsVariable names the variable with a host's settings file.
+const settingsVariable = "FUCHSIAHILL_BOOT"
+
+// hostProcess is one host: a process of the real daemon, started again after
+// each end.
+type hostProcess struct {
+	name     string
+	daemon   string
+	settings string
+	callers  string // host:port for callers
+	link     *proxy // to the store
+	logPath  string
+
+	restart sync.Mutex // held from an end to the next start
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+}
+
+func freePort() (string, error) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String(), nil
+}
+
+// newHost writes a host's settings file.
+func newHost(dir, daemon string, index int, storeAddress string) (*hostProcess, error) {
+	link, err := newProxy(storeAddress)
+	if err != nil {
+		return nil, err
+	}
+	h := &hostProcess{name: fmt.Sprintf("host-%d", index), daemon: daemon, link: link}
+	var ready, control string
+	for _, p := range []*string{&h.callers, &ready, &control} {
+		if *p, err = freePort(); err != nil {
+			return nil, err
+		}
+	}
+	h.settings, h.logPath = filepath.Join(dir, h.name+".json"), filepath.Join(dir, h.name+".log")
+	data, err := json.Marshal(map[string]any{
+		"node": h.name, "zone": "dc-1", "region": "region-1",
+		"listen":   map[string]string{"front": h.callers, "ready": ready, "control": control},
+		"limits":   map[string]any{"cpu_share": 1, "cores": 1, "memory_mb": 256},
+		"bounds":   map[string]any{"hold_max_ms": 6000, "stop_timeout_ms": 200, "grace_s": 4, "status_s": 120, "early_ms": 250, "far_x": 1.5, "lease_ms": 3000},
+		"platform": map[string]any{"address": link.address(), "ttl_min_ms": 1000},
+	})
+	if err != nil {
+		return nil, err
+	}
+	return h, os.WriteFile(h.settings, data, 0o600)
+}
+
+// start runs the daemon with its log appended to the host's file.
+func (h *hostProcess) start() error {
+	log, err := os.OpenFile(h.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }() // the process has its own descriptor
+	cmd := exec.Command(h.daemon, "node")
+	cmd.Env = []string{settingsVariable + "=" + h.settings}
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	h.mu.Lock()
+	h.cmd = cmd
+	h.mu.Unlock()
+	return nil
+}
+
+// signal sends a signal to the host's present process.
+func (h *hostProcess) signal(s syscall.Signal) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	err := h.cmd.Process.Signal(s)
+	if errors.Is(err, os.ErrProcessDone) {
+		return nil
+	}
+	return err
+}
+
+// endAndRestart sends a signal that ends the process, waits for its end and
+// starts it again after a pause.
+func (h *hostProcess) endAndRestart(s syscall.Signal, pause time.Duration) error {
+	h.restart.Lock()
+	defer h.restart.Unlock()
+	if err := h.end(s); err != nil {
+		return err
+	}
+	time.Sleep(pause)
+	return h.start()
+}
+
+// end ends the process and waits for it.
+func (h *hostProcess) end(s syscall.Signal) error {
+	if err := h.signal(s); err != nil {
+		return err
+	}
+	h.mu.Lock()
+	cmd := h.cmd
+	h.mu.Unlock()
+	var exit *exec.ExitError
+	if err := cmd.Wait(); err != nil && !errors.As(err, &exit) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/soak/proxy.go
@@ -0,0 +1,141 @@
+// Package soak runs the real daemon as separate processes on one machine, with
+// stand-ins of the platform outside them, injects faults from outside and
+// checks the promises by what callers and workers see.
+package soak
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// linkMode is what a proxy does to the connections through it.
+type linkMode string
+
+// Link modes.
+const (
+	linkWell    linkMode = "well"
+	linkDelayed linkMode = "delayed"
+	linkReset   linkMode = "reset"   // present connections are reset, new ones refused
+	linkOneWay  linkMode = "one-way" // requests arrive, answers don't
+	linkSilent  linkMode = "silent"  // nothing arrives, connections stay open
+)
+
+const (
+	linkDelay  = 120 * time.Millisecond // on each piece, well below a call's time-out
+	pieceBytes = 32 << 10
+)
+
+// proxy passes TCP connections to one address.
+type proxy struct {
+	ln     net.Listener
+	target string
+	mu     sync.Mutex
+	mode   linkMode
+	conns  map[net.Conn]bool
+}
+
+func newProxy(target string) (*proxy, error) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{ln: ln, target: target, mode: linkWell, conns: make(map[net.Conn]bool)}
+	go p.serve()
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.ln.Addr().String() }
+
+func (p *proxy) close() {
+	_ = p.ln.Close()
+	p.resetAll()
+}
+
+func (p *proxy) set(m linkMode) {
+	p.mu.Lock()
+	p.mode = m
+	p.mu.Unlock()
+	if m == linkReset {
+		p.resetAll()
+	}
+}
+
+func (p *proxy) current() linkMode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode
+}
+
+func (p *proxy) resetAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // the close then resets
+		}
+		_ = c.Close()
+	}
+	p.conns = make(map[net.Conn]bool)
+}
+
+func (p *proxy) track(c net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns[c] = true
+}
+
+func (p *proxy) serve() {
+	for {
+		in, err := p.ln.Accept()
+		if err != nil {
+			return // closed
+		}
+		if p.current() == linkReset {
+			_ = in.Close()
+			continue
+		}
+		out, err := net.DialTimeout("tcp4", p.target, time.Second)
+		if err != nil {
+			_ = in.Close()
+			continue
+		}
+		p.track(in)
+		p.track(out)
+		go p.pass(out, in, linkSilent)
+		go p.pass(in, out, linkOneWay)
+	}
+}
+
+// pass copies from one side to the other; blocked is the mode that stops this
+// direction, beside linkSilent, which stops both.
+func (p *proxy) pass(to, from net.Conn, blocked linkMode) {
+	defer func() { _ = to.Close() }()
+	defer func() { _ = from.Close() }()
+	buffer := make([]byte, pieceBytes)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 && !p.deliver(to, buffer[:n], blocked) {
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// deliver writes a piece as the mode has it; bytes that a silent link has
+// taken are lost with their connection.
+func (p *proxy) deliver(to net.Conn, piece []byte, blocked linkMode) bool {
+	switch m := p.current(); {
+	case m == linkDelayed:
+		time.Sleep(linkDelay)
+	case m == linkSilent || m == blocked:
+		for p.current() == m {
+			time.Sleep(linkDelay)
+		}
+		return false
+	}
+	_, err := to.Write(piece)
+	return err == nil
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,306 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/internal/standin/wire"
+	"github.com/fuchsiahill/fuchsiahill/internal/wait"
+)
+
+const (
+	// maxFailures is a task's limit in the soak's configuration.
+	maxFailures = 4
+	// cancelBound is how long after a cancellation a task may still start:
+	// the platform's 3 s, and what an owner takes that is frozen or cut off,
+	// for which that bound does not hold.
+	cancelBound = 20 * time.Second
+	// settleMost is how long jobs may take after the faults: the recovery
+	// bound of 12 s, a lease of 6 s and the work itself.
+	settleMost = 40 * time.Second
+	// jobsPerWorker is the load: about a third of the room.
+	jobsPerWorker = 0.25
+	startPause    = 1500 * time.Millisecond
+)
+
+// Options describe a run.
+type Options struct {
+	Daemon  string // path of fuchsiahilld
+	Dir     string // logs and settings; must exist
+	Seed    uint64
+	For     time.Duration
+	Hosts   int
+	Workers int
+	Out     io.Writer // what happens, one line each
+}
+
+// Verdict is the outcome of a run.
+type Verdict struct {
+	Seed     uint64   `json:"seed"`
+	Seconds  float64  `json:"seconds"`
+	Accepted int      `json:"accepted"`
+	Refused  int      `json:"refused"`
+	Starts   int      `json:"starts"`
+	Faults   int      `json:"faults"`
+	Open     []string `json:"open"`   // accepted jobs that have not ended
+	Broken   []string `json:"broken"` // rules broken
+	Logs     string   `json:"logs"`
+}
+
+// Failed reports whether a promise was broken.
+func (v *Verdict) Failed() bool { return len(v.Open)+len(v.Broken) > 0 || v.Accepted == 0 }
+
+// run is a site under test.
+type run struct {
+	opts    Options
+	store   *wire.Store
+	workers []*workerLink
+	hosts   []*hostProcess
+	judge   *wire.Judge
+
+	mu     sync.Mutex
+	faults int
+	began  time.Time
+}
+
+// workerLink is a worker behind a proxy.
+type workerLink struct {
+	*wire.Worker
+	link *proxy
+}
+
+// Run plays one run.
+func Run(ctx context.Context, opts Options) (*Verdict, error) {
+	r := &run{opts: opts, judge: wire.NewJudge(maxFailures, cancelBound), began: time.Now()}
+	defer r.close()
+	if err := r.setUp(); err != nil {
+		return nil, err
+	}
+	callers := newCallers(r.hosts, r.judge, rand.New(rand.NewPCG(opts.Seed, 1)))
+	load, stop := context.WithTimeout(ctx, opts.For)
+	defer stop()
+	var group sync.WaitGroup
+	group.Go(func() { callers.run(load, jobsPerWorker*float64(opts.Workers)) })
+	for series := range 3 {
+		group.Go(func() { r.series(load, rand.New(rand.NewPCG(opts.Seed, uint64(2+series)))) })
+	}
+	group.Wait()
+	r.heal()
+	callers.group.Wait()
+	open := callers.settle(settleMost)
+	starts, broken := r.judge.Verdict()
+	v := &Verdict{Seed: opts.Seed, Seconds: time.Since(r.began).Seconds(), Accepted: len(callers.accepted), Refused: callers.refused, Starts: starts, Faults: r.faults, Broken: broken, Logs: opts.Dir}
+	for _, id := range open {
+		v.Open = append(v.Open, string(id))
+	}
+	return v, nil
+}
+
+func (r *run) setUp() error {
+	var err error
+	if r.store, err = wire.NewStore(); err != nil {
+		return err
+	}
+	for i := range r.opts.Workers {
+		w, err := wire.NewWorker(fleet.WorkerID(fmt.Sprintf("w-%d", i)), fleet.Resources{MilliCores: 8000, MemoryMB: 16000}, r.judge, r.store)
+		if err != nil {
+			return err
+		}
+		link, err := newProxy(w.Address())
+		if err != nil {
+			return err
+		}
+		r.workers = append(r.workers, &workerLink{w, link})
+		if err := w.RegisterAt(link.address()); err != nil {
+			return err
+		}
+	}
+	if err := r.configure(1); err != nil {
+		return err
+	}
+	for i := range r.opts.Hosts {
+		h, err := newHost(r.opts.Dir, r.opts.Daemon, i, r.store.Address())
+		if err != nil {
+			return err
+		}
+		if err := h.start(); err != nil {
+			return err
+		}
+		r.hosts = append(r.hosts, h)
+	}
+	time.Sleep(startPause)
+	return nil
+}
+
+// configure writes the operators' configuration.
+func (r *run) configure(version int) error {
+	return r.store.Put("op/config", map[string]any{
+		"version": version,
+		"routes": []map[string]any{{
+			"name": "queue-1", "host": callersHost, "prefix": callersPrefix, "service": "service-1", "priority": 0, "max_attempts": maxFailures, "stretch": 2, "slo_ms": 1000,
+		}},
+		"services": []map[string]any{{"name": "service-1"}},
+		"limits":   map[string]any{"max_body_bytes": 262144},
+	})
+}
+
+func (r *run) close() {
+	for _, h := range r.hosts {
+		_ = h.signal(syscall.SIGCONT)
+		if err := h.end(syscall.SIGKILL); err != nil {
+			r.say("end of %s: %v", h.name, err)
+		}
+		h.link.close()
+	}
+	for _, w := range r.workers {
+		w.link.close()
+		w.Close()
+	}
+	if r.store != nil {
+		r.store.Close()
+	}
+}
+
+// say tells what happens.
+func (r *run) say(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fmt.Fprintf(r.opts.Out, "%7.3f %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// fault is one kind of fault; it lasts for d and is undone by itself.
+type fault struct {
+	name string
+	play func(ctx context.Context, r *run, rng *rand.Rand, d time.Duration) error
+}
+
+func (r *run) host(rng *rand.Rand) *hostProcess  { return r.hosts[rng.IntN(len(r.hosts))] }
+func (r *run) worker(rng *rand.Rand) *workerLink { return r.workers[rng.IntN(len(r.workers))] }
+func linkFault(rng *rand.Rand) linkMode {
+	return []linkMode{linkDelayed, linkReset, linkOneWay, linkSilent}[rng.IntN(4)]
+}
+
+var faults = []fault{
+	{"a host is killed", func(_ context.Context, r *run, rng *rand.Rand, d time.Duration) error {
+		return r.host(rng).endAndRestart(syscall.SIGKILL, d/4)
+	}},
+	{"a host is stopped and started", func(_ context.Context, r *run, rng *rand.Rand, _ time.Duration) error {
+		return r.host(rng).endAndRestart(syscall.SIGTERM, 200*time.Millisecond)
+	}},
+	{"a host freezes", func(ctx context.Context, r *run, rng *rand.Rand, d time.Duration) error {
+		h := r.host(rng)
+		if err := h.signal(syscall.SIGSTOP); err != nil {
+			return err
+		}
+		_ = wait.For(ctx, d) // a run that ends thaws it early
+		return h.signal(syscall.SIGCONT)
+	}},
+	{"all hosts are killed", func(_ context.Context, r *run, _ *rand.Rand, d time.Duration) error {
+		var group errgroup.Group
+		for _, h := range r.hosts {
+			group.Go(func() error { return h.endAndRestart(syscall.SIGKILL, d/4) })
+		}
+		return group.Wait()
+	}},
+	{"the store misbehaves", func(ctx context.Context, r *run, rng *rand.Rand, d time.Duration) error {
+		mode := []wire.StoreMode{wire.StoreBusy, wire.StoreSilent, wire.StoreSlow, wire.StoreLossy}[rng.IntN(4)]
+		r.say("the store is %s", mode)
+		r.store.SetMode(mode)
+		_ = wait.For(ctx, d) // a run that ends heals it early
+		r.store.SetMode(wire.StoreWell)
+		return nil
+	}},
+	{"the store forgets its history", func(_ context.Context, r *run, _ *rand.Rand, _ time.Duration) error {
+		r.store.Compact()
+		return nil
+	}},
+	{"a host's link to the store fails", func(ctx context.Context, r *run, rng *rand.Rand, d time.Duration) error {
+		h, mode := r.host(rng), linkFault(rng)
+		r.say("%s to the store: %s", h.name, mode)
+		h.link.set(mode)
+		_ = wait.For(ctx, d)
+		h.link.set(linkWell)
+		return nil
+	}},
+	{"a worker's link fails", func(ctx context.Context, r *run, rng *rand.Rand, d time.Duration) error {
+		w, mode := r.worker(rng), linkFault(rng)
+		r.say("%s: %s", w.Worker, mode)
+		w.link.set(mode)
+		_ = wait.For(ctx, d)
+		w.link.set(linkWell)
+		return nil
+	}},
+	{"a worker crashes and comes back", func(ctx context.Context, r *run, rng *rand.Rand, d time.Duration) error {
+		w := r.worker(rng)
+		r.say("%s crashes", w.Worker)
+		w.Crash()
+		_ = wait.For(ctx, d)
+		return w.Revive(w.link.address())
+	}},
+	{"workers carry orders out late, and some runs fail", func(ctx context.Context, r *run, rng *rand.Rand, d time.Duration) error {
+		for _, w := range r.workers {
+			w.SetFaults(0.05*rng.Float64(), 0.1*rng.Float64())
+		}
+		_ = wait.For(ctx, d)
+		for _, w := range r.workers {
+			w.SetFaults(0, 0)
+		}
+		return nil
+	}},
+	{"the configuration changes", func(_ context.Context, r *run, rng *rand.Rand, _ time.Duration) error {
+		return r.configure(2 + rng.IntN(1000))
+	}},
+}
+
+// series plays faults one after the other; several series overlap.
+func (r *run) series(ctx context.Context, rng *rand.Rand) {
+	for wait.For(ctx, time.Duration(500+rng.IntN(2500))*time.Millisecond) == nil {
+		f := faults[rng.IntN(len(faults))]
+		d := time.Duration(500+rng.IntN(4500)) * time.Millisecond
+		r.say("fault: %s, for %v", f.name, d)
+		r.mu.Lock()
+		r.faults++
+		r.mu.Unlock()
+		if err := f.play(ctx, r, rng, d); err != nil {
+			r.say("fault %s: %v", f.name, err)
+		}
+	}
+}
+
+// heal undoes whatever a series has left.
+func (r *run) heal() {
+	r.say("faults end")
+	r.store.SetMode(wire.StoreWell)
+	for _, h := range r.hosts {
+		h.link.set(linkWell)
+	}
+	for _, w := range r.workers {
+		w.link.set(linkWell)
+		w.SetFaults(0, 0)
+	}
+}
+
+// Report writes the verdict as JSON.
+func Report(out io.Writer, v *Verdict) error {
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(v)
+}
+
+// KeepLogs removes the directory of a run that kept all promises.
+func KeepLogs(v *Verdict) error {
+	if v.Failed() {
+		return nil
+	}
+	return os.RemoveAll(v.Logs)
+}
--- /dev/null
+++ b/internal/standin/wire/store.go
@@ -0,0 +1,344 @@
+// Package wire is a stand-in of the users' platform that speaks its wire: the
+// store, workers and their registration. It is written from the platform's
+// published contract, and judges what its callers and workers see.
+package wire
+
+import (
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/store"
+	"github.com/fuchsiahill/fuchsiahill/store/storetest"
+)
+
+// StoreMode is how the store stand-in misbehaves.
+type StoreMode string
+
+// Store modes.
+const (
+	StoreWell   StoreMode = "well"
+	StoreBusy   StoreMode = "busy"   // 503, nothing is done
+	StoreSilent StoreMode = "silent" // no answer, nothing is done
+	StoreSlow   StoreMode = "slow"
+	StoreLossy  StoreMode = "lossy" // some changes are done and not answered
+)
+
+const (
+	slowAnswer = 240 * time.Millisecond // 60 times the usual 4 ms
+	silentHold = 30 * time.Second       // longer than any caller waits
+	lossyShare = 0.3
+	expiryTick = 50 * time.Millisecond
+)
+
+// Store serves the store's calls over HTTP.
+type Store struct {
+	*storetest.Memory
+	mu     sync.Mutex
+	mode   StoreMode
+	leases map[store.LeaseID]*lease
+	done   chan struct{}
+	server *http.Server
+	addr   string
+}
+
+type lease struct {
+	ttl  time.Duration
+	ends time.Time
+}
+
+// NewStore listens on a free port of the loopback.
+func NewStore() (*Store, error) {
+	s := &Store{Memory: storetest.NewMemory(), mode: StoreWell, leases: make(map[store.LeaseID]*lease), done: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/kv-key", s.key)
+	mux.HandleFunc("GET /v1/kv-range", s.page)
+	mux.HandleFunc("GET /v1/kv-watch", s.watch)
+	mux.HandleFunc("POST /v1/kv-txn", s.txn)
+	mux.HandleFunc("POST /v1/kv-lease", s.grant)
+	mux.HandleFunc("POST /v1/kv-keep/{id}", s.keep)
+	mux.HandleFunc("DELETE /v1/kv-lease-end/{id}", s.endLease)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s.addr = ln.Addr().String()
+	s.server = &http.Server{Handler: s.behave(mux), ReadHeaderTimeout: time.Second}
+	go func() { _ = s.server.Serve(ln) }() // ends with Close
+	go s.expireLeases()
+	return s, nil
+}
+
+// Address is host:port of the store.
+func (s *Store) Address() string { return s.addr }
+
+// Close ends the stand-in.
+func (s *Store) Close() {
+	close(s.done)
+	_ = s.server.Close()
+}
+
+// SetMode switches how the store misbehaves.
+func (s *Store) SetMode(m StoreMode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode = m
+}
+
+// Put writes a key as the operator or a worker does.
+func (s *Store) Put(key string, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	_, err = s.Commit(store.Txn{Puts: []store.Put{{Key: key, Value: data}}})
+	return err
+}
+
+// Remove deletes a key.
+func (s *Store) Remove(key string) error {
+	_, err := s.Commit(store.Txn{Deletes: []string{key}})
+	return err
+}
+
+// behave applies the mode to each call.
+func (s *Store) behave(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		mode := s.mode
+		s.mu.Unlock()
+		switch mode {
+		case StoreBusy:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case StoreSilent:
+			pause(r, silentHold)
+			return
+		case StoreSlow:
+			pause(r, slowAnswer)
+		case StoreLossy:
+			if r.Method == http.MethodPost && rand.Float64() < lossyShare {
+				next.ServeHTTP(discard{http.Header{}}, r)
+				pause(r, silentHold)
+				return
+			}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// pause waits, or until the caller has gone.
+func pause(r *http.Request, d time.Duration) {
+	select {
+	case <-r.Context().Done():
+	case <-time.After(d):
+	}
+}
+
+// discard takes an answer that is lost.
+type discard struct{ header http.Header }
+
+func (d discard) Header() http.Header         { return d.header }
+func (d discard) Write(b []byte) (int, error) { return len(b), nil }
+func (d discard) WriteHeader(int)             {}
+
+func (s *Store) expireLeases() {
+	ticker := time.NewTicker(expiryTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.done:
+			return
+		case now := <-ticker.C:
+			s.mu.Lock()
+			var over []store.LeaseID
+			for id, l := range s.leases {
+				if now.After(l.ends) {
+					over = append(over, id)
+					delete(s.leases, id)
+				}
+			}
+			s.mu.Unlock()
+			for _, id := range over {
+				s.Expire(id)
+			}
+		}
+	}
+}
+
+type item struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision int64  `json:"revision"`
+	Lease    int64  `json:"lease,omitempty"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+func itemOf(e store.Entry) item {
+	return item{Key: e.Key, Value: e.Value, Revision: int64(e.Revision), Lease: int64(e.Lease)}
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // a caller that has gone needs no answer
+}
+
+func (s *Store) key(w http.ResponseWriter, r *http.Request) {
+	e, err := s.Get(r.URL.Query().Get("key"))
+	if err != nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	answer(w, http.StatusOK, itemOf(e))
+}
+
+func (s *Store) page(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	entries, more, revision, err := s.Page(q.Get("prefix"), q.Get("after"))
+	if err != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	items := []item{}
+	for _, e := range entries {
+		items = append(items, itemOf(e))
+	}
+	answer(w, http.StatusOK, map[string]any{"items": items, "truncated": more, "store_revision": revision})
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, errAfter := strconv.ParseInt(q.Get("after"), 10, 64)
+	wait, errWait := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
+	if errAfter != nil || errWait != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	events, revision, err := s.Changes(q.Get("prefix"), store.Revision(after), time.Duration(wait)*time.Millisecond)
+	var gone *store.HistoryGoneError
+	if errors.As(err, &gone) {
+		w.WriteHeader(http.StatusGone)
+		return
+	}
+	items := []item{}
+	for _, e := range events {
+		i := itemOf(e.Entry)
+		i.Deleted = e.Deleted
+		items = append(items, i)
+	}
+	answer(w, http.StatusOK, map[string]any{"events": items, "store_revision": revision})
+}
+
+type txnBody struct {
+	Precondition []struct {
+		Key      string `json:"key"`
+		Revision int64  `json:"revision"`
+	} `json:"precondition"`
+	Writes []struct {
+		Key   string `json:"key"`
+		Value []byte `json:"value"`
+		Lease int64  `json:"lease"`
+	} `json:"writes"`
+	Remove []string `json:"remove"`
+}
+
+func (s *Store) txn(w http.ResponseWriter, r *http.Request) {
+	var body txnBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	txn := store.Txn{Deletes: body.Remove}
+	for _, c := range body.Precondition {
+		txn.Checks = append(txn.Checks, store.Check{Key: c.Key, Revision: store.Revision(c.Revision)})
+	}
+	for _, p := range body.Writes {
+		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
+			w.WriteHeader(http.StatusForbidden)
+			return
+		}
+		txn.Puts = append(txn.Puts, store.Put{Key: p.Key, Value: p.Value, Lease: store.LeaseID(p.Lease)})
+	}
+	revision, err := s.Commit(txn)
+	var conflict *store.TxnConflictError
+	var gone *store.LeaseGoneError
+	switch {
+	case err == nil:
+		answer(w, http.StatusOK, map[string]any{"revision": revision})
+	case errors.As(err, &conflict):
+		items := []item{}
+		for _, e := range conflict.Current {
+			items = append(items, itemOf(e))
+		}
+		answer(w, http.StatusPreconditionFailed, map[string]any{"items": items})
+	case errors.As(err, &gone):
+		w.WriteHeader(http.StatusNotFound)
+	default:
+		w.WriteHeader(http.StatusBadRequest)
+	}
+}
+
+func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		TTLMS int64 `json:"ttl_ms"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || body.TTLMS <= 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	ttl := time.Duration(body.TTLMS) * time.Millisecond
+	id, err := s.Grant(ttl)
+	if err != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.mu.Lock()
+	s.leases[id] = &lease{ttl: ttl, ends: time.Now().Add(ttl)}
+	s.mu.Unlock()
+	answer(w, http.StatusOK, map[string]any{"lease": id, "ttl_ms": body.TTLMS})
+}
+
+// leaseOf names the lease of a call, or answers that there is none.
+func (s *Store) leaseOf(w http.ResponseWriter, r *http.Request) (store.LeaseID, bool) {
+	id, err := strconv.ParseInt(r.PathValue("id"), 10, 64)
+	s.mu.Lock()
+	_, ok := s.leases[store.LeaseID(id)]
+	s.mu.Unlock()
+	if err != nil || !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return 0, false
+	}
+	return store.LeaseID(id), true
+}
+
+func (s *Store) keep(w http.ResponseWriter, r *http.Request) {
+	id, ok := s.leaseOf(w, r)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	if l := s.leases[id]; l != nil {
+		l.ends = time.Now().Add(l.ttl)
+	}
+	s.mu.Unlock()
+	answer(w, http.StatusOK, map[string]any{})
+}
+
+func (s *Store) endLease(w http.ResponseWriter, r *http.Request) {
+	id, ok := s.leaseOf(w, r)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	delete(s.leases, id)
+	s.mu.Unlock()
+	s.Expire(id)
+	answer(w, http.StatusOK, map[string]any{})
+}
