--- a/owner/orders.go
+++ b/owner/orders.go
@@ -42,8 +42,16 @@
 	clockAt  time.Duration // when clockMS was received
 	deadline int64         // newest deadline sent, on the worker's clock
 	answered bool          // a renewal with the newest deadline was answered
+	bornMS   int64         // of the life that answered last
+	// token is the newest fencing token of orders to it. It rises with each
+	// life, so that an order to the life before that comes late is refused:
+	// it would meet a clock that has started anew.
+	token int64
 }
 
+// tokensPerTerm separates the tokens of two owners.
+const tokensPerTerm = 1000
+
 // syncWorkers keeps a loop for each worker. r.mu is held.
 func (r *reign) syncWorkers(ctx context.Context) {
 	addresses := r.machine.Addresses()
@@ -59,7 +67,7 @@
 			continue
 		}
 		loopCtx, cancel := context.WithCancel(ctx)
-		w := &workerLoop{id: id, address: address, client: platform.NewWorker(id, address), cancel: cancel, answered: true}
+		w := &workerLoop{id: id, address: address, client: platform.NewWorker(id, address), cancel: cancel, answered: true, token: int64(r.term) * tokensPerTerm}
 		r.workers[id] = w
 		go r.renewWorker(loopCtx, w)
 	}
@@ -79,6 +87,24 @@
 	w.clockMS, w.clockAt = clockMS, now
 }
 
+// noteLife takes in which life has answered.
+func (w *workerLoop) noteLife(bornMS int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if bornMS > w.bornMS && w.bornMS != 0 {
+		w.token++
+		w.clockMS, w.deadline, w.answered = 0, 0, true
+	}
+	w.bornMS = max(w.bornMS, bornMS)
+}
+
+// newestToken returns the token for an order.
+func (w *workerLoop) newestToken() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.token
+}
+
 // clock is the least that the worker's clock shows now. w.mu is held.
 func (w *workerLoop) clock(now time.Duration) int64 {
 	if w.clockMS == 0 {
@@ -137,12 +163,14 @@
 	if deadline == 0 {
 		most = 0 // the first only learns the worker's clock
 	}
-	report, err := w.client.Renew(int64(r.term), seen, deadline, most)
+	token := w.newestToken()
+	report, err := w.client.Renew(token, seen, deadline, most)
 	now := steady.Now()
 	if err != nil {
-		r.renewalFailed(w, err)
+		r.renewalFailed(w, token, err)
 		return err
 	}
+	w.noteLife(report.BornMS)
 	w.noteClock(report.ClockMS, now)
 	w.mu.Lock()
 	w.answered = true
@@ -154,7 +182,7 @@
 	return nil
 }
 
-func (r *reign) renewalFailed(w *workerLoop, err error) {
+func (r *reign) renewalFailed(w *workerLoop, token int64, err error) {
 	r.deps.Log("worker_renewal_failed", "worker", w.id, "term", r.term, "err", err)
 	r.deps.Metrics.Count("worker_renewals_failed", 1)
 	var refused *platform.RefusedError
@@ -163,7 +191,9 @@
 	}
 	switch refused.Reason {
 	case platform.RefusedFence:
-		r.end("a worker has seen a later owner")
+		if token == w.newestToken() {
+			r.end("a worker has seen a later owner")
+		}
 	case platform.RefusedLife:
 		w.mu.Lock()
 		w.clockMS, w.answered = 0, true
@@ -193,6 +223,7 @@
 	}
 	var clockMS int64
 	var err error
+	token := w.newestToken()
 	switch o.Kind {
 	case dispatch.OrderStart:
 		w.mu.Lock()
@@ -203,13 +234,13 @@
 			return
 		}
 		clockMS, err = w.client.Start(platform.Start{
-			Task: o.Task, Run: o.Run, Payload: o.Payload, DeadlineMS: deadline, Token: int64(r.term), Checkpoint: o.Checkpoint,
+			Task: o.Task, Run: o.Run, Payload: o.Payload, DeadlineMS: deadline, Token: token, Checkpoint: o.Checkpoint,
 		})
 		r.deps.Metrics.Observe("start", steady.Now()-now)
 	case dispatch.OrderStop:
-		clockMS, err = w.client.Stop(o.Task, o.Run, int64(r.term))
+		clockMS, err = w.client.Stop(o.Task, o.Run, token)
 	case dispatch.OrderPace:
-		clockMS, err = w.client.Pace(o.Task, o.Run, o.Percent, int64(r.term))
+		clockMS, err = w.client.Pace(o.Task, o.Run, o.Percent, token)
 	case dispatch.OrderLook:
 		// A failed look is made up for by the next renewal, which logs.
 		_ = r.renewOnce(w, 0)
@@ -217,6 +248,9 @@
 	}
 	w.noteClock(clockMS, steady.Now())
 	outcome := outcomeOf(err)
+	if outcome == dispatch.Superseded && token != w.newestToken() {
+		outcome = dispatch.Refused // by this owner's newer token
+	}
 	if err != nil {
 		r.deps.Log("order_failed", "kind", o.Kind, "job", o.Task.Job, "task", o.Task, "run", o.Run, "worker", o.Worker, "outcome", outcome, "took", steady.Now()-now, "err", err)
 	}
