--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -186,10 +186,10 @@
 				continue
 			}
 			if s.Gang {
-				started += m.startGang(j, s, service, room, now)
+				started += m.startGang(s, service, room, now)
 				continue
 			}
-			started += m.startTasks(j, s, service, room, now, most-started)
+			started += m.startTasks(s, service, room, now, most-started)
 			if started >= most {
 				return started
 			}
@@ -198,7 +198,7 @@
 	return started
 }
 
-func (m *Machine) startTasks(j *job, s *step, service fleet.Service, room *room, now time.Duration, most int) int {
+func (m *Machine) startTasks(s *step, service fleet.Service, room *room, now time.Duration, most int) int {
 	started := 0
 	for _, t := range s.tasks {
 		if started >= most {
@@ -221,7 +221,7 @@
 }
 
 // startGang starts all members of a gang, or none.
-func (m *Machine) startGang(j *job, s *step, service fleet.Service, room *room, now time.Duration) int {
+func (m *Machine) startGang(s *step, service fleet.Service, room *room, now time.Duration) int {
 	if s.waiting < s.Count-s.done || s.done > 0 {
 		return 0
 	}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -60,9 +60,8 @@
 	shared *mirror.Mirror
 	queue  chan *submission
 
-	mu       sync.Mutex
-	trouble  time.Duration // when a commit failed last
-	pendings map[string]int
+	mu      sync.Mutex
+	trouble time.Duration // when a commit failed last
 }
 
 type submission struct {
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -190,7 +190,7 @@
 // call sends one request to a host drawn at random. 0: no answer.
 func (c *callers) call(method string, id fleet.JobID, body []byte) (int, []byte) {
 	h := c.hosts[draw(c, func(r *rand.Rand) int { return r.IntN(len(c.hosts)) })]
-	req, err := http.NewRequest(method, "http://"+h.callers+callersPrefix+string(id), bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+h.callers+callersPrefix+string(id), bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -32,7 +33,7 @@
 }
 
 func freePort() (string, error) {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	ln, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", "127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
@@ -74,7 +75,7 @@
 		return err
 	}
 	defer func() { _ = log.Close() }() // the process has its own descriptor
-	cmd := exec.Command(h.daemon, "node")
+	cmd := exec.CommandContext(context.Background(), h.daemon, "node")
 	cmd.Env = []string{settingsVariable + "=" + h.settings}
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -36,7 +37,7 @@
 }
 
 func newProxy(target string) (*proxy, error) {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	ln, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
@@ -95,7 +96,7 @@
 			_ = in.Close()
 			continue
 		}
-		out, err := net.DialTimeout("tcp4", p.target, time.Second)
+		out, err := (&net.Dialer{Timeout: time.Second}).DialContext(context.Background(), "tcp4", p.target)
 		if err != nil {
 			_ = in.Close()
 			continue
@@ -127,10 +128,10 @@
 // deliver writes a piece as the mode has it; bytes that a silent link has
 // taken are lost with their connection.
 func (p *proxy) deliver(to net.Conn, piece []byte, blocked linkMode) bool {
-	switch m := p.current(); {
-	case m == linkDelayed:
+	switch m := p.current(); m {
+	case linkDelayed:
 		time.Sleep(linkDelay)
-	case m == linkSilent || m == blocked:
+	case linkSilent, blocked:
 		for p.current() == m {
 			time.Sleep(linkDelay)
 		}
--- a/internal/standin/wire/store.go
+++ b/internal/standin/wire/store.go
@@ -4,6 +4,7 @@
 package wire
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
@@ -64,7 +65,7 @@
 	mux.HandleFunc("POST /v1/kv-lease", s.grant)
 	mux.HandleFunc("POST /v1/kv-keep/{id}", s.keep)
 	mux.HandleFunc("DELETE /v1/kv-lease-end/{id}", s.endLease)
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	ln, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/wire/worker.go
+++ b/internal/standin/wire/worker.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -68,7 +69,7 @@
 // NewWorker starts a worker that registers in the store.
 func NewWorker(id fleet.WorkerID, capacity fleet.Resources, j *Judge, s *Store) (*Worker, error) {
 	w := &Worker{id: id, capacity: capacity, judge: j, store: s, done: make(chan struct{}), changed: make(chan struct{})}
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	ln, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
@@ -123,6 +124,7 @@
 
 // Revive begins the worker's next life under its ID.
 func (w *Worker) Revive(address string) error {
+	w.Crash()
 	w.live()
 	return w.register(address)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -135,7 +135,9 @@
 	n.waitForEnd(path)
 	n.drain(server)
 	cancel()
-	<-done
+	if err := <-done; err != nil && !errors.Is(err, context.Canceled) {
+		n.logger.Event("supervisor_failed", "err", err)
+	}
 	n.logger.Event("stop")
 	n.logger.Flush()
 	return nil
--- a/owner/commit_test.go
+++ b/owner/commit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -123,3 +124,22 @@
 		t.Fatalf("%d jobs wait to be written, want 1", dirty)
 	}
 }
+
+// A new owner knows all workers before it judges whether all have shown what
+// they hold, though their entries come in pages.
+func TestLoadKnowsAllWorkers(t *testing.T) {
+	r, s := testReign(t)
+	const workers = 120 // several pages
+	for i := range workers {
+		value := `{"service":"service-1","address":"127.0.0.1:1","zone":"dc-1","state":"ready","capacity":{"cpu":1000},"born":1}`
+		if _, err := s.Commit(store.Txn{Puts: []store.Put{{Key: fmt.Sprintf("%s%03d", platform.WorkerPrefix, i), Value: []byte(value)}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := r.load(); err != nil {
+		t.Fatal(err)
+	}
+	if total, _ := r.machine.Reporting(0); total != workers+1 {
+		t.Fatalf("%d workers are known after the load, want %d", total, workers+1)
+	}
+}
--- a/owner/reign.go
+++ b/owner/reign.go
@@ -61,7 +61,6 @@
 	workers map[fleet.WorkerID]*workerLoop
 	bodies  map[fleet.JobID]bool
 	records map[fleet.JobID]store.Event // states that came before their submission
-	ready   bool
 }
 
 func newReign(o *Owner, term int, revision store.Revision, lease store.LeaseID, sent time.Duration) *reign {
@@ -174,6 +173,15 @@
 	if err != nil {
 		return err
 	}
+	// All workers are known before any plan: one that is not would not be
+	// waited for, and its runs be taken for lost.
+	workers, err := r.readAll(platform.WorkerPrefix)
+	if err != nil {
+		return err
+	}
+	for _, e := range workers {
+		r.workerChanged(store.Event{Entry: e})
+	}
 	now := steady.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -188,7 +196,7 @@
 			loaded++
 		}
 	}
-	r.deps.Log("state_loaded", "term", r.term, "jobs", loaded, "known", len(states), "took", now-began)
+	r.deps.Log("state_loaded", "term", r.term, "jobs", loaded, "known", len(states), "workers", len(workers), "took", now-began)
 	return nil
 }
 
