Know the workers of former owners; write progress at a known revision only

Entries of workers lapse while the store is away, so that a new owner did not wait for them; and a commit whose answer was lost was carried out seconds later, over newer progress, so that tasks whose ends were forgotten ran again. Change: placements and the set of workers are durable, and a new owner waits for the workers that these name; progress has a check of its revision.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -17,15 +17,21 @@
 	workload.Job
 	state    workload.State
 	revision store.Revision // of the key that holds its state
-	inherits bool           // was accepted under a former owner
-	arrived  time.Duration  // when this owner learned of it
-	occ      []*occurrence  // by number; those to come are missing
+	// progressRevision is that of the key that holds its tasks' progress; 0:
+	// there is none.
+	progressRevision store.Revision
+	inherits         bool          // was accepted under a former owner
+	arrived          time.Duration // when this owner learned of it
+	occ              []*occurrence // by number; those to come are missing
 
 	version, saving, saved int64
-	shown                  workload.State // durable state
-	runs                   int            // in all its tasks
-	priority               int
-	key                    float64 // place in line, lower first; set by Plan
+	// urgent is set by changes that somebody waits for; others may gather.
+	urgent     bool
+	dirtySince time.Duration  // of the oldest change that is not being saved
+	shown      workload.State // durable state
+	runs       int            // in all its tasks
+	priority   int
+	key        float64 // place in line, lower first; set by Plan
 }
 
 // occurrence is one execution of a job's steps.
@@ -55,7 +61,9 @@
 	failed     []int // the runs that failed; ends are listed more than once
 	checkpoint string
 	avoid      fleet.WorkerID // where it failed or stalled last
-	waitsFrom  time.Duration
+	// former may still have a run of a former owner's.
+	former    fleet.WorkerID
+	waitsFrom time.Duration
 }
 
 type runState int
@@ -89,7 +97,21 @@
 	reason                 string        // of its stop
 }
 
-func (j *job) changed() { j.version++ }
+// changed makes the job's state due to be written at once.
+func (j *job) changed() { j.version, j.urgent = j.version+1, true }
+
+// placed makes the job's state due to be written within gatherPlacements.
+func (j *job) placed(now time.Duration) {
+	if j.version == j.saving {
+		j.dirtySince = now
+	}
+	j.version++
+}
+
+// gatherPlacements is how long placements may wait to be written together. A
+// new owner waits for the workers that they name. Source: a fifth of the
+// shortest run; each transaction is priced.
+const gatherPlacements = 150 * time.Millisecond
 
 // AddJob takes in an accepted job with what is durable of it.
 func (m *Machine) AddJob(j *workload.Job, state workload.State, revision store.Revision, progress workload.Progress, now time.Duration, inherited bool) {
@@ -146,6 +168,9 @@
 	}
 	t.done, t.lastRun, t.failed, t.checkpoint = p.Done, p.Run, p.Failed, p.Checkpoint
 	t.step.gangRun = max(t.step.gangRun, p.Run)
+	if !p.Done {
+		t.former = p.Worker
+	}
 }
 
 // settle counts a restored occurrence.
@@ -185,6 +210,7 @@
 				}
 				p.Tasks = append(p.Tasks, workload.TaskProgress{
 					Occurrence: k, Step: i, Index: x, Run: t.lastRun, Done: t.done, Failed: t.failed, Checkpoint: t.kept(),
+					Worker: t.worker(),
 				})
 			}
 		}
@@ -203,7 +229,29 @@
 	return t.checkpoint
 }
 
-// completedOccurrences reports whether all occurrences are done.
+// worker is where the newest run is, or may be.
+func (t *task) worker() fleet.WorkerID {
+	if n := len(t.runs); n > 0 {
+		return t.runs[n-1].worker.ID
+	}
+	return t.former
+}
+
+// mayRunElsewhere reports whether a run of a former owner's may exist on a
+// worker that has not reported to this one. It answers owners killed while
+// entries of workers are missing from the store.
+func (m *Machine) mayRunElsewhere(t *task, now time.Duration) bool {
+	if t.former == "" {
+		return false
+	}
+	if w, ok := m.workers[t.former]; now >= m.former || ok && w.adopted {
+		t.former = ""
+		return false
+	}
+	return true
+}
+
+// allDone reports whether all occurrences are done.
 func (j *job) allDone() bool {
 	if len(j.occ) < j.Occurrences() {
 		return false
@@ -249,6 +297,13 @@
 	}
 }
 
+// ProgressStored takes in at which revision a job's progress is stored.
+func (m *Machine) ProgressStored(id fleet.JobID, revision store.Revision) {
+	if j, ok := m.jobs[id]; ok {
+		j.progressRevision = max(j.progressRevision, revision)
+	}
+}
+
 // Write is what has to become durable of one job, in one transaction.
 type Write struct {
 	Job      fleet.JobID
@@ -259,23 +314,28 @@
 	// written only if its key is still at Revision.
 	StateChanged bool
 	Revision     store.Revision
-	Progress     workload.Progress // not written with a final state
-	version      int64
+	// Progress is not written with a final state, and only if its key is still
+	// at ProgressRevision: an earlier write whose answer was lost may be
+	// carried out later, and must not replace a newer one.
+	Progress         workload.Progress
+	ProgressRevision store.Revision
+	version          int64
 }
 
-// TakeWrites returns what has to become durable of up to most jobs. A job is
-// not returned again before WritesDone or WritesFailed.
-func (m *Machine) TakeWrites(most int) []Write {
+// TakeWrites returns what has to become durable at now, up to a number of
+// entries in a transaction. A job is not returned again before WritesDone or
+// WritesFailed.
+func (m *Machine) TakeWrites(entries int, now time.Duration) []Write {
 	var writes []Write
-	for _, id := range m.sortedDirty() {
-		if len(writes) == most {
-			break
-		}
+	for _, id := range m.sortedDirty(now) {
 		j := m.jobs[id]
-		j.saving = j.version
 		w := Write{
-			Job: id, Queue: j.Queue, Accepted: j.AcceptedMS, State: j.state, StateChanged: j.state != j.shown, Revision: j.revision, version: j.version,
+			Job: id, Queue: j.Queue, Accepted: j.AcceptedMS, State: j.state, StateChanged: j.state != j.shown, Revision: j.revision, ProgressRevision: j.progressRevision, version: j.version,
+		}
+		if entries -= w.Entries(); entries < 0 {
+			break
 		}
+		j.saving, j.urgent = j.version, false
 		if !j.state.Final() {
 			w.Progress = j.progress()
 		}
@@ -284,14 +344,20 @@
 	return writes
 }
 
-// Dirty counts the jobs with changes that are neither durable nor on their
-// way to be.
-func (m *Machine) Dirty() int { return len(m.sortedDirty()) }
+// Entries is how many checks, puts and deletes the write takes.
+func (w *Write) Entries() int {
+	n := 2 // the progress and its check, or progress and submission to delete
+	if w.StateChanged {
+		n += 2 // the state and its check
+	}
+	return n
+}
 
-func (m *Machine) sortedDirty() []fleet.JobID {
+// sortedDirty returns the jobs to write at now, the oldest first.
+func (m *Machine) sortedDirty(now time.Duration) []fleet.JobID {
 	var ids []fleet.JobID
 	for id, j := range m.jobs {
-		if j.version > j.saved && j.saving == j.saved {
+		if j.version > j.saved && j.saving == j.saved && (j.urgent || now-j.dirtySince >= gatherPlacements) {
 			ids = append(ids, id)
 		}
 	}
@@ -307,6 +373,9 @@
 			continue
 		}
 		j.saved, j.saving = w.version, w.version
+		if !w.State.Final() {
+			j.progressRevision = max(j.progressRevision, revision)
+		}
 		if w.StateChanged {
 			j.shown = w.State
 			j.revision = max(j.revision, revision)
@@ -322,7 +391,7 @@
 func (m *Machine) WritesFailed(writes []Write) {
 	for _, w := range writes {
 		if j, ok := m.jobs[w.Job]; ok {
-			j.saving = j.saved
+			j.saving, j.urgent = j.saved, true
 		}
 	}
 }
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -85,7 +85,8 @@
 	jobs         map[fleet.JobID]*job
 	queues       map[string]*queueStats
 	interference *interference
-	work         []beside // reused by control
+	work         []beside         // reused by control
+	dropped      []fleet.WorkerID // stored workers to forget
 	orders       []Order
 	events       []Event
 	superseded   bool
--- a/dispatch/machine_test.go
+++ b/dispatch/machine_test.go
@@ -15,6 +15,9 @@
 
 var testLimits = Limits{Lease: 4 * time.Second, LeaseMax: 4 * time.Second, Early: 250 * time.Millisecond, FarFactor: 1.5}
 
+// later is a time at which every change is due to be written.
+const later = time.Hour
+
 // rig drives a machine by hand.
 type rig struct {
 	*testing.T
@@ -160,7 +163,7 @@
 		t.Fatalf("started %v, want the second step", more)
 	}
 	r.report("w1", workload.Report{Ended: []workload.Ended{r.ended(more[0], workload.EndDone)}})
-	writes := r.m.TakeWrites(10)
+	writes := r.m.TakeWrites(10*4, later)
 	if len(writes) != 1 || writes[0].State != workload.StateCompleted {
 		t.Fatalf("writes %+v, want the job completed", writes)
 	}
@@ -171,17 +174,17 @@
 	r := newRig(t, "w1")
 	r.job("a", cpuStep(2, 100))
 	starts := r.starts()
-	r.m.WritesDone(r.m.TakeWrites(10), 2)
+	r.m.WritesDone(r.m.TakeWrites(10*4, later), 2)
 	r.report("w1", workload.Report{Ended: []workload.Ended{r.ended(starts[0], workload.EndDone)}, Running: []workload.Running{running(starts[1])}})
 	if seen := r.m.Seen("w1"); seen != 0 {
 		t.Fatalf("the worker may forget up to %d before anything is durable", seen)
 	}
-	writes := r.m.TakeWrites(10)
+	writes := r.m.TakeWrites(10*4, later)
 	r.m.WritesFailed(writes)
 	if seen := r.m.Seen("w1"); seen != 0 {
 		t.Fatalf("the worker may forget up to %d after a failed write", seen)
 	}
-	r.m.WritesDone(r.m.TakeWrites(10), 3)
+	r.m.WritesDone(r.m.TakeWrites(10*4, later), 3)
 	if seen := r.m.Seen("w1"); seen != 1 {
 		t.Fatalf("the worker may forget up to %d after the write, want 1", seen)
 	}
@@ -278,7 +281,7 @@
 	if starts := r.starts(); len(starts) != 0 {
 		t.Fatalf("started %v after three failures", starts)
 	}
-	if w := r.m.TakeWrites(1); w[0].State != workload.StateFailed {
+	if w := r.m.TakeWrites(1*4, later); w[0].State != workload.StateFailed {
 		t.Fatalf("state %s, want failed", w[0].State)
 	}
 }
@@ -307,7 +310,7 @@
 	first := r.starts()[0]
 	end := r.ended(first, workload.EndFailed)
 	r.report(first.Worker, workload.Report{Ended: []workload.Ended{end}})
-	writes := r.m.TakeWrites(1)
+	writes := r.m.TakeWrites(1*4, later)
 	if len(writes) != 1 {
 		t.Fatalf("writes %+v, want one", writes)
 	}
@@ -435,7 +438,7 @@
 			r.now = began
 			r.report(w.ID, rep)
 		}
-		for _, w := range r.m.TakeWrites(100) {
+		for _, w := range r.m.TakeWrites(100*4, later) {
 			if w.State == workload.StateCompleted && r.now-arrived[w.Job] <= 3*time.Second {
 				inTime++
 			}
@@ -448,3 +451,38 @@
 	}
 	return inTime
 }
+
+// Entries of workers lapse while the store is away. A new owner that does not
+// see a worker's entry yet must not take the runs there for lost.
+func TestRunsOnUnlistedWorkersAreWaitedFor(t *testing.T) {
+	r := newRig(t, "w1", "w2")
+	step := cpuStep(2, 100)
+	r.job("a", step)
+	starts := r.starts()
+	writes := r.m.TakeWrites(31, later)
+	if len(starts) != 2 || len(writes) != 1 {
+		t.Fatalf("starts %v, writes %+v", starts, writes)
+	}
+	next := newRig(t)
+	next.m.AddJob(&workload.Job{ID: "a", Queue: testQueue, Steps: []workload.Step{step}}, workload.StateRunning, 2, writes[0].Progress, next.now, true)
+	next.worker("w3", fleet.Resources{MilliCores: 4000, MemoryMB: 8000})
+	if again := next.starts(); len(again) != 0 {
+		t.Fatalf("started %v, which run on workers that are not listed yet", again)
+	}
+	// The entry comes back, and the worker shows that its run is over.
+	first, other := starts[0], starts[1]
+	if first.Worker == other.Worker {
+		t.Fatalf("both tasks on %s, want them spread", first.Worker)
+	}
+	next.worker(first.Worker, fleet.Resources{MilliCores: 4000, MemoryMB: 8000})
+	again := next.starts()
+	if len(again) != 1 || again[0].Task != first.Task {
+		t.Fatalf("started %v, want only the task that was on %s", again, first.Worker)
+	}
+	next.now += leaseBound(testLimits.LeaseMax)
+	next.report("w3", workload.Report{})
+	next.report(again[0].Worker, workload.Report{Running: []workload.Running{running(again[0])}})
+	if last := next.starts(); len(last) != 1 || last[0].Task != other.Task {
+		t.Fatalf("started %v once all former leases had ended, want the other task", last)
+	}
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -204,7 +204,7 @@
 		if started >= most {
 			break
 		}
-		if t.done || len(t.runs) > 0 {
+		if t.done || len(t.runs) > 0 || m.mayRunElsewhere(t, now) {
 			continue
 		}
 		w := room.place(t, service, nil)
@@ -225,6 +225,9 @@
 	if s.waiting < s.Count-s.done || s.done > 0 {
 		return 0
 	}
+	if slices.ContainsFunc(s.tasks, func(t *task) bool { return m.mayRunElsewhere(t, now) }) {
+		return 0
+	}
 	var chosen []*worker
 	number := 0
 	for _, t := range s.tasks {
--- a/intake/record.go
+++ b/intake/record.go
@@ -18,6 +18,7 @@
 	TermKey        = "t"  // number of the newest owner
 	BodyPrefix     = "s/" // submission of each job that has not ended
 	ProgressPrefix = "p/" // of the tasks of each job that has not ended
+	WorkerPrefix   = "w/" // workers that the owner has known, as workload.Worker
 )
 
 // Record is the durable state of a job.
--- a/owner/commit_test.go
+++ b/owner/commit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -15,6 +16,9 @@
 	"github.com/fuchsiahill/fuchsiahill/workload"
 )
 
+// later is a time at which every change is due to be written.
+const later = time.Hour
+
 const testService = fleet.Service("service-1")
 
 // testReign returns a reign over a store in memory, with one worker that has
@@ -59,7 +63,7 @@
 }
 
 func (r *reign) commitAll() {
-	if writes := r.machine.TakeWrites(10); len(writes) > 0 {
+	if writes := r.machine.TakeWrites(10*4, later); len(writes) > 0 {
 		r.commit(writes)
 	}
 }
@@ -105,6 +109,34 @@
 	}
 }
 
+// A commit whose answer was lost may be carried out seconds later, after a
+// newer one: it must not bring back older progress.
+func TestLateCommitDoesNotReplaceProgress(t *testing.T) {
+	r, s := testReign(t)
+	submit(t, r, s, workload.Job{ID: "a", Queue: "q", Steps: []workload.Step{{Count: 2, Need: fleet.Resources{MilliCores: 100}, EstimateMS: 1000}}})
+	r.machine.Plan(2*time.Second, 0)
+	orders := r.machine.TakeOrders()
+	r.commitAll()
+	first := workload.Ended{Number: 1, Task: orders[0].Task, Run: orders[0].Run, How: workload.EndFailed}
+	r.machine.Report("w1", workload.Report{BornMS: 1, Ended: []workload.Ended{first}}, 2*time.Second, 2*time.Second)
+	late := r.machine.TakeWrites(31, later)
+	lateTxn, err := r.transaction(late)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.machine.WritesFailed(late) // no answer
+	second := workload.Ended{Number: 2, Task: orders[1].Task, Run: orders[1].Run, How: workload.EndDone}
+	r.machine.Report("w1", workload.Report{BornMS: 1, Ended: []workload.Ended{second}}, 2*time.Second, 2*time.Second)
+	r.commitAll()
+	if seen := r.machine.Seen("w1"); seen != 2 {
+		t.Fatalf("the worker may forget ends up to %d, want 2", seen)
+	}
+	var conflict *store.TxnConflictError
+	if _, err := s.Commit(lateTxn); !errors.As(err, &conflict) {
+		t.Fatalf("the late commit was carried out: error %v", err)
+	}
+}
+
 // A commit of a former owner is refused, and ends its dispatching.
 func TestCommitNeedsOwnership(t *testing.T) {
 	r, s := testReign(t)
@@ -120,7 +152,7 @@
 	if !ended {
 		t.Fatal("dispatching goes on without ownership")
 	}
-	if dirty := r.machine.Dirty(); dirty != 1 {
+	if dirty := len(r.machine.TakeWrites(31, later)); dirty != 1 {
 		t.Fatalf("%d jobs wait to be written, want 1", dirty)
 	}
 }
--- a/owner/reign.go
+++ b/owner/reign.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,8 +33,6 @@
 	// commitsInFlight bounds the transactions on their way, as a slow store
 	// takes 240 ms each.
 	commitsInFlight = 6
-	// entriesPerJob bounds what one job puts into a transaction.
-	entriesPerJob = 4
 	// leaseShare of the longest lease is asked for on workers, up to
 	// leaseMost: shorter ones free the tasks of a silent worker sooner, and
 	// must outlast a change of owner.
@@ -182,6 +181,11 @@
 	for _, e := range workers {
 		r.workerChanged(store.Event{Entry: e})
 	}
+	known, err := r.readAll(intake.WorkerPrefix)
+	if err != nil {
+		return err
+	}
+	r.knowWorkers(known)
 	now := steady.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -193,6 +197,7 @@
 		}
 		p := progress[intake.ProgressPrefix+id[len(intake.BodyPrefix):]]
 		if r.addJob(body, state, p.Value, now, true) {
+			r.machine.ProgressStored(fleet.JobID(id[len(intake.BodyPrefix):]), p.Revision)
 			loaded++
 		}
 	}
@@ -200,6 +205,49 @@
 	return nil
 }
 
+// knowWorkers takes in the workers that a former owner has known.
+func (r *reign) knowWorkers(known map[string]store.Entry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range known {
+		var info workload.Worker
+		if err := json.Unmarshal(e.Value, &info); err != nil {
+			r.deps.Log("known_worker_unreadable", "key", e.Key, "revision", e.Revision, "err", err)
+			continue
+		}
+		r.machine.KnowWorker(info, steady.Now())
+	}
+}
+
+// commitWorkers makes the set of workers durable.
+func (r *reign) commitWorkers() {
+	r.mu.Lock()
+	writes := r.machine.TakeWorkerWrites(store.MaxTxnEntries - 1)
+	r.mu.Unlock()
+	if len(writes.Put)+len(writes.Delete) == 0 {
+		return
+	}
+	txn := store.Txn{Checks: []store.Check{{Key: intake.OwnerKey, Revision: r.revision}}}
+	for _, info := range writes.Put {
+		value, err := json.Marshal(info)
+		if err != nil {
+			r.deps.Log("commit_failed", "worker", info.ID, "err", err)
+			continue
+		}
+		txn.Puts = append(txn.Puts, store.Put{Key: intake.WorkerPrefix + string(info.ID), Value: value})
+	}
+	for _, id := range writes.Delete {
+		txn.Deletes = append(txn.Deletes, intake.WorkerPrefix+string(id))
+	}
+	_, err := r.deps.Store.Commit(txn)
+	if err != nil {
+		r.deps.Log("commit_failed", "workers", len(writes.Put)+len(writes.Delete), "err", err)
+	}
+	r.mu.Lock()
+	r.machine.WorkerWritesDone(writes, err == nil)
+	r.mu.Unlock()
+}
+
 func (r *reign) readAll(prefix string) (map[string]store.Entry, error) {
 	all := make(map[string]store.Entry)
 	after, more := "", true
@@ -406,9 +454,10 @@
 func (r *reign) commitLoop(ctx context.Context) {
 	slots := make(chan struct{}, commitsInFlight)
 	for wait.For(ctx, commitInterval) == nil {
+		r.commitWorkers()
 		for {
 			r.mu.Lock()
-			writes := r.machine.TakeWrites((store.MaxTxnEntries - 1) / entriesPerJob)
+			writes := r.machine.TakeWrites(store.MaxTxnEntries-1, steady.Now())
 			if len(writes) == 0 {
 				r.machine.WritesDone(nil, 0) // ends of unknown jobs need no write
 			}
@@ -454,6 +503,9 @@
 		return
 	}
 	for _, e := range conflict.Current {
+		if id, ok := strings.CutPrefix(e.Key, intake.ProgressPrefix); ok {
+			r.machine.ProgressStored(fleet.JobID(id), e.Revision)
+		}
 		if id, ok := intake.JobOfKey(e.Key); ok {
 			if record, err := intake.DecodeRecord(e.Value); err == nil {
 				r.machine.StateChanged(id, record.State, e.Revision)
@@ -482,6 +534,7 @@
 		if err != nil {
 			return txn, err
 		}
+		txn.Checks = append(txn.Checks, store.Check{Key: intake.ProgressPrefix + id, Revision: w.ProgressRevision})
 		txn.Puts = append(txn.Puts, store.Put{Key: intake.ProgressPrefix + id, Value: value})
 	}
 	return txn, nil
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -239,4 +239,6 @@
 	Done       bool   `json:"d,omitempty"`
 	Failed     []int  `json:"f,omitempty"` // the runs that failed
 	Checkpoint string `json:"c,omitempty"`
+	// Worker has the newest run, if that has not ended.
+	Worker fleet.WorkerID `json:"w,omitempty"`
 }
