--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -21,8 +21,11 @@
 	// gatherPause follows a poll with changes, so that the next brings several:
 	// each poll is a priced call. Source: a fifth of the shortest objective.
 	gatherPause = 50 * time.Millisecond
-	// retryPause follows a poll that failed.
+	// retryPause follows a poll that failed, doubled with each further one:
+	// refused calls are priced too. Source: retryMost is a fifth of the 2 s in
+	// which a configuration comes in force.
 	retryPause = 60 * time.Millisecond
+	retryMost  = 400 * time.Millisecond
 )
 
 // Mirror is a copy of a prefix. It is safe for concurrent use.
@@ -75,6 +78,7 @@
 func (m *Mirror) Serve(ctx context.Context) error {
 	var after store.Revision
 	load := true
+	pause := retryPause
 	for ctx.Err() == nil {
 		sent := steady.Now()
 		var err error
@@ -93,14 +97,18 @@
 				}
 			}
 			var gone *store.HistoryGoneError
-			load = errors.As(err, &gone)
+			load = errors.As(err, &gone) // the history from here on is not kept
 		}
 		m.note(sent, err)
-		if err != nil && !load || err != nil && after == 0 {
-			if wait.For(ctx, retryPause) != nil {
-				break
-			}
+		var gone *store.HistoryGoneError
+		if err == nil || errors.As(err, &gone) {
+			pause = retryPause
+			continue
+		}
+		if wait.For(ctx, pause) != nil {
+			break
 		}
+		pause = min(2*pause, retryMost)
 	}
 	return ctx.Err()
 }
--- a/owner/reign.go
+++ b/owner/reign.go
@@ -52,8 +52,10 @@
 	// authorityEnd is when ownership may pass to another host, on the steady
 	// clock.
 	authorityEnd atomic.Int64
-	// touched is set by every event that a plan could answer.
+	// kick asks for a plan.
 	kick chan struct{}
+	// failures counts the commits that failed in a row.
+	failures atomic.Int64
 
 	mu      sync.Mutex
 	machine *dispatch.Machine
@@ -453,7 +455,7 @@
 // commitLoop makes what the machine has decided durable.
 func (r *reign) commitLoop(ctx context.Context) {
 	slots := make(chan struct{}, commitsInFlight)
-	for wait.For(ctx, commitInterval) == nil {
+	for wait.For(ctx, r.commitPause()) == nil {
 		r.commitWorkers()
 		for {
 			r.mu.Lock()
@@ -474,6 +476,16 @@
 	}
 }
 
+// commitPause is how long to gather before the next transactions: longer
+// after some have failed, as refused calls are priced too.
+func (r *reign) commitPause() time.Duration {
+	return commitInterval << min(r.failures.Load(), commitBackoffMost)
+}
+
+// commitBackoffMost bounds the doublings of commitInterval to 480 ms, within
+// an ack's time.
+const commitBackoffMost = 4
+
 // commit writes what belongs to some jobs, under the condition that this host
 // still owns dispatching.
 func (r *reign) commit(writes []dispatch.Write) {
@@ -490,10 +502,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err == nil {
+		r.failures.Store(0)
 		r.machine.WritesDone(writes, revision)
 		return
 	}
 	r.machine.WritesFailed(writes)
+	if conflict == nil {
+		r.failures.Add(1)
+	}
 	r.deps.Log("commit_failed", "jobs", len(writes), "age", steady.Now()-began, "err", err)
 	if conflict == nil {
 		return
