--- a/owner/orders.go
+++ b/owner/orders.go
@@ -87,15 +87,18 @@
 	w.clockMS, w.clockAt = clockMS, now
 }
 
-// noteLife takes in which life has answered.
-func (w *workerLoop) noteLife(bornMS int64) {
+// noteLife takes in which life has answered, and reports whether it is a new
+// one.
+func (w *workerLoop) noteLife(bornMS int64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if bornMS > w.bornMS && w.bornMS != 0 {
+	reborn := bornMS > w.bornMS && w.bornMS != 0
+	if reborn {
 		w.token++
 		w.clockMS, w.deadline, w.answered = 0, 0, true
 	}
 	w.bornMS = max(w.bornMS, bornMS)
+	return reborn
 }
 
 // newestToken returns the token for an order.
@@ -170,7 +173,7 @@
 		r.renewalFailed(w, token, err)
 		return err
 	}
-	w.noteLife(report.BornMS)
+	reborn := w.noteLife(report.BornMS)
 	w.noteClock(report.ClockMS, now)
 	w.mu.Lock()
 	w.answered = true
@@ -179,6 +182,11 @@
 	r.machine.Report(w.id, report, sent, now)
 	r.mu.Unlock()
 	r.wake()
+	if reborn {
+		// The new life learns the new token at once, before an order to the
+		// life before can reach it.
+		return r.renewOnce(w, 0)
+	}
 	return nil
 }
 
