Refuse at the door what can't be served, and sooner when the store is away

Cause: under overload every job was accepted, though the work of smaller ones kept large ones from ending within three times their wanted time; with the store away submissions waited for their deadline. Change: the owner tells rate and backlog by size once a second while work waits; a host refuses what the work ahead makes worthless, with the time after which it is done. A view older than 1.4 s (2.5 before) counts as away.

--- a/dispatch/learn.go
+++ b/dispatch/learn.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/workload"
@@ -10,6 +13,20 @@
 type queueStats struct {
 	ratio float64 // run time to the submitter's estimate
 	seen  int
+	// rate is the work that ends, in core-seconds a second, and rateAt when it
+	// was brought up to date.
+	rate   float64
+	rateAt time.Duration
+}
+
+// rateSpan is over which the rate of ended work is averaged. Source: some runs
+// of every kind end within it; a burst takes 4 s and more.
+const rateSpan = 4 * time.Second
+
+// decay brings the rate up to date.
+func (q *queueStats) decay(now time.Duration) {
+	q.rate *= math.Exp(-float64(now-q.rateAt) / float64(rateSpan))
+	q.rateAt = now
 }
 
 const (
@@ -23,14 +40,16 @@
 // learn takes in the run time of a run that is done.
 func (m *Machine) learn(r *run, e workload.Ended, now time.Duration) {
 	s := r.task.step
-	if e.How != workload.EndDone || s.Serving || s.EstimateMS <= 0 || r.confirmed == 0 || e.Checkpoint != "" {
+	if e.How != workload.EndDone || s.Serving || s.EstimateMS <= 0 || r.confirmed == 0 {
 		return
 	}
 	q, ok := m.queues[r.task.job.Queue]
 	if !ok {
-		q = &queueStats{ratio: 1}
+		q = &queueStats{ratio: 1, rateAt: now}
 		m.queues[r.task.job.Queue] = q
 	}
+	q.decay(now)
+	q.rate += float64(s.Need.MilliCores) / 1000 * (now - r.ordered).Seconds() / rateSpan.Seconds()
 	ratio := min(max(float64(now-r.ordered)/float64(s.Estimate()), ratioMin), ratioMax)
 	q.seen++
 	q.ratio += max(ratioWeight, 1/float64(q.seen)) * (ratio - q.ratio)
@@ -44,3 +63,51 @@
 	}
 	return time.Duration(ratio * float64(s.Estimate()))
 }
+
+// backlogPoints bounds the sizes told of one queue.
+const backlogPoints = 8
+
+// Waiting tells, for each queue in which work waits, the rate at which work
+// ends and the waiting work by size of job.
+func (m *Machine) Waiting(now time.Duration) map[string]QueueBacklog {
+	sizes := make(map[string][]float64)
+	for _, j := range m.jobs {
+		if !j.state.Final() && !j.Serves() && j.hasWaiting() && j.key < lostKey {
+			sizes[j.Queue] = append(sizes[j.Queue], m.restWork(j))
+		}
+	}
+	loads := make(map[string]QueueBacklog, len(sizes))
+	for queue, list := range sizes {
+		q, ok := m.queues[queue]
+		if !ok {
+			continue
+		}
+		q.decay(now)
+		loads[queue] = QueueBacklog{Rate: q.rate, Ratio: q.ratio, Sizes: cumulate(list)}
+	}
+	return loads
+}
+
+// QueueBacklog is the waiting work of one queue.
+type QueueBacklog struct {
+	Rate  float64 // core-seconds a second that end
+	Ratio float64 // run time to the submitters' estimates
+	Sizes []SizeBacklog
+}
+
+// SizeBacklog is the work, in core-seconds, of waiting jobs up to a size.
+type SizeBacklog struct{ Size, Work float64 }
+
+// cumulate sums sizes up at up to backlogPoints of them.
+func cumulate(sizes []float64) []SizeBacklog {
+	slices.SortFunc(sizes, cmp.Compare[float64])
+	var points []SizeBacklog
+	sum := 0.0
+	for i, size := range sizes {
+		sum += size
+		if (i+1)*backlogPoints/len(sizes) > i*backlogPoints/len(sizes) {
+			points = append(points, SizeBacklog{size, sum})
+		}
+	}
+	return points
+}
--- /dev/null
+++ b/intake/admit_test.go
@@ -0,0 +1,66 @@
+package intake
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/workload"
+)
+
+func TestAdmit(t *testing.T) {
+	now := time.UnixMilli(100_000)
+	queue := &workload.Queue{Name: "q", Stretch: 2, Objective: time.Second}
+	// 200 core-seconds of small jobs and 2,000 of large ones wait; 20 end a second.
+	load := Load{AtMS: now.UnixMilli(), Queues: map[string]QueueLoad{"q": {
+		Rate: 20, Ratio: 1, Ahead: []Backlog{{Size: 10, Work: 200}, {Size: 100, Work: 2000}},
+	}}}
+	job := func(tasks int, serving bool) *workload.Job {
+		return &workload.Job{Queue: "q", Steps: []workload.Step{{Count: tasks, Need: fleet.Resources{MilliCores: 1000}, EstimateMS: 2000, Serving: serving}}}
+	}
+	tests := []struct {
+		name  string
+		job   *workload.Job
+		queue *workload.Queue
+		load  Load
+		retry time.Duration // 0: admitted
+	}{
+		{"smaller than all that waits", job(4, false), queue, load, 0},
+		{"behind the small ones: 10 s of 15", job(20, false), queue, load, 0},
+		{"behind the large ones: 100 s", job(60, false), queue, load, retryMost},
+		{"as large, but it serves", job(60, true), queue, load, 0},
+		{"an old load", job(60, false), queue, Load{AtMS: now.UnixMilli() - 4000, Queues: load.Queues}, 0},
+		{"nothing ends, so nothing is known", job(60, false), queue, Load{AtMS: now.UnixMilli(), Queues: map[string]QueueLoad{"q": {Ahead: load.Queues["q"].Ahead}}}, 0},
+		{"another queue", job(60, false), &workload.Queue{Name: "other"}, load, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			refused := Admit(test.queue, test.job, test.load, now)
+			switch {
+			case test.retry == 0 && refused != nil:
+				t.Fatalf("refused: %v", refused)
+			case test.retry > 0 && (refused == nil || refused.RetryAfter != test.retry):
+				t.Fatalf("refused %+v, want after %v", refused, test.retry)
+			}
+		})
+	}
+}
+
+// A caller that comes back after Retry-After meets a shorter line: the times
+// told add up to the work ahead.
+func TestRetryAfterIsHonest(t *testing.T) {
+	now := time.UnixMilli(100_000)
+	queue := &workload.Queue{Name: "q", Stretch: 1, Objective: 0}
+	job := &workload.Job{Queue: "q", Steps: []workload.Step{{Count: 100, Need: fleet.Resources{MilliCores: 1000}, EstimateMS: 1000}}}
+	ahead := 100.0
+	for range 20 {
+		load := Load{AtMS: now.UnixMilli(), Queues: map[string]QueueLoad{"q": {Rate: 10, Ratio: 1, Ahead: []Backlog{{Size: 1, Work: ahead}}}}}
+		refused := Admit(queue, job, load, now)
+		if refused == nil {
+			return
+		}
+		ahead = max(0, ahead-10*refused.RetryAfter.Seconds())
+		now = now.Add(refused.RetryAfter)
+	}
+	t.Fatal("refused for ever while the line drains")
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"sync"
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
@@ -27,8 +26,9 @@
 	// commitsInFlight bounds the transactions on their way. Source: a slow
 	// store takes 240 ms a call; ten of them carry 400 submissions a second.
 	commitsInFlight = 10
-	// viewAge is how old the host's view may be to answer from it.
-	viewAge = 2500 * time.Millisecond
+	// viewAge is how old the host's view may be while the store is taken to be
+	// there. Source: a poll takes 0.8 s, and on a slow store 0.24 s more.
+	viewAge = 1400 * time.Millisecond
 	// casTries bounds the tries of a change against others.
 	casTries = 5
 )
@@ -59,9 +59,6 @@
 	store  store.Transactional
 	shared *mirror.Mirror
 	queue  chan *submission
-
-	mu      sync.Mutex
-	trouble time.Duration // when a commit failed last
 }
 
 type submission struct {
@@ -176,10 +173,8 @@
 	switch {
 	case err == nil:
 	case errors.As(err, &unavailable):
-		in.noteTrouble()
 		err = &RefusedError{Reason: "the store is unavailable", RetryAfter: time.Second}
 	default:
-		in.noteTrouble()
 		err = &UnknownError{Cause: err}
 	}
 	for _, s := range batch {
@@ -187,10 +182,15 @@
 	}
 }
 
-func (in *Intake) noteTrouble() {
-	in.mu.Lock()
-	in.trouble = steady.Now()
-	in.mu.Unlock()
+// Known reports whether a job may have been accepted before, by any host.
+func (in *Intake) Known(id fleet.JobID) bool {
+	key := StatePrefix + string(id)
+	if _, ok := in.shared.Get(key); ok {
+		return true
+	}
+	_, err := in.store.Get(key)
+	var missing *store.NotFoundError
+	return !errors.As(err, &missing)
 }
 
 // StoreAway reports whether the store has not answered for so long that a
--- a/intake/record.go
+++ b/intake/record.go
@@ -50,17 +50,3 @@
 	id, ok := strings.CutPrefix(key, StatePrefix)
 	return fleet.JobID(id), ok
 }
-
-// Load tells all hosts how much work waits, so that they can refuse what
-// can't be served.
-type Load struct {
-	AtMS   int64                `json:"at"`
-	Queues map[string]QueueLoad `json:"q"`
-}
-
-// QueueLoad is the load of one queue.
-type QueueLoad struct {
-	WaitMS int64   `json:"w"` // expected wait of a job that is accepted now
-	Closed bool    `json:"c,omitempty"`
-	Share  float64 `json:"s,omitempty"` // of new jobs that can be served
-}
--- a/node/node.go
+++ b/node/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -59,6 +60,7 @@
 	intake   *intake.Intake
 	owner    *owner.Owner
 	config   atomic.Pointer[configInForce]
+	load     atomic.Pointer[intake.Load]
 	draining atomic.Bool
 }
 
@@ -254,7 +256,19 @@
 	}
 }
 
-func (n *Node) sharedChanged(e store.Event) { n.owner.SharedChanged(e) }
+// sharedChanged takes in the load, and lets the owner have its changes.
+func (n *Node) sharedChanged(e store.Event) {
+	if e.Key == intake.LoadKey {
+		var load intake.Load
+		if err := json.Unmarshal(e.Value, &load); err != nil {
+			n.logger.Event("load_unreadable", "revision", e.Revision, "err", err)
+			return
+		}
+		n.load.Store(&load)
+		return
+	}
+	n.owner.SharedChanged(e)
+}
 
 // Config implements platform.Jobs.
 func (n *Node) Config() *workload.Config {
@@ -266,10 +280,15 @@
 }
 
 // Submit implements platform.Jobs.
-func (n *Node) Submit(ctx context.Context, _ *workload.Queue, job *workload.Job) error {
+func (n *Node) Submit(ctx context.Context, q *workload.Queue, job *workload.Job) error {
 	if n.intake.StoreAway() {
 		return &intake.RefusedError{Reason: "no contact with the store", RetryAfter: time.Second}
 	}
+	if load := n.load.Load(); load != nil {
+		if refused := intake.Admit(q, job, *load, time.Now()); refused != nil && !n.intake.Known(job.ID) {
+			return refused
+		}
+	}
 	return n.intake.Submit(ctx, job)
 }
 
