--- a/cmd/fuchsiahill/main.go
+++ b/cmd/fuchsiahill/main.go
@@ -17,7 +17,7 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := command.Run(ctx, command.New(version, dev.Command(), soak.Command()), os.Args)
+	code := command.Run(ctx, command.New(version, dev.Command(), soak.Command(), command.ExplainJobCommand(), command.CheckSettingsCommand()), os.Args)
 	stop()
 	os.Exit(code)
 }
--- a/command/errors.go
+++ b/command/errors.go
@@ -8,6 +8,7 @@
 	"github.com/fuchsiahill/fuchsiahill/auth"
 	"github.com/fuchsiahill/fuchsiahill/config"
 	"github.com/fuchsiahill/fuchsiahill/job"
+	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 	"github.com/fuchsiahill/fuchsiahill/store"
 )
@@ -107,8 +108,14 @@
 		change     *UnknownChangeError
 		submission *UnknownSubmissionError
 		invalid    *settings.InvalidError
+		missing    *NotFoundError
+		provided   *platform.SettingsError
 	)
 	switch {
+	case errors.As(err, &missing):
+		return failure{missing, ExitNotFound}, true
+	case errors.As(err, &provided):
+		return failure{provided, ExitUsage}, true
 	case errors.As(err, &change):
 		return failure{change, ExitUnknown}, true
 	case errors.As(err, &submission):
