--- /dev/null
+++ b/dispatch/seed_test.go
@@ -0,0 +1,3 @@
+package dispatch
+
+import _ "github.com/fuchsiahill/fuchsiahill/internal/fixedseed"
