--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -58,7 +58,9 @@
 	progRev  store.Revision
 	ended    map[workload.TaskName]bool // done, as the worker saw it
 	noted    map[workload.TaskName]bool // done, and forgotten by the worker
-	failed   map[workload.TaskName]int
+	failed   map[workload.TaskName]int  // taken note of
+	failing  map[workload.TaskName]int
+	failures int // of the task that failed most
 }
 
 type delayedOrder struct {
@@ -125,6 +127,7 @@
 	j := &modelJob{
 		job: workload.Job{ID: id, Queue: testQueue, Steps: steps}, state: workload.StateQueued, stateRev: w.rev,
 		ended: make(map[workload.TaskName]bool), noted: make(map[workload.TaskName]bool), failed: make(map[workload.TaskName]int),
+		failing: make(map[workload.TaskName]int),
 	}
 	w.jobs[id] = j
 	w.m.AddJob(&j.job, j.state, j.stateRev, workload.Progress{}, w.now, false)
@@ -175,11 +178,20 @@
 	x.highest[n] = max(x.highest[n], r.number)
 	x.number++
 	x.ended = append(x.ended, workload.Ended{Number: x.number, Task: n, Run: r.number, How: how})
-	if how == workload.EndDone {
+	switch how {
+	case workload.EndDone:
 		w.jobs[n.Job].ended[n] = true
+	case workload.EndFailed:
+		w.jobs[n.Job].failures = max(w.jobs[n.Job].failures, w.jobs[n.Job].countFailure(n))
 	}
 }
 
+// countFailure counts the failed runs of a task, taken note of or not.
+func (j *modelJob) countFailure(n workload.TaskName) int {
+	j.failing[n]++
+	return j.failing[n]
+}
+
 // tokenFor is the owner's token for a worker's present life, as it knows it.
 func (w *world) tokenFor(x *modelWorker) int { return w.term*1000 + int(x.born) }
 
@@ -276,7 +288,7 @@
 		w.judge(x, o)
 		x.runs[o.Task] = modelRun{
 			number: o.Run, ends: w.now + time.Duration(rapid.IntRange(100, 1500).Draw(w.T, "run ms"))*time.Millisecond,
-			fails: rapid.IntRange(0, 9).Draw(w.T, "fails") == 0,
+			fails: rapid.IntRange(0, 3).Draw(w.T, "fails") == 0,
 		}
 	}
 	return true
@@ -355,6 +367,9 @@
 	w.rev++
 	for _, wr := range writes {
 		j := w.jobs[wr.Job]
+		if wr.StateChanged && wr.State == workload.StateFailed && j.failures < 3 {
+			w.Fatalf("LOST: %s is shown as failed after %d failures", wr.Job, j.failures)
+		}
 		if wr.StateChanged {
 			j.state, j.stateRev = wr.State, w.rev
 		}
@@ -375,6 +390,11 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"step":   func(*rapid.T) { w.step() },
 			"step 2": func(*rapid.T) { w.step(); w.commit() },
+			"wait": func(*rapid.T) {
+				for range 6 {
+					w.step()
+				}
+			},
 			"submit": func(*rapid.T) { w.submit() },
 			"commit": func(*rapid.T) { w.commit() },
 			"crash": func(*rapid.T) {
