Notice slow workers by comparing runs with their siblings

Cause: workers five times as slow kept getting work and kept their runs; a job of 16 tasks nearly always met one. Ruled out: run times against estimates (these are off by half and more). Change: a run's rate of progress is held against the median of its step's other runs, ended ones included; a slow worker takes nothing new and its runs move where that gains.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -48,6 +48,8 @@
 	waiting int // tasks that are neither done nor have a run
 	gangRun int // highest run of the gang
 	perNode map[fleet.WorkerID]int
+	// doneRates are the rates, in percent a second, of runs that ended done.
+	doneRates []float64
 }
 
 // task is one task.
@@ -91,6 +93,9 @@
 	firstPercent           int
 	firstPercentAt         time.Duration
 	gauge                  int64
+	rate                   float64 // of progress lately, in percent a second
+	markPercent            int     // progress at markAt, from where rate is taken
+	markAt                 time.Duration
 	listedBy               int64 // the worker's report that listed it last
 	pace                   int
 	heldAt                 time.Duration // since when it is held back; 0: it is not
--- a/dispatch/learn.go
+++ b/dispatch/learn.go
@@ -50,6 +50,9 @@
 	}
 	q.decay(now)
 	q.rate += float64(s.Need.MilliCores) / 1000 * (now - r.ordered).Seconds() / rateSpan.Seconds()
+	if r.task.checkpoint == "" || !s.Checkpoints {
+		r.task.step.doneRates = append(r.task.step.doneRates, 100/max(now-r.ordered, time.Millisecond).Seconds())
+	}
 	ratio := min(max(float64(now-r.ordered)/float64(s.Estimate()), ratioMin), ratioMax)
 	q.seen++
 	q.ratio += max(ratioWeight, 1/float64(q.seen)) * (ratio - q.ratio)
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -86,6 +86,7 @@
 	queues       map[string]*queueStats
 	interference *interference
 	work         []beside         // reused by control
+	rates        []float64        // reused by siblingRate
 	dropped      []fleet.WorkerID // stored workers to forget
 	orders       []Order
 	events       []Event
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -35,13 +35,17 @@
 	marks     []endMark
 	// closedUntil is when it may take work again, after a refusal or failures.
 	closedUntil time.Duration
-	strikes     int // failures in a row, of different jobs
-	struckBy    fleet.JobID
-	struckAt    time.Duration
-	paceAt      time.Duration // when paces were changed last
-	learnedAt   time.Duration // when tails were learned from last
-	alarmAt     time.Duration // when a tail was too long last
-	shared      sharedRoom
+	// speed compares its runs with their siblings elsewhere; 1 is alike.
+	speed     float64
+	speedSeen int
+	speedAt   time.Duration
+	strikes   int // failures in a row, of different jobs
+	struckBy  fleet.JobID
+	struckAt  time.Duration
+	paceAt    time.Duration // when paces were changed last
+	learnedAt time.Duration // when tails were learned from last
+	alarmAt   time.Duration // when a tail was too long last
+	shared    sharedRoom
 }
 
 // endMark is an end that is forgotten on the worker once its job's version is
@@ -284,6 +288,9 @@
 	if rep.Checkpoint != "" {
 		r.task.checkpoint = rep.Checkpoint
 	}
+	if r.noteRate(rep.Percent, now) {
+		m.compare(r, now)
+	}
 }
 
 // adopt takes over a run that this owner has not started, or stops it.
