--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -21,6 +21,9 @@
 	// gatherPause follows a poll with changes, so that the next brings several:
 	// each poll is a priced call. Source: a fifth of the shortest objective.
 	gatherPause = 50 * time.Millisecond
+	// manyEvents is how many changes make the next poll follow at once: more
+	// are waiting. Source: half of what a page of the store holds.
+	manyEvents = 200
 	// retryPause follows a poll that failed, doubled with each further one:
 	// refused calls are priced too. Source: retryMost is a fifth of the 2 s in
 	// which a configuration comes in force.
@@ -92,7 +95,7 @@
 			if err == nil {
 				m.take(events)
 				after = max(after, rev)
-				if len(events) > 0 && wait.For(ctx, gatherPause) != nil {
+				if len(events) > 0 && len(events) < manyEvents && wait.For(ctx, gatherPause) != nil {
 					break
 				}
 			}
--- a/owner/reign.go
+++ b/owner/reign.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"reflect"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -61,7 +62,9 @@
 	machine *dispatch.Machine
 	workers map[fleet.WorkerID]*workerLoop
 	bodies  map[fleet.JobID]bool
-	records map[fleet.JobID]store.Event // states that came before their submission
+	// entries are the workers' entries as the machine knows them; only the
+	// load and then the mirror of entries use it.
+	entries map[fleet.WorkerID]workload.Worker
 }
 
 func newReign(o *Owner, term int, revision store.Revision, lease store.LeaseID, sent time.Duration) *reign {
@@ -78,7 +81,7 @@
 	r := &reign{
 		owner: o, deps: o.deps, term: term, revision: revision, lease: lease, kick: make(chan struct{}, 1),
 		machine: dispatch.New(limits, term, steady.Now()),
-		workers: make(map[fleet.WorkerID]*workerLoop), bodies: make(map[fleet.JobID]bool), records: make(map[fleet.JobID]store.Event),
+		workers: make(map[fleet.WorkerID]*workerLoop), bodies: make(map[fleet.JobID]bool), entries: make(map[fleet.WorkerID]workload.Worker),
 	}
 	r.authorityEnd.Store(int64(sent + ownerTTL))
 	r.reason.Store("unknown")
@@ -359,17 +362,18 @@
 	r.wake()
 }
 
-// workerChanged takes in a change of a worker's entry.
+// workerChanged takes in a change of a worker's entry. Entries change with
+// every beat; only what matters to the machine is passed on.
 func (r *reign) workerChanged(e store.Event) {
 	id, ok := platform.WorkerOfKey(e.Key)
 	if !ok {
 		return
 	}
-	now := steady.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	if e.Deleted {
-		r.machine.WorkerGone(id, now)
+		delete(r.entries, id)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.machine.WorkerGone(id, steady.Now())
 		return
 	}
 	info, err := platform.DecodeWorker(id, e.Value)
@@ -377,7 +381,13 @@
 		r.deps.Log("worker_entry_unreadable", "worker", id, "revision", e.Revision, "err", err)
 		return
 	}
-	r.machine.SetWorker(info, now)
+	if known, ok := r.entries[id]; ok && reflect.DeepEqual(known, info) {
+		return
+	}
+	r.entries[id] = info
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.machine.SetWorker(info, steady.Now())
 }
 
 func (r *reign) wake() {
