--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -50,6 +50,7 @@
 	perNode map[fleet.WorkerID]int
 	// doneRates are the rates, in percent a second, of runs that ended done.
 	doneRates []float64
+	tickets   tickets // of a queue with advice
 }
 
 // task is one task.
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -23,6 +23,7 @@
 	RestoreTime time.Duration
 	FarFactor   float64 // of run time away from the data's rack
 	Notice      time.Duration
+	Turn        time.Duration // within which two owners may not order machines by turns
 }
 
 // OrderKind says what an order asks for.
@@ -44,6 +45,7 @@
 	Run        int
 	Payload    string
 	Checkpoint string
+	Ticket     string // of a queue with advice
 	Percent    int    // of OrderPace
 	Reason     string // for the log
 }
@@ -91,6 +93,9 @@
 	orders       []Order
 	events       []Event
 	superseded   bool
+	upkeep       upkeep
+	upkeepOrders []UpkeepOrder
+	questions    []Question
 	// started is when this owner began; a run of a former owner that no
 	// worker has shown may exist until former.
 	started time.Duration
@@ -113,7 +118,7 @@
 		limits: limits, term: term, started: now, former: now + leaseBound(limits.LeaseMax),
 		order: leastWork, config: &workload.Config{}, out: make(map[fleet.DataCentre]bool),
 		workers: make(map[fleet.WorkerID]*worker), jobs: make(map[fleet.JobID]*job), queues: make(map[string]*queueStats),
-		interference: newInterference(),
+		interference: newInterference(), upkeep: upkeep{quietUntil: now + limits.Turn},
 	}
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -23,6 +23,8 @@
 	// missed is the least need, in millicores, of each filling image that
 	// found no worker in this plan.
 	missed map[string]int64
+	// advised is set while tasks need a ticket.
+	advised bool
 }
 
 type placementClass struct {
@@ -43,7 +45,7 @@
 
 // mayStart reports whether new work may go to a worker.
 func (m *Machine) mayStart(w *worker, now time.Duration) bool {
-	return w.listed && w.adopted && w.leased && w.strangers == 0 && !w.Draining && !m.out[w.DataCentre] && now >= w.closedUntil && now-w.reported < silentFor
+	return w.listed && w.adopted && w.leased && w.strangers == 0 && !w.upkeep && !w.Draining && !m.out[w.DataCentre] && now >= w.closedUntil && now-w.reported < silentFor
 }
 
 // silentFor is after which a worker that has not reported gets no new work.
@@ -55,7 +57,7 @@
 func (r *room) place(t *task, service fleet.Service, taken map[fleet.WorkerID]int) *worker {
 	s := t.step
 	class := placementClass{s.Need, s.Filling, service}
-	plain := s.PerWorker == 0 && s.Label == "" && t.avoid == ""
+	plain := s.PerWorker == 0 && s.Label == "" && t.avoid == "" && !r.advised
 	if plain && r.full[class] {
 		return nil
 	}
@@ -101,6 +103,9 @@
 	if s.Label != "" && !slices.Contains(w.Labels, s.Label) {
 		return false
 	}
+	if _, ok := s.ticketFor(w.ID, r.now); r.advised && !ok {
+		return false
+	}
 	return s.PerWorker == 0 || s.perNode[w.ID]+taken[w.ID] < s.PerWorker
 }
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -25,6 +25,7 @@
 	m.expire(now)
 	m.sendStops(now)
 	m.watchProgress(now)
+	m.planUpkeep(now)
 	room := m.newRoom(now)
 	starts := 0
 	for _, j := range m.line(now, unixMS) {
@@ -185,6 +186,10 @@
 			if s.waiting == 0 || !o.ready(s) {
 				continue
 			}
+			if ok && q.Advice != nil {
+				m.ask(j, s, service, room, now)
+			}
+			room.advised = ok && q.Advice != nil
 			if s.Gang {
 				started += m.startGang(s, service, room, now)
 				continue
@@ -272,9 +277,10 @@
 
 func (m *Machine) start(t *task, w *worker, number int, now time.Duration) {
 	waited := now - t.waitsFrom
+	ticketText, _ := t.step.ticketFor(w.ID, now)
 	m.attach(t, w, number, now)
 	m.orders = append(m.orders, Order{
-		Kind: OrderStart, Worker: w.ID, Task: t.name, Run: number, Payload: t.job.Payload, Checkpoint: t.checkpoint,
+		Kind: OrderStart, Worker: w.ID, Task: t.name, Run: number, Payload: t.job.Payload, Checkpoint: t.checkpoint, Ticket: ticketText,
 	})
 	m.event("run_started", t.job.ID, "task", t.name, "run", number, "worker", w.ID, "waited", waited, "report_age", now-w.reported)
 }
--- a/dispatch/slow.go
+++ b/dispatch/slow.go
@@ -90,12 +90,12 @@
 	}
 	w.close(now, slowPause)
 	for _, o := range w.runs {
-		m.moveOff(o, now)
+		m.moveOff(o)
 	}
 }
 
 // moveOff stops a batch run on a slow worker if it would end sooner elsewhere.
-func (m *Machine) moveOff(r *run, now time.Duration) {
+func (m *Machine) moveOff(r *run) {
 	s := r.task.step
 	if s.Serving || s.Gang || r.state != runRunning || r.rate <= 0 || r.pace != fullPace {
 		return
--- /dev/null
+++ b/dispatch/upkeep_test.go
@@ -0,0 +1,106 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/workload"
+)
+
+func machineOf(id fleet.WorkerID) workload.Machine {
+	return workload.Machine{ID: "m-" + string(id), State: workload.MachineUp, Worker: id}
+}
+
+// reportAll lets each worker report what the starts have brought it; serving
+// tasks are at work.
+func (r *rig) reportAll(starts []Order, stopped map[workload.TaskName]bool) {
+	for _, w := range r.m.list {
+		rep := workload.Report{}
+		for _, o := range starts {
+			switch {
+			case o.Worker != w.ID:
+			case stopped[o.Task]:
+				rep.Ended = append(rep.Ended, r.ended(o, workload.EndStopped))
+			default:
+				rep.Running = append(rep.Running, workload.Running{Task: o.Task, Run: o.Run, Percent: 100})
+			}
+		}
+		r.report(w.ID, rep)
+	}
+}
+
+// One machine of three at a time, and one serving task of a step away at a
+// time, though two of its tasks stand on the machine.
+func TestWaveKeepsCapAndServingTasks(t *testing.T) {
+	r := newRig(t, "w1", "w2", "w3")
+	serving := cpuStep(2, 500)
+	serving.Serving, serving.MayMiss = true, 1
+	r.job("a", serving)
+	starts := r.starts()
+	if len(starts) != 2 || starts[0].Worker != starts[1].Worker {
+		t.Fatalf("starts %v, want both tasks gathered on one worker", starts)
+	}
+	busy := starts[0].Worker
+	r.reportAll(starts, nil)
+	r.m.SetMachines([]workload.Machine{machineOf("w1"), machineOf("w2"), machineOf("w3")})
+	r.m.SetWave(workload.Wave{Number: 1, Machines: []string{"m-" + string(busy)}, Cap: 1}, WaveRecord{})
+	r.now += time.Second
+	var stops []Order
+	for range 3 {
+		r.m.Plan(r.now, 0)
+		for _, o := range r.m.TakeOrders() {
+			if o.Kind == OrderStop {
+				stops = append(stops, o)
+			}
+		}
+	}
+	if len(stops) != 1 {
+		t.Fatalf("stops %v, want one serving task away", stops)
+	}
+	if orders := r.m.TakeUpkeepOrders(); len(orders) != 0 {
+		t.Fatalf("upkeep %v of a machine with serving tasks", orders)
+	}
+}
+
+func TestWaveOrdersEmptyMachinesWithinCap(t *testing.T) {
+	r := newRig(t, "w1", "w2", "w3")
+	list := []workload.Machine{machineOf("w1"), machineOf("w2"), machineOf("w3")}
+	r.m.SetMachines(list)
+	r.m.SetWave(workload.Wave{Number: 7, Machines: []string{"m-w1", "m-w2", "m-w3"}, Cap: 2}, WaveRecord{Begun: []string{"m-w3"}})
+	r.now += time.Second
+	r.m.Plan(r.now, 0)
+	orders := r.m.TakeUpkeepOrders()
+	if len(orders) != 2 {
+		t.Fatalf("orders %v, want two: one machine has had its upkeep", orders)
+	}
+	r.m.UpkeepAnswered(orders[0], NoAnswer)
+	r.m.UpkeepAnswered(orders[1], Accepted)
+	r.m.Plan(r.now, 0)
+	again := r.m.TakeUpkeepOrders()
+	if len(again) != 1 || again[0] != orders[0] {
+		t.Fatalf("orders %v, want the unanswered one again", again)
+	}
+	r.m.UpkeepAnswered(again[0], Accepted)
+	r.m.Plan(r.now, 0)
+	records := r.m.TakeWaveRecords()
+	if len(records) != 1 || !records[0].Completed || len(records[0].Begun) != 3 {
+		t.Fatalf("records %+v, want the wave completed with three begun", records)
+	}
+}
+
+func TestNewOwnerWaitsToOrderMachines(t *testing.T) {
+	limits := testLimits
+	limits.Turn = 3 * time.Second
+	m := New(limits, 2, 0)
+	m.SetMachines([]workload.Machine{machineOf("w1")})
+	m.SetWave(workload.Wave{Number: 1, Machines: []string{"m-w1"}, Cap: 1}, WaveRecord{})
+	m.Plan(2*time.Second, 0)
+	if orders := m.TakeUpkeepOrders(); len(orders) != 0 {
+		t.Fatalf("orders %v within the former owner's turn", orders)
+	}
+	m.Plan(4*time.Second, 0)
+	if orders := m.TakeUpkeepOrders(); len(orders) != 1 {
+		t.Fatalf("orders %v after the former owner's turn, want one", orders)
+	}
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -17,6 +17,7 @@
 	storing bool // a write of that is on its way
 	adopted bool // has reported to this owner
 	leased  bool // has a lease of this owner's
+	upkeep  bool // is being emptied, as its machine is to be taken down
 	// strangers are runs of unknown size that it lists: of jobs that have
 	// ended, on their way to be stopped.
 	strangers int
@@ -145,6 +146,7 @@
 // A start that got no answer may still reach the new life.
 func (m *Machine) newLife(w *worker, born int64, now time.Duration) {
 	m.event("worker_reborn", "", "worker", w.ID, "born_ms", born, "runs", len(w.runs))
+	w.upkeep = false
 	w.born, w.processed, w.seen, w.marks, w.leased, w.strangers = born, 0, 0, nil, false, 0
 	for _, r := range slices.Clone(w.runs) {
 		if r.state == runOrdered || r.state == runUnresolved {
--- a/intake/record.go
+++ b/intake/record.go
@@ -18,6 +18,7 @@
 	TermKey        = "t"  // number of the newest owner
 	BodyPrefix     = "s/" // submission of each job that has not ended
 	ProgressPrefix = "p/" // of the tasks of each job that has not ended
+	WavePrefix     = "u/" // what has been done of each wave of upkeep
 	WorkerPrefix   = "w/" // workers that the owner has known, as workload.Worker
 )
 
--- a/owner/election.go
+++ b/owner/election.go
@@ -184,8 +184,7 @@
 
 func (o *Owner) lastTerm() (int, store.Revision, error) {
 	e, err := o.deps.Store.Get(intake.TermKey)
-	var missing *store.NotFoundError
-	if errors.As(err, &missing) {
+	if isMissing(err) {
 		return 0, 0, nil
 	}
 	if err != nil {
@@ -198,6 +197,12 @@
 	return c.Term, e.Revision, nil
 }
 
+// isMissing reports whether an error tells that a key does not exist.
+func isMissing(err error) bool {
+	var missing *store.NotFoundError
+	return errors.As(err, &missing)
+}
+
 // resolve finds out whether a claim without an answer was written.
 func (o *Owner) resolve(err error, value string) (store.Revision, error) {
 	var unknown *store.UnknownOutcomeError
--- a/owner/orders.go
+++ b/owner/orders.go
@@ -242,7 +242,7 @@
 			return
 		}
 		clockMS, err = w.client.Start(platform.Start{
-			Task: o.Task, Run: o.Run, Payload: o.Payload, DeadlineMS: deadline, Token: token, Checkpoint: o.Checkpoint,
+			Task: o.Task, Run: o.Run, Payload: o.Payload, DeadlineMS: deadline, Token: token, Checkpoint: o.Checkpoint, Ticket: o.Ticket,
 		})
 		r.deps.Metrics.Observe("start", steady.Now()-now)
 	case dispatch.OrderStop:
--- a/owner/reign.go
+++ b/owner/reign.go
@@ -65,6 +65,9 @@
 	// entries are the workers' entries as the machine knows them; only the
 	// load and then the mirror of entries use it.
 	entries map[fleet.WorkerID]workload.Worker
+	// wavesSeen are the revisions of the waves taken in; only the loop of
+	// waves uses it.
+	wavesSeen map[string]store.Revision
 }
 
 func newReign(o *Owner, term int, revision store.Revision, lease store.LeaseID, sent time.Duration) *reign {
@@ -77,11 +80,12 @@
 		RestoreTime: h.RestoreTime,
 		FarFactor:   h.FarFactor,
 		Notice:      h.Notice,
+		Turn:        h.LeaseOverlap,
 	}
 	r := &reign{
 		owner: o, deps: o.deps, term: term, revision: revision, lease: lease, kick: make(chan struct{}, 1),
 		machine: dispatch.New(limits, term, steady.Now()),
-		workers: make(map[fleet.WorkerID]*workerLoop), bodies: make(map[fleet.JobID]bool), entries: make(map[fleet.WorkerID]workload.Worker),
+		workers: make(map[fleet.WorkerID]*workerLoop), bodies: make(map[fleet.JobID]bool), entries: make(map[fleet.WorkerID]workload.Worker), wavesSeen: make(map[string]store.Revision),
 	}
 	r.authorityEnd.Store(int64(sent + ownerTTL))
 	r.reason.Store("unknown")
@@ -147,6 +151,8 @@
 	group.Go(func() { r.planLoop(ctx) })
 	group.Go(func() { r.commitLoop(ctx) })
 	group.Go(func() { r.tellLoop(ctx) })
+	group.Go(func() { r.waveLoop(ctx) })
+	group.Go(func() { r.adviceLoop(ctx) })
 	group.Wait()
 }
 
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -242,3 +242,30 @@
 	// Worker has the newest run, if that has not ended.
 	Worker fleet.WorkerID `json:"w,omitempty"`
 }
+
+// MachineState is what a machine does.
+type MachineState string
+
+// States of a machine.
+const (
+	MachineUp     MachineState = "up"
+	MachineMoving MachineState = "moving"
+	MachineUpkeep MachineState = "upkeep"
+	MachineDown   MachineState = "down"
+)
+
+// Machine is what a worker is one life of.
+type Machine struct {
+	ID     string
+	Pool   fleet.Service
+	State  MachineState
+	Worker fleet.WorkerID // its present life
+}
+
+// Wave asks for the upkeep of machines.
+type Wave struct {
+	Number   int64
+	Machines []string
+	Duration time.Duration // in which all should have had it
+	Cap      int           // machines down at once
+}
