--- a/dispatch/upkeep.go
+++ b/dispatch/upkeep.go
@@ -84,11 +84,11 @@
 		if w.completed {
 			continue
 		}
-		m.advance(w, now)
+		m.advance(w)
 	}
 }
 
-func (m *Machine) advance(w *waveState, now time.Duration) {
+func (m *Machine) advance(w *waveState) {
 	down := 0
 	left := 0
 	for _, id := range w.Machines {
@@ -119,7 +119,7 @@
 			w.emptying[id] = true
 			down++
 		}
-		m.empty(w, x, now)
+		m.empty(w, x)
 	}
 	if left == 0 {
 		w.completed, w.changed = true, true
@@ -128,7 +128,7 @@
 }
 
 // empty moves what runs off a machine, and orders its upkeep once it is empty.
-func (m *Machine) empty(w *waveState, x workload.Machine, now time.Duration) {
+func (m *Machine) empty(w *waveState, x workload.Machine) {
 	if _, ok := w.ordered[x.ID]; ok {
 		return
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -18,9 +18,6 @@
 	// connection must be found out, by pollWait and the client's margin,
 	// within the 2 s in which a configuration comes in force.
 	pollWait = 800 * time.Millisecond
-	// gatherPause follows a poll with changes, so that the next brings several:
-	// each poll is a priced call. Source: a fifth of the shortest objective.
-	gatherPause = 50 * time.Millisecond
 	// manyEvents is how many changes make the next poll follow at once: more
 	// are waiting. Source: half of what a page of the store holds.
 	manyEvents = 200
@@ -35,6 +32,7 @@
 type Mirror struct {
 	store  store.Transactional
 	prefix string
+	gather time.Duration
 	apply  func(store.Event)
 	log    func(name string, keyvals ...any)
 
@@ -47,9 +45,10 @@
 }
 
 // New returns a mirror that tells apply of each change, in order of revision
-// for each key, from one goroutine.
-func New(s store.Transactional, prefix string, apply func(store.Event), log func(string, ...any)) *Mirror {
-	return &Mirror{store: s, prefix: prefix, apply: apply, log: log, entries: make(map[string]store.Entry), deleted: make(map[string]store.Revision)}
+// for each key, from one goroutine. After a poll with changes it waits for
+// gather, so that the next brings several: each poll is a priced call.
+func New(s store.Transactional, prefix string, gather time.Duration, apply func(store.Event), log func(string, ...any)) *Mirror {
+	return &Mirror{store: s, prefix: prefix, gather: gather, apply: apply, log: log, entries: make(map[string]store.Entry), deleted: make(map[string]store.Revision)}
 }
 
 // Get returns the copy of a key.
@@ -95,7 +94,7 @@
 			if err == nil {
 				m.take(events)
 				after = max(after, rev)
-				if len(events) > 0 && len(events) < manyEvents && wait.For(ctx, gatherPause) != nil {
+				if len(events) > 0 && len(events) < manyEvents && wait.For(ctx, m.gather) != nil {
 					break
 				}
 			}
--- a/node/node.go
+++ b/node/node.go
@@ -45,6 +45,11 @@
 	drainQuiet = 1500 * time.Millisecond
 	// readyFresh is how old a host's view of the store may be for new callers.
 	readyFresh = 2500 * time.Millisecond
+	// gatherOperator and gatherShared are how long changes of the operators
+	// and of jobs' states gather. Source: a fortieth of the 2 s of a
+	// configuration; less than half of the shortest objective, 250 ms.
+	gatherOperator = 50 * time.Millisecond
+	gatherShared   = 100 * time.Millisecond
 	// headerTimeout and idleTimeout hold until a configuration is known.
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 15 * time.Second
@@ -86,8 +91,8 @@
 func New(s *platform.Settings, out io.Writer) *Node {
 	n := &Node{settings: s, logger: oplog.New(out, "host", s.Host), metrics: owner.NewMetrics()}
 	client := platform.NewStore(s.StoreAddress)
-	n.operator = mirror.New(client, platform.OperatorPrefix, n.operatorChanged, n.logger.Event)
-	n.shared = mirror.New(client, intake.SharedPrefix, n.sharedChanged, n.logger.Event)
+	n.operator = mirror.New(client, platform.OperatorPrefix, gatherOperator, n.operatorChanged, n.logger.Event)
+	n.shared = mirror.New(client, intake.SharedPrefix, gatherShared, n.sharedChanged, n.logger.Event)
 	n.intake = intake.New(client, n.shared)
 	n.owner = owner.New(owner.Deps{Host: s, Store: client, Shared: n.shared, Operator: n.operator, Log: n.logger.Event, Metrics: n.metrics})
 	return n
--- a/owner/commit_test.go
+++ b/owner/commit_test.go
@@ -27,7 +27,7 @@
 	t.Helper()
 	s := storetest.NewMemory()
 	log := func(name string, keyvals ...any) { t.Log(append([]any{name}, keyvals...)...) }
-	shared := mirror.New(s, intake.SharedPrefix, func(store.Event) {}, log)
+	shared := mirror.New(s, intake.SharedPrefix, 0, func(store.Event) {}, log)
 	o := New(Deps{Host: &platform.Settings{Host: "h1", HoldMax: 6 * time.Second}, Store: s, Shared: shared, Log: log, Metrics: NewMetrics()})
 	lease, err := s.Grant(ownerTTL)
 	if err != nil {
--- a/owner/reign.go
+++ b/owner/reign.go
@@ -34,6 +34,11 @@
 	// commitsInFlight bounds the transactions on their way, as a slow store
 	// takes 240 ms each.
 	commitsInFlight = 6
+	// gatherBodies and gatherEntries are how long changes of submissions and
+	// of workers' entries gather. Source: a tenth of the shortest objective,
+	// 250 ms, and a seventh of the 2 s in which draining is to be noticed.
+	gatherBodies  = 25 * time.Millisecond
+	gatherEntries = 300 * time.Millisecond
 	// leaseShare of the longest lease is asked for on workers, up to
 	// leaseMost: shorter ones free the tasks of a silent worker sooner, and
 	// must outlast a change of owner.
@@ -144,8 +149,8 @@
 	r.owner.current.Store(r)
 	defer r.owner.current.Store(nil)
 	r.catchUp()
-	bodies := mirror.New(r.deps.Store, intake.BodyPrefix, r.bodyChanged, r.deps.Log)
-	workers := mirror.New(r.deps.Store, platform.WorkerPrefix, r.workerChanged, r.deps.Log)
+	bodies := mirror.New(r.deps.Store, intake.BodyPrefix, gatherBodies, r.bodyChanged, r.deps.Log)
+	workers := mirror.New(r.deps.Store, platform.WorkerPrefix, gatherEntries, r.workerChanged, r.deps.Log)
 	group.Go(func() { _ = bodies.Serve(ctx) })  // ends with ctx only
 	group.Go(func() { _ = workers.Serve(ctx) }) // ends with ctx only
 	group.Go(func() { r.planLoop(ctx) })
