--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -17,7 +17,7 @@
 	ticketMargin = 200 * time.Millisecond
 	// askPause is how long a question that failed waits.
 	askPause = 300 * time.Millisecond
-	// ticketFallback holds if an answer does not say how long it is valid.
+	// ticketFallback holds if neither answer nor queue says how long it is valid.
 	ticketFallback = time.Second
 )
 
@@ -114,6 +114,9 @@
 	}
 	if valid <= 0 {
 		valid = ticketFallback
+		if c, ok := m.config.Queue(j.Queue); ok && c.Advice != nil && c.Advice.Valid > 0 {
+			valid = c.Advice.Valid
+		}
 	}
 	for id, text := range good {
 		s.tickets.valid[id] = ticket{text, now + valid - ticketMargin}
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -16,14 +16,9 @@
 
 // Limits are the bounds that the site sets.
 type Limits struct {
-	Lease       time.Duration // that we ask for on workers
-	LeaseMax    time.Duration // longest lease that any owner could have asked for
-	Early       time.Duration // how much before its time an occurrence may start
-	Checkpoint  time.Duration // of work between two checkpoints
-	RestoreTime time.Duration
-	FarFactor   float64 // of run time away from the data's rack
-	Notice      time.Duration
-	Turn        time.Duration // within which two owners may not order machines by turns
+	Lease    time.Duration // that we ask for on workers
+	LeaseMax time.Duration // longest lease that any owner could have asked for
+	Turn     time.Duration // within which two owners may not order machines by turns
 }
 
 // OrderKind says what an order asks for.
--- a/dispatch/machine_test.go
+++ b/dispatch/machine_test.go
@@ -13,7 +13,7 @@
 	testService = fleet.Service("service-1")
 )
 
-var testLimits = Limits{Lease: 4 * time.Second, LeaseMax: 4 * time.Second, Early: 250 * time.Millisecond, FarFactor: 1.5}
+var testLimits = Limits{Lease: 4 * time.Second, LeaseMax: 4 * time.Second}
 
 // later is a time at which every change is due to be written.
 const later = time.Hour
@@ -286,6 +286,27 @@
 	}
 }
 
+// A gang that is slower across racks goes to the one rack that holds it whole,
+// though a worker elsewhere is idler.
+func TestGangInOneRack(t *testing.T) {
+	r := newRig(t)
+	for id, rack := range map[fleet.WorkerID]fleet.Rack{"w1": "r-1", "w2": "r-2", "w3": "r-2"} {
+		capacity := fleet.Resources{MilliCores: 4000, MemoryMB: 8000}
+		if rack == "r-1" {
+			capacity.MilliCores = 5500
+		}
+		r.worker(id, capacity)
+		r.m.workers[id].Rack = rack
+	}
+	gang := cpuStep(2, 3000)
+	gang.Gang, gang.SameRack = true, true
+	r.job("a", gang)
+	starts := r.starts()
+	if len(starts) != 2 || starts[0].Worker == "w1" || starts[1].Worker == "w1" {
+		t.Fatalf("starts %v, want both in rack r-2", starts)
+	}
+}
+
 func TestGangStartsWhole(t *testing.T) {
 	r := newRig(t, "w1")
 	gang := cpuStep(3, 2000)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -83,6 +83,49 @@
 	return best
 }
 
+// placeAll chooses a worker for each task of a step, or nil.
+func (r *room) placeAll(s *step, service fleet.Service) []*worker {
+	var chosen []*worker
+	taken := make(map[fleet.WorkerID]int)
+	for _, t := range s.tasks {
+		w := r.place(t, service, taken)
+		if w == nil {
+			break
+		}
+		w.count(s.Step, 1)
+		taken[w.ID]++
+		chosen = append(chosen, w)
+	}
+	for _, w := range chosen {
+		w.count(s.Step, -1)
+	}
+	if len(chosen) < s.Count {
+		return nil
+	}
+	return chosen
+}
+
+// placeInOneRack chooses workers of one rack for all tasks of a step, or nil.
+func (r *room) placeInOneRack(s *step, service fleet.Service) []*worker {
+	tried := make(map[fleet.Rack]bool)
+	for _, w := range r.open {
+		if tried[w.Rack] || w.Service != service {
+			continue
+		}
+		tried[w.Rack] = true
+		rack := &room{m: r.m, now: r.now, full: make(map[placementClass]bool), missed: make(map[string]int64), advised: r.advised}
+		for _, o := range r.open {
+			if o.Rack == w.Rack {
+				rack.open = append(rack.open, o)
+			}
+		}
+		if chosen := rack.placeAll(s, service); chosen != nil {
+			return chosen
+		}
+	}
+	return nil
+}
+
 // fits reports whether a worker has the room and the properties that a task
 // needs. It answers workers that don't guard their own capacity.
 func (r *room) fits(t *task, w *worker, taken map[fleet.WorkerID]int) bool {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
-	"github.com/fuchsiahill/fuchsiahill/workload"
 )
 
 const (
@@ -233,25 +232,18 @@
 	if slices.ContainsFunc(s.tasks, func(t *task) bool { return m.mayRunElsewhere(t, now) }) {
 		return 0
 	}
-	var chosen []*worker
 	number := 0
 	for _, t := range s.tasks {
 		number = max(number, m.nextRun(t))
 	}
-	taken := make(map[fleet.WorkerID]int)
-	for _, t := range s.tasks {
-		w := room.place(t, service, taken)
-		if w == nil {
-			break
-		}
-		w.count(s.Step, 1)
-		taken[w.ID]++
-		chosen = append(chosen, w)
+	var chosen []*worker
+	if s.SameRack {
+		chosen = room.placeInOneRack(s, service)
 	}
-	for _, w := range chosen {
-		w.count(s.Step, -1)
+	if chosen == nil {
+		chosen = room.placeAll(s, service)
 	}
-	if len(chosen) < s.Count {
+	if chosen == nil {
 		return 0
 	}
 	checkpoint := ""
@@ -312,14 +304,3 @@
 		}
 	}
 }
-
-// Pending counts the jobs of a queue of which no task has started.
-func (m *Machine) Pending(queue string) int {
-	n := 0
-	for _, j := range m.jobs {
-		if j.Queue == queue && j.state == workload.StateQueued {
-			n++
-		}
-	}
-	return n
-}
--- a/owner/commit_test.go
+++ b/owner/commit_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -175,3 +176,30 @@
 		t.Fatalf("%d workers are known after the load, want %d", total, workers+1)
 	}
 }
+
+// Ended jobs are forgotten after the time they have to be known; others stay.
+func TestSweepForgetsEndedJobs(t *testing.T) {
+	r, s := testReign(t)
+	now := time.UnixMilli(1_000_000)
+	for key, record := range map[string]intake.Record{
+		"old":     {State: workload.StateCompleted, EndedMS: now.UnixMilli() - 1},
+		"recent":  {State: workload.StateFailed, EndedMS: now.UnixMilli() + 1},
+		"running": {State: workload.StateRunning},
+	} {
+		if _, err := s.Commit(store.Txn{Puts: []store.Put{{Key: intake.StatePrefix + key, Value: record.Encode()}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = r.deps.Shared.Serve(ctx) }() // ends with ctx
+	for {
+		if _, loaded := r.deps.Shared.Fresh(); loaded {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if keys := r.endedBefore(now); len(keys) != 1 || keys[0] != intake.StatePrefix+"old" {
+		t.Fatalf("to be forgotten: %v, want the old one", keys)
+	}
+}
--- a/owner/election.go
+++ b/owner/election.go
@@ -109,9 +109,6 @@
 	}
 }
 
-// Owns reports whether this host owns dispatching now.
-func (o *Owner) Owns() bool { return o.current.Load() != nil }
-
 // Serve stands for ownership whenever nobody has it.
 func (o *Owner) Serve(ctx context.Context) error {
 	for wait.For(ctx, checkInterval) == nil {
--- a/owner/reign.go
+++ b/owner/reign.go
@@ -78,14 +78,9 @@
 func newReign(o *Owner, term int, revision store.Revision, lease store.LeaseID, sent time.Duration) *reign {
 	h := o.deps.Host
 	limits := dispatch.Limits{
-		Lease:       min(time.Duration(leaseShare*float64(h.HoldMax)), leaseMost),
-		LeaseMax:    min(time.Duration(leaseShare*float64(h.HoldMax)), leaseMost) + obeyedSlack,
-		Early:       h.Early,
-		Checkpoint:  h.Checkpoint,
-		RestoreTime: h.RestoreTime,
-		FarFactor:   h.FarFactor,
-		Notice:      h.Notice,
-		Turn:        h.LeaseOverlap,
+		Lease:    min(time.Duration(leaseShare*float64(h.HoldMax)), leaseMost),
+		LeaseMax: min(time.Duration(leaseShare*float64(h.HoldMax)), leaseMost) + obeyedSlack,
+		Turn:     h.LeaseOverlap,
 	}
 	r := &reign{
 		owner: o, deps: o.deps, term: term, revision: revision, lease: lease, kick: make(chan struct{}, 1),
@@ -157,6 +152,7 @@
 	group.Go(func() { r.commitLoop(ctx) })
 	group.Go(func() { r.tellLoop(ctx) })
 	group.Go(func() { r.waveLoop(ctx) })
+	group.Go(func() { r.sweepLoop(ctx) })
 	group.Go(func() { r.adviceLoop(ctx) })
 	group.Wait()
 }
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -30,29 +30,22 @@
 	Advice    *Advice // nil: every worker of the service may run its steps
 }
 
-// Advice says what the policy service of a queue costs and grants.
+// Advice marks a queue whose steps run only where its policy service says.
 type Advice struct {
-	Decide time.Duration // of one call
-	Each   time.Duration // more for each worker named
-	Valid  time.Duration // of a ticket
+	Valid time.Duration // of a ticket, if the answer does not tell
 }
 
 // Service is a pool of workers that run the tasks of some queues.
 type Service struct {
-	Name           fleet.Service
-	GuardsCapacity bool   // its workers refuse what does not fit
-	Standby        bool   // its machines are off
-	HealthPath     string // of its workers
+	Name fleet.Service
 }
 
 // Config is one version of the operators' configuration.
 type Config struct {
-	Version       int64
-	Queues        []Queue
-	Services      map[fleet.Service]Service
-	MaxBodyBytes  int64         // of a request
-	HeaderTimeout time.Duration // for a request's header
-	IdleTimeout   time.Duration // of a caller's connection
+	Version      int64
+	Queues       []Queue
+	Services     map[fleet.Service]Service
+	MaxBodyBytes int64 // of a request
 }
 
 // Match returns the queue that a host and a path select: the longest prefix
