Give a failing store one transaction at a time

The test runs into its time-out without the change. Besides: a run that stands still counts for its worker's speed.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -95,6 +95,7 @@
 	firstPercentAt         time.Duration
 	gauge                  int64
 	rate                   float64 // of progress lately, in percent a second
+	rated                  bool    // rate has been taken
 	markPercent            int     // progress at markAt, from where rate is taken
 	markAt                 time.Duration
 	listedBy               int64 // the worker's report that listed it last
--- a/dispatch/slow.go
+++ b/dispatch/slow.go
@@ -39,7 +39,7 @@
 	if now-r.markAt < rateSpanLeast {
 		return false
 	}
-	r.rate = float64(percent-r.markPercent) / (now - r.markAt).Seconds()
+	r.rate, r.rated = float64(percent-r.markPercent)/(now-r.markAt).Seconds(), true
 	r.markPercent, r.markAt = percent, now
 	return true
 }
@@ -97,14 +97,17 @@
 // moveOff stops a batch run on a slow worker if it would end sooner elsewhere.
 func (m *Machine) moveOff(r *run) {
 	s := r.task.step
-	if s.Serving || s.Gang || r.state != runRunning || r.rate <= 0 || r.pace != fullPace {
+	if s.Serving || s.Gang || r.state != runRunning || !r.rated || r.pace != fullPace {
 		return
 	}
 	others := m.siblingRate(r)
 	if others == 0 {
 		return
 	}
-	here := time.Duration(float64(100-r.percent) / r.rate * float64(time.Second))
+	here := time.Hour // it stands still
+	if r.rate > 0 {
+		here = time.Duration(float64(100-r.percent) / r.rate * float64(time.Second))
+	}
 	left := 100.0
 	if s.Checkpoints {
 		left = float64(100 - r.percent)
--- a/owner/commit_test.go
+++ b/owner/commit_test.go
@@ -203,3 +203,19 @@
 		t.Fatalf("to be forgotten: %v, want the old one", keys)
 	}
 }
+
+// While the store fails, commits are not repeated without a pause.
+func TestCommitsBackOff(t *testing.T) {
+	r, s := testReign(t)
+	for i := range 40 {
+		submit(t, r, s, workload.Job{ID: fleet.JobID(fmt.Sprintf("j%d", i)), Queue: "q", Steps: []workload.Step{{Count: 1, EstimateMS: 1000}}})
+	}
+	r.machine.Plan(2*time.Second, 0)
+	s.SetFault(storetest.FaultDown)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	r.commitLoop(ctx)
+	if failed := r.failures.Load(); failed == 0 || failed > 20 {
+		t.Fatalf("%d commits failed in a second, want some, and 20 at most", failed)
+	}
+}
--- a/owner/reign.go
+++ b/owner/reign.go
@@ -517,7 +517,7 @@
 	slots := make(chan struct{}, commitsInFlight)
 	for wait.For(ctx, r.commitPause()) == nil {
 		r.commitWorkers()
-		for {
+		for more := true; more && ctx.Err() == nil; {
 			r.mu.Lock()
 			writes := r.machine.TakeWrites(store.MaxTxnEntries-1, steady.Now())
 			if len(writes) == 0 {
@@ -527,6 +527,8 @@
 			if len(writes) == 0 {
 				break
 			}
+			// A store that fails gets one transaction at a time.
+			more = r.failures.Load() == 0
 			slots <- struct{}{}
 			go func() {
 				defer func() { <-slots }()
