--- a/owner/commit_test.go
+++ b/owner/commit_test.go
@@ -207,7 +207,7 @@
 // While the store fails, commits are not repeated without a pause.
 func TestCommitsBackOff(t *testing.T) {
 	r, s := testReign(t)
-	for i := range 40 {
+	for i := range 400 {
 		submit(t, r, s, workload.Job{ID: fleet.JobID(fmt.Sprintf("j%d", i)), Queue: "q", Steps: []workload.Step{{Count: 1, EstimateMS: 1000}}})
 	}
 	r.machine.Plan(2*time.Second, 0)
