--- /dev/null
+++ b/dispatch/gang_test.go
@@ -0,0 +1,43 @@
+package dispatch
+
+import (
+	"testing"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+)
+
+// A gang that is slower across racks goes to the one rack that holds it whole,
+// though a worker elsewhere is idler.
+func TestGangInOneRack(t *testing.T) {
+	r := newRig(t)
+	for id, rack := range map[fleet.WorkerID]fleet.Rack{"w1": "r-1", "w2": "r-2", "w3": "r-2"} {
+		capacity := fleet.Resources{MilliCores: 4000, MemoryMB: 8000}
+		if rack == "r-1" {
+			capacity.MilliCores = 5500
+		}
+		r.worker(id, capacity)
+		r.m.workers[id].Rack = rack
+	}
+	gang := cpuStep(2, 3000)
+	gang.Gang, gang.SameRack = true, true
+	r.job("a", gang)
+	starts := r.starts()
+	if len(starts) != 2 || starts[0].Worker == "w1" || starts[1].Worker == "w1" {
+		t.Fatalf("starts %v, want both in rack r-2", starts)
+	}
+}
+
+func TestGangStartsWhole(t *testing.T) {
+	r := newRig(t, "w1")
+	gang := cpuStep(3, 2000)
+	gang.Gang = true
+	r.job("a", gang)
+	if starts := r.starts(); len(starts) != 0 {
+		t.Fatalf("started %v of a gang that does not fit", starts)
+	}
+	r.worker("w2", fleet.Resources{MilliCores: 4000, MemoryMB: 8000})
+	starts := r.starts()
+	if len(starts) != 3 || starts[0].Run != starts[2].Run {
+		t.Fatalf("started %v, want three of one run", starts)
+	}
+}
--- /dev/null
+++ b/dispatch/line_test.go
@@ -0,0 +1,103 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/workload"
+)
+
+// Load above room: of the jobs that can still be in time, the one with the
+// least work left comes first, so that the most jobs are in time.
+func TestLineUnderOverload(t *testing.T) {
+	r := newRig(t, "w1")
+	r.job("large", cpuStep(20, 1000))
+	r.job("small", cpuStep(2, 1000))
+	starts := r.starts()
+	if len(starts) != 4 {
+		t.Fatalf("started %d tasks, want 4", len(starts))
+	}
+	small := 0
+	for _, o := range starts {
+		if o.Task.Job == "small" {
+			small++
+		}
+	}
+	if small != 2 {
+		t.Fatalf("started %d tasks of the small job, want both", small)
+	}
+}
+
+// A burst of one kind of job at about three times the room: the order of the
+// line decides how many jobs are in time.
+func TestLineReplaysBurst(t *testing.T) {
+	orders := map[string]lineOrder{
+		"first come":  func(_ *Machine, j *job, _ time.Duration) float64 { return j.arrived.Seconds() },
+		"least slack": func(_ *Machine, _ *job, slack time.Duration) float64 { return slack.Seconds() },
+	}
+	chosen := replayBurst(t, leastWork)
+	t.Logf("least work: %d of 60 in time", chosen)
+	for name, order := range orders {
+		other := replayBurst(t, order)
+		t.Logf("%s: %d of 60 in time", name, other)
+		if other >= chosen {
+			t.Errorf("%s brings %d jobs in time, least work %d", name, other, chosen)
+		}
+	}
+}
+
+// replayBurst hands in 60 jobs of 2 to 24 tasks of one second within 3 s, on
+// workers with room for 32 tasks, and counts the jobs that end within their
+// wanted time.
+func replayBurst(t *testing.T, order lineOrder) int {
+	t.Helper()
+	r := newRig(t, "w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8")
+	r.m.order = order
+	type live struct {
+		order Order
+		ends  time.Duration
+	}
+	var runs []live
+	arrived := make(map[fleet.JobID]time.Duration)
+	inTime := 0
+	for tick := range 400 {
+		if tick < 60 {
+			id := fleet.JobID(string(rune('A'+tick/26)) + string(rune('a'+tick%26)))
+			r.job(id, cpuStep(2+(tick*7)%23, 1000))
+			arrived[id] = r.now
+		}
+		began := r.now
+		ended := make(map[fleet.WorkerID][]workload.Ended)
+		var left []live
+		for _, l := range runs {
+			if r.now >= l.ends {
+				ended[l.order.Worker] = append(ended[l.order.Worker], r.ended(l.order, workload.EndDone))
+			} else {
+				left = append(left, l)
+			}
+		}
+		runs = left
+		for _, w := range r.m.list {
+			rep := workload.Report{Ended: ended[w.ID]}
+			for _, l := range runs {
+				if l.order.Worker == w.ID {
+					rep.Running = append(rep.Running, workload.Running{Task: l.order.Task, Run: l.order.Run, Percent: tick % 100})
+				}
+			}
+			r.now = began
+			r.report(w.ID, rep)
+		}
+		for _, w := range r.m.TakeWrites(100*4, later) {
+			if w.State == workload.StateCompleted && r.now-arrived[w.Job] <= 3*time.Second {
+				inTime++
+			}
+			r.m.WritesDone([]Write{w}, 1)
+		}
+		for _, o := range r.starts() {
+			runs = append(runs, live{o, r.now + time.Second})
+		}
+		r.now = began + 50*time.Millisecond
+	}
+	return inTime
+}
