--- /dev/null
+++ b/dispatch/bench_test.go
@@ -0,0 +1,54 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/workload"
+)
+
+// BenchmarkPlan starts one job of 16 tasks among workers that are half full,
+// and takes its ends in again.
+func BenchmarkPlan(b *testing.B) {
+	for _, workers := range []int{66, 490, 1100} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			m, now := benchMachine(workers)
+			number := make(map[fleet.WorkerID]int64)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				id := fleet.JobID(fmt.Sprintf("%016x", i))
+				m.AddJob(&workload.Job{ID: id, Queue: testQueue, Steps: []workload.Step{cpuStep(16, 500)}}, workload.StateQueued, 1, workload.Progress{}, now, false)
+				now += time.Millisecond
+				m.Plan(now, 0)
+				for _, o := range m.TakeOrders() {
+					m.StartAnswered(o, Accepted, now)
+					number[o.Worker]++
+					m.RenewalSent(o.Worker, now)
+					end := workload.Ended{Number: number[o.Worker], Task: o.Task, Run: o.Run, How: workload.EndDone}
+					m.Report(o.Worker, workload.Report{BornMS: 1, Ended: []workload.Ended{end}}, now-1, now)
+				}
+				m.TakeEvents()
+				m.WritesDone(m.TakeWrites(31, now), 1)
+			}
+		})
+	}
+}
+
+func benchMachine(workers int) (*Machine, time.Duration) {
+	m := New(testLimits, 1, 0)
+	m.SetConfig(&workload.Config{
+		Queues:   []workload.Queue{{Name: testQueue, Service: testService, MaxAttempts: 3, Stretch: 2, Objective: time.Second}},
+		Services: map[fleet.Service]workload.Service{testService: {Name: testService}},
+	})
+	now := time.Second
+	for i := range workers {
+		id := fleet.WorkerID(fmt.Sprintf("w%04d", i))
+		m.SetWorker(workload.Worker{ID: id, BornMS: 1, Service: testService, Capacity: fleet.Resources{MilliCores: 16000, MemoryMB: 64000}}, now)
+		m.RenewalSent(id, now+time.Hour) // no lease ends while the benchmark runs
+		rep := workload.Report{BornMS: 1}
+		m.Report(id, rep, now, now+time.Hour)
+	}
+	return m, now + time.Hour
+}
--- /dev/null
+++ b/intake/bench_test.go
@@ -0,0 +1,36 @@
+package intake
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/mirror"
+	"github.com/fuchsiahill/fuchsiahill/store"
+	"github.com/fuchsiahill/fuchsiahill/store/storetest"
+	"github.com/fuchsiahill/fuchsiahill/workload"
+)
+
+// BenchmarkSubmit takes submissions from many callers to durable, in a store
+// in memory.
+func BenchmarkSubmit(b *testing.B) {
+	s := storetest.NewMemory()
+	in := New(s, mirror.New(s, SharedPrefix, 0, func(store.Event) {}, func(string, ...any) {}))
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	go func() { _ = in.Serve(ctx) }() // ends with ctx
+	var n atomic.Int64
+	b.ReportAllocs()
+	b.SetParallelism(8)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			id := fleet.JobID(fmt.Sprintf("%016x", n.Add(1)))
+			if err := in.Submit(ctx, &workload.Job{ID: id, Queue: "q", Steps: []workload.Step{{Count: 8, EstimateMS: 1000}}}); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+	b.ReportMetric(float64(b.N)/float64(s.Commits()), "jobs/transaction")
+}
