--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -18,13 +18,11 @@
 )
 
 const (
-	callersHost   = "jobs.example"
-	callersPrefix = "/jobs/"
-	callTimeout   = 3 * time.Second
-	submitTries   = 6
-	tryPause      = 300 * time.Millisecond
-	askPause      = 250 * time.Millisecond
-	cancelShare   = 0.08
+	callTimeout = 3 * time.Second
+	submitTries = 6
+	tryPause    = 300 * time.Millisecond
+	askPause    = 250 * time.Millisecond
+	cancelShare = 0.08
 	// visible is how long after its acceptance a job may be unknown to a host.
 	visible = 3 * time.Second
 )
@@ -102,18 +100,7 @@
 
 // submit hands a job in until it is accepted or given up.
 func (c *callers) submit(id fleet.JobID, steps []workload.Step) bool {
-	type wireStep struct {
-		Count      int   `json:"count"`
-		CPU        int64 `json:"cpu"`
-		MemMB      int64 `json:"mem_mb"`
-		EstimateMS int64 `json:"estimate_ms"`
-		After      []int `json:"after,omitempty"`
-	}
-	list := make([]wireStep, len(steps))
-	for i, s := range steps {
-		list[i] = wireStep{s.Count, s.Need.MilliCores, s.Need.MemoryMB, s.EstimateMS, s.After}
-	}
-	body, err := json.Marshal(map[string]any{"spec": "soak", "steps": list})
+	body, err := wire.EncodeJob(steps)
 	if err != nil {
 		return false
 	}
@@ -190,11 +177,11 @@
 // call sends one request to a host drawn at random. 0: no answer.
 func (c *callers) call(method string, id fleet.JobID, body []byte) (int, []byte) {
 	h := c.hosts[draw(c, func(r *rand.Rand) int { return r.IntN(len(c.hosts)) })]
-	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+h.callers+callersPrefix+string(id), bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+h.callers+wire.CallersPrefix+string(id), bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
-	req.Host = callersHost
+	req.Host = wire.CallersHost
 	resp, err := c.client.Do(req)
 	if err != nil {
 		return 0, nil
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -12,10 +11,9 @@
 	"sync"
 	"syscall"
 	"time"
-)
 
-// settingsVariable names the variable with a host's settings file.
-const settingsVariable = "FUCHSIAHILL_BOOT"
+	"github.com/fuchsiahill/fuchsiahill/internal/standin/wire"
+)
 
 // hostProcess is one host: a process of the real daemon, started again after
 // each end.
@@ -55,13 +53,10 @@
 		}
 	}
 	h.settings, h.logPath = filepath.Join(dir, h.name+".json"), filepath.Join(dir, h.name+".log")
-	data, err := json.Marshal(map[string]any{
-		"node": h.name, "zone": "dc-1", "region": "region-1",
-		"listen":   map[string]string{"front": h.callers, "ready": ready, "control": control},
-		"limits":   map[string]any{"cpu_share": 1, "cores": 1, "memory_mb": 256},
-		"bounds":   map[string]any{"hold_max_ms": 6000, "stop_timeout_ms": 200, "grace_s": 4, "status_s": 120, "early_ms": 250, "far_x": 1.5, "lease_ms": 3000},
-		"platform": map[string]any{"address": link.address(), "ttl_min_ms": 1000},
-	})
+	data, err := wire.HostSettings{
+		Name: h.name, CallersAddress: h.callers, ReadyAddress: ready, MetricsAddress: control, StoreAddress: link.address(),
+		MemoryMB: 256, GraceSeconds: 4, LeaseTTL: 1000,
+	}.Encode()
 	if err != nil {
 		return nil, err
 	}
@@ -76,7 +71,7 @@
 	}
 	defer func() { _ = log.Close() }() // the process has its own descriptor
 	cmd := exec.CommandContext(context.Background(), h.daemon, "node")
-	cmd.Env = []string{settingsVariable + "=" + h.settings}
+	cmd.Env = []string{wire.SettingsVariable + "=" + h.settings}
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -125,7 +125,7 @@
 			return err
 		}
 	}
-	if err := r.configure(1); err != nil {
+	if err := r.store.Configure(1, maxFailures); err != nil {
 		return err
 	}
 	for i := range r.opts.Hosts {
@@ -142,18 +142,6 @@
 	return nil
 }
 
-// configure writes the operators' configuration.
-func (r *run) configure(version int) error {
-	return r.store.Put("op/config", map[string]any{
-		"version": version,
-		"routes": []map[string]any{{
-			"name": "queue-1", "host": callersHost, "prefix": callersPrefix, "service": "service-1", "priority": 0, "max_attempts": maxFailures, "stretch": 2, "slo_ms": 1000,
-		}},
-		"services": []map[string]any{{"name": "service-1"}},
-		"limits":   map[string]any{"max_body_bytes": 262144},
-	})
-}
-
 func (r *run) close() {
 	for _, h := range r.hosts {
 		_ = h.signal(syscall.SIGCONT)
@@ -258,7 +246,7 @@
 		return nil
 	}},
 	{"the configuration changes", func(_ context.Context, r *run, rng *rand.Rand, _ time.Duration) error {
-		return r.configure(2 + rng.IntN(1000))
+		return r.store.Configure(2+rng.IntN(1000), maxFailures)
 	}},
 }
 
--- /dev/null
+++ b/internal/standin/wire/site.go
@@ -0,0 +1,66 @@
+package wire
+
+import (
+	"encoding/json"
+
+	"github.com/fuchsiahill/fuchsiahill/workload"
+)
+
+// SettingsVariable names the variable with the path of a host's settings.
+const SettingsVariable = "FUCHSIAHILL_BOOT"
+
+// Names of the stand-in's one queue and service.
+const (
+	CallersHost   = "jobs.example"
+	CallersPrefix = "/jobs/"
+	serviceName   = "service-1"
+)
+
+// HostSettings is what a host's settings file tells.
+type HostSettings struct {
+	Name                             string
+	CallersAddress, ReadyAddress     string
+	MetricsAddress, StoreAddress     string
+	MemoryMB, GraceSeconds, LeaseTTL int // LeaseTTL in ms
+}
+
+// Encode returns the settings file.
+func (h HostSettings) Encode() ([]byte, error) {
+	return json.Marshal(map[string]any{
+		"node": h.Name, "zone": "dc-1", "region": "region-1",
+		"listen":   map[string]string{"front": h.CallersAddress, "ready": h.ReadyAddress, "control": h.MetricsAddress},
+		"limits":   map[string]any{"cpu_share": 1, "cores": 1, "memory_mb": h.MemoryMB},
+		"bounds":   map[string]any{"hold_max_ms": HoldMax.Milliseconds(), "grace_s": h.GraceSeconds, "status_s": 120, "lease_ms": 3000},
+		"platform": map[string]any{"address": h.StoreAddress, "ttl_min_ms": h.LeaseTTL},
+	})
+}
+
+// Configure writes the operators' configuration: one queue of one service,
+// whose tasks may fail maxFailures times.
+func (s *Store) Configure(version, maxFailures int) error {
+	return s.Put("op/config", map[string]any{
+		"version": version,
+		"routes": []map[string]any{{
+			"name": "queue-1", "host": CallersHost, "prefix": CallersPrefix, "service": serviceName, "priority": 0,
+			"max_attempts": maxFailures, "stretch": 2, "slo_ms": 1000,
+		}},
+		"services": []map[string]any{{"name": serviceName}},
+		"limits":   map[string]any{"max_body_bytes": 262144},
+	})
+}
+
+// EncodeJob returns the body that hands a job of some steps in.
+func EncodeJob(steps []workload.Step) ([]byte, error) {
+	type wireStep struct {
+		Count      int   `json:"count"`
+		CPU        int64 `json:"cpu"`
+		MemMB      int64 `json:"mem_mb"`
+		EstimateMS int64 `json:"estimate_ms"`
+		After      []int `json:"after,omitempty"`
+	}
+	list := make([]wireStep, len(steps))
+	for i, s := range steps {
+		list[i] = wireStep{s.Count, s.Need.MilliCores, s.Need.MemoryMB, s.EstimateMS, s.After}
+	}
+	return json.Marshal(map[string]any{"spec": "soak", "steps": list})
+}
--- a/internal/standin/wire/worker.go
+++ b/internal/standin/wire/worker.go
@@ -103,7 +103,7 @@
 	born := w.born.UnixMilli()
 	w.mu.Unlock()
 	return w.store.Put("servers/"+string(w.id), map[string]any{
-		"service": "service-1", "address": address, "zone": "dc-1", "version": "v1", "slots": 8, "state": "ready", "born": born,
+		"service": serviceName, "address": address, "zone": "dc-1", "version": "v1", "slots": 8, "state": "ready", "born": born,
 		"capacity": map[string]int64{"cpu": w.capacity.MilliCores, "mem_mb": w.capacity.MemoryMB}, "labels": []string{"a", "r1-1"},
 	})
 }
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -85,9 +85,9 @@
 	Speculative bool            `json:"spec,omitempty"`    // copies may run, the first end counts
 	Serving     bool            `json:"serving,omitempty"` // runs until the job is cancelled
 	Image       string          `json:"image,omitempty"`
-	TargetMS    int64           `json:"target,omitempty"`   // bound of a serving task's tail latency
-	Filling     bool            `json:"filling,omitempty"`  // uses the processor that others leave
-	MayMiss     int             `json:"may_miss,omitempty"` // serving tasks that we may have away at once
+	TargetMS    int64           `json:"target,omitempty"`  // bound of a serving task's tail latency
+	Filling     bool            `json:"filling,omitempty"` // uses the processor that others leave
+	MayMiss     int             `json:"away,omitempty"`    // serving tasks that we may have away at once
 }
 
 // Estimate is the submitter's rough run time of a task.
