--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -36,9 +36,9 @@
 }
 
 // line returns the jobs with waiting tasks whose turn has come, in the order
-// in which they are to be served: by priority, then by the time left until
-// the rest of their chain must begin to end in time. It answers loads above
-// room: a job that can't be in time any more gives way to those that can.
+// in which they are to be served: by priority, then those that can still be in
+// time by lineOrder, then those that are late, the least late first, then those
+// that are worth nothing any more. It answers loads above room.
 func (m *Machine) line(now time.Duration, unixMS int64) []*job {
 	var jobs []*job
 	adopted := m.allAdopted(now)
@@ -132,7 +132,8 @@
 	return work
 }
 
-// Places in line behind all jobs that can still be in time, in seconds.
+// Places in line behind all jobs that can still be in time, above any key that
+// a lineOrder gives.
 const (
 	lateKey = 1e6
 	lostKey = 1e9
