Keep a task from the worker it failed on while another can take it

Best fit breaks ties by worker ID, so an empty worker that fails at once wins the same task again; quarantine needs three quarters of its latest ends to be failures, and a worker that had finished two tasks before needs six.

Change: the cell remembers where attempts of a task failed; placement and preemption keep it from there while another live worker could ever hold it. It then waits for room instead of using up attempts.

--- a/cell/machine.go
+++ b/cell/machine.go
@@ -50,6 +50,8 @@
 	AtMS    int64          `cbor:"2,keyasint"`
 	Refused string         `cbor:"3,keyasint,omitempty"` // reason; "" if it was returned
 	Worker  fleet.WorkerID `cbor:"4,keyasint,omitempty"` // where it ran
+	// FailedOn are the workers where this attempt or earlier ones failed.
+	FailedOn []fleet.WorkerID `cbor:"5,keyasint,omitempty"`
 }
 
 // state is the snapshot of a Machine.
@@ -250,6 +252,9 @@
 	if !m.canAccept(t.AttemptRef) {
 		return eris.Wrap(&ContradictionError{AttemptRef: t.AttemptRef, Record: "accept"}, "journal")
 	}
+	if before, ok := m.state.Attempts[t.Task]; ok {
+		m.acknowledge(before.Task.AttemptRef, atMS)
+	}
 	m.state.Order++
 	m.state.Attempts[t.Task] = &attempt{
 		Task:       t,
@@ -311,7 +316,11 @@
 	if a == nil || a.Phase != phaseEnded {
 		return
 	}
-	m.close(ref, closed{Worker: a.Placement.Worker}, atMS)
+	failedOn := m.state.Closed[ref.Task].FailedOn
+	if a.Outcome.End == delegation.EndFailed && a.Outcome.Worker != "" {
+		failedOn = addWorker(slices.Clone(failedOn), a.Outcome.Worker)
+	}
+	m.close(ref, closed{Worker: a.Placement.Worker, FailedOn: failedOn}, atMS)
 	delete(m.state.Attempts, ref.Task)
 }
 
--- a/cell/machine_test.go
+++ b/cell/machine_test.go
@@ -112,6 +112,79 @@
 	}
 }
 
+// TestAttemptsSpreadOverWorkers places a task on a worker that fails what it
+// starts but is not quarantined yet, since it finished some tasks before. The
+// other worker is as good, or full, and has a higher ID.
+func TestAttemptsSpreadOverWorkers(t *testing.T) {
+	room := fleet.Resources{MilliCores: 4_000, MemoryMB: 4_000}
+	const attempts = 5
+	tests := map[string]struct {
+		others []scheduler.Worker
+		want   []fleet.WorkerID // of each attempt, "" for one that waits
+	}{
+		"another is free": {
+			others: []scheduler.Worker{{ID: "w2", Capacity: room, Live: true}},
+			want:   []fleet.WorkerID{"w1", "w2"},
+		},
+		"another is full": {
+			others: []scheduler.Worker{{ID: "w2", Capacity: room, Used: room, Live: true}},
+			want:   []fleet.WorkerID{"w1", ""},
+		},
+		"the only worker": {want: []fleet.WorkerID{"w1", "w1", "w1", "w1", "w1"}},
+		"the others are gone": {
+			others: []scheduler.Worker{{ID: "w2", Capacity: room}},
+			want:   []fleet.WorkerID{"w1", "w1", "w1", "w1", "w1"},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := NewMachine()
+			for i := range 2 {
+				finishOn(t, m, testStart, 1, i, "w1", delegation.EndFinished, fleet.Resources{})
+			}
+			var got []fleet.WorkerID
+			for n := fleet.Attempt(1); n <= attempts; n++ {
+				worker := attemptOnce(t, m, n, scheduler.Snapshot{
+					Open:    true,
+					Workers: append([]scheduler.Worker{{ID: "w1", Capacity: room, Live: true}}, tt.others...),
+				})
+				got = append(got, worker)
+				if worker != "w1" {
+					break
+				}
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("attempts ran on (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// attemptOnce accepts an attempt of a task, places it by plan and lets it fail.
+// It returns the worker, "" if the attempt waits.
+func attemptOnce(t *testing.T, m *Machine, n fleet.Attempt, snapshot scheduler.Snapshot) fleet.WorkerID {
+	t.Helper()
+	ref := inventory.AttemptRef{Task: "job2/0", Attempt: n}
+	if err := apply(t, m, testStart, record{Accept: []delegation.Task{{
+		AttemptRef: ref, Class: "claims", Resources: fleet.Resources{MilliCores: 1_000, MemoryMB: 1_000},
+	}}}); err != nil {
+		t.Fatal(err)
+	}
+	snapshot.Tasks = []scheduler.Task{m.schedulableTask(m.find(ref))}
+	plan := scheduler.Plan(snapshot)
+	if len(plan.Placements) == 0 {
+		return ""
+	}
+	worker := plan.Placements[0].Worker
+	if err := apply(t, m, testStart, record{
+		Place: []placement{{AttemptRef: ref, Worker: worker}},
+		End:   []delegation.Outcome{{AttemptRef: ref, End: delegation.EndFailed, Worker: worker}},
+	}); err != nil {
+		t.Fatal(err)
+	}
+	return worker
+}
+
 func TestFailedProbesDoubleTheDelay(t *testing.T) {
 	m := NewMachine()
 	now := testStart
--- a/cell/place.go
+++ b/cell/place.go
@@ -92,7 +92,7 @@
 	snapshot := scheduler.Snapshot{Open: s.isIn(), Spread: make(map[scheduler.RackLoad]int)}
 	for _, a := range waiting {
 		if _, decided := s.ends[a.Task.AttemptRef]; !decided && !a.Cancelled {
-			snapshot.Tasks = append(snapshot.Tasks, s.schedulableTask(a))
+			snapshot.Tasks = append(snapshot.Tasks, s.machine.schedulableTask(a))
 		}
 	}
 	if len(snapshot.Tasks) == 0 {
@@ -113,7 +113,9 @@
 	return scheduler.Plan(snapshot)
 }
 
-func (s *session) schedulableTask(a *attempt) scheduler.Task {
+// schedulableTask returns a waiting attempt as the scheduler sees it.
+func (m *Machine) schedulableTask(a *attempt) scheduler.Task {
+	before := m.state.Closed[a.Task.Task]
 	return scheduler.Task{
 		AttemptRef:   a.Task.AttemptRef,
 		Organisation: a.Task.Organisation,
@@ -121,9 +123,10 @@
 		Class:        a.Task.Class,
 		Priority:     a.Task.Priority,
 		Declared:     a.Task.Resources,
-		Observed:     s.machine.observedSize(a.Task.Class),
+		Observed:     m.observedSize(a.Task.Class),
 		Checkpoint:   a.Task.Checkpoint != "",
-		LastWorker:   s.machine.state.Closed[a.Task.Task].Worker,
+		LastWorker:   before.Worker,
+		FailedOn:     before.FailedOn,
 		Order:        a.Order,
 	}
 }
--- a/cell/urgent.go
+++ b/cell/urgent.go
@@ -33,7 +33,7 @@
 	snapshot := scheduler.Snapshot{Open: s.isIn(), Spread: make(map[scheduler.RackLoad]int)}
 	for _, a := range s.machine.state.Attempts {
 		if a.Phase == phaseWaiting && !a.Cancelled && wanted(a) {
-			snapshot.Tasks = append(snapshot.Tasks, s.schedulableTask(a))
+			snapshot.Tasks = append(snapshot.Tasks, s.machine.schedulableTask(a))
 		}
 	}
 	if len(snapshot.Tasks) == 0 {
--- a/internal/dev/chosen_test.go
+++ b/internal/dev/chosen_test.go
@@ -51,6 +51,8 @@
 	// Tasks are longer than the time in which starts are allowed after their
 	// data centre was taken out.
 	backlog := Options{For: 4 * time.Second, Seed: 3103, Tasks: fullTasks, TaskTime: 2 * standin.OutDelay}
+	// One task at a time meets the failing worker with all of its attempts.
+	single := Options{For: suiteLoad, Seed: 3104, Tasks: 1}
 	long := Options{For: suiteLoad, Seed: 3101, Tasks: longTasks, TaskTime: longTask}
 	area := Options{For: areaLoad, Seed: 3102, Tasks: areaTasks, TaskTime: areaTask}
 	return append(cases,
@@ -69,6 +71,11 @@
 			opts:     backlog,
 			episodes: []episode{{faultNamed("data centre out"), 0.5, 2.5}},
 		},
+		faultCase{
+			name:     "worker fails starts of few tasks",
+			opts:     single,
+			episodes: []episode{{faultNamed("worker fails starts"), faultFrom, faultUntil}},
+		},
 		faultCase{
 			name:     "rack lost",
 			opts:     area,
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -91,6 +91,7 @@
 	}
 	best, reason := -1, ReasonNoWorkers
 	bestScore := 0.0
+	avoided := p.avoided(t)
 	for i := range p.workers {
 		w := &p.workers[i]
 		size := Size(t.Declared, t.Observed, w.Capacity)
@@ -98,6 +99,10 @@
 			reason = ReasonReserved
 			continue
 		}
+		if slices.Contains(avoided, w.ID) {
+			reason = ReasonFailedThere
+			continue
+		}
 		if r, ok := p.feasible(w, size); !ok {
 			reason = r
 			continue
@@ -112,6 +117,20 @@
 	return p.take(t, &p.workers[best]), "", true
 }
 
+// avoided returns the workers that t is kept from because it has failed there.
+// An empty worker that fails what it starts would otherwise win t again and
+// again until its attempts are used up. With nowhere else to go, t may go back.
+func (p *planner) avoided(t *Task) []fleet.WorkerID {
+	elsewhere := func(w Worker) bool {
+		return w.Live && !w.Quarantined && !slices.Contains(t.FailedOn, w.ID) &&
+			Size(t.Declared, t.Observed, w.Capacity).Fits(w.Capacity)
+	}
+	if len(t.FailedOn) == 0 || !slices.ContainsFunc(p.workers, elsewhere) {
+		return nil
+	}
+	return t.FailedOn
+}
+
 func (p *planner) feasible(w *Worker, size fleet.Resources) (Reason, bool) {
 	for _, f := range p.filters {
 		if !f.Feasible(w, size) {
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -93,9 +93,10 @@
 func (p *planner) cheapestRoom(t *Task, choose chooser, compare func(a, b room) int) (room, bool) {
 	var best room
 	found := false
+	avoided := p.avoided(t)
 	for i := range p.workers {
 		w := &p.workers[i]
-		if !w.Live || w.Quarantined {
+		if !w.Live || w.Quarantined || slices.Contains(avoided, w.ID) {
 			continue
 		}
 		size := Size(t.Declared, t.Observed, w.Capacity)
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -36,6 +36,8 @@
 	Observed     fleet.Resources // high quantile of what tasks of the class used; zero if unknown
 	Checkpoint   bool            // resumes from a checkpoint
 	LastWorker   fleet.WorkerID  // ran the attempt before, "" if unknown
+	// FailedOn are the workers where earlier attempts failed by themselves.
+	FailedOn []fleet.WorkerID
 	Order        uint64          // of acceptance; earlier first at equal priority
 }
 
@@ -82,6 +84,7 @@
 	ReasonClosed      Reason = "data_centre_out"
 	ReasonNotLive     Reason = "worker_not_live"
 	ReasonQuarantined Reason = "worker_quarantined"
+	ReasonFailedThere Reason = "failed_on_worker"
 	ReasonNoFit       Reason = "no_capacity"
 	ReasonReserved    Reason = "reserved"
 	ReasonBudget      Reason = "refilling"
