Fill empty workers with one serving image each before mixing images

Cause: at the worst load on both sites filling work waits while a third of the processors is idle. Serving tasks ask for 84 to 94% of the room there, yet 33 of 66 workers served two to four images from the first second on: servingScore kept a quarter of the workers empty and mixed images on the others instead, in vain, since the quarter filled up too. After a takeover the first workers that reported got all serving tasks. And one plan took the miss of one filling image for a miss of every image with tasks of the same size.

Change: empty workers come before mixed ones; a new owner places serving tasks once its workers have reported, or after 1 s; misses are kept by image.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -29,7 +29,7 @@
 
 type placementClass struct {
 	need    fleet.Resources
-	filling bool
+	filling string // image of a filling task, on which its room depends
 	service fleet.Service
 }
 
@@ -56,7 +56,10 @@
 // is not made yet puts on workers.
 func (r *room) place(t *task, service fleet.Service, taken map[fleet.WorkerID]int) *worker {
 	s := t.step
-	class := placementClass{s.Need, s.Filling, service}
+	class := placementClass{need: s.Need, service: service}
+	if s.Filling {
+		class.filling = s.Image
+	}
 	plain := s.PerWorker == 0 && s.Label == "" && t.avoid == "" && !r.advised
 	if plain && r.full[class] {
 		return nil
@@ -158,10 +161,6 @@
 }
 
 const (
-	// keptFree is the share of the workers that is kept without serving tasks
-	// as long as these fit elsewhere. Source: a third of the filling images
-	// press on most serving ones.
-	keptFree = 0.25
 	// pressureBorne is the pressure that a placement may lead to. Source: a
 	// serving task's own load swings by a half.
 	pressureBorne = 0.8
@@ -188,11 +187,11 @@
 	return score
 }
 
-// servingScore gathers serving tasks on few workers, and those of one image
-// together as long as enough workers serve none. It answers mixes of filling
-// images of which each presses on some serving images only: the fewer images a
-// worker serves, the more filling work it bears, and one that serves none
-// bears all.
+// servingScore gathers serving tasks of one image on the same workers, then
+// takes empty workers, and mixes images only when none is left. It answers
+// serving tasks that ask for most of the room beside filling images of which
+// each presses on some serving images only: the fewer images a worker serves,
+// the more filling work it bears.
 func (r *room) servingScore(s *workload.Step, w *worker) int64 {
 	in := r.m.interference
 	same, others := w.shared.served(in.serving.number(s.Image))
@@ -201,12 +200,10 @@
 	switch {
 	case others == 0 && same > 0:
 		score += 4 * step
+	case others == 0:
+		score += 3 * step
 	case same > 0:
 		score += 2 * step
-	case others > 0:
-		score += step
-	case r.unserving() > keptFree:
-		score += 3 * step
 	}
 	if w.shared.pressureOf(in, in.serving.number(s.Image), w.Capacity.MilliCores) > pressureBorne {
 		score -= step / 2
@@ -214,17 +211,21 @@
 	return score
 }
 
-// unserving is the share of the open workers that serve nothing.
-func (r *room) unserving() float64 {
-	n := 0
-	for _, w := range r.open {
-		if !w.shared.servesAny() {
-			n++
-		}
-	}
-	return float64(n) / float64(max(len(r.open), 1))
+// settled reports whether this owner has heard of enough workers to spread or
+// gather serving tasks over all of them. It answers takeovers after which many
+// serving tasks start at once: the first workers that report would get them all.
+func (m *Machine) settled(now time.Duration) bool {
+	return now-m.started >= settleMost || now-m.started >= settleLeast && m.allAdopted(now)
 }
 
+const (
+	// settleLeast and settleMost bound the wait of a new owner's first serving
+	// tasks. Source: workers of one start come within 0.3 s; a task that lasts
+	// has to be back within 3 s.
+	settleLeast = 300 * time.Millisecond
+	settleMost  = time.Second
+)
+
 // fillingScore keeps workers without serving tasks for the images that press
 // on some.
 func (r *room) fillingScore(s *workload.Step, w *worker) int64 {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -204,6 +204,9 @@
 }
 
 func (m *Machine) startTasks(s *step, service fleet.Service, room *room, now time.Duration, most int) int {
+	if s.Serving && !m.settled(now) {
+		return 0
+	}
 	started := 0
 	for _, t := range s.tasks {
 		if started >= most {
