Relay callers' requests from a host that the store turns away

A question that found no answer in the store was also answered 504 though it does nothing.

Ruled out: answers lost by the store (few: 5 time-outs), Retry-After (the 504s carry none; callers spread their tries over 3 s by it where it is sent).

Change: while the last poll of the store has failed, or after a try that the store did not answer, a host hands submissions, cancels and questions to the owner of dispatching over the product's own peer calls (package relay; the owner's key tells the address, the first port of port_range). The owner itself tries once more: the check on the job's key makes repeats one job. What may still be applied here is never called refused. A cancel or question that surely did nothing is a 503, no longer a 504.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -37,6 +37,8 @@
 type RefusedError struct {
 	Reason     string
 	RetryAfter time.Duration
+	// StoreAway says that this host does not reach the store; others may.
+	StoreAway bool
 }
 
 func (e *RefusedError) Error() string { return "intake: not accepted: " + e.Reason }
@@ -173,7 +175,7 @@
 	switch {
 	case err == nil:
 	case errors.As(err, &unavailable):
-		err = &RefusedError{Reason: "the store is unavailable", RetryAfter: time.Second}
+		err = storeAway()
 	default:
 		err = &UnknownError{Cause: err}
 	}
@@ -182,6 +184,11 @@
 	}
 }
 
+// storeAway is the outcome of a request that the store has surely not seen.
+func storeAway() *RefusedError {
+	return &RefusedError{Reason: "the store is unavailable", RetryAfter: time.Second, StoreAway: true}
+}
+
 // Known reports whether a job may have been accepted before, by any host.
 func (in *Intake) Known(id fleet.JobID) bool {
 	key := StatePrefix + string(id)
@@ -200,7 +207,17 @@
 	return !loaded || steady.Now()-fresh > viewAge
 }
 
-// State tells the state of a job, or *NoJobError, or *UnknownError.
+// Seen tells the state of a job that this host knows of.
+func (in *Intake) Seen(id fleet.JobID, queue string) (workload.State, bool) {
+	e, ok := in.shared.Get(StatePrefix + string(id))
+	if !ok {
+		return "", false
+	}
+	state, err := in.stateOf(e, id, queue)
+	return state, err == nil
+}
+
+// State tells the state of a job, or *NoJobError, or *RefusedError.
 func (in *Intake) State(id fleet.JobID, queue string) (workload.State, error) {
 	e, ok := in.shared.Get(StatePrefix + string(id))
 	if ok {
@@ -213,8 +230,10 @@
 		return in.stateOf(e, id, queue)
 	case errors.As(err, &missing):
 		return "", &NoJobError{ID: id}
-	default:
-		return "", &UnknownError{Cause: err}
+	default: // a question that was not answered has done nothing
+		refused := storeAway()
+		refused.Reason += ": " + err.Error()
+		return "", refused
 	}
 }
 
@@ -241,7 +260,7 @@
 				if errors.As(err, &missing) {
 					return &NoJobError{ID: id}
 				}
-				return &UnknownError{Cause: err}
+				return storeAway()
 			}
 		}
 		r, err := DecodeRecord(e.Value)
@@ -260,9 +279,12 @@
 			Puts:   []store.Put{{Key: key, Value: r.Encode()}},
 		})
 		var conflict *store.TxnConflictError
+		var unavailable *store.UnavailableError
 		switch {
 		case err == nil:
 			return nil
+		case errors.As(err, &unavailable):
+			return storeAway()
 		case errors.As(err, &conflict):
 			e = conflict.At(key)
 			ok = e.Revision != 0
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -76,6 +76,13 @@
 	return m.fresh, m.loaded
 }
 
+// Lost reports whether the last call of the store failed.
+func (m *Mirror) Lost() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lost
+}
+
 // Serve follows the store until ctx ends.
 func (m *Mirror) Serve(ctx context.Context) error {
 	var after store.Revision
--- a/node/node.go
+++ b/node/node.go
@@ -30,7 +30,9 @@
 	"github.com/fuchsiahill/fuchsiahill/internal/steady"
 	"github.com/fuchsiahill/fuchsiahill/mirror"
 	"github.com/fuchsiahill/fuchsiahill/owner"
+	"github.com/fuchsiahill/fuchsiahill/peer"
 	"github.com/fuchsiahill/fuchsiahill/platform"
+	"github.com/fuchsiahill/fuchsiahill/relay"
 	"github.com/fuchsiahill/fuchsiahill/store"
 	"github.com/fuchsiahill/fuchsiahill/workload"
 )
@@ -53,6 +55,11 @@
 	// headerTimeout and idleTimeout hold until a configuration is known.
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 15 * time.Second
+	// peerDial and peerIdle are of connections between hosts, which are used
+	// while the store turns one away. Source: a path takes a few ms; such a
+	// time lasts seconds.
+	peerDial = 300 * time.Millisecond
+	peerIdle = 5 * time.Second
 )
 
 // Node is one process on a host.
@@ -64,6 +71,8 @@
 	operator *mirror.Mirror
 	intake   *intake.Intake
 	owner    *owner.Owner
+	peers    *peer.Server // nil: no address for it
+	relay    *relay.Relay
 	config   atomic.Pointer[configInForce]
 	load     atomic.Pointer[intake.Load]
 	draining atomic.Bool
@@ -95,6 +104,12 @@
 	n.shared = mirror.New(client, intake.SharedPrefix, gatherShared, n.sharedChanged, n.logger.Event)
 	n.intake = intake.New(client, n.shared)
 	n.owner = owner.New(owner.Deps{Host: s, Store: client, Shared: n.shared, Operator: n.operator, Log: n.logger.Event, Metrics: n.metrics})
+	calls := peer.NewClient(s.Host, n.peerAddress, peer.ClientOptions{DialTimeout: peerDial, IdleTimeout: peerIdle, Logger: n.logger})
+	n.relay = relay.New(calls, n.relayTarget)
+	if s.PeerAddress != "" {
+		n.peers = peer.NewServer(s.Host, peer.ServerOptions{Address: s.PeerAddress}, n.logger)
+		relay.Register(n.peers, here{n})
+	}
 	return n
 }
 
@@ -127,6 +142,9 @@
 	for _, s := range []suture.Service{n.logger, n.operator, n.shared, n.intake, n.owner} {
 		tree.Add(s)
 	}
+	if n.peers != nil {
+		tree.Add(n.peers)
+	}
 	done := tree.ServeBackground(ctx)
 	server := &http.Server{Handler: platform.NewIngress(n), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	go n.serveHTTP(server, callers)
@@ -285,30 +303,34 @@
 }
 
 // Submit implements platform.Jobs.
-func (n *Node) Submit(ctx context.Context, q *workload.Queue, job *workload.Job) error {
-	if n.intake.StoreAway() {
-		return &intake.RefusedError{Reason: "no contact with the store", RetryAfter: time.Second}
-	}
-	if load := n.load.Load(); load != nil {
-		if refused := intake.Admit(q, job, *load, time.Now()); refused != nil && !n.intake.Known(job.ID) {
-			return refused
-		}
-	}
-	return n.intake.Submit(ctx, job)
+func (n *Node) Submit(ctx context.Context, job *workload.Job) error {
+	return n.serve(http.MethodPost, job.ID,
+		func() error { return here{n}.Submit(ctx, job) },
+		func() error { return n.relay.Submit(ctx, job) })
 }
 
 // State implements platform.Jobs.
-func (n *Node) State(id fleet.JobID, queue string) (workload.State, error) {
-	return n.intake.State(id, queue)
+func (n *Node) State(ctx context.Context, id fleet.JobID, queue string) (state workload.State, err error) {
+	if state, ok := n.intake.Seen(id, queue); ok {
+		return state, nil
+	}
+	err = n.serve(http.MethodGet, id,
+		func() error { state, err = here{n}.State(id, queue); return err },
+		func() error { state, err = n.relay.State(ctx, id, queue); return err })
+	return state, err
 }
 
 // Cancel implements platform.Jobs.
-func (n *Node) Cancel(id fleet.JobID, queue string) error { return n.intake.Cancel(id, queue) }
+func (n *Node) Cancel(ctx context.Context, id fleet.JobID, queue string) error {
+	return n.serve(http.MethodDelete, id,
+		func() error { return here{n}.Cancel(id, queue) },
+		func() error { return n.relay.Cancel(ctx, id, queue) })
+}
 
 // Pending implements platform.Jobs.
 func (n *Node) Pending(queue string) (int, error) {
 	if n.intake.StoreAway() {
-		return 0, &intake.RefusedError{Reason: "no contact with the store", RetryAfter: time.Second}
+		return 0, &intake.RefusedError{Reason: "no contact with the store", RetryAfter: storeRetry, StoreAway: true}
 	}
 	return n.intake.Pending(queue), nil
 }
--- /dev/null
+++ b/node/serve.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/intake"
+	"github.com/fuchsiahill/fuchsiahill/relay"
+	"github.com/fuchsiahill/fuchsiahill/workload"
+)
+
+// storeRetry is what callers are told to wait while the store turns this host
+// away. Source: the shortest Retry-After there is.
+const storeRetry = time.Second
+
+// here carries out requests on this host alone, as relay.Service.
+type here struct{ n *Node }
+
+// Submit makes a job durable, unless it can't be served.
+func (h here) Submit(ctx context.Context, job *workload.Job) error {
+	n := h.n
+	if n.intake.StoreAway() {
+		return &intake.RefusedError{Reason: "no contact with the store", RetryAfter: storeRetry, StoreAway: true}
+	}
+	cfg := n.Config()
+	if cfg == nil {
+		return &intake.RefusedError{Reason: "no configuration yet", RetryAfter: storeRetry}
+	}
+	q, ok := cfg.Queue(job.Queue)
+	if !ok {
+		return &intake.RefusedError{Reason: "the queue is not in the configuration", RetryAfter: storeRetry}
+	}
+	if load := n.load.Load(); load != nil {
+		if refused := intake.Admit(q, job, *load, time.Now()); refused != nil && !n.intake.Known(job.ID) {
+			return refused
+		}
+	}
+	return n.intake.Submit(ctx, job)
+}
+
+// Cancel implements relay.Service.
+func (h here) Cancel(id fleet.JobID, queue string) error { return h.n.intake.Cancel(id, queue) }
+
+// State implements relay.Service.
+func (h here) State(id fleet.JobID, queue string) (workload.State, error) {
+	return h.n.intake.State(id, queue)
+}
+
+// relayTarget names the host to which requests are relayed.
+func (n *Node) relayTarget() (fleet.HostID, bool) {
+	claim, ok := n.owner.Claimed()
+	return claim.Host, ok && claim.Peer != "" && claim.Host != n.settings.Host
+}
+
+// peerAddress finds the owner's host.
+func (n *Node) peerAddress(id fleet.HostID) (string, bool) {
+	claim, ok := n.owner.Claimed()
+	return claim.Peer, ok && claim.Host == id
+}
+
+// serve carries a request out on this host or on the owner's.
+func (n *Node) serve(method string, id fleet.JobID, local, relayed func() error) error {
+	lost := n.shared.Lost()
+	return carryOut(lost, local, func() error {
+		err := relayed()
+		n.logger.Event("request_relayed", "method", method, "job", id, "store_lost", lost, "outcome", err)
+		return err
+	})
+}
+
+// carryOut carries a request out here and, if the store does not take it from
+// this host, on the owner's; the owner itself tries again. While the last poll
+// of the store has failed, the owner comes first. It answers stores that turn
+// single hosts away or whose answers are lost.
+func carryOut(lost bool, local, relayed func() error) error {
+	var first error
+	if !lost {
+		if first = local(); !isStoreTrouble(first) {
+			return first
+		}
+	}
+	second := relayed()
+	var notRelayed *relay.NotRelayedError
+	if errors.As(second, &notRelayed) {
+		if !lost && !isUncertain(first) {
+			return first
+		}
+		second = local()
+	}
+	if isUncertain(first) && !isSettled(second) {
+		return first // what was tried first may still be applied
+	}
+	return second
+}
+
+// isStoreTrouble reports whether another host may succeed.
+func isStoreTrouble(err error) bool {
+	var refused *intake.RefusedError
+	return errors.As(err, &refused) && refused.StoreAway || isUncertain(err)
+}
+
+func isUncertain(err error) bool {
+	var uncertain *intake.UnknownError
+	return errors.As(err, &uncertain)
+}
+
+// isSettled reports whether an outcome holds whatever was tried before: done,
+// or no such job.
+func isSettled(err error) bool {
+	var noJob *intake.NoJobError
+	return err == nil || errors.As(err, &noJob)
+}
--- a/owner/election.go
+++ b/owner/election.go
@@ -38,11 +38,12 @@
 	storeFresh = 1500 * time.Millisecond
 )
 
-// claim is the value of the owner's key.
-type claim struct {
+// Claim is the value of the owner's key.
+type Claim struct {
 	Host  fleet.HostID `json:"host"`
 	Nonce int64        `json:"nonce"` // tells the processes of one host apart
 	Term  int          `json:"term"`
+	Peer  string       `json:"peer,omitempty"` // where the owner takes calls of other hosts
 }
 
 // Deps is what an Owner needs.
@@ -138,6 +139,16 @@
 	return !taken
 }
 
+// Claimed tells who owned dispatching when this host heard last.
+func (o *Owner) Claimed() (Claim, bool) {
+	e, ok := o.deps.Shared.Get(intake.OwnerKey)
+	var c Claim
+	if !ok || json.Unmarshal(e.Value, &c) != nil {
+		return Claim{}, false // one that can't be read names no host
+	}
+	return c, true
+}
+
 func (o *Owner) standDelay() time.Duration {
 	d := time.Duration(float64(standFactor) / max(o.deps.Host.Cores, 0.05))
 	jitter := time.Duration(o.nonce % int64(standFactor))
@@ -155,7 +166,7 @@
 	if err != nil {
 		return err
 	}
-	c := claim{Host: o.deps.Host.Host, Nonce: o.nonce, Term: term + 1}
+	c := Claim{Host: o.deps.Host.Host, Nonce: o.nonce, Term: term + 1, Peer: o.deps.Host.PeerAddress}
 	value, err := json.Marshal(c)
 	if err != nil {
 		return err
@@ -187,7 +198,7 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	var c claim
+	var c Claim
 	if err := json.Unmarshal(e.Value, &c); err != nil {
 		return 0, 0, err
 	}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,164 @@
+// Package relay hands callers' requests from a host that the store turns away
+// to the one that owns dispatching, which the store serves.
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/intake"
+	"github.com/fuchsiahill/fuchsiahill/peer"
+	"github.com/fuchsiahill/fuchsiahill/workload"
+)
+
+// callTimeout bounds a relayed request. Source: the owner's own store call
+// takes up to 0.9 s; half of a caller's 3 s is left for another host.
+const callTimeout = 1200 * time.Millisecond
+
+// Methods between hosts.
+const (
+	methodSubmit = "relay.submit"
+	methodCancel = "relay.cancel"
+	methodState  = "relay.state"
+)
+
+// Service carries out callers' requests on its own host. Errors are those of
+// package intake.
+type Service interface {
+	Submit(ctx context.Context, job *workload.Job) error
+	Cancel(id fleet.JobID, queue string) error
+	State(id fleet.JobID, queue string) (workload.State, error)
+}
+
+// NotRelayedError reports a request that surely reached no other host.
+type NotRelayedError struct{ Cause error }
+
+func (e *NotRelayedError) Error() string { return "relay: not relayed: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *NotRelayedError) Unwrap() error { return e.Cause }
+
+// errNoOwner says that this host knows of no other one that dispatches.
+var errNoOwner = errors.New("no other host is known to own dispatching")
+
+// outcome of a relayed request.
+type outcome string
+
+const (
+	done    outcome = "done"
+	refused outcome = "refused"
+	missing outcome = "missing"
+	unknown outcome = "unknown"
+)
+
+// jobRequest names a job.
+type jobRequest struct {
+	ID    fleet.JobID `json:"id"`
+	Queue string      `json:"queue"`
+}
+
+// reply is the answer to each method.
+type reply struct {
+	Outcome      outcome        `json:"outcome"`
+	State        workload.State `json:"state,omitempty"` // of methodState
+	Reason       string         `json:"reason,omitempty"`
+	RetryAfterMS int64          `json:"retry_after_ms,omitempty"`
+}
+
+// Register lets other hosts relay to a service.
+func Register(r peer.Registry, here Service) {
+	peer.Register(r, methodSubmit, func(ctx context.Context, _ fleet.HostID, job workload.Job) (reply, error) {
+		return replyOf(here.Submit(ctx, &job)), nil
+	})
+	peer.Register(r, methodCancel, func(_ context.Context, _ fleet.HostID, req jobRequest) (reply, error) {
+		return replyOf(here.Cancel(req.ID, req.Queue)), nil
+	})
+	peer.Register(r, methodState, func(_ context.Context, _ fleet.HostID, req jobRequest) (reply, error) {
+		state, err := here.State(req.ID, req.Queue)
+		rep := replyOf(err)
+		rep.State = state
+		return rep, nil
+	})
+}
+
+func replyOf(err error) reply {
+	var refusal *intake.RefusedError
+	var noJob *intake.NoJobError
+	switch {
+	case err == nil:
+		return reply{Outcome: done}
+	case errors.As(err, &refusal):
+		return reply{Outcome: refused, Reason: refusal.Reason, RetryAfterMS: refusal.RetryAfter.Milliseconds()}
+	case errors.As(err, &noJob):
+		return reply{Outcome: missing}
+	default:
+		return reply{Outcome: unknown, Reason: err.Error()}
+	}
+}
+
+// err turns a reply about a job into an error of package intake.
+func (r reply) err(id fleet.JobID) error {
+	switch r.Outcome {
+	case done:
+		return nil
+	case refused:
+		return &intake.RefusedError{Reason: r.Reason, RetryAfter: time.Duration(r.RetryAfterMS) * time.Millisecond}
+	case missing:
+		return &intake.NoJobError{ID: id}
+	default:
+		return &intake.UnknownError{Cause: fmt.Errorf("relayed: %s", r.Reason)}
+	}
+}
+
+// Relay calls the owner of dispatching. It is safe for concurrent use. Its
+// errors are those of package intake, and *NotRelayedError.
+type Relay struct {
+	peers peer.Caller
+	owner func() (fleet.HostID, bool) // false: none but this host
+}
+
+// New returns a relay to the host that owner names.
+func New(peers peer.Caller, owner func() (fleet.HostID, bool)) *Relay {
+	return &Relay{peers: peers, owner: owner}
+}
+
+// Submit relays a submission.
+func (r *Relay) Submit(ctx context.Context, job *workload.Job) error {
+	_, err := r.call(ctx, methodSubmit, job.ID, job)
+	return err
+}
+
+// Cancel relays a cancellation.
+func (r *Relay) Cancel(ctx context.Context, id fleet.JobID, queue string) error {
+	_, err := r.call(ctx, methodCancel, id, jobRequest{ID: id, Queue: queue})
+	return err
+}
+
+// State relays a question.
+func (r *Relay) State(ctx context.Context, id fleet.JobID, queue string) (workload.State, error) {
+	rep, err := r.call(ctx, methodState, id, jobRequest{ID: id, Queue: queue})
+	return rep.State, err
+}
+
+func (r *Relay) call(ctx context.Context, method string, id fleet.JobID, request any) (reply, error) {
+	host, ok := r.owner()
+	if !ok {
+		return reply{}, &NotRelayedError{Cause: errNoOwner}
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var rep reply
+	err := r.peers.Call(ctx, host, method, request, &rep)
+	var uncertain *peer.UnknownError
+	switch {
+	case err == nil:
+		return rep, rep.err(id)
+	case errors.As(err, &uncertain):
+		return reply{}, &intake.UnknownError{Cause: err}
+	default: // unreachable, or turned away before a handler ran
+		return reply{}, &NotRelayedError{Cause: err}
+	}
+}
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -38,7 +38,7 @@
 	LastWorker   fleet.WorkerID  // ran the attempt before, "" if unknown
 	// FailedOn are the workers where earlier attempts failed by themselves.
 	FailedOn []fleet.WorkerID
-	Order        uint64          // of acceptance; earlier first at equal priority
+	Order    uint64 // of acceptance; earlier first at equal priority
 }
 
 // CostModel gives the pressure expected on the worst-off service of a worker if
