Judge a second run of a task by what the worker has answered

The owner of a cell is killed, tasks end on a worker that nobody asks, the worker is killed 3.5 s later, the next owner starts the tasks again. The end was known to the dead worker alone, so no scheduler can keep it; the judge called it a fault all the same.

Ruled out: ends that were told and lost: the worker lists them until they are durable, and only runs whose answers reached no host were repeated.

A second run is a fault unless the first end died untold; such ends are counted as unknowable. The 4 s without an owner stay.

--- a/internal/dev/report.go
+++ b/internal/dev/report.go
@@ -62,6 +62,9 @@
 	Lost              int `json:"lost"`
 	Doubled           int `json:"doubled"`
 	Overlapping       int `json:"overlapping"`
+	// Unknowable runs finished on a worker that died before any host was told;
+	// their tasks have to run again.
+	Unknowable int `json:"unknowable"`
 }
 
 // OK reports whether every promise held.
@@ -133,12 +136,16 @@
 
 func judgeTasks(runs []standin.Record, v standin.Violations, submitted []fleet.TaskID) Tasks {
 	finished := make(map[fleet.TaskID]int)
+	t := Tasks{Submitted: len(submitted), Doubled: len(v.Doubled), Overlapping: len(v.Overlapping)}
 	for _, r := range runs {
-		if r.State == inventory.TaskFinished {
+		switch {
+		case r.State != inventory.TaskFinished:
+		case r.Unknowable():
+			t.Unknowable++
+		default:
 			finished[r.Task]++
 		}
 	}
-	t := Tasks{Submitted: len(submitted), Doubled: len(v.Doubled), Overlapping: len(v.Overlapping)}
 	for _, id := range submitted {
 		switch n := finished[id]; {
 		case n == 0:
