--- /dev/null
+++ b/internal/oplog/oplog_test.go
@@ -0,0 +1,99 @@
+package oplog
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// slowWriter keeps what is written, and blocks while its lock is held.
+type slowWriter struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (w *slowWriter) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.text.Write(p)
+}
+
+func TestLinesAreKeyValues(t *testing.T) {
+	var out slowWriter
+	l := New(&out, "host", "h1")
+	l.Event("run_started", "job", "j 1", "run", 3)
+	if err := l.Log("event", "peer_lost", "peer", "h2"); err != nil {
+		t.Fatal(err)
+	}
+	l.Flush()
+	lines := strings.Split(strings.TrimSpace(out.text.String()), "\n")
+	if len(lines) != 2 {
+		t.Fatalf("%d lines, want 2: %q", len(lines), lines)
+	}
+	if want := `host=h1 event=run_started job="j 1" run=3`; !strings.HasSuffix(lines[0], want) || !strings.HasPrefix(lines[0], "ts=") {
+		t.Errorf("got %q, want a time and %q", lines[0], want)
+	}
+	if want := "host=h1 event=peer_lost peer=h2"; !strings.HasSuffix(lines[1], want) {
+		t.Errorf("got %q, want %q", lines[1], want)
+	}
+}
+
+// A flood of one kind leaves out lines of that kind alone, and tells how many.
+func TestFloodIsBounded(t *testing.T) {
+	var out slowWriter
+	l := New(&out)
+	const flood = 10 * burst
+	for range flood {
+		l.Event("flood")
+	}
+	l.Event("other")
+	l.Flush()
+	text := out.text.String()
+	kept := strings.Count(text, "event=flood")
+	if kept < burst || kept > burst+linesPerSecond {
+		t.Errorf("%d lines of the flood, want about %d", kept, burst)
+	}
+	if !strings.Contains(text, "event=other") || !strings.Contains(text, "event=lines_left_out kind=flood count=") {
+		t.Errorf("the other line or the count of those left out is missing")
+	}
+}
+
+// A reader of the log that stands still holds no decision up, and what waits
+// for it is bounded.
+func TestStuckReaderBlocksNobody(t *testing.T) {
+	var out slowWriter
+	l := New(&out)
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = l.Serve(ctx) // ends with ctx only
+	}()
+	out.mu.Lock()
+	value := strings.Repeat("x", 8<<10)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 200 {
+			l.Event("long", "value", value)
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Error("a line waits for the reader")
+	}
+	l.mu.Lock()
+	waiting := l.buffer.Len()
+	l.mu.Unlock()
+	if waiting > bufferBytes+2*len(value) {
+		t.Errorf("%d bytes wait, want at most about %d", waiting, bufferBytes)
+	}
+	out.mu.Unlock()
+	cancel()
+	<-served
+}
