Move serving tasks off workers that drain; tell Retry-After in the log

Ruled out: room elsewhere (84% asked for), late notice (the entries said draining 5 s before).

Change: serving tasks leave a draining worker one by one as their step may miss, all after 2 s, if another worker has room.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -33,6 +33,7 @@
 		}
 		starts += m.startReady(j, room, now, startsPerPlan-starts)
 	}
+	m.leaveDraining(room, now)
 }
 
 // line returns the jobs with waiting tasks whose turn has come, in the order
@@ -166,17 +167,24 @@
 	return whole, rest
 }
 
-// startReady starts waiting tasks of a job and returns how many.
-func (m *Machine) startReady(j *job, room *room, now time.Duration, most int) int {
-	q, ok := m.config.Queue(j.Queue)
-	service := fleet.Service("")
-	if ok {
-		service = q.Service
-	} else if len(m.config.Services) == 1 {
+// serviceOf names the service whose workers run a job. A job whose queue is not
+// configured any more goes to the only service there is.
+func (m *Machine) serviceOf(j *job) fleet.Service {
+	if q, ok := m.config.Queue(j.Queue); ok {
+		return q.Service
+	}
+	if len(m.config.Services) == 1 {
 		for name := range m.config.Services {
-			service = name
+			return name
 		}
 	}
+	return ""
+}
+
+// startReady starts waiting tasks of a job and returns how many.
+func (m *Machine) startReady(j *job, room *room, now time.Duration, most int) int {
+	q, ok := m.config.Queue(j.Queue)
+	service := m.serviceOf(j)
 	started := 0
 	for _, o := range j.occ {
 		if o == nil || o.left == 0 {
--- a/dispatch/upkeep.go
+++ b/dispatch/upkeep.go
@@ -139,7 +139,7 @@
 			return
 		}
 		for _, r := range slices.Clone(worker.runs) {
-			if r.state == runRunning && m.mayStopForUpkeep(r) {
+			if r.state == runRunning && m.mayStop(r) {
 				m.event("run_emptied", r.task.job.ID, "task", r.task.name, "run", r.number, "worker", worker.ID, "wave", w.Number)
 				m.stop(r, "upkeep")
 			}
@@ -153,10 +153,10 @@
 	m.event("upkeep_ordered", "", "machine", x.ID, "wave", w.Number, "worker", x.Worker)
 }
 
-// mayStopForUpkeep reports whether a run may be stopped: a batch run that
+// mayStop reports whether a run may be stopped to empty its worker: a batch run that
 // saves its progress always, a serving one if no more of its step would then be
 // away than may be. Other batch runs end by themselves.
-func (m *Machine) mayStopForUpkeep(r *run) bool {
+func (m *Machine) mayStop(r *run) bool {
 	s := r.task.step
 	if !s.Serving {
 		return s.Checkpoints
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -45,7 +45,9 @@
 	paceAt    time.Duration // when paces were changed last
 	learnedAt time.Duration // when tails were learned from last
 	alarmAt   time.Duration // when a tail was too long last
-	shared    sharedRoom
+	// drainingAt is when the worker began or ended draining.
+	drainingAt time.Duration
+	shared     sharedRoom
 }
 
 // endMark is an end that is forgotten on the worker once its job's version is
@@ -71,6 +73,7 @@
 	}
 	if info.Draining != w.Draining {
 		m.event("worker_draining", "", "worker", info.ID, "draining", info.Draining)
+		w.drainingAt = now
 	}
 	w.Worker, w.listed = info, true
 }
--- a/node/node.go
+++ b/node/node.go
@@ -336,12 +336,14 @@
 }
 
 // Told implements platform.Jobs.
-func (n *Node) Told(method string, id fleet.JobID, queue string, status int, took time.Duration, reason string) {
-	n.metrics.Observe("answer_"+strings.ToLower(method), took)
-	n.metrics.Count(fmt.Sprintf("answers_%s_%d", strings.ToLower(method), status), 1)
-	if method == http.MethodGet && status == http.StatusOK {
+func (n *Node) Told(a platform.Answered) {
+	method := strings.ToLower(a.Method)
+	n.metrics.Observe("answer_"+method, a.Took)
+	n.metrics.Count(fmt.Sprintf("answers_%s_%d", method, a.Status), 1)
+	if a.Method == http.MethodGet && a.Status == http.StatusOK {
 		return
 	}
 	fresh, _ := n.shared.Fresh()
-	n.logger.Event("answer", "method", method, "job", id, "queue", queue, "status", status, "took", took, "reason", reason, "view_age", steady.Now()-fresh)
+	n.logger.Event("answer", "method", a.Method, "job", a.Job, "queue", a.Queue, "status", a.Status, "took", a.Took,
+		"reason", a.Reason, "retry_after", a.RetryAfter, "view_age", steady.Now()-fresh)
 }
