Keep what a host does for callers in one file

Cause: a newcomer finds the answers to callers half in node.go, beside the supervisor tree, and half in serve.go; an unreadable owner's key was taken for none without a line in the log.

Ruled out: nothing; no behaviour changes but that line.

Conclusion: tests of node, owner and platform pass.

--- a/node/node.go
+++ b/node/node.go
@@ -24,7 +24,6 @@
 	"github.com/rotisserie/eris"
 	"github.com/thejerf/suture/v4"
 
-	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/intake"
 	"github.com/fuchsiahill/fuchsiahill/internal/oplog"
 	"github.com/fuchsiahill/fuchsiahill/internal/steady"
@@ -292,58 +291,3 @@
 	}
 	n.owner.SharedChanged(e)
 }
-
-// Config implements platform.Jobs.
-func (n *Node) Config() *workload.Config {
-	c := n.config.Load()
-	if c == nil {
-		return nil
-	}
-	return c.Config
-}
-
-// Submit implements platform.Jobs.
-func (n *Node) Submit(ctx context.Context, job *workload.Job) error {
-	return n.serve(http.MethodPost, job.ID,
-		func() error { return here{n}.Submit(ctx, job) },
-		func() error { return n.relay.Submit(ctx, job) })
-}
-
-// State implements platform.Jobs.
-func (n *Node) State(ctx context.Context, id fleet.JobID, queue string) (state workload.State, err error) {
-	if state, ok := n.intake.Seen(id, queue); ok {
-		return state, nil
-	}
-	err = n.serve(http.MethodGet, id,
-		func() error { state, err = here{n}.State(id, queue); return err },
-		func() error { state, err = n.relay.State(ctx, id, queue); return err })
-	return state, err
-}
-
-// Cancel implements platform.Jobs.
-func (n *Node) Cancel(ctx context.Context, id fleet.JobID, queue string) error {
-	return n.serve(http.MethodDelete, id,
-		func() error { return here{n}.Cancel(id, queue) },
-		func() error { return n.relay.Cancel(ctx, id, queue) })
-}
-
-// Pending implements platform.Jobs.
-func (n *Node) Pending(queue string) (int, error) {
-	if n.intake.StoreAway() {
-		return 0, &intake.RefusedError{Reason: "no contact with the store", RetryAfter: storeRetry, StoreAway: true}
-	}
-	return n.intake.Pending(queue), nil
-}
-
-// Told implements platform.Jobs.
-func (n *Node) Told(a platform.Answered) {
-	method := strings.ToLower(a.Method)
-	n.metrics.Observe("answer_"+method, a.Took)
-	n.metrics.Count(fmt.Sprintf("answers_%s_%d", method, a.Status), 1)
-	if a.Method == http.MethodGet && a.Status == http.StatusOK {
-		return
-	}
-	fresh, _ := n.shared.Fresh()
-	n.logger.Event("answer", "method", a.Method, "job", a.Job, "queue", a.Queue, "status", a.Status, "took", a.Took,
-		"reason", a.Reason, "retry_after", a.RetryAfter, "view_age", steady.Now()-fresh)
-}
--- a/owner/election.go
+++ b/owner/election.go
@@ -149,9 +149,13 @@
 // Claimed tells who owned dispatching when this host heard last.
 func (o *Owner) Claimed() (Claim, bool) {
 	e, ok := o.deps.Shared.Get(intake.OwnerKey)
+	if !ok {
+		return Claim{}, false
+	}
 	var c Claim
-	if !ok || json.Unmarshal(e.Value, &c) != nil {
-		return Claim{}, false // one that can't be read names no host
+	if err := json.Unmarshal(e.Value, &c); err != nil {
+		o.deps.Log("claim_unreadable", "revision", e.Revision, "err", err)
+		return Claim{}, false
 	}
 	return c, true
 }
