Tell from the log why a job waits, and metrics of jobs by outcome and size

What callers saw: of the largest jobs of a queue far fewer are served than of all.

Cause: not known yet; the log could not tell whether the line's order, the workers' room, pressure on serving tasks or the door decides.

Change: job_taken_over gives size, images and wanted time; job_outlook tells of a job that waits and has become late or lost, with its place, for how long it was passed by and what keeps its first task from each worker; job_ended gives what it took of what was wanted; room tells each second how the workers are used. Counters and histograms by outcome, large jobs apart.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -32,6 +32,10 @@
 	runs       int            // in all its tasks
 	priority   int
 	key        float64 // place in line, lower first; set by Plan
+	work       float64 // core-seconds in all, as expected when it came
+	// passed is for how long tasks whose turn had come found no room.
+	passed               time.Duration
+	outlook, toldOutlook outlook
 }
 
 // occurrence is one execution of a job's steps.
@@ -112,6 +116,12 @@
 	}
 	nj := &job{Job: *j, state: state, shown: state, revision: revision, inherits: inherited, arrived: now}
 	m.jobs[j.ID] = nj
+	nj.work = m.restWork(nj)
+	if m.sizes[j.Queue] == nil {
+		m.sizes[j.Queue] = &sizeStats{}
+	}
+	m.sizes[j.Queue].take(nj.work)
+	m.noteJob(nj, revision)
 	if state.Final() {
 		return
 	}
@@ -123,7 +133,7 @@
 			o.settle()
 		}
 	}
-	m.finishIfDone(nj)
+	m.finishIfDone(nj, now)
 }
 
 // occurrence returns an occurrence, which it creates when needed.
@@ -251,17 +261,17 @@
 	return !slices.ContainsFunc(j.occ, func(o *occurrence) bool { return o == nil || o.left > 0 })
 }
 
-func (m *Machine) finishIfDone(j *job) {
+func (m *Machine) finishIfDone(j *job, now time.Duration) {
 	if !j.state.Final() && j.allDone() {
-		m.end(j, workload.StateCompleted)
+		m.end(j, workload.StateCompleted, now)
 	}
 }
 
 // end makes a state final and stops what still runs.
-func (m *Machine) end(j *job, state workload.State) {
+func (m *Machine) end(j *job, state workload.State, now time.Duration) {
 	j.state = state
 	j.changed()
-	m.event("job_ended", j.ID, "state", state, "queue", j.Queue)
+	m.noteEnd(j, now)
 	for _, o := range j.occ {
 		if o == nil {
 			continue
@@ -278,14 +288,14 @@
 
 // StateChanged takes in a state that is stored: one that another host has
 // written, or this owner's own.
-func (m *Machine) StateChanged(id fleet.JobID, state workload.State, revision store.Revision) {
+func (m *Machine) StateChanged(id fleet.JobID, state workload.State, revision store.Revision, now time.Duration) {
 	j, ok := m.jobs[id]
 	if !ok || revision <= j.revision {
 		return
 	}
 	j.revision, j.shown = revision, state
 	if state == workload.StateCancelled && j.state != workload.StateCancelled {
-		m.end(j, workload.StateCancelled)
+		m.end(j, workload.StateCancelled, now)
 	}
 }
 
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -62,6 +62,17 @@
 	Name    string
 	Job     fleet.JobID
 	KeyVals []any
+	Ended   *JobEnded // of a batch job that has ended, for the metrics
+}
+
+// JobEnded tells how a batch job has ended.
+type JobEnded struct {
+	State workload.State
+	// Outlook is how it ended beside the time in which it was wanted, if it is
+	// completed.
+	Outlook string
+	Large   bool // it had more than largeFactor times the mean work of its queue
+	Took    time.Duration
 }
 
 // Machine is the state of one owner's dispatching. It is not safe for
@@ -81,6 +92,7 @@
 	list         []*worker // in order of ID
 	jobs         map[fleet.JobID]*job
 	queues       map[string]*queueStats
+	sizes        map[string]*sizeStats // by queue
 	interference *interference
 	work         []beside  // reused by control
 	rates        []float64 // reused by siblingRate
@@ -95,6 +107,9 @@
 	// worker has shown may exist until former.
 	started time.Duration
 	former  time.Duration
+	planned time.Duration // when the last plan was made
+	// roomTold is when the use of the workers was told last.
+	roomTold time.Duration
 }
 
 const (
@@ -110,9 +125,10 @@
 // has term 1.
 func New(limits Limits, term int, now time.Duration) *Machine {
 	return &Machine{
-		limits: limits, term: term, started: now, former: now + leaseBound(limits.LeaseMax),
+		limits: limits, term: term, started: now, planned: now, former: now + leaseBound(limits.LeaseMax),
 		order: leastWork, config: &workload.Config{}, out: make(map[fleet.DataCentre]bool),
 		workers: make(map[fleet.WorkerID]*worker), jobs: make(map[fleet.JobID]*job), queues: make(map[string]*queueStats),
+		sizes:        make(map[string]*sizeStats),
 		interference: newInterference(), upkeep: upkeep{quietUntil: now + limits.Turn},
 	}
 }
--- a/dispatch/machine_test.go
+++ b/dispatch/machine_test.go
@@ -123,7 +123,7 @@
 	}
 	first := starts[0]
 	// What is being stopped still counts.
-	r.m.StateChanged("a", workload.StateCancelled, 2)
+	r.m.StateChanged("a", workload.StateCancelled, 2, r.now)
 	r.job("b", cpuStep(10, 1500))
 	if more := r.starts(); len(more) != 0 {
 		t.Fatalf("started %v before the stopped runs were gone", more)
--- a/dispatch/model_store_test.go
+++ b/dispatch/model_store_test.go
@@ -72,7 +72,7 @@
 		w.m.WritesFailed(writes)
 		for _, wr := range writes {
 			j := w.jobs[wr.Job]
-			w.m.StateChanged(wr.Job, j.state, j.stateRev)
+			w.m.StateChanged(wr.Job, j.state, j.stateRev, w.now)
 			w.m.ProgressStored(wr.Job, j.progRev)
 		}
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -27,13 +27,28 @@
 	m.planUpkeep(now)
 	room := m.newRoom(now)
 	starts := 0
-	for _, j := range m.line(now, unixMS) {
+	line := m.line(now, unixMS)
+	for _, j := range line {
 		if starts >= startsPerPlan {
 			break
 		}
 		starts += m.startReady(j, room, now, startsPerPlan-starts)
 	}
 	m.leaveDraining(room, now)
+	m.notePassed(line, room, now)
+	m.noteRoom(line, room, now)
+	m.planned = now
+}
+
+// notePassed counts the time for which jobs in line find no room.
+func (m *Machine) notePassed(line []*job, room *room, now time.Duration) {
+	for i, j := range line {
+		if j.Serves() || !j.hasWaiting() {
+			continue
+		}
+		j.passed += now - max(m.planned, j.arrived)
+		m.noteOutlook(j, i, room, now)
+	}
 }
 
 // line returns the jobs with waiting tasks whose turn has come, in the order
@@ -71,19 +86,7 @@
 	}
 }
 
-func (j *job) hasWaiting() bool {
-	for _, o := range j.occ {
-		if o == nil || o.left == 0 {
-			continue
-		}
-		for _, s := range o.steps {
-			if s.waiting > 0 && o.ready(s) {
-				return true
-			}
-		}
-	}
-	return false
-}
+func (j *job) hasWaiting() bool { return j.waitingTasks() > 0 }
 
 // rank sets a job's place in line.
 func (m *Machine) rank(j *job, now time.Duration) {
@@ -98,16 +101,26 @@
 		return
 	}
 	whole, rest := m.chains(j)
-	wanted := time.Duration(q.Stretch*float64(whole)) + q.Objective
+	wanted := m.wanted(j, whole)
 	slack := j.arrived + wanted - now - rest
 	switch {
 	case slack >= 0:
-		j.key = m.order(m, j, slack)
+		j.outlook, j.key = outlookInTime, m.order(m, j, slack)
 	case now+rest < j.arrived+lateFactor*wanted:
-		j.key = lateKey - slack.Seconds()
+		j.outlook, j.key = outlookLate, lateKey-slack.Seconds()
 	default:
-		j.key = lostKey
+		j.outlook, j.key = outlookLost, lostKey
+	}
+}
+
+// wanted is the time in which a job is wanted to end, of its longest chain of
+// work; 0 if its queue is not configured.
+func (m *Machine) wanted(j *job, chain time.Duration) time.Duration {
+	q, ok := m.config.Queue(j.Queue)
+	if !ok {
+		return 0
 	}
+	return time.Duration(q.Stretch*float64(chain)) + q.Objective
 }
 
 // restWork is the expected work left of a job, in core-seconds.
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -203,7 +203,7 @@
 	switch e.How {
 	case workload.EndDone:
 		w.strikes = 0
-		m.done(t)
+		m.done(t, now)
 	case workload.EndFailed:
 		if slices.Contains(t.failed, e.Run) {
 			return
@@ -213,13 +213,13 @@
 		m.strike(w, t.job.ID, now)
 		if q, ok := m.config.Queue(t.job.Queue); ok && !t.step.Serving && q.MaxAttempts > 0 && t.failures() >= q.MaxAttempts && !t.done {
 			m.event("job_failed", t.job.ID, "task", t.name, "failures", t.failures(), "max_attempts", q.MaxAttempts)
-			m.end(t.job, workload.StateFailed)
+			m.end(t.job, workload.StateFailed, now)
 		}
 	}
 }
 
 // done takes in that a task is done; one end speaks for a whole gang.
-func (m *Machine) done(t *task) {
+func (m *Machine) done(t *task, now time.Duration) {
 	tasks := []*task{t}
 	if t.step.Gang {
 		tasks = t.step.tasks
@@ -247,7 +247,7 @@
 				o.left++
 			}
 		}
-		m.finishIfDone(t.job)
+		m.finishIfDone(t.job, now)
 	}
 }
 
--- a/owner/changes.go
+++ b/owner/changes.go
@@ -34,9 +34,7 @@
 			state.Value = intake.Record{Queue: job.Queue, State: workload.StateQueued, AcceptedMS: job.AcceptedMS}.Encode()
 		}
 	}
-	if r.addJob(e.Entry, state, nil, steady.Now(), false) {
-		r.deps.Log("job_taken_over", "job", id, "revision", e.Revision, "term", r.term)
-	}
+	r.addJob(e.Entry, state, nil, steady.Now(), false)
 	r.wake()
 }
 
@@ -58,7 +56,7 @@
 		return
 	}
 	r.mu.Lock()
-	r.machine.StateChanged(id, record.State, e.Revision)
+	r.machine.StateChanged(id, record.State, e.Revision, steady.Now())
 	r.mu.Unlock()
 	if record.State == workload.StateCancelled {
 		r.wake()
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -143,7 +143,7 @@
 		}
 		if id, ok := intake.JobOfKey(e.Key); ok {
 			if record, err := intake.DecodeRecord(e.Value); err == nil {
-				r.machine.StateChanged(id, record.State, e.Revision)
+				r.machine.StateChanged(id, record.State, e.Revision, steady.Now())
 			}
 		}
 	}
--- a/owner/reign.go
+++ b/owner/reign.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -227,4 +228,21 @@
 	}
 	r.deps.Log(e.Name, append(keyvals, "term", r.term)...)
 	r.deps.Metrics.Count(e.Name, 1)
+	if end := e.Ended; end != nil {
+		countEnd(r.deps.Metrics, end)
+	}
+}
+
+// countEnd counts a batch job by its outcome, and large ones besides.
+func countEnd(metrics *Metrics, end *dispatch.JobEnded) {
+	outcome := string(end.State)
+	if end.Outlook != "" {
+		outcome = strings.ReplaceAll(end.Outlook, " ", "_")
+	}
+	metrics.Count("jobs_"+outcome, 1)
+	metrics.Observe("job_took", end.Took)
+	if end.Large {
+		metrics.Count("large_jobs_"+outcome, 1)
+		metrics.Observe("large_job_took", end.Took)
+	}
 }
