--- a/dispatch/ranking.go
+++ b/dispatch/ranking.go
@@ -30,8 +30,10 @@
 // Ranking names a way to order the jobs that can still be in time.
 type Ranking string
 
-// Rankings. RankLeastWork is in use; the others are there to be
-// weighed against it.
+// RankInUse is the order of the line unless another is chosen.
+const RankInUse = RankLeastWork
+
+// Rankings, of which all but RankInUse are there to be weighed against it.
 const (
 	RankLeastWork     Ranking = "least work"
 	RankShortestChain Ranking = "shortest chain"
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -3,8 +3,8 @@
 // on the same load.
 //
 // It models workers that run batch tasks for a drawn time and report every
-// reportEvery and at each end. It knows no failures, no serving or filling
-// work and no cost of control: a ranking here is a reason to measure, not a
+// reportEvery and at each end, and callers that are refused at the door and come
+// back. It knows no failures, no serving or filling work and no cost of control: a ranking here is a reason to measure, not a
 // result.
 package experiment
 
@@ -20,6 +20,8 @@
 
 	"github.com/fuchsiahill/fuchsiahill/dispatch"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/intake"
+	"github.com/fuchsiahill/fuchsiahill/owner"
 	"github.com/fuchsiahill/fuchsiahill/workload"
 )
 
@@ -41,6 +43,12 @@
 	sizeWorth = 0.7
 	worthMost = 4.0
 
+	// retriesMost is how often a refused caller comes back. Source: the users'
+	// sheets.
+	retriesMost = 4
+	// tellInterval is how often the door is told of the load, as an owner does.
+	tellInterval = time.Second
+
 	stretch   = 2.0
 	objective = time.Second
 	service   = fleet.Service("experiment")
@@ -68,8 +76,12 @@
 	Jobs     int
 	InTime   int
 	Late     int
+	Refused  int     // at the door, each time that they came
 	Worth    float64 // earned of what all jobs in time would
 	P50, P99 time.Duration
+	// Served is the part of all jobs that were in time or late, Largest and
+	// NextLargest the same of the largest tenth and of the fifth below it.
+	Served, Largest, NextLargest float64
 }
 
 // workerRoom is a worker of the users' smaller site.
@@ -113,6 +125,19 @@
 	now     time.Duration
 	workers []*modelWorker
 	jobs    map[fleet.JobID]*modelJob
+	queue   workload.Queue
+	coming  []attempt // in order of time
+	load    intake.Load
+	told    time.Duration
+	refused int
+}
+
+// attempt is a caller's try to hand a job in.
+type attempt struct {
+	at    time.Duration
+	id    fleet.JobID
+	steps []workload.Step
+	tries int // before it
 }
 
 type modelWorker struct {
@@ -136,14 +161,18 @@
 	ended  time.Duration // 0: not yet
 }
 
+// served reports whether a job was in time or late.
+func (j *modelJob) served() bool { return j.ended > 0 && j.ended-j.came <= lateFactor*j.wanted }
+
 // Play hands in the arrivals and counts what is in time.
 func Play(c Config, arrivals []Arrival) (Result, error) {
 	p := &play{config: c, machine: dispatch.New(dispatch.Limits{Lease: 5 * time.Second, LeaseMax: 6 * time.Second}, 1, 0), jobs: make(map[fleet.JobID]*modelJob)}
 	if err := p.machine.SetRanking(c.Ranking); err != nil {
 		return Result{}, err
 	}
+	p.queue = workload.Queue{Name: queue, Service: service, Stretch: stretch, Objective: objective}
 	p.machine.SetConfig(&workload.Config{
-		Queues:   []workload.Queue{{Name: queue, Service: service, Stretch: stretch, Objective: objective}},
+		Queues:   []workload.Queue{p.queue},
 		Services: map[fleet.Service]workload.Service{service: {Name: service}},
 	})
 	for i := range c.Workers {
@@ -152,27 +181,61 @@
 		p.machine.SetWorker(workload.Worker{ID: w.id, BornMS: 1, Service: service, Capacity: workerRoom}, 0)
 		p.report(w)
 	}
-	began := p.now
-	for next := 0; p.now-began < c.For+drainTime; p.now += tick {
-		for ; next < len(arrivals) && began+time.Duration(arrivals[next].AtMS)*time.Millisecond <= p.now; next++ {
-			p.submit(next, arrivals[next])
+	for n, a := range arrivals {
+		p.come(attempt{at: time.Duration(a.AtMS) * time.Millisecond, id: fleet.JobID(fmt.Sprintf("%016x", n)), steps: a.Steps})
+	}
+	for ; p.now < c.For+drainTime; p.now += tick {
+		p.tellLoad()
+		for len(p.coming) > 0 && p.coming[0].at <= p.now {
+			next := p.coming[0]
+			p.coming = p.coming[1:]
+			p.submit(next)
 		}
 		p.step()
 	}
 	return p.result(), nil
 }
 
-func (p *play) submit(n int, a Arrival) {
-	id := fleet.JobID(fmt.Sprintf("%016x", n))
-	j := &modelJob{came: p.now}
-	chain := time.Duration(0)
-	for _, s := range a.Steps {
-		j.work += workOf(s)
-		chain += s.Estimate()
+// come puts an attempt in its place.
+func (p *play) come(a attempt) {
+	at, _ := slices.BinarySearchFunc(p.coming, a.at+1, func(b attempt, at time.Duration) int { return cmp.Compare(b.at, at) })
+	p.coming = slices.Insert(p.coming, at, a)
+}
+
+// tellLoad tells the door how much work waits.
+func (p *play) tellLoad() {
+	if p.now-p.told < tellInterval {
+		return
 	}
-	j.wanted = time.Duration(stretch*float64(chain)) + objective
-	p.jobs[id] = j
-	p.machine.AddJob(&workload.Job{ID: id, Queue: queue, Steps: a.Steps}, workload.StateQueued, 1, workload.Progress{}, p.now, false)
+	p.told = p.now
+	p.load = owner.LoadOf(p.machine.Waiting(p.now), unixMS(p.now))
+}
+
+func unixMS(now time.Duration) int64 { return now.Milliseconds() }
+
+// submit hands a job in; a caller that is refused comes back when it was told
+// to, up to triesMost times.
+func (p *play) submit(a attempt) {
+	if a.tries == 0 {
+		j := &modelJob{came: p.now}
+		chain := time.Duration(0)
+		for _, s := range a.steps {
+			j.work += workOf(s)
+			chain += s.Estimate()
+		}
+		j.wanted = time.Duration(stretch*float64(chain)) + objective
+		p.jobs[a.id] = j
+	}
+	job := &workload.Job{ID: a.id, Queue: queue, Steps: a.steps}
+	if refused := intake.Admit(&p.queue, job, p.load, time.UnixMilli(unixMS(p.now))); refused != nil {
+		p.refused++
+		if a.tries++; a.tries <= retriesMost {
+			a.at = p.now + refused.RetryAfter
+			p.come(a)
+		}
+		return
+	}
+	p.machine.AddJob(job, workload.StateQueued, 1, workload.Progress{}, p.now, false)
 }
 
 // step ends what is over, lets the machine plan and carries its orders out.
@@ -240,7 +303,7 @@
 }
 
 func (p *play) result() Result {
-	r := Result{Config: p.config, Jobs: len(p.jobs)}
+	r := Result{Config: p.config, Jobs: len(p.jobs), Refused: p.refused}
 	times := hdrhistogram.New(1, (p.config.For + drainTime).Milliseconds(), 3)
 	mean, earned, owed := 0.0, 0.0, 0.0
 	ids := slices.Sorted(maps.Keys(p.jobs)) // sums of floats depend on the order
@@ -258,7 +321,7 @@
 		case took <= j.wanted:
 			r.InTime++
 			earned += worth
-		case took <= lateFactor*j.wanted:
+		case j.served():
 			r.Late++
 			earned += lateWorth * worth
 		}
@@ -267,7 +330,21 @@
 	if owed > 0 {
 		r.Worth = earned / owed
 	}
+	slices.SortStableFunc(ids, func(a, b fleet.JobID) int { return cmp.Compare(p.jobs[b].work, p.jobs[a].work) })
+	tenth := len(ids) / 10
+	r.Largest, r.NextLargest, r.Served = p.servedOf(ids[:tenth]), p.servedOf(ids[tenth:3*tenth]), p.servedOf(ids)
 	r.P50 = time.Duration(times.ValueAtQuantile(50)) * time.Millisecond
 	r.P99 = time.Duration(times.ValueAtQuantile(99)) * time.Millisecond
 	return r
 }
+
+// servedOf is the part of some jobs that was in time or late.
+func (p *play) servedOf(ids []fleet.JobID) float64 {
+	n := 0
+	for _, id := range ids {
+		if p.jobs[id].served() {
+			n++
+		}
+	}
+	return float64(n) / float64(max(len(ids), 1))
+}
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -48,7 +49,33 @@
 	}
 }
 
-// The order in use earns the most under a load far above room.
+// The users' gate on sizes: of the largest tenth of the jobs, and of the fifth
+// below it, at least half as many are served as of all, also while four times
+// the room is handed in for longer than any job may wait.
+func TestLargestJobsAreStarved(t *testing.T) {
+	const seeds, leastShare = 3, 0.5
+	results := make([]Result, seeds)
+	var plays sync.WaitGroup
+	for seed := range results {
+		plays.Go(func() {
+			c := Config{Workers: 16, For: 34 * time.Second, Load: 4, Seed: uint64(seed), Ranking: dispatch.RankInUse}
+			r, err := Play(c, Draw(c))
+			if err != nil {
+				t.Error(err)
+			}
+			results[seed] = r
+		})
+	}
+	plays.Wait()
+	for seed, r := range results {
+		t.Logf("seed %d: served %.2f, of the largest tenth %.2f, of the next fifth %.2f; worth %.3f", seed, r.Served, r.Largest, r.NextLargest, r.Worth)
+		if r.Largest < leastShare*r.Served || r.NextLargest < leastShare*r.Served {
+			t.Errorf("seed %d: served %.2f of the largest tenth and %.2f of the next fifth, of all %.2f", seed, r.Largest, r.NextLargest, r.Served)
+		}
+	}
+}
+
+// Least work earns the most under a load far above room.
 func TestLeastWorkEarnsMost(t *testing.T) {
 	sums := make(map[dispatch.Ranking]float64)
 	for seed := range uint64(3) {
--- a/owner/tell.go
+++ b/owner/tell.go
@@ -39,8 +39,9 @@
 	}
 }
 
-func (r *reign) tellLoad(waiting map[string]dispatch.QueueBacklog) error {
-	load := intake.Load{AtMS: time.Now().UnixMilli(), Queues: make(map[string]intake.QueueLoad, len(waiting))}
+// LoadOf returns what all hosts are told of the waiting work.
+func LoadOf(waiting map[string]dispatch.QueueBacklog, unixMS int64) intake.Load {
+	load := intake.Load{AtMS: unixMS, Queues: make(map[string]intake.QueueLoad, len(waiting))}
 	for queue, b := range waiting {
 		ql := intake.QueueLoad{Rate: b.Rate, Ratio: b.Ratio}
 		for _, s := range b.Sizes {
@@ -48,7 +49,11 @@
 		}
 		load.Queues[queue] = ql
 	}
-	value, err := json.Marshal(load)
+	return load
+}
+
+func (r *reign) tellLoad(waiting map[string]dispatch.QueueBacklog) error {
+	value, err := json.Marshal(LoadOf(waiting, time.Now().UnixMilli()))
 	if err != nil {
 		return err
 	}
