Foretell at the door by the line's own places

What callers saw: large jobs were told to come back later, or accepted, by an order in which the line does not serve them.

Change: the owner tells the waiting work by place in line, and the mean work of a queue's jobs; the door finds the place of a new job by the same function as the line (dispatch.PlaceOfNew). The experiment weighs orders without the door, which foretells only the order in use.

TestAdmit has a small job behind large ones that have begun, and a large one that is drawn.

Conclusion: the door no longer goes by size. It still accepts jobs that later ones will pass.

--- a/dispatch/learn.go
+++ b/dispatch/learn.go
@@ -67,49 +67,51 @@
 	return time.Duration(ratio * float64(s.Estimate()))
 }
 
-// backlogPoints bounds the sizes told of one queue.
+// backlogPoints bounds the places told of one queue.
 const backlogPoints = 8
 
 // Waiting tells, for each queue in which work waits, the rate at which work
-// ends and the waiting work by size of job.
+// ends and the waiting work by place in line.
 func (m *Machine) Waiting(now time.Duration) map[string]QueueBacklog {
-	sizes := make(map[string][]float64)
+	places := make(map[string][]PlaceBacklog)
 	for _, j := range m.jobs {
 		if !j.state.Final() && !j.Serves() && j.hasWaiting() && j.key < lostKey {
-			sizes[j.Queue] = append(sizes[j.Queue], m.restWork(j))
+			places[j.Queue] = append(places[j.Queue], PlaceBacklog{j.key, m.restWork(j)})
 		}
 	}
-	loads := make(map[string]QueueBacklog, len(sizes))
-	for queue, list := range sizes {
+	loads := make(map[string]QueueBacklog, len(places))
+	for queue, list := range places {
 		q, ok := m.queues[queue]
 		if !ok {
 			continue
 		}
 		q.decay(now)
-		loads[queue] = QueueBacklog{Rate: q.rate, Ratio: q.ratio, Sizes: cumulate(list)}
+		loads[queue] = QueueBacklog{Rate: q.rate, Ratio: q.ratio, Mean: m.sizes[queue].mean, Places: cumulate(list)}
 	}
 	return loads
 }
 
 // QueueBacklog is the waiting work of one queue.
 type QueueBacklog struct {
-	Rate  float64 // core-seconds a second that end
-	Ratio float64 // run time to the submitters' estimates
-	Sizes []SizeBacklog
+	Rate   float64 // core-seconds a second that end
+	Ratio  float64 // run time to the submitters' estimates
+	Mean   float64 // core-seconds of the mean job
+	Places []PlaceBacklog
 }
 
-// SizeBacklog is the work, in core-seconds, of waiting jobs up to a size.
-type SizeBacklog struct{ Size, Work float64 }
+// PlaceBacklog is the work, in core-seconds, of waiting jobs up to a place in
+// line.
+type PlaceBacklog struct{ Place, Work float64 }
 
-// cumulate sums sizes up at up to backlogPoints of them.
-func cumulate(sizes []float64) []SizeBacklog {
-	slices.SortFunc(sizes, cmp.Compare[float64])
-	var points []SizeBacklog
+// cumulate sums the work of jobs up at up to backlogPoints of their places.
+func cumulate(jobs []PlaceBacklog) []PlaceBacklog {
+	slices.SortFunc(jobs, func(a, b PlaceBacklog) int { return cmp.Compare(a.Place, b.Place) })
+	var points []PlaceBacklog
 	sum := 0.0
-	for i, size := range sizes {
-		sum += size
-		if (i+1)*backlogPoints/len(sizes) > i*backlogPoints/len(sizes) {
-			points = append(points, SizeBacklog{size, sum})
+	for i, j := range jobs {
+		sum += j.Work
+		if (i+1)*backlogPoints/len(jobs) > i*backlogPoints/len(jobs) {
+			points = append(points, PlaceBacklog{j.Place, sum})
 		}
 	}
 	return points
--- a/dispatch/line_test.go
+++ b/dispatch/line_test.go
@@ -78,16 +78,18 @@
 	}
 }
 
-// Lots are even, and the same whoever owns dispatching.
+// Lots are even, whatever the size of the job.
 func TestLots(t *testing.T) {
 	drawn := 0
 	for i := range 1000 {
-		j := &job{Job: workload.Job{ID: fleet.JobID(fmt.Sprintf("%016x", i)), AcceptedMS: int64(i) * 37}}
-		if j.lot() < drawnShare {
+		small := workload.Job{ID: fleet.JobID(fmt.Sprintf("%016x", i)), AcceptedMS: int64(i) * 37, Steps: []workload.Step{cpuStep(1, 100)}}
+		large := small
+		large.Steps = []workload.Step{cpuStep(500, 3000)}
+		if lotOf(&small) < drawnShare {
 			drawn++
 		}
-		if again := (&job{Job: j.Job, inherits: true}); again.lot() != j.lot() {
-			t.Fatalf("the lot of job %s depends on the owner", j.ID)
+		if lotOf(&small) != lotOf(&large) {
+			t.Fatalf("the lot of job %s depends on its size", small.ID)
 		}
 	}
 	if share := float64(drawn) / 1000; share < drawnShare-0.05 || share > drawnShare+0.05 {
--- a/dispatch/ranking.go
+++ b/dispatch/ranking.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"hash/fnv"
 	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/workload"
 )
 
 // lineOrder places a job that can still be in time; lower comes first.
@@ -20,10 +22,21 @@
 	if j.begun() {
 		return j.partLeft()
 	}
-	if lot := j.lot(); lot < drawnShare {
+	mean := 0.0
+	if sizes := m.sizes[j.Queue]; sizes != nil {
+		mean = sizes.mean
+	}
+	return PlaceOfNew(&j.Job, m.restWork(j), mean)
+}
+
+// PlaceOfNew is the place in line, lower first, of a job that has not begun, of
+// its work and the mean work of its queue's jobs, in core-seconds; a mean of 0 is
+// not known. The door foretells by it what a new job would wait for.
+func PlaceOfNew(j *workload.Job, work, mean float64) float64 {
+	if lot := lotOf(j); lot < drawnShare {
 		return beginKey + lot
 	}
-	return undrawnKey + m.restWork(j)/m.worth(j)
+	return undrawnKey + work/worthOf(work, mean)
 }
 
 const (
@@ -43,9 +56,9 @@
 // before others begin.
 func (j *job) begun() bool { return j.partLeft() < begunBelow }
 
-// lot draws a number of 0 to 1 for a job, whatever its size and the same for
+// lotOf draws a number of 0 to 1 for a job, whatever its size and the same for
 // each owner.
-func (j *job) lot() float64 {
+func lotOf(j *workload.Job) float64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(j.ID)) // never fails
 	_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, uint64(j.AcceptedMS)))
@@ -81,13 +94,12 @@
 	return j.occ[occurrence].steps[step].done
 }
 
-// worth is what a job earns, of what the mean job of its queue does.
-func (m *Machine) worth(j *job) float64 {
-	sizes := m.sizes[j.Queue]
-	if sizes == nil || sizes.mean <= 0 {
+// worthOf is what a job of some work earns, of what the mean job does.
+func worthOf(work, mean float64) float64 {
+	if mean <= 0 {
 		return 1
 	}
-	return min(worthFixed+(1-worthFixed)*j.work/sizes.mean, worthMost)
+	return min(worthFixed+(1-worthFixed)*work/mean, worthMost)
 }
 
 // worthFixed is the part of a job's worth that does not grow with its work, and
--- a/intake/admit.go
+++ b/intake/admit.go
@@ -1,9 +1,11 @@
 package intake
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
+	"github.com/fuchsiahill/fuchsiahill/dispatch"
 	"github.com/fuchsiahill/fuchsiahill/workload"
 )
 
@@ -18,17 +20,19 @@
 type QueueLoad struct {
 	// Rate is the work that ended lately, in core-seconds a second.
 	Rate float64 `json:"r"`
-	// Ahead is the waiting work by size of job, in ascending order of Size: a
-	// job waits for those of less work.
+	// Ahead is the waiting work by place in line, in ascending order of Place: a
+	// job waits for what stands before it.
 	Ahead []Backlog `json:"a"`
 	// Ratio is the learned run time to the submitters' estimates.
 	Ratio float64 `json:"x"`
+	// Mean is the mean work of the queue's jobs, in core-seconds.
+	Mean float64 `json:"m"`
 }
 
-// Backlog is the work of waiting jobs up to a size, in core-seconds.
+// Backlog is the work of waiting jobs up to a place in line, in core-seconds.
 type Backlog struct {
-	Size float64 `json:"s"`
-	Work float64 `json:"w"`
+	Place float64 `json:"p"`
+	Work  float64 `json:"w"`
 }
 
 const (
@@ -43,9 +47,9 @@
 )
 
 // Admit decides whether a job is accepted. It answers loads above room: a job
-// that the work of smaller ones ahead of it will keep from ending even at
-// three times its wanted time is refused at once, with the time after which
-// that work is done. Jobs that serve are never refused for load.
+// that the work before it in line will keep from ending even at three times its
+// wanted time is refused at once, with the time after which that work is done.
+// Jobs that serve are never refused for load.
 func Admit(q *workload.Queue, job *workload.Job, load Load, now time.Time) *RefusedError {
 	ql, ok := load.Queues[q.Name]
 	if !ok || ql.Rate <= 0 || job.Serves() || now.UnixMilli()-load.AtMS > loadAge.Milliseconds() {
@@ -53,12 +57,13 @@
 	}
 	work, chain := size(job, max(ql.Ratio, 0.1))
 	wanted := time.Duration(q.Stretch*float64(chain)) + q.Objective
-	wait := time.Duration(ql.ahead(work) / ql.Rate * float64(time.Second))
+	place := dispatch.PlaceOfNew(job, work, ql.Mean)
+	wait := time.Duration(ql.ahead(place) / ql.Rate * float64(time.Second))
 	over := wait + chain - worthFactor*wanted
 	if over <= 0 {
 		return nil
 	}
-	return &RefusedError{Reason: "smaller jobs ahead take until after it is worth nothing", RetryAfter: min(max(over, retryLeast), retryMost)}
+	return &RefusedError{Reason: "the work before it in line takes until after it is worth nothing", RetryAfter: min(max(over, retryLeast), retryMost)}
 }
 
 // size returns the expected work of a job in core-seconds and its longest
@@ -78,17 +83,9 @@
 	return work, chain
 }
 
-// ahead is the waiting work of jobs of less work.
-func (l QueueLoad) ahead(work float64) float64 {
-	i, found := slices.BinarySearchFunc(l.Ahead, work, func(b Backlog, w float64) int {
-		switch {
-		case b.Size < w:
-			return -1
-		case b.Size > w:
-			return 1
-		}
-		return 0
-	})
+// ahead is the waiting work before a place in line.
+func (l QueueLoad) ahead(place float64) float64 {
+	i, found := slices.BinarySearchFunc(l.Ahead, place, func(b Backlog, p float64) int { return cmp.Compare(b.Place, p) })
 	if !found {
 		i--
 	}
--- a/intake/admit_test.go
+++ b/intake/admit_test.go
@@ -4,19 +4,39 @@
 	"testing"
 	"time"
 
+	"github.com/fuchsiahill/fuchsiahill/dispatch"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/workload"
 )
 
+// IDs of jobs that are drawn to begin whatever their size, and that are not.
+const (
+	drawn   = "0000000000000002"
+	undrawn = "0000000000000000"
+)
+
+func TestLotsOfTheTests(t *testing.T) {
+	for id, wantDrawn := range map[fleet.JobID]bool{drawn: true, undrawn: false} {
+		job := &workload.Job{ID: id}
+		if isDrawn := dispatch.PlaceOfNew(job, 1, 0) == dispatch.PlaceOfNew(job, 1000, 0); isDrawn != wantDrawn {
+			t.Errorf("job %s: drawn %v, want %v", id, isDrawn, wantDrawn)
+		}
+	}
+}
+
 func TestAdmit(t *testing.T) {
 	now := time.UnixMilli(100_000)
 	queue := &workload.Queue{Name: "q", Stretch: 2, Objective: time.Second}
 	// 200 core-seconds of small jobs and 2,000 of large ones wait; 20 end a second.
+	place := func(work float64) float64 { return dispatch.PlaceOfNew(&workload.Job{ID: undrawn}, work, 0) }
 	load := Load{AtMS: now.UnixMilli(), Queues: map[string]QueueLoad{"q": {
-		Rate: 20, Ratio: 1, Ahead: []Backlog{{Size: 10, Work: 200}, {Size: 100, Work: 2000}},
+		Rate: 20, Ratio: 1, Ahead: []Backlog{{Place: place(10), Work: 200}, {Place: place(100), Work: 2000}},
+	}}}
+	begun := Load{AtMS: now.UnixMilli(), Queues: map[string]QueueLoad{"q": {
+		Rate: 20, Ratio: 1, Ahead: []Backlog{{Place: 0.5, Work: 2000}},
 	}}}
 	job := func(tasks int, serving bool) *workload.Job {
-		return &workload.Job{Queue: "q", Steps: []workload.Step{{Count: tasks, Need: fleet.Resources{MilliCores: 1000}, EstimateMS: 2000, Serving: serving}}}
+		return &workload.Job{ID: undrawn, Queue: "q", Steps: []workload.Step{{Count: tasks, Need: fleet.Resources{MilliCores: 1000}, EstimateMS: 2000, Serving: serving}}}
 	}
 	tests := []struct {
 		name  string
@@ -28,6 +48,8 @@
 		{"smaller than all that waits", job(4, false), queue, load, 0},
 		{"behind the small ones: 10 s of 15", job(20, false), queue, load, 0},
 		{"behind the large ones: 100 s", job(60, false), queue, load, retryMost},
+		{"small, behind large ones that have begun: 100 s", job(4, false), queue, begun, retryMost},
+		{"as large, but drawn to begin", &workload.Job{ID: drawn, Queue: "q", Steps: job(60, false).Steps}, queue, load, 0},
 		{"as large, but it serves", job(60, true), queue, load, 0},
 		{"an old load", job(60, false), queue, Load{AtMS: now.UnixMilli() - 4000, Queues: load.Queues}, 0},
 		{"nothing ends, so nothing is known", job(60, false), queue, Load{AtMS: now.UnixMilli(), Queues: map[string]QueueLoad{"q": {Ahead: load.Queues["q"].Ahead}}}, 0},
@@ -51,10 +73,10 @@
 func TestRetryAfterIsHonest(t *testing.T) {
 	now := time.UnixMilli(100_000)
 	queue := &workload.Queue{Name: "q", Stretch: 1, Objective: 0}
-	job := &workload.Job{Queue: "q", Steps: []workload.Step{{Count: 100, Need: fleet.Resources{MilliCores: 1000}, EstimateMS: 1000}}}
+	job := &workload.Job{ID: undrawn, Queue: "q", Steps: []workload.Step{{Count: 100, Need: fleet.Resources{MilliCores: 1000}, EstimateMS: 1000}}}
 	ahead := 100.0
 	for range 20 {
-		load := Load{AtMS: now.UnixMilli(), Queues: map[string]QueueLoad{"q": {Rate: 10, Ratio: 1, Ahead: []Backlog{{Size: 1, Work: ahead}}}}}
+		load := Load{AtMS: now.UnixMilli(), Queues: map[string]QueueLoad{"q": {Rate: 10, Ratio: 1, Ahead: []Backlog{{Place: 1, Work: ahead}}}}}
 		refused := Admit(queue, job, load, now)
 		if refused == nil {
 			return
--- a/internal/experiment/command.go
+++ b/internal/experiment/command.go
@@ -172,9 +172,9 @@
 
 func printTable(out io.Writer, results []Result) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "load\torder\tjobs\tin time\tlate\trefused\tworth\tserved\tlargest tenth\tnext fifth\tp50 s\tp99 s\t")
+	fmt.Fprintln(w, "load\torder\tjobs\tin time\tlate\tworth\tserved\tlargest tenth\tnext fifth\tp50 s\tp99 s\t")
 	for _, r := range results {
-		fmt.Fprintf(w, "%.2f\t%s\t%d\t%d\t%d\t%d\t%.3f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t\n", r.Config.Load, r.Config.Ranking, r.Jobs, r.InTime, r.Late, r.Refused, r.Worth, r.Served, r.Largest, r.NextLargest, r.P50.Seconds(), r.P99.Seconds())
+		fmt.Fprintf(w, "%.2f\t%s\t%d\t%d\t%d\t%.3f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t\n", r.Config.Load, r.Config.Ranking, r.Jobs, r.InTime, r.Late, r.Worth, r.Served, r.Largest, r.NextLargest, r.P50.Seconds(), r.P99.Seconds())
 	}
 	return eris.Wrap(w.Flush(), "experiment")
 }
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -62,6 +62,9 @@
 	Load    float64       // offered work to room
 	Seed    uint64
 	Ranking dispatch.Ranking
+	// Door refuses what the load told makes worthless. It foretells the order in
+	// use, so orders are weighed without it.
+	Door bool
 }
 
 // Arrival is a job that is handed in.
@@ -227,13 +230,15 @@
 		p.jobs[a.id] = j
 	}
 	job := &workload.Job{ID: a.id, Queue: queue, Steps: a.steps}
-	if refused := intake.Admit(&p.queue, job, p.load, time.UnixMilli(unixMS(p.now))); refused != nil {
-		p.refused++
-		if a.tries++; a.tries <= retriesMost {
-			a.at = p.now + refused.RetryAfter
-			p.come(a)
+	if p.config.Door {
+		if refused := intake.Admit(&p.queue, job, p.load, time.UnixMilli(unixMS(p.now))); refused != nil {
+			p.refused++
+			if a.tries++; a.tries <= retriesMost {
+				a.at = p.now + refused.RetryAfter
+				p.come(a)
+			}
+			return
 		}
-		return
 	}
 	p.machine.AddJob(job, workload.StateQueued, 1, workload.Progress{}, p.now, false)
 }
--- a/owner/tell.go
+++ b/owner/tell.go
@@ -43,9 +43,9 @@
 func LoadOf(waiting map[string]dispatch.QueueBacklog, unixMS int64) intake.Load {
 	load := intake.Load{AtMS: unixMS, Queues: make(map[string]intake.QueueLoad, len(waiting))}
 	for queue, b := range waiting {
-		ql := intake.QueueLoad{Rate: b.Rate, Ratio: b.Ratio}
-		for _, s := range b.Sizes {
-			ql.Ahead = append(ql.Ahead, intake.Backlog{Size: s.Size, Work: s.Work})
+		ql := intake.QueueLoad{Rate: b.Rate, Ratio: b.Ratio, Mean: b.Mean}
+		for _, p := range b.Places {
+			ql.Ahead = append(ql.Ahead, intake.Backlog{Place: p.Place, Work: p.Work})
 		}
 		load.Queues[queue] = ql
 	}
