Count the age of inherited jobs from their acceptance

What callers saw: after a change of owner, jobs that were past rescue took room from those that could still be in time.

Cause: a new owner took inherited jobs to have come when it began, so each change of owner made them young again. Class: a belief without the age of its input.

Change: the age is that since acceptance, between 0 and 2 min, as clocks differ.

Ruled out: counting it from the first send, which no request tells.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -109,12 +109,13 @@
 	reason                 string        // of its stop
 }
 
-// AddJob takes in an accepted job with what is durable of it.
-func (m *Machine) AddJob(j *workload.Job, state workload.State, revision store.Revision, progress workload.Progress, now time.Duration, inherited bool) {
+// AddJob takes in an accepted job with what is durable of it. arrived is when it
+// was accepted, which for an inherited job is before this owner began.
+func (m *Machine) AddJob(j *workload.Job, state workload.State, revision store.Revision, progress workload.Progress, arrived time.Duration, inherited bool) {
 	if _, ok := m.jobs[j.ID]; ok {
 		return
 	}
-	nj := &job{Job: *j, state: state, shown: state, revision: revision, inherits: inherited, arrived: now}
+	nj := &job{Job: *j, state: state, shown: state, revision: revision, inherits: inherited, arrived: arrived}
 	m.jobs[j.ID] = nj
 	nj.work = m.restWork(nj)
 	if m.sizes[j.Queue] == nil {
@@ -133,7 +134,7 @@
 			o.settle()
 		}
 	}
-	m.finishIfDone(nj, now)
+	m.finishIfDone(nj, arrived)
 }
 
 // occurrence returns an occurrence, which it creates when needed.
--- a/owner/load.go
+++ b/owner/load.go
@@ -125,6 +125,21 @@
 		}
 	}
 	r.bodies[job.ID] = true
-	r.machine.AddJob(&job, record.State, state.Revision, p, now, inherited)
+	arrived := now
+	if inherited {
+		arrived = arrivalOf(&job, now, time.Now().UnixMilli())
+	}
+	r.machine.AddJob(&job, record.State, state.Revision, p, arrived, inherited)
 	return true
 }
+
+// ageMost bounds the age of an inherited job. Source: longer than any job is
+// wanted in; a clock may be wrong.
+const ageMost = 2 * time.Minute
+
+// arrivalOf is when a job was accepted, on this owner's steady clock. Hosts'
+// clocks differ: a job is never from the future.
+func arrivalOf(job *workload.Job, now time.Duration, nowMS int64) time.Duration {
+	age := time.Duration(nowMS-job.AcceptedMS) * time.Millisecond
+	return now - min(max(age, 0), ageMost)
+}
