--- a/dispatch/gang_test.go
+++ b/dispatch/gang_test.go
@@ -41,3 +41,15 @@
 		t.Fatalf("started %v, want three of one run", starts)
 	}
 }
+
+// That a whole gang does not fit says nothing of a single task of the same need.
+func TestGangThatDoesNotFitShutsOutOthers(t *testing.T) {
+	r := newRig(t, "w1")
+	gang := cpuStep(3, 2000)
+	gang.Gang = true
+	r.job("0000000000000002", gang) // is drawn, so that the other stands behind it
+	r.job("single", cpuStep(1, 2000))
+	if starts := r.starts(); len(starts) != 1 || starts[0].Task.Job != "single" {
+		t.Errorf("started %v, want the single task", starts)
+	}
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -86,12 +86,14 @@
 	return best
 }
 
-// placeAll chooses a worker for each task of a step, or nil.
+// placeAll chooses a worker for each task of a step, or nil. What does not fit
+// beside the first of them may fit without them, so it is not remembered.
 func (r *room) placeAll(s *step, service fleet.Service) []*worker {
 	var chosen []*worker
 	taken := make(map[fleet.WorkerID]int)
+	trial := &room{m: r.m, open: r.open, now: r.now, full: make(map[placementClass]bool), missed: make(map[string]int64), advised: r.advised}
 	for _, t := range s.tasks {
-		w := r.place(t, service, taken)
+		w := trial.place(t, service, taken)
 		if w == nil {
 			break
 		}
