Keep room free for a gang that has waited

What callers saw: nothing yet on their sites, which hand in no gangs.

Cause: the same class as of the starved jobs: a gang needs room for all members at once; at each end of a smaller task the next small one takes the gap, so above room it never starts, wherever it stands in line.

Evidence: TestGangIsPassed: 20 smaller jobs in 6 s, the gang never.

Change: a gang that has found no room for a second keeps the workers that will hold it free of the work behind it in line, one gang a service at a time; from then on it counts as begun, so that it does not lose its place when it becomes late.

Ruled out: the same for single tasks of large need: one worker of many is enough for them, and a plan's first job finds it at the next end there; not tested.

--- a/dispatch/gang_test.go
+++ b/dispatch/gang_test.go
@@ -1,9 +1,12 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/workload"
 )
 
 // A gang that is slower across racks goes to the one rack that holds it whole,
@@ -42,6 +45,42 @@
 	}
 }
 
+// Small tasks end by turns, so that there is never room for a whole gang at
+// once: room is kept free for it.
+func TestGangIsPassed(t *testing.T) {
+	r := newRig(t, "w1")
+	r.job("first", cpuStep(1, 1900))
+	r.job("second", cpuStep(1, 1900))
+	working := r.starts()
+	if len(working) != 2 {
+		t.Fatalf("started %d tasks, want 2", len(working))
+	}
+	gang := cpuStep(2, 2000)
+	gang.Gang = true
+	const id = "0000000000000002" // is drawn, so that others stand behind it
+	r.job(id, gang)
+	for round := range 20 {
+		r.job(fleet.JobID(fmt.Sprintf("small-%02d", round)), cpuStep(1, 1900))
+		r.now += 300 * time.Millisecond
+		var rep workload.Report
+		if len(working) > 0 {
+			rep.Ended = append(rep.Ended, r.ended(working[0], workload.EndDone))
+			working = working[1:]
+		}
+		for _, o := range working {
+			rep.Running = append(rep.Running, running(o))
+		}
+		r.report("w1", rep)
+		for _, o := range r.starts() {
+			if o.Task.Job == id {
+				return
+			}
+			working = append(working, o)
+		}
+	}
+	t.Error("the gang was not started in 6 s while 20 smaller jobs were")
+}
+
 // That a whole gang does not fit says nothing of a single task of the same need.
 func TestGangThatDoesNotFitShutsOutOthers(t *testing.T) {
 	r := newRig(t, "w1")
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -36,6 +36,7 @@
 	// passed is for how long tasks whose turn had come found no room.
 	passed               time.Duration
 	outlook, toldOutlook outlook
+	reserved             bool // room has been kept free for a gang of it
 }
 
 // occurrence is one execution of a job's steps.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -25,6 +25,8 @@
 	missed map[string]int64
 	// advised is set while tasks need a ticket.
 	advised bool
+	// reserved services keep workers free for a gang in this plan.
+	reserved map[fleet.Service]bool
 }
 
 type placementClass struct {
@@ -34,7 +36,9 @@
 }
 
 func (m *Machine) newRoom(now time.Duration) *room {
-	r := &room{m: m, now: now, full: make(map[placementClass]bool), missed: make(map[string]int64)}
+	r := &room{
+		m: m, now: now, full: make(map[placementClass]bool), missed: make(map[string]int64), reserved: make(map[fleet.Service]bool),
+	}
 	for _, w := range m.list {
 		if m.mayStart(w, now) {
 			r.open = append(r.open, w)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -208,7 +208,11 @@
 			}
 			room.advised = ok && q.Advice != nil
 			if s.Gang {
-				started += m.startGang(s, service, room, now)
+				n := m.startGang(s, service, room, now)
+				if n == 0 && j.outlook != outlookLost {
+					room.reserve(s, service)
+				}
+				started += n
 				continue
 			}
 			started += m.startTasks(s, service, room, now, most-started)
--- a/dispatch/ranking.go
+++ b/dispatch/ranking.go
@@ -52,9 +52,9 @@
 	drawnShare = 0.25
 )
 
-// begun reports whether so much of a job is done that it is to be finished
-// before others begin.
-func (j *job) begun() bool { return j.partLeft() < begunBelow }
+// begun reports whether so much of a job is done, or is kept free for it, that
+// it is to be finished before others begin.
+func (j *job) begun() bool { return j.reserved || j.partLeft() < begunBelow }
 
 // lotOf draws a number of 0 to 1 for a job, whatever its size and the same for
 // each owner.
