Learn run times from runs at full pace only

What callers saw: jobs of filling tasks that were past their wanted time stood among those that could still be in time.

Cause: run times of tasks that had been held back beside serving tasks counted as if the tasks took that long by themselves; the wanted time, a multiple of it, grew with the pressure. Class: a belief that feeds on the trouble that it is to show.

Change: a run that was slowed teaches the rate of work, but no run time.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -106,6 +106,7 @@
 	markAt                 time.Duration
 	listedBy               int64 // the worker's report that listed it last
 	pace                   int
+	slowed                 bool          // its pace was below fullPace for a while
 	heldAt                 time.Duration // since when it is held back; 0: it is not
 	reason                 string        // of its stop
 }
--- a/dispatch/learn.go
+++ b/dispatch/learn.go
@@ -50,6 +50,9 @@
 	}
 	q.decay(now)
 	q.rate += float64(s.Need.MilliCores) / 1000 * (now - r.ordered).Seconds() / rateSpan.Seconds()
+	if r.slowed {
+		return // says nothing of how long the task takes by itself
+	}
 	if r.task.checkpoint == "" || !s.Checkpoints {
 		r.task.step.doneRates = append(r.task.step.doneRates, 100/max(now-r.ordered, time.Millisecond).Seconds())
 	}
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -126,7 +126,7 @@
 		return
 	}
 	m.event("run_paced", r.task.job.ID, append([]any{"task", r.task.name, "run", r.number, "worker", r.worker.ID, "percent", percent, "before", r.pace}, why...)...)
-	r.pace = percent
+	r.pace, r.slowed = percent, r.slowed || percent < fullPace
 	m.orders = append(m.orders, Order{Kind: OrderPace, Worker: r.worker.ID, Task: r.task.name, Run: r.number, Percent: percent})
 }
 
