Count the time of jobs in time from when they are due

What callers saw: nothing yet on their sites, which hand in no such jobs.

Cause: the class of the ages lost on takeover: a job with occurrences was held against its acceptance, so that one due more than three times its wanted time later stood as lost, behind all others, from its first moment; and the door refused it for work that waits now.

Evidence: TestTimedJobIsLostBeforeItIsDue: lost at its due time.

Such jobs are left out of the metrics of jobs in time. A log line asks each worker whether it is open instead of searching the list of open ones, which grew with the square of the workers.

Ruled out: nothing more; found while reading the change for the same cause.

--- a/dispatch/line_test.go
+++ b/dispatch/line_test.go
@@ -167,3 +167,17 @@
 	}
 	return inTime
 }
+
+// A job in time is held against the time at which it is due, not against its
+// acceptance.
+func TestTimedJobIsLostBeforeItIsDue(t *testing.T) {
+	const ahead = time.Minute
+	r := newRig(t)
+	job := &workload.Job{ID: "timed", Queue: testQueue, Steps: []workload.Step{cpuStep(1, 1000)}, Repeats: 1, FirstMS: ahead.Milliseconds()}
+	r.m.AddJob(job, workload.StateQueued, 1, workload.Progress{}, r.now, false)
+	r.now += ahead
+	r.m.Plan(r.now, ahead.Milliseconds())
+	if got := r.m.jobs["timed"].outlook; got != outlookInTime {
+		t.Errorf("a job that is due now is taken for %q, want %q", got, outlookInTime)
+	}
+}
--- a/dispatch/outlook.go
+++ b/dispatch/outlook.go
@@ -63,8 +63,8 @@
 	wanted, took := m.wanted(j, whole), now-j.arrived
 	m.event("job_ended", j.ID, "state", j.state, "queue", j.Queue, "work", j.work, "took", took, "wanted", wanted,
 		"passed", j.passed, "outlook", j.outlook, "inherited", j.inherits)
-	if j.Serves() {
-		return
+	if j.Serves() || j.Repeats > 0 {
+		return // there is no one time in which they are wanted
 	}
 	end := &JobEnded{State: j.state, Took: took, Large: j.work > largeFactor*m.sizes[j.Queue].mean}
 	switch {
@@ -184,7 +184,7 @@
 		free.MilliCores = 0
 		need := fleet.Resources{MemoryMB: t.step.Need.MemoryMB, Accelerators: t.step.Need.Accelerators}
 		switch {
-		case !slices.Contains(room.open, w):
+		case !m.mayStart(w, room.now):
 			closed++
 		case !free.Add(need).Fits(w.Capacity):
 			memory++
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -70,7 +70,7 @@
 		if !j.hasWaiting() {
 			continue
 		}
-		m.rank(j, now)
+		m.rank(j, now, unixMS)
 		jobs = append(jobs, j)
 	}
 	slices.SortFunc(jobs, func(a, b *job) int {
@@ -92,8 +92,19 @@
 
 func (j *job) hasWaiting() bool { return j.waitingTasks() > 0 }
 
+// dueSince is when the time in which a job is wanted began: at its acceptance,
+// or when its oldest open occurrence was due.
+func (j *job) dueSince(now time.Duration, unixMS int64) time.Duration {
+	if j.Repeats == 0 {
+		return j.arrived
+	}
+	k := max(0, slices.IndexFunc(j.occ, func(o *occurrence) bool { return o != nil && o.left > 0 }))
+	dueMS := j.FirstMS + int64(k)*j.IntervalMS
+	return now - max(0, time.Duration(unixMS-dueMS)*time.Millisecond)
+}
+
 // rank sets a job's place in line.
-func (m *Machine) rank(j *job, now time.Duration) {
+func (m *Machine) rank(j *job, now time.Duration, unixMS int64) {
 	q, ok := m.config.Queue(j.Queue)
 	if !ok {
 		j.priority, j.key = 0, float64(j.arrived)
@@ -105,12 +116,12 @@
 		return
 	}
 	whole, rest := m.chains(j)
-	wanted := m.wanted(j, whole)
-	slack := j.arrived + wanted - now - rest
+	wanted, since := m.wanted(j, whole), j.dueSince(now, unixMS)
+	slack := since + wanted - now - rest
 	switch {
 	case slack >= 0:
 		j.outlook, j.key = outlookInTime, m.order(m, j, slack)
-	case now+rest < j.arrived+lateFactor*wanted:
+	case now+rest < since+lateFactor*wanted:
 		j.outlook, j.key = outlookLate, lateKey-slack.Seconds()
 		if m.finishes && j.begun() {
 			j.key = j.partLeft() / lateValue
--- a/intake/admit.go
+++ b/intake/admit.go
@@ -59,7 +59,8 @@
 	wanted := time.Duration(q.Stretch*float64(chain)) + q.Objective
 	place := dispatch.PlaceOfNew(job, work, ql.Mean)
 	wait := time.Duration(ql.ahead(place) / ql.Rate * float64(time.Second))
-	over := wait + chain - worthFactor*wanted
+	untilDue := max(0, time.Duration(job.FirstMS-now.UnixMilli())*time.Millisecond)
+	over := wait - untilDue + chain - worthFactor*wanted
 	if over <= 0 {
 		return nil
 	}
--- a/intake/admit_test.go
+++ b/intake/admit_test.go
@@ -38,6 +38,8 @@
 	job := func(tasks int, serving bool) *workload.Job {
 		return &workload.Job{ID: undrawn, Queue: "q", Steps: []workload.Step{{Count: tasks, Need: fleet.Resources{MilliCores: 1000}, EstimateMS: 2000, Serving: serving}}}
 	}
+	timed := job(60, false)
+	timed.Repeats, timed.FirstMS = 1, now.Add(100*time.Second).UnixMilli()
 	tests := []struct {
 		name  string
 		job   *workload.Job
@@ -50,6 +52,7 @@
 		{"behind the large ones: 100 s", job(60, false), queue, load, retryMost},
 		{"small, behind large ones that have begun: 100 s", job(4, false), queue, begun, retryMost},
 		{"as large, but drawn to begin", &workload.Job{ID: drawn, Queue: "q", Steps: job(60, false).Steps}, queue, load, 0},
+		{"as large, but due when that is done", timed, queue, load, 0},
 		{"as large, but it serves", job(60, true), queue, load, 0},
 		{"an old load", job(60, false), queue, Load{AtMS: now.UnixMilli() - 4000, Queues: load.Queues}, 0},
 		{"nothing ends, so nothing is known", job(60, false), queue, Load{AtMS: now.UnixMilli(), Queues: map[string]QueueLoad{"q": {Ahead: load.Queues["q"].Ahead}}}, 0},
