Make the test of late jobs fail without the mend

Cause: the learned run time made the job's wanted time so long that it was not late: the test passed with the old order of the line, too.

Change: its tasks end in time and the job becomes late after them; the test says so if it is not.

--- a/dispatch/line_test.go
+++ b/dispatch/line_test.go
@@ -60,19 +60,24 @@
 	r := newRig(t, "w1")
 	r.job("large", cpuStep(6, 1000))
 	first := r.starts()
-	r.now += 3500 * time.Millisecond // wanted in 3 s, worthless after 9 s
 	var ended []workload.Ended
 	for _, o := range first {
 		ended = append(ended, r.ended(o, workload.EndDone))
 	}
-	r.job("small", cpuStep(3, 1000))
+	r.now += time.Second
 	r.report("w1", workload.Report{Ended: ended})
+	r.now += 2500 * time.Millisecond // wanted in 3 s, worthless after 9 s
+	r.report("w1", workload.Report{})
+	r.job("small", cpuStep(3, 1000))
 	large := 0
 	for _, o := range r.starts() {
 		if o.Task.Job == "large" {
 			large++
 		}
 	}
+	if got := r.m.jobs["large"].outlook; got != outlookLate {
+		t.Fatalf("the large job is %q, want %q", got, outlookLate)
+	}
 	if large != 2 {
 		t.Errorf("started %d tasks of the late job, want both that are left", large)
 	}
