--- a/review/site/main.go
+++ b/review/site/main.go
@@ -10,6 +10,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -21,7 +23,15 @@
 type play func(ctx context.Context, s *site, trouble bool) error
 
 var plays = map[string]play{
-	"unnoted-ends": playUnnotedEnds,
+	"unnoted-ends":  playUnnotedEnds,
+	"occurrence":    playOccurrence,
+	"dropped-route": playDroppedRoute,
+	"budget":        playBudget,
+	"crashes":       playCrashes,
+	"avoided":       playAvoided,
+	"gang":          playGang,
+	"stale-upkeep":  playStaleUpkeep,
+	"long-tasks":    playLongTasks,
 }
 
 func main() {
@@ -48,6 +58,8 @@
 	log.add("case %s, disruption %v", name, trouble)
 	ctx, cancel := context.WithTimeout(context.Background(), playLimit)
 	defer cancel()
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
 	s, err := newSite(ctx, log, daemon)
 	if err == nil {
 		defer s.close()
--- a/review/site/minion.go
+++ b/review/site/minion.go
@@ -53,6 +53,20 @@
 	endsAt  time.Time
 	how     string
 	stopsAt time.Time
+	gang    bool
+}
+
+// serves is the end of a run that lasts until it is stopped.
+const serves = "serves"
+
+// percent returns the progress of a run, which for one that serves is 100 once it is at
+// work.
+func (r *taskRun) percent() int {
+	percent := 100 * float64(time.Since(r.began)) / float64(r.endsAt.Sub(r.began))
+	if r.how == serves {
+		return int(min(percent, 100))
+	}
+	return int(min(percent, 99))
 }
 
 type taskEnd struct {
@@ -75,7 +89,7 @@
 
 // addMinion starts a minion and registers it.
 func (s *site) addMinion(id, service, rack string, cpu, memMB int64, behave behaviour) (*minion, error) {
-	address, err := freeAddress()
+	address, err := s.freeAddress()
 	if err != nil {
 		return nil, err
 	}
@@ -191,7 +205,7 @@
 			if now.After(r.stopsAt) {
 				how = "stopped"
 			}
-		case now.After(r.endsAt):
+		case now.After(r.endsAt) && r.how != serves:
 			how = r.how
 		}
 		if how == "" {
@@ -202,6 +216,9 @@
 		m.highest[r.task] = max(m.highest[r.task], r.run)
 		m.ended = append(m.ended, taskEnd{m.lastEnd, r.task, r.run, how, now})
 		m.site.runs.ended(m.id, r.task, r.run, how, m.lastEnd)
+		if r.gang && how != "done" && how != "broken" {
+			go m.site.gangEnded(r.task, r.run)
+		}
 		changed = true
 	}
 	if changed {
@@ -213,6 +230,7 @@
 // receive reads an order and locks the minion. It answers, and returns false without the
 // lock, if the order is not for this minion or comes from a former holder.
 func (m *minion) receive(w http.ResponseWriter, r *http.Request) (order, bool) {
+	time.Sleep(m.site.latency)
 	var o order
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -278,7 +296,12 @@
 	m.extend(o.Deadline)
 	lasts, how := m.behave(o.Task, o.Run)
 	now := time.Now()
-	m.running[o.Task] = &taskRun{task: o.Task, run: o.Run, began: now, endsAt: now.Add(lasts), how: how}
+	started := &taskRun{task: o.Task, run: o.Run, began: now, endsAt: now.Add(lasts), how: how}
+	if g, ok := m.site.gangOf(o.Task); ok {
+		started.gang, started.endsAt, started.how = true, now.Add(gangTimeout), "alone"
+		go m.site.gangJoined(o.Task, o.Run, g)
+	}
+	m.running[o.Task] = started
 	m.site.runs.started(m.id, o.Task, o.Run)
 	m.answer(w, "")
 }
@@ -329,8 +352,7 @@
 	defer m.mu.Unlock()
 	running, ended := [][]any{}, [][]any{}
 	for _, t := range m.running {
-		percent := 100 * float64(time.Since(t.began)) / float64(t.endsAt.Sub(t.began))
-		running = append(running, []any{t.task, t.run, "", int(min(percent, 99)), m.cpu / 100})
+		running = append(running, []any{t.task, t.run, "", t.percent(), 5})
 	}
 	for _, e := range m.ended[:min(len(m.ended), endsAtOnce)] {
 		ended = append(ended, []any{e.n, e.task, e.run, e.how, ""})
--- a/review/site/site.go
+++ b/review/site/site.go
@@ -7,11 +7,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -43,6 +45,13 @@
 	ctx     context.Context
 	advice  string // address of the advice service; empty: none
 	runs    *runLog
+	ports   map[int]bool // that were given out
+	gangs   map[string]gang
+	gangMu  sync.Mutex
+	present int           // members of a gang, while they are counted
+	latency time.Duration // of a call to a minion
+	cloud   string        // address of the interface for machines; empty: none
+	lasting map[string]lastingStep
 
 	mu        sync.Mutex
 	storeDown bool // minions don't reach the store either
@@ -71,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &site{log: log, daemon: path, dir: dir, ctx: ctx, runs: newRunLog(log), client: &http.Client{Timeout: requestTimeout}}
+	s := &site{log: log, daemon: path, dir: dir, ctx: ctx, runs: newRunLog(log), ports: make(map[int]bool), client: &http.Client{Timeout: requestTimeout}}
 	if s.store, err = wire.NewStore(); err != nil {
 		return nil, err
 	}
@@ -90,23 +99,39 @@
 	_ = os.RemoveAll(s.dir) // a temporary folder that stays does no harm
 }
 
-func freeAddress() (string, error) {
-	ln, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// firstPort and lastPort bound the ports of the stand-ins and hosts: below those that the
+// system gives to outgoing channels, which could take one between two starts.
+const firstPort, lastPort = 15000, 30000
+
+// freeAddress returns a free loopback address that it has not returned before.
+func (s *site) freeAddress() (string, error) {
+	for range lastPort - firstPort {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if s.ports[port] {
+			continue
+		}
+		s.ports[port] = true
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		ln, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", address)
+		if err == nil {
+			return address, ln.Close()
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
-// addHosts starts hosts and waits until each is ready.
-func (s *site) addHosts(count int) error {
-	for i := range count {
+// hostCount is the least number of hosts of which one may fail while the others change the
+// leader.
+const hostCount = 3
+
+// addHosts starts the hosts and waits until each is ready.
+func (s *site) addHosts() error {
+	for i := range hostCount {
 		h := &host{name: fmt.Sprintf("front-%d", i+1)}
 		var control, peers string
 		for _, address := range []*string{&h.front, &h.ready, &control, &peers} {
 			var err error
-			if *address, err = freeAddress(); err != nil {
+			if *address, err = s.freeAddress(); err != nil {
 				return err
 			}
 		}
@@ -114,7 +139,7 @@
 		if err != nil {
 			return err
 		}
-		cloud := map[string]any{"address": "", "rate_per_s": 60.0, "duties": []string{}, "duties_per_s": 60.0}
+		cloud := map[string]any{"address": s.cloud, "rate_per_s": 60.0, "duties": []string{}, "duties_per_s": 60.0}
 		data, err := json.Marshal(map[string]any{
 			"node": h.name, "role": "node", "machine_class": "front", "serves": []string{"front", "control"}, "ip": "127.0.0.1",
 			"zone": "sofia-a", "region": "bg-central", "zones": map[string]string{"sofia-a": "bg-central"},
@@ -165,6 +190,7 @@
 	cmd := exec.CommandContext(context.Background(), s.daemon, "node")
 	cmd.Env = []string{"FUCHSIAHILL_BOOT=" + h.settings}
 	cmd.Stdout, cmd.Stderr = out, out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // no process outlives a case that is killed
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -182,7 +208,7 @@
 	if h.cmd == nil {
 		return
 	}
-	_ = h.cmd.Process.Signal(syscall.SIGKILL) // it may have ended
+	_ = h.cmd.Process.Signal(syscall.SIGKILL) // it may have ended; a stopped one ends too
 	_ = h.cmd.Wait()                          // reports the kill
 	h.cmd = nil
 }
--- a/review/site/unnoted.go
+++ b/review/site/unnoted.go
@@ -29,7 +29,7 @@
 	if err := s.configure(1, []string{"reclaim-engine"}, route{name: "claims", prefix: prefix, service: "reclaim-engine", maxAttempts: 4}); err != nil {
 		return err
 	}
-	if err := s.addHosts(3); err != nil {
+	if err := s.addHosts(); err != nil {
 		return err
 	}
 	if err := s.pause(2 * time.Second); err != nil {
