--- a/review/site/main.go
+++ b/review/site/main.go
@@ -32,6 +32,7 @@
 	"gang":          playGang,
 	"stale-upkeep":  playStaleUpkeep,
 	"long-tasks":    playLongTasks,
+	"outgrown":      playOutgrown,
 }
 
 func main() {
--- a/review/site/site.go
+++ b/review/site/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -51,7 +52,9 @@
 	present int           // members of a gang, while they are counted
 	latency time.Duration // of a call to a minion
 	cloud   string        // address of the interface for machines; empty: none
-	lasting map[string]lastingStep
+	// storeFront is the address at which hosts reach the store; empty: its own.
+	storeFront string
+	lasting    map[string]lastingStep
 
 	mu        sync.Mutex
 	storeDown bool // minions don't reach the store either
@@ -153,7 +156,7 @@
 				"visible_ms": 3000, "early_ms": 250, "finish_s": 14, "status_s": 120, "enforce_fencing": true, "lease_ms": 3000, "pace_ms": 100,
 			},
 			"advice":   s.advice,
-			"platform": map[string]any{"address": s.store.Address(), "form": "kv", "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20, "value_bytes": 1 << 20, "ttl_min_ms": 1000},
+			"platform": map[string]any{"address": cmp.Or(s.storeFront, s.store.Address()), "form": "kv", "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20, "value_bytes": valueBytes, "ttl_min_ms": 1000},
 			"cloud":    cloud,
 		})
 		if err != nil {
