--- a/review/site/gang.go
+++ b/review/site/gang.go
@@ -28,15 +28,14 @@
 	step := task[:strings.LastIndex(task, ".")+1]
 	s.gangMu.Lock()
 	defer s.gangMu.Unlock()
-	s.eachMember(step, run, func(_ *minion, r *taskRun) { s.present++; _ = r })
-	all := s.present == g.members
-	s.present = 0
-	if !all {
+	present := 0
+	s.eachMember(step, run, func(*taskRun) { present++ })
+	if present < g.members {
 		return
 	}
 	s.log.add("gang %s run %d is complete", step, run)
 	now := time.Now()
-	s.eachMember(step, run, func(_ *minion, r *taskRun) { r.began, r.endsAt, r.how = now, now.Add(g.lasts), "done" })
+	s.eachMember(step, run, func(r *taskRun) { r.began, r.endsAt, r.how = now, now.Add(g.lasts), "done" })
 }
 
 // gangEnded ends the other members of a run of a gang, one of which has ended otherwise
@@ -45,7 +44,7 @@
 	step := task[:strings.LastIndex(task, ".")+1]
 	s.gangMu.Lock()
 	defer s.gangMu.Unlock()
-	s.eachMember(step, run, func(_ *minion, r *taskRun) {
+	s.eachMember(step, run, func(r *taskRun) {
 		if r.how == "alone" && time.Now().After(r.endsAt) {
 			return
 		}
@@ -53,12 +52,13 @@
 	})
 }
 
-func (s *site) eachMember(step string, run int, f func(*minion, *taskRun)) {
+// eachMember calls f for the members of a run of a gang that are present.
+func (s *site) eachMember(step string, run int, f func(*taskRun)) {
 	for _, m := range s.minions {
 		m.mu.Lock()
 		for _, r := range m.running {
 			if r.run == run && strings.HasPrefix(r.task, step) {
-				f(m, r)
+				f(r)
 			}
 		}
 		m.mu.Unlock()
--- a/review/site/site.go
+++ b/review/site/site.go
@@ -49,7 +49,6 @@
 	ports   map[int]bool // that were given out
 	gangs   map[string]gang
 	gangMu  sync.Mutex
-	present int           // members of a gang, while they are counted
 	latency time.Duration // of a call to a minion
 	cloud   string        // address of the interface for machines; empty: none
 	// storeFront is the address at which hosts reach the store; empty: its own.
