A task goes back to the only worker it may run on after a failure there

Cause: a failed run excluded its worker from the task without a bound in time. The same note was made after a stall, a slow run, an eviction and a refusal, and kept gangs from a complete placement. Ruled out: the closure of the worker after failures (a second job started there at once) and a lost end (the failure was counted).

--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -178,7 +178,7 @@
 	if t == nil {
 		return nil
 	}
-	var closed, memory, processor, pressure, open int
+	var closed, avoided, memory, processor, pressure, open int
 	service := m.serviceOf(j)
 	for _, w := range m.workerList {
 		if w.Service != service {
@@ -190,6 +190,8 @@
 		switch {
 		case !m.mayStart(w, p.now):
 			closed++
+		case t.avoidance.excludes(w.ID, p.now):
+			avoided++
 		case !used.Add(need).Fits(w.Capacity):
 			memory++
 		case t.step.BestEffort && idleMilliCores(w) < t.step.Need.MilliCores, !t.step.BestEffort && w.used.MilliCores+t.step.Need.MilliCores > w.Capacity.MilliCores:
@@ -202,7 +204,7 @@
 	}
 	return []any{
 		"image", t.step.Image, "task_millicores", t.step.Need.MilliCores, "task_memory_mb", t.step.Need.MemoryMB,
-		"closed", closed, "no_memory", memory, "no_processor", processor, "would_press", pressure, "open", open,
+		"closed", closed, "avoided", avoided, "no_memory", memory, "no_processor", processor, "would_press", pressure, "open", open,
 	}
 }
 
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -72,7 +72,7 @@
 	crashes      []workload.Crash // of workers under its runs
 	crashVersion int64            // version of the job that includes the last of them
 	checkpoint   string
-	avoidWorker  fleet.WorkerID // where it last failed, stalled, ran slowly, was evicted or was refused
+	avoidance    avoidance
 	// formerWorker may still have a run that a former owner started.
 	formerWorker    fleet.WorkerID
 	formerConfirmed bool // the former owner knew that the run was executed
--- a/dispatch/outcomes.go
+++ b/dispatch/outcomes.go
@@ -37,7 +37,7 @@
 		}
 		w.close(now, refusedPause)
 		if outcome == Unhealthy {
-			r.task.avoidWorker = w.ID
+			m.avoid(r.task, w, now)
 			m.recordFailure(w, r.task.job.ID, r.orderedAt, now)
 		}
 		m.emit("start_refused", o.Task.Job, "task", o.Task, "run", o.Run, "worker", w.ID, "outcome", outcome)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -89,7 +89,7 @@
 	if s.BestEffort {
 		class.bestEffortImage = s.Image
 	}
-	unconstrained := !t.isSuspect() && s.MaxPerWorker == 0 && s.Label == "" && t.avoidWorker == "" && !p.needsTicket
+	unconstrained := !t.isSuspect() && s.MaxPerWorker == 0 && s.Label == "" && !t.avoidance.isActive(p.now) && !p.needsTicket
 	if unconstrained && p.unplaceable[class] {
 		return nil
 	}
@@ -102,7 +102,11 @@
 		if w.Service != service || !p.fits(t, w, taken) {
 			continue
 		}
-		if score := p.score(t, w); best == nil || score > bestScore {
+		score := p.score(t, w)
+		if t.avoidance.worker == w.ID {
+			score -= avoidancePenalty
+		}
+		if best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
 	}
@@ -173,7 +177,7 @@
 		}
 		need.MilliCores = 0
 	}
-	if !w.used.Add(need).Fits(w.Capacity) || t.avoidWorker == w.ID || w.probations > 0 {
+	if !w.used.Add(need).Fits(w.Capacity) || t.avoidance.excludes(w.ID, p.now) || w.probations > 0 {
 		return false
 	}
 	if t.isSuspect() && p.now-t.waitingSince < suspectPatience && w.hasFreshRun() {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -291,7 +291,7 @@
 		}
 		w := p.place(t, service, nil)
 		if w == nil {
-			if t.avoidWorker != "" || t.isSuspect() {
+			if t.avoidance.isActive(now) || t.isSuspect() {
 				continue // another task of the step may fit
 			}
 			break
@@ -381,7 +381,7 @@
 				continue
 			}
 			m.emit("run_stalled", r.task.job.ID, "task", r.task.name, "run", r.number, "worker", w.ID, "percent", r.percent, "still", now-r.percentAt)
-			r.task.avoidWorker = w.ID
+			m.avoid(r.task, w, now)
 			m.recordFailure(w, r.task.job.ID, r.orderedAt, now)
 			m.requestStop(r, "no progress")
 		}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -234,7 +234,7 @@
 			return
 		}
 		t.failedRuns = append(t.failedRuns, e.Run)
-		t.avoidWorker = w.ID
+		m.avoid(t, w, now)
 		m.recordFailure(w, t.job.ID, orderedAt, now)
 		if q, ok := m.config.Queue(t.job.Queue); ok && !t.step.Serving && q.MaxAttempts > 0 && t.failures() >= q.MaxAttempts && !t.done {
 			m.emit("job_failed", t.job.ID, "task", t.name, "failures", t.failures(), "max_attempts", q.MaxAttempts)
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -79,7 +79,7 @@
 // current batch runs have ended.
 func (p *placer) gangMembersOn(s *step, w *worker, service fleet.Service) int {
 	t := s.tasks[0]
-	if w.Service != service || s.Label != "" && !slices.Contains(w.Labels, s.Label) || t.avoidWorker == w.ID {
+	if w.Service != service || s.Label != "" && !slices.Contains(w.Labels, s.Label) || t.avoidance.excludes(w.ID, p.now) {
 		return 0
 	}
 	free := w.Capacity
--- a/dispatch/slow.go
+++ b/dispatch/slow.go
@@ -94,13 +94,13 @@
 	}
 	w.close(now, slowClosure)
 	for _, o := range w.runs {
-		m.moveIfFaster(o)
+		m.moveIfFaster(o, now)
 	}
 }
 
 // moveIfFaster stops a batch run on a slow worker if its task would end sooner
 // elsewhere.
-func (m *Machine) moveIfFaster(r *run) {
+func (m *Machine) moveIfFaster(r *run, now time.Duration) {
 	s := r.task.step
 	if s.Serving || s.Gang || r.state != runRunning || !r.hasRate || r.cpuShare != fullCPUShare {
 		return
@@ -121,7 +121,7 @@
 	if float64(here) < moveGain*float64(elsewhere) {
 		return
 	}
-	r.task.avoidWorker = r.worker.ID
 	m.emit("run_moved", r.task.job.ID, "task", r.task.name, "run", r.number, "worker", r.worker.ID, "percent", r.percent, "rate", r.rate, "siblings", siblings, "here", here, "elsewhere", elsewhere)
+	m.avoid(r.task, r.worker, now)
 	m.requestStop(r, "slow worker")
 }
--- a/dispatch/throttle.go
+++ b/dispatch/throttle.go
@@ -106,7 +106,7 @@
 		if r.task.step.Checkpoints && percent < evictCPUShare && now-r.throttledSince >= evictAfter {
 			m.emit("run_evicted", r.task.job.ID, "task", r.task.name, "run", r.number, "worker", w.ID, "image", r.task.step.Image,
 				"beside", victim.task.step.Image, "tail_ms", victim.gauge, "target_ms", victim.task.step.TargetMS)
-			r.task.avoidWorker = w.ID
+			m.avoid(r.task, w, now)
 			m.requestStop(r, "interferes with a serving task")
 			continue
 		}
