Orders wait for a connection to their worker instead of being refused

Cause: all orders of a plan were handed to the worker's client at once, which keeps 24 connections for orders and refused the others; the owner took that for a refusal of the worker. Ruled out: the worker's own limit (24 calls arrived) and the placement. The same held for stops, which were sent 24 at a time each 0.7 s, and for throttles.

Change: each worker has a queue of orders; one that ends lets the next leave. Queued stops and throttles take no share of the descriptors. Log line order_dropped.

--- a/owner/inflight.go
+++ b/owner/inflight.go
@@ -12,9 +12,10 @@
 // inFlightInterval is how often the log says which orders are under way.
 const inFlightInterval = time.Second
 
-// inFlight counts the orders that are under way.
+// inFlight counts the orders that are under way or queued for a connection.
 type inFlight struct {
 	starts, others int
+	queuedOthers   int // of others, those that use no connection yet
 	startBytes     int
 	next           uint64
 	began          map[uint64]time.Duration
@@ -35,6 +36,13 @@
 	return f.next
 }
 
+// queue counts an order that has begun as queued by n, which is -1 when it leaves the queue.
+func (f *inFlight) queue(o dispatch.Order, n int) {
+	if o.Kind != dispatch.OrderStart {
+		f.queuedOthers += n
+	}
+}
+
 // end counts an order as no longer under way.
 func (f *inFlight) end(o dispatch.Order, handle uint64) {
 	if o.Kind == dispatch.OrderStart {
--- a/owner/limiter.go
+++ b/owner/limiter.go
@@ -61,7 +61,9 @@
 }
 
 // mayInterrupt reports whether another stop or throttle may be sent.
-func (l *orderLimiter) mayInterrupt(f *inFlight) bool { return f.others < l.limits.others }
+func (l *orderLimiter) mayInterrupt(f *inFlight) bool {
+	return f.others-f.queuedOthers < l.limits.others
+}
 
 // spend records that an order is sent.
 func (l *orderLimiter) spend(o dispatch.Order, now time.Duration) {
--- a/owner/limiter_test.go
+++ b/owner/limiter_test.go
@@ -29,6 +29,7 @@
 		"answers are missing":                 {linkMbps: 10, descriptors: 4100, inFlight: inFlight{starts: 200, startBytes: 200 * start}, interrupt: true},
 		"connections of starts are used up":   {linkMbps: 200, descriptors: 4100, inFlight: inFlight{starts: 600, startBytes: 600 * start}, interrupt: true},
 		"connections of others are used up":   {linkMbps: 200, descriptors: 4100, inFlight: inFlight{others: 600}, minStarts: 64, maxStarts: 1000},
+		"others wait for connections":         {linkMbps: 200, descriptors: 4100, inFlight: inFlight{others: 600, queuedOthers: 500}, minStarts: 64, maxStarts: 1000, interrupt: true},
 		"fewer descriptors than are reserved": {linkMbps: 200, descriptors: 100, minStarts: 1, maxStarts: 1, interrupt: true},
 	}
 	for name, tt := range tests {
--- a/owner/orders.go
+++ b/owner/orders.go
@@ -16,7 +16,8 @@
 // share the connections for renewals. The next renewal gets a report that is left out.
 const maxReports = 2
 
-// sendOrders sends orders concurrently, since a worker may not respond.
+// sendOrders sends orders concurrently, since a worker may not respond. Those beyond the
+// connections to a worker wait for the others.
 func (d *dispatcher) sendOrders(orders []dispatch.Order) {
 	for _, o := range orders {
 		d.mu.Lock()
@@ -27,24 +28,49 @@
 			d.recordOutcome(o, dispatch.Refused)
 			continue
 		}
-		handle := d.inFlight.begin(o, now)
+		p := pendingOrder{Order: o, handle: d.inFlight.begin(o, now), since: now}
 		d.limiter.spend(o, now)
+		queued := !w.orders.admit(p)
+		if queued {
+			d.inFlight.queue(o, 1)
+		}
+		d.mu.Unlock()
+		if !queued {
+			go d.sendPending(w, p)
+		}
+	}
+}
+
+// sendPending sends an admitted order, and then the queued ones that take its place.
+func (d *dispatcher) sendPending(w *workerLoop, p pendingOrder) {
+	for more := true; more; {
+		answered := d.sendOrder(w, p.Order)
+		d.mu.Lock()
+		d.inFlight.end(p.Order, p.handle)
+		next, dropped, ok := w.orders.ended(p, answered, steady.Now())
+		if ok {
+			d.inFlight.queue(next.Order, -1)
+		}
+		for _, x := range dropped {
+			d.inFlight.queue(x.Order, -1)
+			d.inFlight.end(x.Order, x.handle)
+		}
 		d.mu.Unlock()
-		go func() {
-			d.sendOrder(w, o)
-			d.mu.Lock()
-			defer d.mu.Unlock()
-			d.inFlight.end(o, handle)
-		}()
+		for _, x := range dropped {
+			d.deps.Log("order_dropped", "kind", x.Kind, "job", x.Task.Job, "task", x.Task, "run", x.Run, "worker", x.Worker, "queued", steady.Now()-x.since)
+			d.recordOutcome(x.Order, dispatch.Refused)
+		}
+		p, more = next, ok
 	}
 }
 
-// sendOrder sends one order to a worker and records its outcome.
-func (d *dispatcher) sendOrder(w *workerLoop, o dispatch.Order) {
+// sendOrder sends one order to a worker and records its outcome. It reports whether the
+// worker may be sent further orders: not after a call that has failed.
+func (d *dispatcher) sendOrder(w *workerLoop, o dispatch.Order) bool {
 	now := steady.Now()
 	if !d.authorised(now) {
 		d.recordOutcome(o, dispatch.Refused)
-		return
+		return true
 	}
 	var err error
 	token := w.currentToken()
@@ -55,7 +81,7 @@
 		w.mu.Unlock()
 		if left < minLeaseForStart {
 			d.recordOutcome(o, dispatch.Refused)
-			return
+			return true
 		}
 		_, err = w.client.Start(platform.StartRequest{
 			Task: o.Task, Run: o.Run, Payload: o.Payload, DeadlineMS: deadline, Token: token, Checkpoint: o.Checkpoint, Ticket: o.Ticket,
@@ -71,10 +97,11 @@
 			_ = d.renewOnce(w, 0)
 		}
 		w.reports.Add(-1)
-		return
+		return true
 	}
 	outcome := classifyOutcome(err)
-	if hasFailed(err) {
+	failed := hasFailed(err)
+	if failed {
 		w.recordFailure()
 	}
 	if outcome == dispatch.Superseded && d.isOwnNewerToken(w, token) {
@@ -84,6 +111,7 @@
 		d.deps.Log("order_failed", "kind", o.Kind, "job", o.Task.Job, "task", o.Task, "run", o.Run, "worker", o.Worker, "outcome", outcome, "took", steady.Now()-now, "err", err)
 	}
 	d.recordOutcome(o, outcome)
+	return !failed
 }
 
 // hasFailed reports whether a call to a worker has failed in a way that a restart of the
--- a/owner/renewal.go
+++ b/owner/renewal.go
@@ -33,6 +33,7 @@
 	client  *platform.WorkerClient
 	cancel  context.CancelFunc
 	reports atomic.Int64 // requested ones under way
+	orders  orderQueue   // guarded by the dispatcher's mu
 
 	mu          sync.Mutex
 	clockMS     int64         // clock of the worker, in ms
