A gang is given up as a whole when one of its starts is refused

Callers saw a gang wait: a member whose start was refused (worker unhealthy, no room, late, not sent) was released, and the others held their processor for gang_timeout_ms, ended alone, and only then was the gang placed again.

Cause: the outcome of a start was applied to its own run only. The refused member can't join later, as all members share a run number.

Change: the other members of that run are stopped at once.

Result: TestGangWaitsForRefusedMember failed before (no member was stopped, two cases) and passes; go test ./dispatch passes.

--- a/dispatch/outcomes.go
+++ b/dispatch/outcomes.go
@@ -42,6 +42,7 @@
 		}
 		m.emit("start_refused", o.Task.Job, "task", o.Task, "run", o.Run, "worker", w.ID, "outcome", outcome)
 		m.release(r, now)
+		m.stopGang(r.task.step, r.number)
 	case Superseded:
 		m.superseded = true
 	case NoAnswer:
@@ -53,6 +54,20 @@
 	}
 }
 
+// stopGang stops the members of one run of a gang that can't become complete.
+func (m *Machine) stopGang(s *step, number int) {
+	if !s.Gang {
+		return
+	}
+	for _, t := range s.tasks {
+		for _, r := range t.runs {
+			if r.number == number {
+				m.requestStop(r, "a member of the gang was refused")
+			}
+		}
+	}
+}
+
 const (
 	// refusedPause is how long a worker gets no new work after it refused a start.
 	refusedPause = 300 * time.Millisecond
