Jobs without value left each get a task before any gets a second one

Cause: jobs past three times their target have one rank and were ordered by ID; each plan offered all tasks of the first a worker, then those of the next.

Change: before such jobs are planned as a whole, each that has nothing running gets one task, the longest idle first. Jobs with value left keep their order.

Result: TestExpiredJobWaitsForAllOfLowerID failed before (five tasks of the other job had ended) and passes.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -36,8 +36,9 @@
 	// blockedFor is how long tasks that were ready found no capacity.
 	blockedFor                     time.Duration
 	timeliness, reportedTimeliness timeliness
-	hasReservation                 bool // workers have been reserved for one of its gangs
-	planFailed                     bool // planning it panicked
+	hasReservation                 bool          // workers have been reserved for one of its gangs
+	planFailed                     bool          // planning it panicked
+	idleSince                      time.Duration // when its last run was released, or it was added
 }
 
 // occurrence is one execution of a job's steps.
@@ -130,6 +131,7 @@
 		return
 	}
 	nj := &job{Job: *j, state: state, storedState: state, revision: revision, inherited: inherited, arrivedAt: arrived}
+	nj.idleSince = max(arrived, m.startedAt)
 	m.jobs[j.ID] = nj
 	nj.estimatedWork = m.remainingWork(nj)
 	if m.jobSizes[j.Queue] == nil {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -31,6 +31,7 @@
 	// unreserved is the processor in millicores that new work may take, by service,
 	// while inherited work is held back; nil otherwise.
 	unreserved map[fleet.Service]int64
+	single     bool // at most one task of a job is started
 }
 
 // takeUnreserved takes processor for the start of count tasks, if that leaves enough for
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -36,10 +36,13 @@
 	m.reserveInherited(p)
 	m.room = StartRoom{Starts: min(startsPerPlan, m.startRoom.Starts), Bytes: m.startRoom.Bytes}
 	jobs := m.waitingJobs(now, unixMS)
-	for _, j := range jobs {
+	for i, j := range jobs {
 		if m.room.exhausted() {
 			break
 		}
+		if j.timeliness == timelinessExpired && (i == 0 || !jobs[i-1].isPeer(j)) {
+			m.startOneEach(jobs[i:], p, now)
+		}
 		m.startOrSkip(j, p, now)
 	}
 	m.evacuateDraining(p, now)
@@ -270,7 +273,7 @@
 				continue
 			}
 			m.startTasks(s, service, p, now)
-			if m.room.exhausted() {
+			if m.room.exhausted() || p.single && j.runCount > 0 {
 				return
 			}
 		}
@@ -283,7 +286,7 @@
 		return
 	}
 	for _, t := range s.tasks {
-		if m.room.exhausted() {
+		if m.room.exhausted() || p.single && t.job.runCount > 0 {
 			break
 		}
 		if t.done || len(t.runs) > 0 || t.hasUnstoredCrash() || m.mayRunElsewhere(t, now) {
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -185,7 +185,9 @@
 	if t.step.runsOnWorker[w.ID]--; t.step.runsOnWorker[w.ID] == 0 {
 		delete(t.step.runsOnWorker, w.ID)
 	}
-	t.job.runCount--
+	if t.job.runCount--; t.job.runCount == 0 {
+		t.job.idleSince = now
+	}
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
 	if len(t.runs) == 0 && !t.done {
 		t.step.waitingCount++
