Best-effort jobs that interference keeps off every worker get a run

Callers saw batch jobs that never started: one accepted at 3.5 s had run nothing after 68 s.

At the end 24 jobs wait while 505 of 912 cores are free to best-effort work, with would_press on 42 to 44 of 48 workers for each of their images.

Cause: a task is placed only where its learned pressure leaves the services within their targets. Nearly each worker has some service, and an image that does not run is not observed, so that its pressure is never corrected. Ruled out by the logs: avoided workers, former leases, jobs that are not followed, reserved room.

Change: a job without a run for 15 s gets one at a time, on a few workers shared by all such jobs, at the CPU share that the services there are expected to bear; it is slowed down rather than evicted, and its observations correct the pressure. Up to half of the workers at a use of half, one of 48 at 80%.

Result: TestImageShutOutByInterferenceIsNeverStarted failed before (no start in 60 s) and passes.

--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -213,6 +213,20 @@
 	return true
 }
 
+// strain returns the highest predicted pressure on a serving task next to a further best-effort
+// task, as a multiple of what it tolerates.
+func (l *colocatedLoad) strain(in *interference, bestEffort int, millicores, capacity int64) float64 {
+	highest := 0.0
+	for serving, n := range l.serving {
+		if n == 0 {
+			continue
+		}
+		added := *in.entry(bestEffort, serving) * float64(millicores) / float64(max(capacity, 1))
+		highest = max(highest, (l.pressureOn(in, serving, capacity)+added)/(maxPlacementPressure*l.headroom(serving)))
+	}
+	return highest
+}
+
 // servingTasks counts the serving tasks of an image and those of all others.
 func (l *colocatedLoad) servingTasks(serving int) (same, others int64) {
 	for i, n := range l.serving {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -39,6 +39,7 @@
 	hasReservation                 bool          // workers have been reserved for one of its gangs
 	planFailed                     bool          // planning it panicked
 	idleSince                      time.Duration // when its last run was released, or it was added
+	starved                        bool          // it has started a task regardless of the learned interference
 }
 
 // occurrence is one execution of a job's steps.
@@ -118,6 +119,8 @@
 	survivedStart              bool  // reported at an age of probation or more
 	onProbation                bool
 	cpuShare                   int
+	starved                    bool          // started regardless of the learned interference
+	initialCPUShare            int           // CPU share, in percent, to set once it has started; 0: none
 	wasThrottled               bool          // its CPU share has been below fullCPUShare at some time
 	throttledSince             time.Duration // since when it is throttled; 0 if it is not
 	stopReason                 string        // for the log
--- a/dispatch/outcomes.go
+++ b/dispatch/outcomes.go
@@ -31,6 +31,7 @@
 			r.state = runRunning
 		}
 		r.confirm(now)
+		m.setInitialCPUShare(r)
 	case Refused, Unhealthy:
 		if r.confirmedAt > 0 {
 			return
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -31,7 +31,8 @@
 	// unreserved is the processor in millicores that new work may take, by service,
 	// while inherited work is held back; nil otherwise.
 	unreserved map[fleet.Service]int64
-	single     bool // at most one task of a job is started
+	starved    *starvedRoom // nil until a starved job looks for a worker
+	single     bool         // at most one task of a job is started
 }
 
 // takeUnreserved takes processor for the start of count tasks, if that leaves enough for
@@ -90,7 +91,7 @@
 	if s.BestEffort {
 		class.bestEffortImage = s.Image
 	}
-	unconstrained := !t.isSuspect() && s.MaxPerWorker == 0 && s.Label == "" && !t.avoidance.isActive(p.now) && !p.needsTicket
+	unconstrained := !t.isConstrained(p)
 	if unconstrained && p.unplaceable[class] {
 		return nil
 	}
@@ -120,6 +121,11 @@
 	return best
 }
 
+// isConstrained reports whether a task may fit on other workers than tasks of its class.
+func (t *task) isConstrained(p *placer) bool {
+	return t.isSuspect() || t.step.MaxPerWorker > 0 || t.step.Label != "" || t.avoidance.isActive(p.now) || p.needsTicket
+}
+
 // placeAll returns a worker for each task of a step, or nil if they do not all
 // fit. What does not fit next to the first tasks may fit without them, so failed
 // placements are not recorded in p.
@@ -168,12 +174,29 @@
 }
 
 // fits reports whether a worker has the capacity and the properties that a task
-// needs. Workers do not enforce their own capacity.
+// needs, and its serving tasks tolerate the task.
 func (p *placer) fits(t *task, w *worker, taken map[fleet.WorkerID]int) bool {
+	s := t.step
+	if !p.hasRoom(t, w, taken) {
+		return false
+	}
+	in := p.m.interference
+	return !s.BestEffort || !p.hasHighTail(w) && w.colocated.tolerates(in, in.bestEffort.number(s.Image), s.Need.MilliCores, w.Capacity.MilliCores)
+}
+
+// hasHighTail reports whether the tail latency of a serving task was high so recently that
+// the worker gets no best-effort work.
+func (p *placer) hasHighTail(w *worker) bool {
+	return w.highTailAt > 0 && p.now-w.highTailAt < highTailPause
+}
+
+// hasRoom reports whether a worker has the capacity and the properties that a task needs.
+// Workers do not enforce their own capacity.
+func (p *placer) hasRoom(t *task, w *worker, taken map[fleet.WorkerID]int) bool {
 	s := t.step
 	need := s.Need
 	if s.BestEffort {
-		if idleMilliCores(w) < need.MilliCores || w.highTailAt > 0 && p.now-w.highTailAt < highTailPause {
+		if idleMilliCores(w) < need.MilliCores {
 			return false
 		}
 		need.MilliCores = 0
@@ -184,9 +207,6 @@
 	if t.isSuspect() && p.now-t.waitingSince < suspectPatience && w.hasFreshRun() {
 		return false
 	}
-	if in := p.m.interference; s.BestEffort && !w.colocated.tolerates(in, in.bestEffort.number(s.Image), s.Need.MilliCores, w.Capacity.MilliCores) {
-		return false
-	}
 	if s.Label != "" && !slices.Contains(w.Labels, s.Label) {
 		return false
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -293,6 +293,9 @@
 			continue
 		}
 		w := p.place(t, service, nil)
+		if w == nil && s.BestEffort && t.job.isStarved(now) && m.startStarved(t, service, p, now) {
+			continue
+		}
 		if w == nil {
 			if t.avoidance.isActive(now) || t.isSuspect() {
 				continue // another task of the step may fit
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -85,6 +85,7 @@
 		r.state = runRunning
 	}
 	r.confirm(now)
+	m.setInitialCPUShare(r)
 	if rep.PercentDone != r.percent || r.percentAt == 0 {
 		if r.percentAt == 0 {
 			r.firstPercent, r.firstPercentAt = rep.PercentDone, now
@@ -188,6 +189,9 @@
 	if t.job.runCount--; t.job.runCount == 0 {
 		t.job.idleSince = now
 	}
+	if r.starved {
+		w.starvedRuns--
+	}
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
 	if len(t.runs) == 0 && !t.done {
 		t.step.waitingCount++
--- a/dispatch/starvation.go
+++ b/dispatch/starvation.go
@@ -4,8 +4,142 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/fleet"
 )
 
+// Best-effort tasks are placed where the learned interference leaves every serving task
+// within its target. An image whose pressure is too high for some serving task on each worker
+// fits nowhere, and as what does not run is not observed, its pressure is never corrected. A
+// starved job therefore gets one run at a time on a few workers, at a CPU share that the
+// serving tasks there are expected to bear.
+
+// starvedAfter is how long nothing of a job may run, while its tasks are ready, before the
+// learned interference no longer keeps all of them waiting.
+const starvedAfter = 15 * time.Second
+
+// isStarved reports whether a job may start a task regardless of the learned interference.
+// One that has done so before does not wait again.
+func (j *job) isStarved(now time.Duration) bool {
+	return j.runCount == 0 && (j.starved || now-j.idleSince >= starvedAfter)
+}
+
+// starvedRoom bounds the workers with runs of starved jobs in one plan.
+type starvedRoom struct {
+	unopened int               // workers that may still get their first such run
+	opened   []*worker         // those that have any
+	unplaced []fleet.Resources // requests that found no worker
+}
+
+// newStarvedRoom returns the room that the present runs leave. Half of the workers may have
+// runs of starved jobs when services and ordinary batch work use half of the processors, and
+// hardly any at high load.
+func (p *placer) newStarvedRoom() *starvedRoom {
+	var capacity, used int64
+	room := &starvedRoom{}
+	for _, w := range p.eligible {
+		capacity += w.Capacity.MilliCores
+		used += w.used.MilliCores
+		if w.starvedRuns > 0 {
+			room.opened = append(room.opened, w)
+		}
+	}
+	unused := 1 - float64(used)/float64(max(capacity, 1))
+	share := min(4*unused*unused*unused, 1)
+	room.unopened = max(1, int(share*float64(len(p.eligible)))) - len(room.opened)
+	return room
+}
+
+// isTooSmall reports whether a request can't fit, as one that is not larger has found no
+// worker in this plan.
+func (r *starvedRoom) isTooSmall(need fleet.Resources) bool {
+	return slices.ContainsFunc(r.unplaced, func(u fleet.Resources) bool { return u.Fits(need) })
+}
+
+// starvedPlacement is a worker for a task of a starved job.
+type starvedPlacement struct {
+	worker *worker
+	strain float64 // on the serving tasks there, see colocatedLoad.strain
+}
+
+// isBetterThan reports whether a placement disturbs fewer serving tasks, or disturbs them
+// less.
+func (s starvedPlacement) isBetterThan(o starvedPlacement) bool {
+	if o.worker == nil {
+		return true
+	}
+	if shared := s.worker.starvedRuns > 0; shared != (o.worker.starvedRuns > 0) {
+		return shared
+	}
+	return s.strain < o.strain
+}
+
+// cpuShare returns the CPU share, in percent, at which the serving tasks tolerate the task.
+func (s starvedPlacement) cpuShare() int {
+	return max(int(fullCPUShare/max(s.strain, 1)), minCPUShare)
+}
+
+// placeStarved returns the best placement for a best-effort task of a starved job, and whether
+// there is one.
+func (p *placer) placeStarved(t *task, service fleet.Service) (best starvedPlacement, ok bool) {
+	if p.starved == nil {
+		p.starved = p.newStarvedRoom()
+	}
+	in, s := p.m.interference, t.step
+	if p.starved.isTooSmall(s.Need) {
+		return best, false
+	}
+	candidates := p.starved.opened
+	if p.starved.unopened > 0 {
+		candidates = p.eligible
+	}
+	image := in.bestEffort.number(s.Image)
+	for _, w := range candidates {
+		if w.Service != service || !p.hasRoom(t, w, nil) || p.hasHighTail(w) {
+			continue
+		}
+		candidate := starvedPlacement{w, w.colocated.strain(in, image, s.Need.MilliCores, w.Capacity.MilliCores)}
+		if candidate.isBetterThan(best) {
+			best = candidate
+		}
+	}
+	if best.worker == nil {
+		if !t.isConstrained(p) {
+			p.starved.unplaced = append(p.starved.unplaced, s.Need)
+		}
+		return best, false
+	}
+	if best.worker.starvedRuns == 0 {
+		p.starved.unopened--
+		p.starved.opened = append(p.starved.opened, best.worker)
+	}
+	return best, true
+}
+
+// startStarved starts a task of a starved job and reports whether there is a worker for it.
+func (m *Machine) startStarved(t *task, service fleet.Service, p *placer, now time.Duration) bool {
+	chosen, ok := p.placeStarved(t, service)
+	if !ok {
+		return false
+	}
+	j, w, percent := t.job, chosen.worker, chosen.cpuShare()
+	m.emit("job_starved", j.ID, "task", t.name, "worker", w.ID, "idle", now-j.idleSince, "image", t.step.Image, "strain", chosen.strain, "percent", percent)
+	m.start(t, w, m.nextRun(t), now)
+	r := t.runs[len(t.runs)-1]
+	r.starved, r.initialCPUShare = true, percent
+	w.starvedRuns++
+	j.starved = true
+	return true
+}
+
+// setInitialCPUShare limits the CPU share of a run of a starved job that has started.
+func (m *Machine) setInitialCPUShare(r *run) {
+	if r.initialCPUShare > 0 && r.state == runRunning {
+		m.setCPUShare(r, r.initialCPUShare, "reason", "starved job")
+	}
+	r.initialCPUShare = 0
+}
+
 // isPeer reports whether two jobs have the same priority and timeliness.
 func (j *job) isPeer(o *job) bool {
 	return j.priority == o.priority && j.timeliness == o.timeliness
--- a/dispatch/starvation_test.go
+++ b/dispatch/starvation_test.go
@@ -1,13 +1,185 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/workload"
 )
 
+// starvationRig is a rig whose workers each have one serving task of image "s", on which
+// the best-effort image "f" presses heavily and "g" does not.
+type starvationRig struct {
+	*rig
+	running map[fleet.WorkerID][]Order
+	tail    int64 // reported by the serving tasks, in ms; their target is 100 ms
+	paced   []Order
+}
+
+func newStarvationRig(t *testing.T, workers int, serving int64) *starvationRig {
+	t.Helper()
+	r := &starvationRig{rig: newRig(t), running: make(map[fleet.WorkerID][]Order), tail: 40}
+	for i := range workers {
+		r.addWorker(fleet.WorkerID(fmt.Sprintf("w%02d", i)), fleet.Resources{MilliCores: 16_000, MemoryMB: 64_000})
+	}
+	service := servingStep("s", workers, serving)
+	service.MaxPerWorker = 1
+	r.addJob("service", service)
+	r.step(maxServingDelay)
+	r.step(time.Second)
+	for id := range r.m.workers {
+		if len(r.running[id]) != 1 {
+			t.Fatalf("%d serving tasks on %s, want 1", len(r.running[id]), id)
+		}
+	}
+	in := r.m.interference
+	*in.entry(in.bestEffort.number("f"), in.serving.number("s")) = maxPressure
+	*in.entry(in.bestEffort.number("g"), in.serving.number("s")) = minPressure
+	return r
+}
+
+// step lets time pass, with a report of each worker and a plan, and returns the starts.
+func (r *starvationRig) step(d time.Duration) []Order {
+	r.now += d
+	for _, w := range r.m.workerList {
+		var rep workload.Report
+		for _, o := range r.running[w.ID] {
+			a := runningOf(o)
+			if o.Task.Job == "service" {
+				a.Gauge = r.tail
+			}
+			a.PercentDone = int(r.now / (200 * time.Millisecond) % 100)
+			rep.Running = append(rep.Running, a)
+		}
+		rep.StartedMS = 1
+		r.m.RenewalSent(w.ID, r.now)
+		r.m.WorkerReported(w.ID, rep, r.now-time.Millisecond, r.now)
+	}
+	r.m.Plan(r.now, 0)
+	var starts []Order
+	orders := r.m.TakeOrders()
+	for _, o := range orders {
+		switch o.Kind {
+		case OrderStart:
+			starts = append(starts, o)
+			r.running[o.Worker] = append(r.running[o.Worker], o)
+			r.m.StartAnswered(o, Accepted, r.now)
+		case OrderThrottle:
+			r.paced = append(r.paced, o)
+		}
+	}
+	return starts
+}
+
+// end ends a run.
+func (r *starvationRig) end(o Order) {
+	r.running[o.Worker] = slices.DeleteFunc(r.running[o.Worker], func(x Order) bool { return x.Task == o.Task })
+	rep := workload.Report{StartedMS: 1, Ended: []workload.EndedRun{r.endOf(o, workload.OutcomeDone)}}
+	for _, x := range r.running[o.Worker] {
+		rep.Running = append(rep.Running, runningOf(x))
+	}
+	r.m.WorkerReported(o.Worker, rep, r.now-time.Millisecond, r.now)
+}
+
+// firstStarts steps until tasks of a job start, and returns them and the time that took.
+func (r *starvationRig) firstStarts(id fleet.JobID, limit time.Duration) ([]Order, time.Duration) {
+	for began := r.now; r.now-began < limit; {
+		starts := slices.DeleteFunc(r.step(200*time.Millisecond), func(o Order) bool { return o.Task.Job != id })
+		if len(starts) > 0 {
+			return starts, r.now - began
+		}
+	}
+	return nil, limit
+}
+
+// A best-effort job whose image pressed on a service of each worker was never started, though
+// most of the processors were idle: what does not run is not observed, so that its learned
+// pressure was never corrected.
+func TestImageShutOutByInterferenceIsNeverStarted(t *testing.T) {
+	r := newStarvationRig(t, 8, 4000)
+	r.addJob("f", bestEffortStep("f", 4, 2000))
+	starts, took := r.firstStarts("f", time.Minute)
+	if len(starts) != 1 || took > starvedAfter+time.Second {
+		t.Fatalf("%d starts after %v, want one after %v", len(starts), took, starvedAfter)
+	}
+	r.step(200 * time.Millisecond)
+	if len(r.paced) == 0 || r.paced[0].Percent >= fullCPUShare {
+		t.Errorf("orders %v, want a limit of its CPU share", r.paced)
+	}
+	// Its tasks follow each other without another wait.
+	r.end(starts[0])
+	if next, took := r.firstStarts("f", time.Minute); len(next) == 0 || took > time.Second {
+		t.Errorf("the next task started after %v", took)
+	}
+	// Tail latencies stay low beside it, which corrects the pressure: the others start too.
+	for range 100 {
+		r.step(200 * time.Millisecond)
+	}
+	if n := r.m.jobs["f"].runCount; n != 3 {
+		t.Errorf("%d of 3 tasks run, with a pressure of %.1f", n, r.m.interference.pressureBetween("f", "s"))
+	}
+}
+
+// Runs of starved jobs must neither disturb the services of all workers nor keep off the
+// work that these tolerate.
+func TestStarvedJobsTakeAllWorkers(t *testing.T) {
+	const workers, jobs = 8, 30
+	for name, tt := range map[string]struct {
+		serving int64 // millicores of the serving task of each worker, of 16,000
+		most    int   // workers with runs of starved jobs
+	}{
+		"a quarter is used":  {4000, 4},
+		"three quarters are": {12_000, 1},
+		"hardly anything is": {500, 7},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newStarvationRig(t, workers, tt.serving)
+			for i := range jobs {
+				r.addJob(fleet.JobID(fmt.Sprintf("f%02d", i)), bestEffortStep("f", 4, 500))
+			}
+			r.step(starvedAfter / 2)
+			for range 10 {
+				r.step(starvedAfter / 10)
+			}
+			taken := 0
+			for _, w := range r.m.workerList {
+				if w.starvedRuns > 0 {
+					taken++
+				}
+			}
+			if taken == 0 || taken > tt.most {
+				t.Errorf("%d workers have runs of starved jobs, want 1 to %d", taken, tt.most)
+			}
+			r.addJob("g", bestEffortStep("g", 4, 500))
+			if starts, _ := r.firstStarts("g", time.Second); len(starts) != 4 {
+				t.Errorf("%d of 4 tasks that the services tolerate start", len(starts))
+			}
+		})
+	}
+}
+
+// A run of a starved job that is slowed down must stay, or the job would wait again.
+func TestStarvedRunIsEvicted(t *testing.T) {
+	r := newStarvationRig(t, 2, 4000)
+	s := bestEffortStep("f", 1, 2000)
+	s.Checkpoints = true
+	r.addJob("f", s)
+	if starts, _ := r.firstStarts("f", time.Minute); len(starts) != 1 {
+		t.Fatalf("%d starts, want 1", len(starts))
+	}
+	r.tail = 300
+	for range 20 {
+		r.step(200 * time.Millisecond)
+	}
+	run := r.m.jobs["f"].occurrences[0].steps[0].tasks[0].runs
+	if len(run) != 1 || run[0].state != runRunning || run[0].cpuShare != 0 {
+		t.Errorf("runs %v, want one at a CPU share of 0", run)
+	}
+}
+
 // Jobs past three times their target waited for all others like them with a lower ID.
 func TestExpiredJobWaitsForAllOfLowerID(t *testing.T) {
 	r := newRig(t, "w1")
--- a/dispatch/throttle.go
+++ b/dispatch/throttle.go
@@ -103,7 +103,7 @@
 		if r.throttledSince == 0 {
 			r.throttledSince = now
 		}
-		if r.task.step.Checkpoints && percent < evictCPUShare && now-r.throttledSince >= evictAfter {
+		if r.task.step.Checkpoints && !r.starved && percent < evictCPUShare && now-r.throttledSince >= evictAfter {
 			m.emit("run_evicted", r.task.job.ID, "task", r.task.name, "run", r.number, "worker", w.ID, "image", r.task.step.Image,
 				"beside", victim.task.step.Image, "tail_ms", victim.gauge, "target_ms", victim.task.step.TargetMS)
 			m.avoid(r.task, w, now)
