Room for starved jobs counts by service, and their wait from when they are due

Change: the room is kept by service; a job without waiting tasks does not wait.

Result: TestStarvedJobsOfOneServiceShutOutThoseOfAnother and TestJobInTimeIsStarvedWhenItBecomesDue failed before and pass.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -38,7 +38,7 @@
 	timeliness, reportedTimeliness timeliness
 	hasReservation                 bool          // workers have been reserved for one of its gangs
 	planFailed                     bool          // planning it panicked
-	idleSince                      time.Duration // when its last run was released, or it was added
+	idleSince                      time.Duration // since when tasks are ready and nothing runs, if so
 	starved                        bool          // it has started a task regardless of the learned interference
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -31,8 +31,9 @@
 	// unreserved is the processor in millicores that new work may take, by service,
 	// while inherited work is held back; nil otherwise.
 	unreserved map[fleet.Service]int64
-	starved    *starvedRoom // nil until a starved job looks for a worker
-	single     bool         // at most one task of a job is started
+	// starvedRooms are filled when a starved job looks for a worker.
+	starvedRooms map[fleet.Service]*starvedRoom
+	single       bool // at most one task of a job is started
 }
 
 // takeUnreserved takes processor for the start of count tasks, if that leaves enough for
@@ -59,6 +60,7 @@
 func (m *Machine) newPlacer(now time.Duration) *placer {
 	p := &placer{
 		m: m, now: now, unplaceable: make(map[placementClass]bool), minUnplaced: make(map[string]int64), reservedServices: make(map[fleet.Service]bool),
+		starvedRooms: make(map[fleet.Service]*starvedRoom),
 	}
 	for _, w := range m.workerList {
 		if m.mayStart(w, now) {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -108,6 +108,7 @@
 		}
 		m.createDueOccurrences(j, unixMS)
 		if !j.hasWaiting() {
+			j.idleSince = now
 			continue
 		}
 		m.setRank(j, now, unixMS)
--- a/dispatch/starvation.go
+++ b/dispatch/starvation.go
@@ -24,20 +24,25 @@
 	return j.runCount == 0 && (j.starved || now-j.idleSince >= starvedAfter)
 }
 
-// starvedRoom bounds the workers with runs of starved jobs in one plan.
+// starvedRoom bounds the workers of a service with runs of starved jobs in one plan.
 type starvedRoom struct {
 	unopened int               // workers that may still get their first such run
 	opened   []*worker         // those that have any
 	unplaced []fleet.Resources // requests that found no worker
 }
 
-// newStarvedRoom returns the room that the present runs leave. Half of the workers may have
+// newStarvedRoom returns the room that the present runs of a service leave. Half of the workers may have
 // runs of starved jobs when services and ordinary batch work use half of the processors, and
 // hardly any at high load.
-func (p *placer) newStarvedRoom() *starvedRoom {
+func (p *placer) newStarvedRoom(service fleet.Service) *starvedRoom {
 	var capacity, used int64
+	workers := 0
 	room := &starvedRoom{}
 	for _, w := range p.eligible {
+		if w.Service != service {
+			continue
+		}
+		workers++
 		capacity += w.Capacity.MilliCores
 		used += w.used.MilliCores
 		if w.starvedRuns > 0 {
@@ -46,13 +51,13 @@
 	}
 	unused := 1 - float64(used)/float64(max(capacity, 1))
 	share := min(4*unused*unused*unused, 1)
-	room.unopened = max(1, int(share*float64(len(p.eligible)))) - len(room.opened)
+	room.unopened = max(1, int(share*float64(workers))) - len(room.opened)
 	return room
 }
 
-// isTooSmall reports whether a request can't fit, as one that is not larger has found no
-// worker in this plan.
-func (r *starvedRoom) isTooSmall(need fleet.Resources) bool {
+// isExhaustedFor reports whether a request fits nowhere, as one that is not larger has found
+// no worker in this plan.
+func (r *starvedRoom) isExhaustedFor(need fleet.Resources) bool {
 	return slices.ContainsFunc(r.unplaced, func(u fleet.Resources) bool { return u.Fits(need) })
 }
 
@@ -82,15 +87,17 @@
 // placeStarved returns the best placement for a best-effort task of a starved job, and whether
 // there is one.
 func (p *placer) placeStarved(t *task, service fleet.Service) (best starvedPlacement, ok bool) {
-	if p.starved == nil {
-		p.starved = p.newStarvedRoom()
+	room := p.starvedRooms[service]
+	if room == nil {
+		room = p.newStarvedRoom(service)
+		p.starvedRooms[service] = room
 	}
 	in, s := p.m.interference, t.step
-	if p.starved.isTooSmall(s.Need) {
+	if room.isExhaustedFor(s.Need) {
 		return best, false
 	}
-	candidates := p.starved.opened
-	if p.starved.unopened > 0 {
+	candidates := room.opened
+	if room.unopened > 0 {
 		candidates = p.eligible
 	}
 	image := in.bestEffort.number(s.Image)
@@ -105,13 +112,13 @@
 	}
 	if best.worker == nil {
 		if !t.isConstrained(p) {
-			p.starved.unplaced = append(p.starved.unplaced, s.Need)
+			room.unplaced = append(room.unplaced, s.Need)
 		}
 		return best, false
 	}
 	if best.worker.starvedRuns == 0 {
-		p.starved.unopened--
-		p.starved.opened = append(p.starved.opened, best.worker)
+		room.unopened--
+		room.opened = append(room.opened, best.worker)
 	}
 	return best, true
 }
--- a/dispatch/starvation_test.go
+++ b/dispatch/starvation_test.go
@@ -204,3 +204,36 @@
 		working = append(working, r.planStarts()...)
 	}
 }
+
+// A starved job of one service must not use up the room of another one.
+func TestStarvedJobsOfOneServiceShutOutThoseOfAnother(t *testing.T) {
+	const other = fleet.Service("service-2")
+	r := newStarvationRig(t, 2, 4000)
+	config := *r.m.config
+	config.Queues = append(slices.Clone(config.Queues), workload.Queue{Name: "queue-2", Service: other, MaxAttempts: 3, Stretch: 2, Objective: time.Second})
+	config.Services = map[fleet.Service]workload.Service{testService: {Name: testService}, other: {Name: other}}
+	r.m.SetConfig(&config)
+	steps := []workload.Step{bestEffortStep("f", 1, 1000)}
+	r.m.AddJob(&workload.Job{ID: "a", Queue: "queue-2", Steps: steps}, workload.StateQueued, 1, workload.Progress{}, r.now, false) // no worker has its service
+	r.addJob("f", bestEffortStep("f", 1, 2000))
+	if starts, took := r.firstStarts("f", time.Minute); len(starts) != 1 {
+		t.Errorf("not started after %v", took)
+	}
+}
+
+// A job in time that becomes due has not waited since the end of its last run.
+func TestJobInTimeIsStarvedWhenItBecomesDue(t *testing.T) {
+	r := newStarvationRig(t, 2, 4000)
+	due := int64(time.Minute / time.Millisecond)
+	r.m.AddJob(&workload.Job{ID: "f", Queue: testQueue, Repeats: 1, FirstMS: due, IntervalMS: 1000, Steps: []workload.Step{bestEffortStep("f", 1, 2000)}},
+		workload.StateQueued, 1, workload.Progress{}, r.now, false)
+	for range 20 {
+		r.step(time.Second)
+	}
+	r.m.Plan(r.now, due)
+	for _, o := range r.m.TakeOrders() {
+		if o.Kind == OrderStart && o.Task.Job == "f" {
+			t.Errorf("%s starts at once", o.Task)
+		}
+	}
+}
