Starved jobs count their whole wait for capacity

Cause: the wait counted from the last run. The time for which ready tasks found no capacity is counted over the life of a job already (blockedFor).

Change: a job is starved once that reaches 15 s and nothing of it runs, which replaces the mark on jobs that were starved before.

Result: TestStarvedJobWaitsAnewAfterEachTask failed before (15 s) and passes.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -39,7 +39,6 @@
 	hasReservation                 bool          // workers have been reserved for one of its gangs
 	planFailed                     bool          // planning it panicked
 	idleSince                      time.Duration // since when tasks are ready and nothing runs, if so
-	starved                        bool          // it has started a task regardless of the learned interference
 }
 
 // occurrence is one execution of a job's steps.
--- a/dispatch/starvation.go
+++ b/dispatch/starvation.go
@@ -14,15 +14,12 @@
 // starved job therefore gets one run at a time on a few workers, at a CPU share that the
 // serving tasks there are expected to bear.
 
-// starvedAfter is how long nothing of a job may run, while its tasks are ready, before the
+// starvedAfter is how long tasks of a job may have waited for capacity, in all, before the
 // learned interference no longer keeps all of them waiting.
 const starvedAfter = 15 * time.Second
 
 // isStarved reports whether a job may start a task regardless of the learned interference.
-// One that has done so before does not wait again.
-func (j *job) isStarved(now time.Duration) bool {
-	return j.runCount == 0 && (j.starved || now-j.idleSince >= starvedAfter)
-}
+func (j *job) isStarved() bool { return j.runCount == 0 && j.blockedFor >= starvedAfter }
 
 // starvedRoom bounds the workers of a service with runs of starved jobs in one plan.
 type starvedRoom struct {
@@ -130,12 +127,11 @@
 		return false
 	}
 	j, w, percent := t.job, chosen.worker, chosen.cpuShare()
-	m.emit("job_starved", j.ID, "task", t.name, "worker", w.ID, "idle", now-j.idleSince, "image", t.step.Image, "strain", chosen.strain, "percent", percent)
+	m.emit("job_starved", j.ID, "task", t.name, "worker", w.ID, "idle", now-j.idleSince, "passed", j.blockedFor, "image", t.step.Image, "strain", chosen.strain, "percent", percent)
 	m.start(t, w, m.nextRun(t), now)
 	r := t.runs[len(t.runs)-1]
 	r.starved, r.initialCPUShare = true, percent
 	w.starvedRuns++
-	j.starved = true
 	return true
 }
 
--- a/dispatch/starvation_test.go
+++ b/dispatch/starvation_test.go
@@ -237,3 +237,25 @@
 		}
 	}
 }
+
+// A job that had waited for long waited as long again after each task that found a worker.
+func TestStarvedJobWaitsAnewAfterEachTask(t *testing.T) {
+	r := newStarvationRig(t, 2, 4000)
+	second := bestEffortStep("f", 1, 2000)
+	second.After = []int{0}
+	r.addJob("f", bestEffortStep("f", 1, 2000), second)
+	if starts, _ := r.firstStarts("f", 2*starvedAfter/3); len(starts) > 0 {
+		t.Fatalf("started %v", starts)
+	}
+	pressure := r.m.interference.entry(0, 0)
+	*pressure = minPressure
+	starts := r.step(200 * time.Millisecond)
+	if len(starts) != 1 {
+		t.Fatalf("%d starts, want 1", len(starts))
+	}
+	*pressure = maxPressure
+	r.end(starts[0])
+	if _, took := r.firstStarts("f", time.Minute); took > starvedAfter/3+time.Second {
+		t.Errorf("its next task starts after another %v", took)
+	}
+}
