TestCompressedList counts the bytes once the server has closed

The second write of the uncompressed list, of 86,430 bytes, was not counted yet: the count is added after the write, and the test read it as soon as the client had the list.

Change: the server is closed, which waits for its handlers, before the count is read. The bound of a fifth is as it was.

--- a/inventory/host_list_size_test.go
+++ b/inventory/host_list_size_test.go
@@ -78,6 +78,7 @@
 	if err != nil || !newer {
 		tb.Fatalf("newer %v, error %v", newer, err)
 	}
+	server.Close() // waits until the last write is counted
 	return list, sent.Load()
 }
 
