TestFrozenOwner judges by the store, not by gaps of its own goroutine

Cause: in the test. The frozen process took a gap between two calls of its own observing goroutine for a pause, and a true result after it for a fault. On a busy machine that goroutine runs late, with or without a pause, and the other threads of the process have counted the pause, renewed and confirmed the claim by then: MaySend is rightly true. Since only changes were reported, a pause during which the process had already been false showed none.

The test now stops the process, waits until it is stopped, lets the store hold back all calls and resumes it: as nothing can be confirmed, no call of MaySend may be true, whichever thread runs first. The result is reported every 10 ms, so that a process without reports fails the test. The times are those of the steady clock, which both processes read.

--- a/shard/frozen_test.go
+++ b/shard/frozen_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -13,6 +16,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/fuchsiahill/fuchsiahill/internal/standin"
+	"github.com/fuchsiahill/fuchsiahill/internal/steady"
 	"github.com/fuchsiahill/fuchsiahill/member"
 	"github.com/fuchsiahill/fuchsiahill/peer/peertest"
 	"github.com/fuchsiahill/fuchsiahill/shard"
@@ -23,21 +27,29 @@
 	frozenStoreEnv = "FROZEN_OWNER_STORE"
 	frozenFront    = shard.ID("front/sofia-1/0")
 	frozenPause    = 300 * time.Millisecond
+	// frozenReportInterval is how often the process reports an unchanged result.
+	frozenReportInterval = 10 * time.Millisecond
 )
 
 // TestFrozenOwner stops a process that owns a front with SIGSTOP. From the first
 // instruction after SIGCONT, the process must not send until it has confirmed its
-// claim, and must not send again if the front has a new owner.
+// claim, and must not send again if the front has a new owner. The store holds back
+// all calls until the first check is over: on a busy machine the process may confirm
+// its claim before the goroutine that observes it runs.
 func TestFrozenOwner(t *testing.T) {
 	if url := os.Getenv(frozenStoreEnv); url != "" {
 		ownFrozenFront(t, url)
 		return
 	}
 	kv := standin.NewStore()
-	server := httptest.NewServer(standin.NewStoreServer(kv))
+	calls := &gate{handler: standin.NewStoreServer(kv)}
+	server := httptest.NewServer(calls)
 	defer server.CloseClientConnections()
 	child := exec.Command(os.Args[0], "-test.run=^TestFrozenOwner$")
 	child.Env = append(os.Environ(), frozenStoreEnv+"="+server.URL)
+	child.Stderr = os.Stderr
+	// A stopped process is ended by SIGHUP when its process group loses its last parent.
+	child.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	out, err := child.StdoutPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -56,67 +68,128 @@
 			observations <- next
 		}
 	}()
-	resumed := time.Now()
-	awaitMaySend(t, observations, resumed, true)
-	resumed = freeze(t, child, func() {})
-	awaitMaySend(t, observations, resumed, false)
-	awaitMaySend(t, observations, resumed, true)
-	resumed = freeze(t, child, func() { transferFront(t, kv) })
-	awaitMaySend(t, observations, resumed, false)
-	for end := time.After(frozenPause * 2); ; {
+	awaitMaySend(t, observations)
+	for range 2 {
+		resumed := freeze(t, child, calls.hold)
+		checkMayNotSend(t, observations, resumed, "before it has confirmed its claim after a pause")
+		calls.release()
+		awaitMaySend(t, observations)
+	}
+	resumed := freeze(t, child, func() { transferFront(t, kv) })
+	checkMayNotSend(t, observations, resumed, "after another host has claimed the front")
+}
+
+// gate is an http.Handler that can hold calls back. It starts open.
+type gate struct {
+	handler http.Handler
+	mu      sync.Mutex
+	held    chan struct{} // closed by release; nil while open
+}
+
+func (g *gate) hold() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.held = make(chan struct{})
+}
+
+func (g *gate) release() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(g.held)
+	g.held = nil
+}
+
+func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.mu.Lock()
+	held := g.held
+	g.mu.Unlock()
+	if held != nil {
 		select {
-		case next := <-observations:
-			if next.Sending {
-				t.Fatal("the old owner may send after another host has claimed the front")
-			}
-		case <-end:
+		case <-held:
+		case <-r.Context().Done():
 			return
 		}
 	}
+	g.handler.ServeHTTP(w, r)
 }
 
-// observation is a line of output of the frozen process.
+// observation is a line of output of the frozen process: a result of MaySend, called
+// at a time on the steady clock, which the processes of a host share.
 type observation struct {
-	At         time.Time
-	Sending    bool // the new result of MaySend
-	AfterPause bool // it was true in the first call after a pause
+	CalledAt time.Duration
+	MaySend  bool
+}
+
+// awaitMaySend waits until the process reports that it may send.
+func awaitMaySend(t *testing.T, observations <-chan observation) {
+	t.Helper()
+	after := steady.Now()
+	for end := time.After(10 * time.Second); ; {
+		select {
+		case next := <-observations:
+			if next.MaySend && next.CalledAt >= after {
+				return
+			}
+		case <-end:
+			t.Fatal("MaySend did not become true")
+		}
+	}
 }
 
-// awaitMaySend waits until the process reports a result of MaySend, observed after
-// the given time.
-func awaitMaySend(t *testing.T, observations <-chan observation, after time.Time, want bool) {
+// checkMayNotSend checks that MaySend is false whenever the process calls it within
+// twice frozenPause after it was resumed.
+func checkMayNotSend(t *testing.T, observations <-chan observation, resumed time.Duration, when string) {
 	t.Helper()
 	for end := time.After(10 * time.Second); ; {
 		select {
 		case next := <-observations:
-			if next.AfterPause {
-				t.Fatal("the process may send immediately after a pause")
+			if next.CalledAt >= resumed && next.MaySend {
+				t.Fatalf("the process may send %s, %s after it was resumed", when, next.CalledAt-resumed)
 			}
-			if next.At.After(after) && next.Sending == want {
+			if next.CalledAt >= resumed+2*frozenPause {
 				return
 			}
 		case <-end:
-			t.Fatalf("MaySend did not become %v", want)
+			t.Fatal("the process does not report")
 		}
 	}
 }
 
 // freeze stops the process for twice frozenPause, calls meanwhile, resumes the
-// process and returns the time at which it did so.
-func freeze(t *testing.T, child *exec.Cmd, meanwhile func()) time.Time {
+// process and returns the time on the steady clock before it did so.
+func freeze(t *testing.T, child *exec.Cmd, meanwhile func()) (resumed time.Duration) {
 	t.Helper()
 	if err := child.Process.Signal(syscall.SIGSTOP); err != nil {
 		t.Fatal(err)
 	}
+	awaitStopped(t, child.Process.Pid)
 	time.Sleep(2 * frozenPause)
 	meanwhile()
-	resumed := time.Now()
+	resumed = steady.Now()
 	if err := child.Process.Signal(syscall.SIGCONT); err != nil {
 		t.Fatal(err)
 	}
 	return resumed
 }
 
+// awaitStopped waits until no thread of a child runs, which is later than the signal.
+func awaitStopped(t *testing.T, pid int) {
+	t.Helper()
+	for {
+		var status syscall.WaitStatus
+		_, err := syscall.Wait4(pid, &status, syscall.WUNTRACED, nil)
+		switch {
+		case errors.Is(err, syscall.EINTR):
+		case err != nil:
+			t.Fatal(err)
+		case !status.Stopped():
+			t.Fatalf("the process has ended with status %d", status)
+		default:
+			return
+		}
+	}
+}
+
 // transferFront claims the front for another host, as a host with proof that the
 // owner has ended would do.
 func transferFront(t *testing.T, kv store.Store) {
@@ -144,8 +217,8 @@
 }
 
 // ownFrozenFront is the main function of the process that is frozen. It prints
-// every change of MaySend, and each case of MaySend being true immediately after
-// a pause.
+// every change of MaySend, and the unchanged result at least once per
+// frozenReportInterval.
 func ownFrozenFront(t *testing.T, url string) {
 	kv := store.NewHTTP(url, 0)
 	self := member.Host{ID: "h1", Incarnation: 1, Region: "sofia", DataCentre: "sofia-1"}
@@ -164,14 +237,16 @@
 	go func() { _ = registry.Serve(t.Context()) }()
 	go func() { _ = manager.Serve(t.Context()) }()
 	var maySend bool
-	out := json.NewEncoder(os.Stdout)
-	for last := time.Now(); ; time.Sleep(100 * time.Microsecond) {
-		before := time.Now()
+	var reported time.Duration
+	for out := json.NewEncoder(os.Stdout); ; time.Sleep(100 * time.Microsecond) {
+		now := steady.Now()
 		next := manager.MaySend(frozenFront)
-		sentAfterPause := next && before.Sub(last) > frozenPause*3/2
-		if sentAfterPause || next != maySend {
-			_ = out.Encode(observation{At: time.Now(), Sending: next, AfterPause: sentAfterPause})
+		if next == maySend && now-reported < frozenReportInterval {
+			continue
+		}
+		if err := out.Encode(observation{CalledAt: now, MaySend: next}); err != nil {
+			t.Fatal(err)
 		}
-		maySend, last = next, before
+		maySend, reported = next, now
 	}
 }
