After a pause a front is sent for only once its own claim is confirmed

Callers saw: TestFrozenOwner, "the old owner may send after another host has claimed the front", 2 of 400 with 40 copies at once; 1 of 480 with eight.

Cause: after a pause a host confirms its claims by writing each one again, and then a single count resumes sending for all fronts that it holds a right for. Two kinds of front had a right and were not among the confirmed:

- one whose new owner the watch had already told of, but whose runner had not been stopped yet: no claim of this process's, so left out, and resumed with the others until the stop came to it;
- one that was being handed over or restarted while the others were confirmed, and got its right back with the count of that moment, although its claim had been confirmed before the pause only.

Ruled out: that a confirmation under way at the pause counts after it. Its count is read before the first write, so that it no longer fits (TestPauseDuringConfirmationIsOverlooked passed on the code as found).

Change: each right holds the count of pauses read before the write that last confirmed its claim, and is suspended while that differs from the present count. A handover that fails and a restart go on with the count of the right that they ended.

In TestMaySend the calls of confirm name the fronts; no case was taken out, three were added.

--- a/shard/operations.go
+++ b/shard/operations.go
@@ -99,7 +99,6 @@
 // nothing and must be able to restart while the store is down, so they keep
 // theirs.
 func (m *Manager) restart(ctx context.Context, id ID) error {
-	pauseCount := m.rights.pauseCount.Load()
 	m.mu.Lock()
 	o, rec := m.ownerships[id], m.claims[id]
 	m.mu.Unlock()
@@ -113,8 +112,8 @@
 			return err
 		}
 	}
-	m.stopRunner(id)
-	m.startRunner(id, ownershipStart{claim: next, sendFrom: o.sendFrom, pauseCount: pauseCount, restarts: o.restarts + 1})
+	sendFrom, pauseCount := m.stopRunner(id)
+	m.startRunner(id, ownershipStart{claim: next, sendFrom: sendFrom, pauseCount: pauseCount, restarts: o.restarts + 1})
 	return nil
 }
 
@@ -122,9 +121,8 @@
 // applied, the shard is started again on this host.
 func (m *Manager) handOver(ctx context.Context, id ID) error {
 	level.Info(m.logger).Log("event", "hand_over", "shard", id)
-	pauseCount := m.rights.pauseCount.Load()
 	claim := m.claimOf(id).Claim
-	sendFrom := m.stopRunner(id)
+	sendFrom, pauseCount := m.stopRunner(id)
 	err := m.release(ctx, id, !time.Now().Before(sendFrom))
 	var unavailable *store.UnavailableError
 	if errors.As(err, &unavailable) {
@@ -237,7 +235,7 @@
 }
 
 func (m *Manager) stopAndRelease(id ID) {
-	sendFrom := m.stopRunner(id)
+	sendFrom, _ := m.stopRunner(id)
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	if err := m.release(ctx, id, !time.Now().Before(sendFrom)); err != nil {
--- a/shard/ownership.go
+++ b/shard/ownership.go
@@ -42,7 +42,7 @@
 	previous Owner // whose claim was replaced; zero if not known
 	sendFrom time.Time
 	restarts int // failed runs so far
-	// pauseCount is sendRights.pauseCount before the claim was written or read.
+	// pauseCount is sendRights.pauseCount before the claim was last confirmed.
 	pauseCount int64
 }
 
@@ -93,19 +93,21 @@
 
 // stopRunner stops the runner of a shard and waits until it has returned. It
 // revokes the right to send first, so that no new request starts for a front. It
-// returns the time by which requests started under earlier owners have ended.
-func (m *Manager) stopRunner(id ID) (sendFrom time.Time) {
-	m.rights.revoke(id)
+// returns the time by which requests started under earlier owners have ended, and
+// sendRights.pauseCount before the claim of a front was last confirmed, both of
+// which the next run under the same claim needs.
+func (m *Manager) stopRunner(id ID) (sendFrom time.Time, pauseCount int64) {
+	pauseCount = m.rights.revoke(id)
 	m.mu.Lock()
 	o, ok := m.ownerships[id]
 	m.mu.Unlock()
 	if !ok {
-		return time.Now().Add(m.maxRequestDuration())
+		return time.Now().Add(m.maxRequestDuration()), pauseCount
 	}
 	o.cancel()
 	<-o.exited
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.ownerships, id)
-	return o.sendFrom
+	return o.sendFrom, pauseCount
 }
--- a/shard/renewal.go
+++ b/shard/renewal.go
@@ -51,14 +51,16 @@
 	m.mu.Lock()
 	m.renewedAt = sent
 	m.mu.Unlock()
+	var confirmed []ID
 	if suspended {
-		if err := m.confirmFronts(ctx); err != nil {
+		var err error
+		if confirmed, err = m.confirmFronts(ctx); err != nil {
 			return err
 		}
 	}
 	m.rights.extend(sent.Add(m.timing.FrontTakeoverTimeout - m.timing.FrontClockMargin))
 	if suspended {
-		m.rights.confirm(pauseCount)
+		m.rights.confirm(pauseCount, confirmed)
 	}
 	return nil
 }
@@ -128,20 +130,21 @@
 	m.renewals[m.deps.Self.ID] = observedRenewal{revision: r}
 }
 
-// confirmFronts rewrites the claim of every front unchanged. Unlike a read, the
-// write makes a concurrent takeover fail, since it changes the revision that the
-// other host's compare-and-swap expects.
-func (m *Manager) confirmFronts(ctx context.Context) error {
+// confirmFronts rewrites the claim of every front unchanged and returns the fronts
+// that this process still owns. Unlike a read, the write makes a concurrent takeover
+// fail, since it changes the revision that the other host's compare-and-swap expects.
+func (m *Manager) confirmFronts(ctx context.Context) (confirmed []ID, err error) {
 	for id, rec := range m.ownFronts() {
-		if err := m.writeClaim(ctx, id, rec, rec.Claim); err != nil {
-			var lost *LostError
-			if !errors.As(err, &lost) {
-				return err
-			}
-			m.rights.revoke(id)
+		err := m.writeClaim(ctx, id, rec, rec.Claim)
+		var lost *LostError
+		switch {
+		case err == nil:
+			confirmed = append(confirmed, id)
+		case !errors.As(err, &lost):
+			return nil, err
 		}
 	}
-	return nil
+	return confirmed, nil
 }
 
 func (m *Manager) ownFronts() map[ID]observedClaim {
--- a/shard/rights.go
+++ b/shard/rights.go
@@ -19,14 +19,14 @@
 // to this process and no other host may take the front over. The last renewal
 // was sent less than the takeover timeout minus the clock margin ago, by both
 // the monotonic and the wall clock, and this process has not been paused since
-// the claim was last confirmed.
+// it sent the write that last confirmed the claim of this front.
 type sendRights struct {
 	origin         time.Time // origin of monotonic times
 	pauseThreshold time.Duration
 
-	grants          atomic.Pointer[map[ID]time.Duration] // when sending may start, relative to origin
-	untilMono       atomic.Int64                         // nanoseconds since origin
-	untilWall       atomic.Int64                         // Unix time in nanoseconds
+	grants          atomic.Pointer[map[ID]grant]
+	untilMono       atomic.Int64 // nanoseconds since origin
+	untilWall       atomic.Int64 // Unix time in nanoseconds
 	beatMono        atomic.Int64
 	beatWall        atomic.Int64
 	pauseCount      atomic.Int64 // pauses and other suspensions so far, plus 1
@@ -36,9 +36,17 @@
 	onSuspend func()
 }
 
+// grant is the right to send for one front.
+type grant struct {
+	sendFrom time.Duration // when sending may start, relative to the origin
+	// confirmedPauses is pauseCount before the write was sent that last confirmed
+	// the claim. The right is suspended while it differs from pauseCount.
+	confirmedPauses int64
+}
+
 func newSendRights(now time.Time, pauseThreshold time.Duration, onSuspend func()) *sendRights {
 	r := &sendRights{origin: now, pauseThreshold: pauseThreshold, onSuspend: onSuspend}
-	r.grants.Store(&map[ID]time.Duration{})
+	r.grants.Store(&map[ID]grant{})
 	r.pauseCount.Store(1)
 	r.untilMono.Store(math.MinInt64)
 	r.untilWall.Store(math.MinInt64)
@@ -55,9 +63,7 @@
 	// beat sees the gap.
 	beatMono := r.beatMono.Load()
 	beatWall := r.beatWall.Load()
-	if r.isSuspended() {
-		return false
-	}
+	pauses := r.pauseCount.Load()
 	now := time.Now()
 	mono := int64(now.Sub(r.origin))
 	wall := now.UnixNano()
@@ -67,8 +73,8 @@
 	if mono >= r.untilMono.Load() || wall >= r.untilWall.Load() {
 		return false
 	}
-	sendFrom, ok := (*r.grants.Load())[front]
-	return ok && mono >= int64(sendFrom)
+	g, ok := (*r.grants.Load())[front]
+	return ok && g.confirmedPauses == pauses && mono >= int64(g.sendFrom)
 }
 
 // detectPauses checks for pauses until ctx ends.
@@ -108,12 +114,24 @@
 	r.onSuspend()
 }
 
+// isSuspended reports whether claims have to be confirmed.
 func (r *sendRights) isSuspended() bool { return r.confirmedPauses.Load() != r.pauseCount.Load() }
 
-// confirm resumes sending after every claim has been confirmed. pauseCount is
-// the count read before the first confirmation: if a pause has been counted
-// since, sending stays suspended until all claims are confirmed again.
-func (r *sendRights) confirm(pauseCount int64) { r.confirmedPauses.Store(pauseCount) }
+// confirm resumes sending for the given fronts after every claim has been
+// confirmed. pauseCount is the count read before the first confirmation: if a
+// pause has been counted since, sending stays suspended until all claims are
+// confirmed again. A front that was granted meanwhile is not resumed.
+func (r *sendRights) confirm(pauseCount int64, fronts []ID) {
+	r.updateGrants(func(m map[ID]grant) {
+		for _, front := range fronts {
+			if g, ok := m[front]; ok {
+				g.confirmedPauses = max(g.confirmedPauses, pauseCount)
+				m[front] = g
+			}
+		}
+	})
+	r.confirmedPauses.Store(pauseCount)
+}
 
 // extend sets the time at which all rights expire.
 func (r *sendRights) extend(until time.Time) {
@@ -130,18 +148,25 @@
 // before its claim was confirmed: if a pause has been counted since, all rights
 // are suspended until the claims are confirmed again.
 func (r *sendRights) grant(front ID, sendFrom time.Time, pauseCount int64) {
-	r.updateGrants(func(m map[ID]time.Duration) { m[front] = sendFrom.Sub(r.origin) })
+	r.updateGrants(func(m map[ID]grant) {
+		m[front] = grant{sendFrom: sendFrom.Sub(r.origin), confirmedPauses: pauseCount}
+	})
 	if r.pauseCount.Load() != pauseCount {
 		r.suspend()
 	}
 }
 
-// revoke stops sending for a front.
-func (r *sendRights) revoke(front ID) {
-	r.updateGrants(func(m map[ID]time.Duration) { delete(m, front) })
+// revoke stops sending for a front. It returns the pauseCount at which its claim
+// was last confirmed, or 0 if there was no right to send.
+func (r *sendRights) revoke(front ID) (confirmedPauses int64) {
+	r.updateGrants(func(m map[ID]grant) {
+		confirmedPauses = m[front].confirmedPauses
+		delete(m, front)
+	})
+	return confirmedPauses
 }
 
-func (r *sendRights) updateGrants(edit func(map[ID]time.Duration)) {
+func (r *sendRights) updateGrants(edit func(map[ID]grant)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	next := maps.Clone(*r.grants.Load())
--- a/shard/rights_test.go
+++ b/shard/rights_test.go
@@ -15,7 +15,7 @@
 	r := newSendRights(time.Now(), DefaultPauseThreshold, func() {})
 	r.extend(time.Now().Add(time.Hour))
 	r.grant(testFront, time.Now(), r.pauseCount.Load())
-	r.confirm(r.pauseCount.Load())
+	r.confirm(r.pauseCount.Load(), nil)
 	return r
 }
 
@@ -44,15 +44,24 @@
 		"paused in the grant": {func(r *sendRights) {
 			pauses := r.pauseCount.Load()
 			r.suspend()
-			r.confirm(r.pauseCount.Load())
+			r.confirm(r.pauseCount.Load(), []ID{testFront})
 			r.grant(testFront, time.Now(), pauses)
 		}, false},
-		"confirmed": {func(r *sendRights) { r.suspend(); r.confirm(r.pauseCount.Load()) }, true},
+		"confirmed":         {func(r *sendRights) { r.suspend(); r.confirm(r.pauseCount.Load(), []ID{testFront}) }, true},
+		"others confirmed":  {func(r *sendRights) { r.suspend(); r.confirm(r.pauseCount.Load(), []ID{"front/sofia-1/1"}) }, false},
+		"revoked confirmed": {func(r *sendRights) { r.revoke(testFront); r.confirm(r.pauseCount.Load(), []ID{testFront}) }, false},
+		"granted anew, confirmed before": {func(r *sendRights) {
+			pauses := r.pauseCount.Load()
+			r.suspend()
+			r.revoke(testFront)
+			r.grant(testFront, time.Now(), r.pauseCount.Load())
+			r.confirm(pauses, []ID{testFront})
+		}, true},
 		"paused while confirmed": {func(r *sendRights) {
 			r.suspend()
 			pauses := r.pauseCount.Load()
 			r.suspend()
-			r.confirm(pauses)
+			r.confirm(pauses, []ID{testFront})
 		}, false},
 		"wall clock jumps": {func(r *sendRights) { r.beatWall.Add(-int64(time.Minute)) }, false},
 	}
