A front that is known to be another's is not sent for

When the watch told of another owner of a front, or of a deleted claim, the right to send ended only once the operation that stops the runner had begun, which waits for the operation on that front under way; and a claim that was replaced before its runner started gave a right all the same.

Change: the right ends as the claim is recorded, under the same mutex as rights are given, which looks at the newest known claim. A front that runs without a right, since its claim was another's for a time, is stopped and adopted anew, or it would never be sent for.

TestFrontIsUsedAfterItsLossIsKnown and TestLostFrontIsGranted failed before; TestFrontWhoseClaimWasLostForATimeIsNeverSentFor guards the change itself.

--- a/shard/decide.go
+++ b/shard/decide.go
@@ -15,7 +15,7 @@
 	actAdopt                 // run the shard: the claim in the store is already this process's
 	actRestart               // run the shard again after its runner failed, with a new epoch unless it is a front
 	actHandOver              // stop the runner, then release the claim
-	actStop                  // stop the runner: the claim is no longer this process's
+	actStop                  // stop the runner: the claim is no longer this process's, or was not for a time
 	actVerifyAndClaim        // read the owner's renewal again and claim the shard if it is unchanged
 )
 
@@ -31,6 +31,7 @@
 
 	held       bool // this process runs the shard, or its runner failed and will be restarted
 	restartDue bool // the runner failed and is due to be restarted
+	revoked    bool // this process runs the front without a right to send, since its claim was lost for a time
 
 	notDesiredSince time.Time // see plan.notDesiredSince
 	ready           bool      // this host has known the claims and been a member long enough to claim
@@ -52,7 +53,7 @@
 func decide(s decisionInput) action {
 	isOwn := s.hasClaim && !s.claim.Released && s.claim.Host == s.self.Host && s.claim.Incarnation == s.self.Incarnation
 	switch {
-	case s.held && !isOwn:
+	case s.held && (!isOwn || s.revoked):
 		return actStop
 	case isOwn:
 		return decideOwn(s)
--- a/shard/decide_test.go
+++ b/shard/decide_test.go
@@ -35,6 +35,7 @@
 		"running, claimed by another":      {KindQueue, decisionInput{desired: "a", hasClaim: true, claim: other, held: true, ownerLive: true}, actStop},
 		"running, claim released":          {KindQueue, decisionInput{desired: "a", ready: true, hasClaim: true, claim: released, held: true}, actStop},
 		"running, later process":           {KindFront, decisionInput{desired: "a", hasClaim: true, claim: later, held: true}, actStop},
+		"running, claim was lost":          {KindFront, decisionInput{desired: "a", ready: true, hasClaim: true, claim: own, held: true, revoked: true}, actStop},
 		"earlier process of this host":     {KindFront, decisionInput{desired: "a", ready: true, hasClaim: true, claim: earlier}, actClaim},
 		"earlier process, not desired":     {KindFront, decisionInput{desired: "b", ready: true, hasClaim: true, claim: earlier}, actNone},
 		"later process of this host":       {KindQueue, decisionInput{desired: "a", ready: true, hasClaim: true, claim: later, storeSteady: true}, actNone},
--- a/shard/manager.go
+++ b/shard/manager.go
@@ -295,6 +295,7 @@
 		claim:           rec.Claim,
 		hasClaim:        claimed,
 		held:            held,
+		revoked:         held && id.Kind() == KindFront && !m.rights.isGranted(id),
 		restartDue:      held && o.due(now),
 		notDesiredSince: m.plan.notDesiredSince(id, m.deps.Self.ID),
 		ready:           m.ready(now),
--- a/shard/ownership.go
+++ b/shard/ownership.go
@@ -55,10 +55,10 @@
 	o := &ownership{owner: owner, previous: start.previous, sendFrom: start.sendFrom, restarts: start.restarts, cancel: cancel, exited: make(chan struct{})}
 	m.mu.Lock()
 	m.ownerships[id] = o
-	m.mu.Unlock()
-	if id.Kind() == KindFront {
+	if id.Kind() == KindFront && m.isOwn(m.claims[id].Claim) {
 		m.rights.grant(id, start.sendFrom, start.pauseCount)
 	}
+	m.mu.Unlock()
 	level.Info(m.logger).Log("event", "shard_started", "shard", id, "epoch", owner.Epoch)
 	go func() {
 		defer close(o.exited)
--- a/shard/pause_test.go
+++ b/shard/pause_test.go
@@ -93,6 +93,65 @@
 	})
 }
 
+// TestFrontIsUsedAfterItsLossIsKnown checks that sending ends when the manager
+// learns of another owner or of the deletion of the claim, not only once its
+// runner is being stopped.
+func TestFrontIsUsedAfterItsLossIsKnown(t *testing.T) {
+	tests := map[string]func(t *testing.T, kv store.Store, revision store.Revision) store.Event{
+		"claimed by another host": takeOver,
+		"deleted": func(_ *testing.T, _ store.Store, revision store.Revision) store.Event {
+			return store.Event{Entry: store.Entry{Key: claimKey(testFront), Revision: revision + 1}, Deleted: true}
+		},
+	}
+	for name, lose := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m, kv, revision := ownTestFront(t)
+				m.applyEvent(lose(t, kv, revision))
+				if m.MaySend(testFront) {
+					t.Error("the old owner may send")
+				}
+			})
+		})
+	}
+}
+
+// TestLostFrontIsGranted checks that a claim that was replaced before the runner
+// starts gives no right to send.
+func TestLostFrontIsGranted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, kv, revision := ownTestFront(t)
+		claim := m.claimOf(testFront).Claim
+		m.stopRunner(testFront)
+		m.applyEvent(takeOver(t, kv, revision))
+		m.startRunner(testFront, ownershipStart{claim: claim, pauseCount: m.rights.pauseCount.Load()})
+		if m.MaySend(testFront) {
+			t.Error("the old owner may send")
+		}
+	})
+}
+
+// TestFrontWhoseClaimWasLostForATimeIsNeverSentFor checks that a front whose claim was
+// another's for a time is stopped, so that it starts again with a right to send.
+func TestFrontWhoseClaimWasLostForATimeIsNeverSentFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, kv, revision := ownTestFront(t)
+		own := m.claimOf(testFront).Claim
+		lost := takeOver(t, kv, revision)
+		m.applyEvent(lost)
+		m.recordClaim(testFront, own, put(t, kv, claimKey(testFront), lost.Revision, own))
+		m.plan.desired[testFront] = m.deps.Self.ID
+		m.deps.StoreSteadySince = func() (time.Time, bool) { return time.Time{}, false }
+		if got := decide(m.decisionInput(time.Now(), testFront)); got != actStop {
+			t.Fatalf("action %d, want %d", got, actStop)
+		}
+		m.stopLost(testFront)
+		if err := m.adopt(t.Context(), testFront); err != nil || !m.MaySend(testFront) {
+			t.Errorf("error %v, may send %v", err, m.MaySend(testFront))
+		}
+	})
+}
+
 // TestHandoverThatFailsAfterAPauseResumesUnconfirmed checks that a front that was
 // stopped while the other claims were confirmed after a pause, and starts again since
 // it could not be released, is sent for only once its own claim has been confirmed.
--- a/shard/rights.go
+++ b/shard/rights.go
@@ -166,6 +166,13 @@
 	return confirmedPauses
 }
 
+// isGranted reports whether there is a right to send for a front, which may be
+// suspended, expired or begin later.
+func (r *sendRights) isGranted(front ID) bool {
+	_, ok := (*r.grants.Load())[front]
+	return ok
+}
+
 func (r *sendRights) updateGrants(edit func(map[ID]grant)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/shard/watch.go
+++ b/shard/watch.go
@@ -73,8 +73,7 @@
 	rec.Drained = false
 	rec.revision = 0
 	rec.lastChange = ev.Revision
-	m.claims[id] = rec
-	m.signal()
+	m.setClaim(id, rec)
 }
 
 // recordClaim records a claim unless a newer one is known.
@@ -84,6 +83,16 @@
 	if m.claims[id].lastChange >= revision {
 		return
 	}
-	m.claims[id] = observedClaim{Claim: c, revision: revision, lastChange: revision, firstSeen: time.Now()}
+	m.setClaim(id, observedClaim{Claim: c, revision: revision, lastChange: revision, firstSeen: time.Now()})
+}
+
+// setClaim sets the newest known claim of a shard. A front that is no longer this
+// process's must not be sent for while its runner is being stopped. The caller holds
+// the mutex.
+func (m *Manager) setClaim(id ID, rec observedClaim) {
+	m.claims[id] = rec
+	if id.Kind() == KindFront && !m.isOwn(rec.Claim) {
+		m.rights.revoke(id)
+	}
 	m.signal()
 }
