A front that is adopted is fenced by a write

Found beside the front that was sent for after a pause. A host that finds a claim of its own which it does not run reads it once more and runs the front. A read does not make the write of a host fail that has decided to take the front over: one that has seen no renewal for the bound, of an owner that was paused as long. docs/MEMBERSHIP.md rules that out for confirmations.

Change: the claim of a front is rewritten unchanged before the front runs.

TestAdoptionFencesATakeover failed before: the write of the other host succeeded while the owner could send.

--- a/shard/operations.go
+++ b/shard/operations.go
@@ -76,7 +76,9 @@
 }
 
 // adopt runs a shard that the store shows as claimed by this process. This
-// happens if a write took effect after this process had given up on its outcome.
+// happens if a write took effect after this process had given up on its outcome. The
+// claim of a front is rewritten, since a host that has decided to take it over must
+// fail from now on, and a read does not make it fail.
 func (m *Manager) adopt(ctx context.Context, id ID) error {
 	pauseCount := m.rights.pauseCount.Load()
 	rec, err := m.readClaim(ctx, id)
@@ -86,6 +88,11 @@
 	if !m.isOwn(rec.Claim) {
 		return eris.Wrap(&LostError{Shard: id, NewOwner: rec.Owner}, "adopt")
 	}
+	if id.Kind() == KindFront {
+		if err := m.writeClaim(ctx, id, rec, rec.Claim); err != nil {
+			return err
+		}
+	}
 	m.startRunner(id, ownershipStart{claim: rec.Claim, sendFrom: m.sendFrom(rec.Claim), pauseCount: pauseCount})
 	return nil
 }
--- a/shard/pause_test.go
+++ b/shard/pause_test.go
@@ -201,3 +201,24 @@
 		}
 	})
 }
+
+// TestAdoptionFencesATakeover checks that a host that has decided to take a front
+// over fails to claim it once the owner has adopted it.
+func TestAdoptionFencesATakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := &interceptedStore{Store: standin.NewStore()}
+		m := newIdleManager(kv)
+		m.deps.Runners = map[Kind]Runner{KindFront: idleRunner{}}
+		decided := recordOwnClaim(t, m, kv)
+		renew(t, m)
+		if err := m.adopt(t.Context(), testFront); err != nil || !m.MaySend(testFront) {
+			t.Fatalf("error %v, may send %v", err, m.MaySend(testFront))
+		}
+		defer m.stopRunner(testFront)
+		_, err := kv.CompareAndSwap(t.Context(), claimKey(testFront), decided, []byte("{}"), 0)
+		var conflict *store.ConflictError
+		if !errors.As(err, &conflict) {
+			t.Errorf("the write of the other host returned %v, want a conflict", err)
+		}
+	})
+}
