--- a/shard/operations.go
+++ b/shard/operations.go
@@ -76,7 +76,9 @@
 }
 
 // adopt runs a shard that the store shows as claimed by this process. This
-// happens if a write took effect after this process had given up on its outcome.
+// happens if a write took effect after this process had given up on its outcome. The
+// claim of a front is rewritten, since a host that has decided to take it over must
+// fail from now on, and a read does not make it fail.
 func (m *Manager) adopt(ctx context.Context, id ID) error {
 	pauseCount := m.rights.pauseCount.Load()
 	rec, err := m.readClaim(ctx, id)
@@ -86,6 +88,11 @@
 	if !m.isOwn(rec.Claim) {
 		return eris.Wrap(&LostError{Shard: id, NewOwner: rec.Owner}, "adopt")
 	}
+	if id.Kind() == KindFront {
+		if err := m.writeClaim(ctx, id, rec, rec.Claim); err != nil {
+			return err
+		}
+	}
 	m.startRunner(id, ownershipStart{claim: rec.Claim, sendFrom: m.sendFrom(rec.Claim), pauseCount: pauseCount})
 	return nil
 }
@@ -99,7 +106,6 @@
 // nothing and must be able to restart while the store is down, so they keep
 // theirs.
 func (m *Manager) restart(ctx context.Context, id ID) error {
-	pauseCount := m.rights.pauseCount.Load()
 	m.mu.Lock()
 	o, rec := m.ownerships[id], m.claims[id]
 	m.mu.Unlock()
@@ -113,8 +119,8 @@
 			return err
 		}
 	}
-	m.stopRunner(id)
-	m.startRunner(id, ownershipStart{claim: next, sendFrom: o.sendFrom, pauseCount: pauseCount, restarts: o.restarts + 1})
+	sendFrom, pauseCount := m.stopRunner(id)
+	m.startRunner(id, ownershipStart{claim: next, sendFrom: sendFrom, pauseCount: pauseCount, restarts: o.restarts + 1})
 	return nil
 }
 
@@ -122,9 +128,8 @@
 // applied, the shard is started again on this host.
 func (m *Manager) handOver(ctx context.Context, id ID) error {
 	level.Info(m.logger).Log("event", "hand_over", "shard", id)
-	pauseCount := m.rights.pauseCount.Load()
 	claim := m.claimOf(id).Claim
-	sendFrom := m.stopRunner(id)
+	sendFrom, pauseCount := m.stopRunner(id)
 	err := m.release(ctx, id, !time.Now().Before(sendFrom))
 	var unavailable *store.UnavailableError
 	if errors.As(err, &unavailable) {
@@ -237,7 +242,7 @@
 }
 
 func (m *Manager) stopAndRelease(id ID) {
-	sendFrom := m.stopRunner(id)
+	sendFrom, _ := m.stopRunner(id)
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	if err := m.release(ctx, id, !time.Now().Before(sendFrom)); err != nil {
