Answers that a paused owner reads when it wakes don't extend its authority

An owner without a renewed lease goes on while most workers have answered it within a second. The time that counted was that of the reading: a process that was frozen for seconds found all answers that had arrived meanwhile, and could have gone on for another second beside the next owner.

Workers now count by when the answered renewal was sent, within its long poll and a second, which is the same bound for an owner that is not paused.

--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -40,6 +40,7 @@
 		// Another owner has extended the lease, or an earlier deadline of this one.
 		w.leaseEnd = now + leaseBound(m.limits.LongestLease)
 	}
+	w.answeredSentAt = max(w.answeredSentAt, sent)
 	w.reportCount++
 	w.unknownRuns = 0
 	for _, r := range rep.Running {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -39,11 +39,12 @@
 	acknowledgedEnd int64         // number of the last end that is stored, up to which the worker may forget ends
 	unacknowledged  []unacknowledgedEnd
 	// closedUntil is when it may get new work again, after a refusal or failures.
-	closedUntil time.Duration
-	replaced    bool          // another worker answers at its address
-	failedAt    time.Duration // when a call first failed since the last report; 0: none
-	wentDownAt  time.Duration // the last failedAt that was not 0
-	lapsed      []*run        // released when their lease expired, and not known to be lost in a crash
+	closedUntil    time.Duration
+	replaced       bool          // another worker answers at its address
+	answeredSentAt time.Duration // when the newest of the answered renewals was sent
+	failedAt       time.Duration // when a call first failed since the last report; 0: none
+	wentDownAt     time.Duration // the last failedAt that was not 0
+	lapsed         []*run        // released when their lease expired, and not known to be lost in a crash
 	// probations counts the runs on probation, during which it gets no new work.
 	probations          int
 	probationReviewedAt time.Duration
@@ -216,14 +217,15 @@
 }
 
 // CountReporting returns the number of workers with an entry, and of those that have
-// reported since a time.
+// answered a renewal sent since a time. When an answer arrives says little: the process may
+// have been paused while it was on its way.
 func (m *Machine) CountReporting(since time.Duration) (total, reported int) {
 	for _, w := range m.workerList {
 		if !w.listed {
 			continue
 		}
 		total++
-		if w.reportedAt >= since {
+		if w.answeredSentAt >= since {
 			reported++
 		}
 	}
