Raises of pressures are on trial instead of decided by one observation

Cause: one observation decided, of whichever task came first, for the worker as a whole, and a gauge that lags by half a second was compared with the CPU share of now.

Change: the raises for a serving image on a worker are on trial until the tail stays high in a pause (what the pause lowered it by is kept), is high again, is not high for 3 s, or the serving task is gone. Raises count the most that was used within the last second.

--- a/dispatch/attribution.go
+++ b/dispatch/attribution.go
@@ -1,20 +1,40 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 )
 
 // A high tail latency does not show its cause: the worker may be slow, or the serving task
 // short of capacity by itself. The best-effort runs beside it are throttled in any case, and
-// what follows tells the causes apart: a tail that stays high while best-effort work is paused
-// is not caused by it. A raise of a pressure is therefore unconfirmed until the tail is low
-// again, and is taken back if it stays high.
+// what follows tells the causes apart. A raise of a pressure is therefore on trial until one
+// of these is seen:
+//
+//   - the tail stays high while best-effort work is paused: the raise is refuted, but for what
+//     the pause has lowered the tail by;
+//   - the tail falls as best-effort work is throttled or evicted, and is high again when that
+//     works more, or nothing else is seen for trialPeriod: the raise is confirmed, and low tails
+//     beside best-effort work correct it from then on.
+//
+// What a pause can't tell is slowness that ends as the best-effort runs do.
 
-// unloadedDelay is for how long best-effort work must have been paused on a worker until its
-// tail latencies are those without such work: the time that a gauge covers, and that in which
-// a throttle order takes effect.
-const unloadedDelay = gaugeWindow + 400*time.Millisecond
+const (
+	// unloadedDelay is for how long best-effort work must have been paused on a worker until
+	// its tail latencies are those without such work: the time that a gauge covers, and that
+	// in which a throttle order takes effect.
+	unloadedDelay = gaugeWindow + 400*time.Millisecond
+	// trialPeriod is for how long after the tail has fallen a raise is on trial. Throttled runs
+	// are back at their full CPU share within 2.2 s.
+	trialPeriod = 3 * time.Second
+	// ownTailShare is the share of the highest tail that is left in a pause from which the
+	// tail counts as the serving task's own: its load moves within seconds.
+	ownTailShare = 0.8
+	// ownTailPeriod is for how long a tail that was too high in a pause raises no pressure.
+	ownTailPeriod = 3 * time.Second
+	// pressureRounding is the relative error of a pressure that is raised and lowered again.
+	pressureRounding = 1e-6
+)
 
 // pressureRaise is the factor by which tail latencies on one worker have raised the pressure
 // of a pair of images.
@@ -23,82 +43,173 @@
 	factor              float64
 }
 
-// addRaises records raises that the worker's tail latencies have led to.
-func (w *worker) addRaises(raises []pressureRaise) {
+// trial holds the raises for one serving image by its tail latencies on one worker.
+type trial struct {
+	serving   int // image number
+	raises    []pressureRaise
+	predicted float64       // predicted pressure before the first raise
+	peak      float64       // highest tail, as a share of the target
+	fellAt    time.Duration // when the tail had fallen; 0 if it has not
+	ownAt     time.Duration // when the tail was last too high in a pause; 0: never
+}
+
+// trialOf returns the trial of a serving image on the worker.
+func (w *worker) trialOf(serving int) *trial {
+	i := slices.IndexFunc(w.trials, func(t *trial) bool { return t.serving == serving })
+	if i < 0 {
+		i = len(w.trials)
+		w.trials = append(w.trials, &trial{serving: serving})
+	}
+	return w.trials[i]
+}
+
+// tailsAreOwn reports whether a tail on the worker was too high in a pause lately.
+func (w *worker) tailsAreOwn(now time.Duration) bool {
+	return slices.ContainsFunc(w.trials, func(t *trial) bool { return !t.mayRaise(now) })
+}
+
+// mayRaise reports whether a high tail may be the doing of best-effort work.
+func (t *trial) mayRaise(now time.Duration) bool {
+	return t.ownAt == 0 || now-t.ownAt >= ownTailPeriod
+}
+
+// add puts further raises on trial.
+func (t *trial) add(raises []pressureRaise, predicted float64) {
+	if len(raises) > 0 && len(t.raises) == 0 {
+		t.predicted, t.peak, t.fellAt = predicted, 0, 0
+	}
 	for _, raise := range raises {
-		i := slices.IndexFunc(w.unconfirmed, func(u pressureRaise) bool { return u.bestEffort == raise.bestEffort && u.serving == raise.serving })
+		i := slices.IndexFunc(t.raises, func(r pressureRaise) bool { return r.bestEffort == raise.bestEffort })
 		if i < 0 {
-			w.unconfirmed = append(w.unconfirmed, raise)
+			t.raises = append(t.raises, raise)
 			continue
 		}
-		w.unconfirmed[i].factor *= raise.factor
+		t.raises[i].factor *= raise.factor
 	}
 }
 
-// mayInterfere reports whether a run may use processor beside the serving tasks of its worker.
-func (r *run) mayInterfere() bool {
-	return r.task.step.BestEffort && (r.state != runRunning || r.cpuShare != 0 || float64(r.gauge) >= minShare*float64(r.worker.Capacity.MilliCores))
+// pastUsage is what a best-effort image used at some time.
+type pastUsage struct {
+	imageUsage
+	at time.Duration
+}
+
+// peakUsage returns the highest usage by image that the tail latencies may still show, given
+// the present one: after a change of a CPU share they lag behind.
+func (w *worker) peakUsage(present []imageUsage, now time.Duration) []imageUsage {
+	w.usages = slices.DeleteFunc(w.usages, func(u pastUsage) bool { return now-u.at >= unloadedDelay })
+	for _, u := range present {
+		w.usages = append(w.usages, pastUsage{u, now})
+	}
+	var peak []imageUsage
+	for _, u := range w.usages {
+		i := slices.IndexFunc(peak, func(p imageUsage) bool { return p.image == u.image })
+		if i < 0 {
+			peak = append(peak, u.imageUsage)
+			continue
+		}
+		peak[i].share = max(peak[i].share, u.share)
+	}
+	return peak
 }
 
 // isUnloaded reports whether best-effort work has been paused on a worker, or absent, for so
 // long that it does not affect the tail latencies.
 func (w *worker) isUnloaded(now time.Duration) bool {
-	if slices.ContainsFunc(w.runs, (*run).mayInterfere) {
+	gauges := int64(0)
+	loaded := w.unknownRuns > 0
+	for _, r := range w.runs {
+		if r.task.step.BestEffort {
+			gauges += r.gauge
+			loaded = loaded || r.state != runRunning || r.cpuShare != 0
+		}
+	}
+	if loaded || float64(gauges) >= minShare*float64(w.Capacity.MilliCores) {
 		w.loadedAt = now
 	}
 	return now-w.loadedAt >= unloadedDelay
 }
 
-// reviewRaises decides on the raises for a serving image after an observation of its tail
-// latency, as a share of the target.
-func (m *Machine) reviewRaises(w *worker, serving int, tail float64, unloaded bool) {
-	isOfImage := func(r pressureRaise) bool { return r.serving == serving }
+// review decides on the raises for a serving image, given the highest tail latency of its tasks
+// on the worker, as a share of the target.
+func (m *Machine) review(w *worker, t *trial, tail float64, unloaded bool, now time.Duration) {
+	high := tail > highTail
+	if high && unloaded {
+		t.ownAt = now
+	} else if tail < lowTail {
+		t.ownAt = 0
+	}
+	if len(t.raises) == 0 {
+		return
+	}
+	t.peak = max(t.peak, tail)
 	switch {
-	case tail > highTail && unloaded:
-		w.tailsAreOwn = true
-		m.settleRaises(w, "interference_refuted", isOfImage, m.interference.refute)
-	case tail < lowTail:
-		m.settleRaises(w, "interference_confirmed", isOfImage, m.interference.confirm)
+	case high && unloaded:
+		kept := 1.0
+		if tail < ownTailShare*t.peak {
+			kept = (t.peak - tail) / t.predicted
+		}
+		m.settle(w, t, "high in a pause", upTo(kept))
+	case high && t.fellAt > 0:
+		m.settle(w, t, "high again", all)
+	case t.fellAt > 0 && now-t.fellAt >= trialPeriod:
+		m.settle(w, t, "not high in a pause", all)
+	case tail < lowTail && t.fellAt == 0:
+		t.fellAt = now
 	}
 }
 
-// refuteAll takes back all raises that a worker's tail latencies have led to and that are not
-// confirmed.
-func (m *Machine) refuteAll(w *worker) {
-	m.settleRaises(w, "interference_refuted", func(pressureRaise) bool { return true }, m.interference.refute)
-}
-
-// settleRaises confirms or refutes the raises that match, and emits an event for each.
-func (m *Machine) settleRaises(w *worker, event string, matches func(pressureRaise) bool, settle func(pressureRaise)) {
-	if !slices.ContainsFunc(w.unconfirmed, matches) {
-		return
-	}
-	bestEffortImages, servingImages := m.interference.bestEffort.names(), m.interference.serving.names()
-	w.unconfirmed = slices.DeleteFunc(w.unconfirmed, func(r pressureRaise) bool {
-		if !matches(r) {
+// endTrial takes back the raises for a serving image whose last task has left the worker.
+func (m *Machine) endTrial(w *worker, serving int) {
+	w.trials = slices.DeleteFunc(w.trials, func(t *trial) bool {
+		if t.serving != serving {
 			return false
 		}
-		before := *m.interference.entry(r.bestEffort, r.serving)
-		settle(r)
-		m.emit(event, "", "worker", w.ID, "image", bestEffortImages[r.bestEffort], "beside", servingImages[r.serving],
-			"factor", r.factor, "pressure", *m.interference.entry(r.bestEffort, r.serving), "before", before)
+		m.settle(w, t, "serving task gone", none)
 		return true
 	})
 }
 
-// refute takes back a raise, except what later observations have corrected already.
-func (in *interference) refute(r pressureRaise) {
+// none, upTo and all say how much of the factor of a raise is confirmed.
+func none(float64) float64       { return 1 }
+func all(factor float64) float64 { return factor }
+func upTo(most float64) func(float64) float64 {
+	return func(factor float64) float64 { return min(factor, max(most, 1)) }
+}
+
+// settle confirms the given part of each raise of a trial, and takes the rest back.
+func (m *Machine) settle(w *worker, t *trial, why string, confirmed func(factor float64) float64) {
+	in := m.interference
+	bestEffortImages, servingImages := in.bestEffort.names(), in.serving.names()
+	for _, r := range t.raises {
+		before := *in.entry(r.bestEffort, r.serving)
+		event := "interference_refuted"
+		if confirmed(r.factor) > 1 {
+			event = "interference_confirmed"
+		}
+		in.settle(r, confirmed)
+		m.emit(event, "", "worker", w.ID, "image", bestEffortImages[r.bestEffort], "beside", servingImages[r.serving], "why", why,
+			"factor", r.factor, "confirmed", confirmed(r.factor), "pressure", *in.entry(r.bestEffort, r.serving), "before", before)
+	}
+	t.raises = nil
+}
+
+// settle confirms the given part of a raise, and takes the rest back, except what later
+// observations have corrected already.
+func (in *interference) settle(r pressureRaise, confirmed func(factor float64) float64) {
 	unconfirmed := in.unconfirmedFactor(r.bestEffort, r.serving)
 	factor := min(r.factor, *unconfirmed)
-	*unconfirmed /= factor
+	*unconfirmed = withoutRounding(*unconfirmed/factor, 1)
 	p := in.entry(r.bestEffort, r.serving)
-	*p = max(*p/factor, minPressure)
+	*p = withoutRounding(max(*p/factor*confirmed(factor), minPressure), initialPressure)
 }
 
-// confirm keeps a raise.
-func (in *interference) confirm(r pressureRaise) {
-	unconfirmed := in.unconfirmedFactor(r.bestEffort, r.serving)
-	*unconfirmed /= min(r.factor, *unconfirmed)
+// withoutRounding returns x, or exact if x differs from that by rounding only.
+func withoutRounding(x, exact float64) float64 {
+	if math.Abs(x-exact) <= pressureRounding*exact {
+		return exact
+	}
+	return x
 }
 
 // unconfirmedFactor returns a pointer to the factor, of 1 or more, by which raises that are
@@ -109,5 +220,6 @@
 
 // confirmedPressure returns the pressure of a pair without the raises that are not confirmed.
 func (in *interference) confirmedPressure(bestEffort, serving int) float64 {
-	return max(*in.entry(bestEffort, serving) / *in.unconfirmedFactor(bestEffort, serving), minPressure)
+	p := *in.entry(bestEffort, serving) / *in.unconfirmedFactor(bestEffort, serving)
+	return withoutRounding(max(p, minPressure), initialPressure)
 }
--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -105,21 +105,26 @@
 	return total
 }
 
-// observe corrects the pressures after an observation of a serving task's tail
-// latency, as a share of its target, next to the given best-effort work, and returns
-// the raises. mayRaise is false if a high tail is known to have another cause.
-func (in *interference) observe(serving int, tail float64, usage []imageUsage, mayRaise bool) (raises []pressureRaise) {
+// lower corrects the pressures after an observation of a low tail latency of a serving task, as a
+// share of its target, next to the given best-effort work.
+func (in *interference) lower(serving int, tail float64, usage []imageUsage) {
+	if sum := in.predict(serving, usage); tail < lowTail && sum > lowPressure {
+		in.correct(serving, usage, max(math.Pow(lowPressure/sum, fallRate), 1/maxCorrection))
+	}
+}
+
+// raise corrects the pressures after an observation of a high tail latency, and returns by how
+// much.
+func (in *interference) raise(serving int, tail float64, usage []imageUsage) []pressureRaise {
 	sum := in.predict(serving, usage)
-	var factor float64
-	switch {
-	case tail < lowTail && sum > lowPressure:
-		factor = math.Pow(lowPressure/sum, fallRate)
-	case mayRaise && tail > highTail && sum < 1 && sum > 0:
-		factor = math.Pow(min(tail, 2)/sum, riseRate)
-	default:
+	if sum >= 1 || sum <= 0 {
 		return nil
 	}
-	factor = min(max(factor, 1/maxCorrection), maxCorrection)
+	return in.correct(serving, usage, min(math.Pow(min(tail, 2)/sum, riseRate), maxCorrection))
+}
+
+// correct multiplies the pressures of best-effort work by a factor, and returns the raises.
+func (in *interference) correct(serving int, usage []imageUsage, factor float64) (raises []pressureRaise) {
 	for _, b := range usage {
 		if b.share < minShare {
 			continue
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -108,7 +108,8 @@
 	interference      *interference
 	demand            demand
 	usageBuffer       []imageUsage // scratch space of adjustThrottles
-	ratesBuffer       []float64    // scratch space of siblingRate
+	tailsBuffer       []imageTail
+	ratesBuffer       []float64 // scratch space of siblingRate
 	forgotten         []forgottenRecord
 	orders            []Order
 	startRoom         StartRoom // for the next plan
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -184,6 +184,14 @@
 	r.endProbation()
 	w.addUsage(t.step.Step, -1)
 	w.colocated.add(m.interference, t.step.Step, -1)
+	switch s := t.step; {
+	case s.BestEffort:
+		w.loadedAt = now
+	case s.Serving && s.TargetMS > 0:
+		if image := m.interference.serving.number(s.Image); w.colocated.serving[image] == 0 {
+			m.endTrial(w, image)
+		}
+	}
 	if t.step.runsOnWorker[w.ID]--; t.step.runsOnWorker[w.ID] == 0 {
 		delete(t.step.runsOnWorker, w.ID)
 	}
--- a/dispatch/starvation_test.go
+++ b/dispatch/starvation_test.go
@@ -18,6 +18,7 @@
 	stopped map[fleet.WorkerID][]workload.EndedRun // not reported yet
 	tail    int64                                  // reported by the serving tasks, in ms; their target is 100 ms
 	tailOf  func(fleet.WorkerID) int64             // replaces tail, if set
+	others  int64                                  // reported by the serving tasks of other jobs than "service"
 	paced   []Order
 }
 
@@ -56,6 +57,9 @@
 					a.Gauge = r.tailOf(w.ID)
 				}
 			}
+			if r.others > 0 && o.Task.Job == "service-b" {
+				a.Gauge = r.others
+			}
 			a.PercentDone = int(r.now / (200 * time.Millisecond) % 100)
 			rep.Running = append(rep.Running, a)
 		}
--- a/dispatch/throttle.go
+++ b/dispatch/throttle.go
@@ -75,25 +75,45 @@
 // observeTails learns from the tail latencies of a worker, and returns the serving run with the
 // highest one and that tail, as a share of its target.
 func (m *Machine) observeTails(w *worker, serving []*run, usage []imageUsage, now time.Duration) (worst *run, worstTail float64) {
+	peak := w.peakUsage(usage, now)
 	unloaded := w.isUnloaded(now)
+	tails := m.tailsBuffer[:0]
 	for _, s := range serving {
 		if s.gauge == 0 {
 			continue
 		}
 		tail := float64(s.gauge) / float64(s.task.step.TargetMS)
 		image := m.interference.serving.number(s.task.step.Image)
-		w.addRaises(m.interference.observe(image, tail, usage, !w.tailsAreOwn))
-		m.reviewRaises(w, image, tail, unloaded)
+		t := w.trialOf(image)
+		predicted := m.interference.predict(image, peak)
+		if tail > highTail && t.mayRaise(now) {
+			t.add(m.interference.raise(image, tail, peak), predicted)
+		} else {
+			m.interference.lower(image, tail, usage)
+		}
+		if i := slices.IndexFunc(tails, func(x imageTail) bool { return x.trial == t }); i < 0 {
+			tails = append(tails, imageTail{t, tail})
+		} else {
+			tails[i].highest = max(tails[i].highest, tail)
+		}
 		if tail > worstTail {
 			worst, worstTail = s, tail
 		}
 	}
-	if worst != nil && worstTail < unthrottleTail {
-		w.tailsAreOwn = false
+	for _, x := range tails {
+		m.review(w, x.trial, x.highest, unloaded, now)
 	}
+	m.tailsBuffer = tails
 	return worst, worstTail
 }
 
+// imageTail is the highest tail latency of the tasks of a serving image on a worker, as a share
+// of their target.
+type imageTail struct {
+	trial   *trial
+	highest float64
+}
+
 // throttle lowers the CPU shares of the runs that interfere most with a serving
 // run, or evicts them.
 func (m *Machine) throttle(w *worker, victim *run, tail float64, bestEffort []*run, now time.Duration) {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -55,13 +55,13 @@
 	speedAt           time.Duration
 	failureStreak     int // consecutive failures, of different jobs
 	lastFailedJob     fleet.JobID
-	failuresClosedAt  time.Duration   // when failures last closed it
-	throttleChangedAt time.Duration   // when CPU shares were last changed
-	observedAt        time.Duration   // when tail latencies were last observed
-	highTailAt        time.Duration   // when a tail latency was last too high
-	loadedAt          time.Duration   // when best-effort work last used processor beside serving tasks
-	tailsAreOwn       bool            // tails became too high while best-effort work was paused, and have not been low since
-	unconfirmed       []pressureRaise // raises of pressures by its tail latencies that are not confirmed
+	failuresClosedAt  time.Duration // when failures last closed it
+	throttleChangedAt time.Duration // when CPU shares were last changed
+	observedAt        time.Duration // when tail latencies were last observed
+	highTailAt        time.Duration // when a tail latency was last too high
+	loadedAt          time.Duration // when best-effort work last used processor beside serving tasks
+	trials            []*trial
+	usages            []pastUsage // within unloadedDelay
 	// drainingChangedAt is when the worker last began or stopped draining.
 	drainingChangedAt time.Duration
 	colocated         colocatedLoad
@@ -117,7 +117,6 @@
 		return // the response to the write carries the revision
 	}
 	m.forgetRecord(w)
-	m.refuteAll(w)
 	for _, t := range m.inherited[w.ID] {
 		if t.formerWorker == w.ID {
 			t.formerWorker = ""
@@ -140,8 +139,6 @@
 	}
 	w.evacuating = false
 	w.forgetFailures()
-	m.refuteAll(w)
-	w.tailsAreOwn = false
 	w.leaseEnd = max(w.leaseEnd, now+leaseBound(m.limits.LongestLease))
 	w.incarnationStartMS, w.processedEnd, w.acknowledgedEnd, w.unacknowledged, w.leased, w.unknownRuns = startMS, 0, 0, nil, false, 0
 	for _, r := range slices.Clone(w.runs) {
