Overdue starved jobs start without idle processor

Starved jobs had as many runs as fit by their requests on a share of the workers. These runs are slowed to 12% or halted, so that they last, and nothing bounded how long the other jobs wait.

A starved job that has had nothing running for 1.5 s gets a run at the lowest share regardless of requests for processor, while services and ordinary work use up to 60%: on the workers that may have such runs first, at most six to a worker, the number that is throttled at once.

Ruled out: turns by checkpoints, as runs at a small share seldom get to one.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -195,10 +195,18 @@
 // hasRoom reports whether a worker has the capacity and the properties that a task needs.
 // Workers do not enforce their own capacity.
 func (p *placer) hasRoom(t *task, w *worker, taken map[fleet.WorkerID]int) bool {
+	if t.step.BestEffort && idleMilliCores(w) < t.step.Need.MilliCores {
+		return false
+	}
+	return p.isSuitable(t, w, taken)
+}
+
+// isSuitable is hasRoom regardless of the processor that best-effort work leaves idle.
+func (p *placer) isSuitable(t *task, w *worker, taken map[fleet.WorkerID]int) bool {
 	s := t.step
 	need := s.Need
 	if s.BestEffort {
-		if idleMilliCores(w) < need.MilliCores {
+		if need.MilliCores > w.Capacity.MilliCores {
 			return false
 		}
 		need.MilliCores = 0
--- a/dispatch/starvation.go
+++ b/dispatch/starvation.go
@@ -13,19 +13,41 @@
 // fits nowhere, and as what does not run is not observed, its pressure is never corrected. A
 // starved job therefore gets one run at a time on a few workers, at a CPU share that the
 // serving tasks there are expected to bear.
+//
+// Invariant: while services and ordinary batch work use up to maxOverdueUse of the processors
+// of the workers that may get work, a starved job has nothing running for maxStarvedIdle and a
+// plan at most if one of them has the memory for its task, fewer than maxEqualRuns runs of
+// starved jobs and no high tail latency.
 
 // starvedAfter is how long tasks of a job may have waited for capacity, in all, before the
 // learned interference no longer keeps all of them waiting.
 const starvedAfter = 15 * time.Second
 
+const (
+	// maxStarvedIdle is how long a starved job may have nothing running for lack of idle
+	// processor. A job that can run must do so within 3 s.
+	maxStarvedIdle = 1500 * time.Millisecond
+	// maxOverdueUse is the use of the processors up to which this holds. It must at least for
+	// half of a service, of whose workers some may get no work at present.
+	maxOverdueUse = 0.6
+	// maxEqualRuns is the number of equal runs on a worker up to which all are throttled at
+	// once, as each has minBlameShare of the pressure.
+	maxEqualRuns = 6
+)
+
 // isStarved reports whether a job may start a task regardless of the learned interference.
 func (j *job) isStarved() bool { return j.runCount == 0 && j.blockedFor >= starvedAfter }
 
+// isOverdue reports whether a starved job may start a task regardless of the idle processor.
+func (j *job) isOverdue(now time.Duration) bool { return now-j.idleSince >= maxStarvedIdle }
+
 // starvedRoom bounds the workers of a service with runs of starved jobs in one plan.
 type starvedRoom struct {
-	unopened int               // workers that may still get their first such run
-	opened   []*worker         // those that have any
-	unplaced []fleet.Resources // requests that found no worker
+	unopened        int               // workers that may still get their first such run
+	opened          []*worker         // those that have any
+	unplaced        []fleet.Resources // requests that found no worker
+	unplacedOverdue []fleet.Resources // requests of overdue jobs that found none
+	admitsOverdue   bool              // the use is at most maxOverdueUse
 }
 
 // newStarvedRoom returns the room that the present runs of a service leave. Half of the workers may have
@@ -49,19 +71,29 @@
 	unused := 1 - float64(used)/float64(max(capacity, 1))
 	share := min(4*unused*unused*unused, 1)
 	room.unopened = max(1, int(share*float64(workers))) - len(room.opened)
+	room.admitsOverdue = unused >= 1-maxOverdueUse
 	return room
 }
 
-// isExhaustedFor reports whether a request fits nowhere, as one that is not larger has found
-// no worker in this plan.
-func (r *starvedRoom) isExhaustedFor(need fleet.Resources) bool {
-	return slices.ContainsFunc(r.unplaced, func(u fleet.Resources) bool { return u.Fits(need) })
+// open counts a worker that gets a run of a starved job.
+func (r *starvedRoom) open(w *worker) {
+	if w.starvedRuns == 0 {
+		r.unopened--
+		r.opened = append(r.opened, w)
+	}
+}
+
+// isExhaustedFor reports whether a request fits nowhere, as one of those that found no worker
+// in this plan is not larger.
+func isExhaustedFor(need fleet.Resources, unplaced []fleet.Resources) bool {
+	return slices.ContainsFunc(unplaced, func(u fleet.Resources) bool { return u.Fits(need) })
 }
 
 // starvedPlacement is a worker for a task of a starved job.
 type starvedPlacement struct {
-	worker *worker
-	strain float64 // on the serving tasks there, see colocatedLoad.strain
+	worker  *worker
+	strain  float64 // on the serving tasks there, see colocatedLoad.strain
+	overdue bool    // regardless of the idle processor
 }
 
 // isBetterThan reports whether a placement disturbs fewer serving tasks, or disturbs them
@@ -78,6 +110,9 @@
 
 // cpuShare returns the CPU share, in percent, at which the serving tasks tolerate the task.
 func (s starvedPlacement) cpuShare() int {
+	if s.overdue {
+		return minCPUShare
+	}
 	return max(int(fullCPUShare/max(s.strain, 1)), minCPUShare)
 }
 
@@ -90,7 +125,7 @@
 		p.starvedRooms[service] = room
 	}
 	in, s := p.m.interference, t.step
-	if room.isExhaustedFor(s.Need) {
+	if isExhaustedFor(s.Need, room.unplaced) {
 		return best, false
 	}
 	candidates := room.opened
@@ -102,7 +137,7 @@
 		if w.Service != service || !p.hasRoom(t, w, nil) || p.hasHighTail(w) {
 			continue
 		}
-		candidate := starvedPlacement{w, w.colocated.strain(in, image, s.Need.MilliCores, w.Capacity.MilliCores)}
+		candidate := starvedPlacement{worker: w, strain: w.colocated.strain(in, image, s.Need.MilliCores, w.Capacity.MilliCores)}
 		if candidate.isBetterThan(best) {
 			best = candidate
 		}
@@ -113,21 +148,67 @@
 		}
 		return best, false
 	}
-	if best.worker.starvedRuns == 0 {
-		room.unopened--
-		room.opened = append(room.opened, best.worker)
+	room.open(best.worker)
+	return best, true
+}
+
+// isBetterOverdueThan reports whether a placement regardless of the idle processor is within the
+// room, or shares its worker with fewer runs of starved jobs, or disturbs the serving tasks less.
+func (s starvedPlacement) isBetterOverdueThan(o starvedPlacement, room *starvedRoom) bool {
+	if o.worker == nil {
+		return true
+	}
+	if within := room.includes(s.worker); within != room.includes(o.worker) {
+		return within
 	}
+	if s.worker.starvedRuns != o.worker.starvedRuns {
+		return s.worker.starvedRuns < o.worker.starvedRuns
+	}
+	return s.strain < o.strain
+}
+
+// includes reports whether a worker may get a run of a starved job.
+func (r *starvedRoom) includes(w *worker) bool { return r.unopened > 0 || w.starvedRuns > 0 }
+
+// placeOverdue returns the best placement for a task of an overdue job, for which the starved
+// room has no worker, and whether there is one.
+func (p *placer) placeOverdue(t *task, service fleet.Service) (best starvedPlacement, ok bool) {
+	room, in, s := p.starvedRooms[service], p.m.interference, t.step
+	if !room.admitsOverdue || isExhaustedFor(s.Need, room.unplacedOverdue) {
+		return best, false
+	}
+	image := in.bestEffort.number(s.Image)
+	for _, w := range p.eligible {
+		if w.Service != service || w.starvedRuns >= maxEqualRuns || !p.isSuitable(t, w, nil) || p.hasHighTail(w) {
+			continue
+		}
+		candidate := starvedPlacement{worker: w, strain: w.colocated.strain(in, image, s.Need.MilliCores, w.Capacity.MilliCores), overdue: true}
+		if candidate.isBetterOverdueThan(best, room) {
+			best = candidate
+		}
+	}
+	if best.worker == nil {
+		if !t.isConstrained(p) {
+			room.unplacedOverdue = append(room.unplacedOverdue, s.Need)
+		}
+		return best, false
+	}
+	room.open(best.worker)
 	return best, true
 }
 
 // startStarved starts a task of a starved job and reports whether there is a worker for it.
 func (m *Machine) startStarved(t *task, service fleet.Service, p *placer, now time.Duration) bool {
 	chosen, ok := p.placeStarved(t, service)
+	if !ok && t.job.isOverdue(now) {
+		chosen, ok = p.placeOverdue(t, service)
+	}
 	if !ok {
 		return false
 	}
 	j, w, percent := t.job, chosen.worker, chosen.cpuShare()
-	m.emit("job_starved", j.ID, "task", t.name, "worker", w.ID, "idle", now-j.idleSince, "passed", j.blockedFor, "image", t.step.Image, "strain", chosen.strain, "percent", percent)
+	m.emit("job_starved", j.ID, "task", t.name, "worker", w.ID, "idle", now-j.idleSince, "passed", j.blockedFor, "image", t.step.Image,
+		"strain", chosen.strain, "percent", percent, "overdue", chosen.overdue)
 	m.start(t, w, m.nextRun(t), now)
 	r := t.runs[len(t.runs)-1]
 	r.starved, r.initialCPUShare = true, percent
--- a/dispatch/starvation_test.go
+++ b/dispatch/starvation_test.go
@@ -18,6 +18,7 @@
 	stopped map[fleet.WorkerID][]workload.EndedRun // not reported yet
 	tail    int64                                  // reported by the serving tasks, in ms; their target is 100 ms
 	tailOf  func(fleet.WorkerID) int64             // replaces tail, if set
+	usesCPU bool                                   // best-effort runs report the processor that their CPU share permits
 	paced   []Order
 }
 
@@ -55,6 +56,8 @@
 				if r.tailOf != nil {
 					a.Gauge = r.tailOf(w.ID)
 				}
+			} else if r.usesCPU {
+				a.Gauge = usedMilliCores(w.find(o.Task, o.Run))
 			}
 			a.PercentDone = int(r.now / (200 * time.Millisecond) % 100)
 			rep.Running = append(rep.Running, a)
@@ -82,6 +85,14 @@
 	return starts
 }
 
+// usedMilliCores returns the processor that a best-effort run may use at its CPU share.
+func usedMilliCores(r *run) int64 {
+	if r == nil || !r.task.step.BestEffort {
+		return 0
+	}
+	return r.task.step.Need.MilliCores * int64(max(r.cpuShare, 0)) / fullCPUShare
+}
+
 // stop ends a run that is stopped.
 func (r *starvationRig) stop(o Order) {
 	at := slices.IndexFunc(r.running[o.Worker], func(x Order) bool { return x.Task == o.Task && x.Run == o.Run })
