Overdue starved jobs start beside high tail latencies as a last choice

Workers with a high tail latency get no best-effort work, starved jobs included. Where slow workers raise the tails by themselves, the halted runs beside them keep these workers closed for as long as that lasts.

An overdue job now gets such a worker after all others, first one whose tails are known to be high without best-effort work. Its run is halted if the tail stays high.

TestStarvedJobIdlesWhileTailsAreHigh on the code before: no start in 60 s, with all workers slow and with all but two that have no memory.

--- a/dispatch/overdue_test.go
+++ b/dispatch/overdue_test.go
@@ -130,3 +130,59 @@
 		})
 	}
 }
+
+// A starved job was never started while the tail latencies were high on all workers, which was
+// not the doing of the paused runs there.
+func TestStarvedJobIdlesWhileTailsAreHigh(t *testing.T) {
+	const workers = 8
+	for name, slow := range map[string]int{"all workers are slow": workers, "most of them are, the others have no memory": workers - 2} {
+		t.Run(name, func(t *testing.T) {
+			r := newStarvationRig(t, workers, 4000)
+			r.addJob("g", bestEffortStep("g", 2*workers, 1000))
+			r.run(2 * time.Second)
+			isSlow := func(id fleet.WorkerID) bool { return id < fleet.WorkerID(fmt.Sprintf("w%02d", slow)) }
+			for _, w := range r.m.workerList {
+				if !isSlow(w.ID) {
+					w.used.MemoryMB = w.Capacity.MemoryMB
+				}
+			}
+			r.tailOf = func(id fleet.WorkerID) int64 {
+				if isSlow(id) {
+					return 250
+				}
+				return r.tail
+			}
+			r.run(5 * time.Second)
+			r.addJob("f", bestEffortStep("f", 1, 2000))
+			starts, took := r.firstStarts("f", time.Minute)
+			if len(starts) != 1 || took > starvedAfter+longestIdle {
+				t.Fatalf("%d starts after %v, want one after %v", len(starts), took, starvedAfter)
+			}
+			// It must not add to the tail latency.
+			r.run(2 * throttleInterval)
+			if run := r.m.workers[starts[0].Worker].find(starts[0].Task, starts[0].Run); run == nil || run.cpuShare >= minCPUShare {
+				t.Errorf("run %+v, want one that is paused", run)
+			}
+		})
+	}
+}
+
+// An overdue job must not press on serving tasks that recover while others are high by themselves.
+func TestOverdueJobPressesOnTailsThatRecover(t *testing.T) {
+	const workers = 4
+	r := newStarvationRig(t, workers, 4000)
+	r.addJob("f", bestEffortStep("f", 1, 2000))
+	r.run(starvedAfter / 2)
+	own := r.m.workerList[workers-1]
+	for _, w := range r.m.workerList {
+		w.highTailAt, w.tailsAreOwn = r.now, w == own
+	}
+	p := r.m.newPlacer(r.now)
+	waiting := r.m.jobs["f"].occurrence(0).steps[0].tasks[0]
+	if _, ok := p.placeStarved(waiting, testService); ok {
+		t.Error("a starved job gets a worker with a high tail latency before it is overdue")
+	}
+	if chosen, ok := p.placeOverdue(waiting, testService); !ok || chosen.worker != own {
+		t.Errorf("placed on %v, want %s", chosen.worker, own.ID)
+	}
+}
--- a/dispatch/starvation.go
+++ b/dispatch/starvation.go
@@ -17,7 +17,7 @@
 // Invariant: while services and ordinary batch work use up to maxOverdueUse of the processors
 // of the workers that may get work, a starved job has nothing running for maxStarvedIdle and a
 // plan at most if one of them has the memory for its task, fewer than maxEqualRuns runs of
-// starved jobs and no high tail latency.
+// starved jobs.
 
 // starvedAfter is how long tasks of a job may have waited for capacity, in all, before the
 // learned interference no longer keeps all of them waiting.
@@ -93,7 +93,29 @@
 type starvedPlacement struct {
 	worker  *worker
 	strain  float64 // on the serving tasks there, see colocatedLoad.strain
-	overdue bool    // regardless of the idle processor
+	overdue bool    // regardless of the idle processor and of high tail latencies
+	tails   tailState
+}
+
+// tailState orders workers by what a further run adds to the tail latencies there.
+type tailState int
+
+const (
+	tailsLow  tailState = iota
+	tailsOwn            // high, and not because of best-effort work
+	tailsHigh           // for an unknown reason
+)
+
+// tailState returns the state of the tail latencies of a worker.
+func (p *placer) tailState(w *worker) tailState {
+	switch {
+	case !p.hasHighTail(w):
+		return tailsLow
+	case w.tailsAreOwn:
+		return tailsOwn
+	default:
+		return tailsHigh
+	}
 }
 
 // isBetterThan reports whether a placement disturbs fewer serving tasks, or disturbs them
@@ -152,12 +174,16 @@
 	return best, true
 }
 
-// isBetterOverdueThan reports whether a placement regardless of the idle processor is within the
-// room, or shares its worker with fewer runs of starved jobs, or disturbs the serving tasks less.
+// isBetterOverdueThan reports whether a placement of an overdue job adds less to high tail
+// latencies, or is within the room, or shares its worker with fewer runs of starved jobs, or
+// disturbs the serving tasks less.
 func (s starvedPlacement) isBetterOverdueThan(o starvedPlacement, room *starvedRoom) bool {
 	if o.worker == nil {
 		return true
 	}
+	if s.tails != o.tails {
+		return s.tails < o.tails
+	}
 	if within := room.includes(s.worker); within != room.includes(o.worker) {
 		return within
 	}
@@ -179,10 +205,11 @@
 	}
 	image := in.bestEffort.number(s.Image)
 	for _, w := range p.eligible {
-		if w.Service != service || w.starvedRuns >= maxEqualRuns || !p.isSuitable(t, w, nil) || p.hasHighTail(w) {
+		if w.Service != service || w.starvedRuns >= maxEqualRuns || !p.isSuitable(t, w, nil) {
 			continue
 		}
-		candidate := starvedPlacement{worker: w, strain: w.colocated.strain(in, image, s.Need.MilliCores, w.Capacity.MilliCores), overdue: true}
+		strain := w.colocated.strain(in, image, s.Need.MilliCores, w.Capacity.MilliCores)
+		candidate := starvedPlacement{worker: w, strain: strain, overdue: true, tails: p.tailState(w)}
 		if candidate.isBetterOverdueThan(best, room) {
 			best = candidate
 		}
