Jobs that have had runs are starved once nothing runs for 1.5 s

A job was starved once its tasks had waited for 15 s in all. One whose first steps ran at once has not waited, and a new owner counts anew.

A job that has had runs and has none for 1.5 s starts as a starved one while services and ordinary work use up to 60%.

--- a/dispatch/overdue_test.go
+++ b/dispatch/overdue_test.go
@@ -186,3 +186,22 @@
 		t.Errorf("placed on %v, want %s", chosen.worker, own.ID)
 	}
 }
+
+// A job whose next step presses on the services of each worker had nothing running for as long as
+// one that has never run, though services used a quarter of the processors.
+func TestNextStepIdlesLikeNewJob(t *testing.T) {
+	r := newStarvationRig(t, 8, 4000)
+	r.pressHard()
+	second := bestEffortStep("f", 40, 2000)
+	second.After = []int{0}
+	r.addJob("f", bestEffortStep("g", 1, 2000), second)
+	starts, _ := r.firstStarts("f", time.Second)
+	if len(starts) != 1 {
+		t.Fatalf("%d starts of the first step, want 1", len(starts))
+	}
+	r.run(10 * time.Second)
+	r.end(starts[0])
+	if starts, took := r.firstStarts("f", time.Minute); len(starts) == 0 || took > longestIdle {
+		t.Errorf("%d starts of its next step after %v, want one within %v", len(starts), took, longestIdle)
+	}
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -294,7 +294,7 @@
 			continue
 		}
 		w := p.place(t, service, nil)
-		if w == nil && s.BestEffort && t.job.isStarved() && m.startStarved(t, service, p, now) {
+		if w == nil && s.BestEffort && p.mayStartStarved(t.job, service) && m.startStarved(t, service, p, now) {
 			continue
 		}
 		if w == nil {
--- a/dispatch/starvation.go
+++ b/dispatch/starvation.go
@@ -16,7 +16,7 @@
 //
 // Invariant: while services and ordinary batch work use up to maxOverdueUse of the processors
 // of the workers that may get work, a starved job has nothing running for maxStarvedIdle and a
-// plan at most if one of them has the memory for its task, fewer than maxEqualRuns runs of
+// plan at most if one of them has the memory for its task and fewer than maxEqualRuns runs of
 // starved jobs.
 
 // starvedAfter is how long tasks of a job may have waited for capacity, in all, before the
@@ -38,6 +38,26 @@
 // isStarved reports whether a job may start a task regardless of the learned interference.
 func (j *job) isStarved() bool { return j.runCount == 0 && j.blockedFor >= starvedAfter }
 
+// isInterrupted reports whether a job that has had runs has none for maxStarvedIdle.
+func (j *job) isInterrupted(now time.Duration) bool {
+	return j.runCount == 0 && j.isOverdue(now) && j.hasRun()
+}
+
+// hasRun reports whether any task of a job has had a run.
+func (j *job) hasRun() bool {
+	for _, o := range j.occurrences {
+		if o == nil {
+			continue
+		}
+		for _, s := range o.steps {
+			if slices.ContainsFunc(s.tasks, func(t *task) bool { return t.lastRun > 0 }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // isOverdue reports whether a starved job may start a task regardless of the idle processor.
 func (j *job) isOverdue(now time.Duration) bool { return now-j.idleSince >= maxStarvedIdle }
 
@@ -138,15 +158,26 @@
 	return max(int(fullCPUShare/max(s.strain, 1)), minCPUShare)
 }
 
-// placeStarved returns the best placement for a best-effort task of a starved job, and whether
-// there is one.
-func (p *placer) placeStarved(t *task, service fleet.Service) (best starvedPlacement, ok bool) {
+// starvedRoom returns the room for starved jobs of a service.
+func (p *placer) starvedRoom(service fleet.Service) *starvedRoom {
 	room := p.starvedRooms[service]
 	if room == nil {
 		room = p.newStarvedRoom(service)
 		p.starvedRooms[service] = room
 	}
-	in, s := p.m.interference, t.step
+	return room
+}
+
+// mayStartStarved reports whether a job may start a task regardless of the learned interference.
+// One that has started need not wait for long while there is room for overdue jobs.
+func (p *placer) mayStartStarved(j *job, service fleet.Service) bool {
+	return j.isStarved() || j.isInterrupted(p.now) && p.starvedRoom(service).admitsOverdue
+}
+
+// placeStarved returns the best placement for a best-effort task of a starved job, and whether
+// there is one.
+func (p *placer) placeStarved(t *task, service fleet.Service) (best starvedPlacement, ok bool) {
+	room, in, s := p.starvedRoom(service), p.m.interference, t.step
 	if isExhaustedFor(s.Need, room.unplaced) {
 		return best, false
 	}
