--- a/dispatch/starvation_test.go
+++ b/dispatch/starvation_test.go
@@ -19,6 +19,7 @@
 	tail    int64                                  // reported by the serving tasks, in ms; their target is 100 ms
 	tailOf  func(fleet.WorkerID) int64             // replaces tail, if set
 	others  int64                                  // reported by the serving tasks of other jobs than "service"
+	usesCPU bool                                   // best-effort runs report the processor that their CPU share permits
 	paced   []Order
 }
 
@@ -56,6 +57,8 @@
 				if r.tailOf != nil {
 					a.Gauge = r.tailOf(w.ID)
 				}
+			} else if r.usesCPU {
+				a.Gauge = usedMilliCores(w.find(o.Task, o.Run))
 			}
 			if r.others > 0 && o.Task.Job == "service-b" {
 				a.Gauge = r.others
@@ -86,6 +89,14 @@
 	return starts
 }
 
+// usedMilliCores returns the processor that a best-effort run may use at its CPU share.
+func usedMilliCores(r *run) int64 {
+	if r == nil || !r.task.step.BestEffort {
+		return 0
+	}
+	return r.task.step.Need.MilliCores * int64(max(r.cpuShare, 0)) / fullCPUShare
+}
+
 // stop ends a run that is stopped.
 func (r *starvationRig) stop(o Order) {
 	at := slices.IndexFunc(r.running[o.Worker], func(x Order) bool { return x.Task == o.Task && x.Run == o.Run })
