Workers that fail for minutes stay closed

What callers saw: nothing yet; found while reading the closures by failures.

Cause: the closure of a worker doubles with each consecutive failure by a shift that was not bounded, and overflows after 33 failures, about three minutes. The closure was then negative, and the worker open after each failure until it succeeded.

Change: the shift is bounded, as in the ejection of servers in route.

TestClosureOverflowsAfterMinutesOfFailures failed before: w1 is closed for -70 ms after 34 consecutive failures. go test ./dispatch passes.

--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -269,7 +269,8 @@
 	w.lastFailedJob = id
 	if w.failureStreak >= failuresToClose {
 		w.failuresClosedAt = now
-		w.close(now, min(firstClosure<<(w.failureStreak-failuresToClose), maxClosure))
+		// The shift is bounded, as the streak is not.
+		w.close(now, min(firstClosure<<min(w.failureStreak-failuresToClose, 6), maxClosure))
 		m.emit("worker_closed", "", "worker", w.ID, "strikes", w.failureStreak, "until", w.closedUntil-now)
 	}
 }
