Failing jobs no longer close all workers of a service

What callers saw: found by a review; accepted jobs of which nothing runs for 3.16 s, on workers that are all free.

Cause: a failed run is charged to its worker, and two in succession of different jobs close it for 3 s, then for 6 s. Two jobs whose tasks fail through their own fault close every worker within one round of reports, as no bound over the fleet applies.

Ruled out: the duration of one closure, and the worker that a task avoids.

Change: failures close at most 40% of the workers of a service at once, and at least one; faults of a third of the workers still close all of these. A worker that is kept open is charged with the failures of one moment once, as a closed one. The log line worker_kept_open says so.

--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -54,7 +54,8 @@
 	speedAt           time.Duration
 	failureStreak     int // consecutive failures, of different jobs
 	lastFailedJob     fleet.JobID
-	failuresClosedAt  time.Duration   // when failures last closed it
+	failuresCountFrom time.Duration   // when a run was ordered at the earliest for its failure to count
+	failureClosureEnd time.Duration   // until when failures close it
 	throttleChangedAt time.Duration   // when CPU shares were last changed
 	observedAt        time.Duration   // when tail latencies were last observed
 	highTailAt        time.Duration   // when a tail latency was last too high
@@ -256,29 +257,59 @@
 	// 9 s, of which a closure must leave some.
 	firstClosure = 3 * time.Second
 	maxClosure   = 6 * time.Second
+	// maxClosedByFailures is the largest share of the workers of a service that failures
+	// may close at once. Failures of tasks through their own fault occur on any worker, so
+	// that a few jobs could otherwise close all. Faults affect up to a third of the workers.
+	maxClosedByFailures = 0.4
 )
 
 // recordFailure counts a failure of a run that was ordered at the given time, and closes
 // the worker after failuresToClose. Consecutive failures of the same job count once, and
 // those of runs from before the last closure do not show whether it still fails.
 func (m *Machine) recordFailure(w *worker, id fleet.JobID, orderedAt, now time.Duration) {
-	if w.failureStreak > 0 && w.lastFailedJob == id || orderedAt < w.failuresClosedAt {
+	if w.failureStreak > 0 && w.lastFailedJob == id || orderedAt < w.failuresCountFrom {
 		return
 	}
 	w.failureStreak++
 	w.lastFailedJob = id
-	if w.failureStreak >= failuresToClose {
-		w.failuresClosedAt = now
-		// The shift is bounded, as the streak is not.
-		w.close(now, min(firstClosure<<min(w.failureStreak-failuresToClose, 6), maxClosure))
-		m.emit("worker_closed", "", "worker", w.ID, "strikes", w.failureStreak, "until", w.closedUntil-now)
+	if w.failureStreak < failuresToClose {
+		return
+	}
+	w.failuresCountFrom = now
+	closed, bound := m.countClosedByFailures(w, now)
+	if closed >= bound {
+		m.emit("worker_kept_open", "", "worker", w.ID, "strikes", w.failureStreak, "closed", closed, "bound", bound)
+		return
+	}
+	// The shift is bounded, as the streak is not.
+	closure := min(firstClosure<<min(w.failureStreak-failuresToClose, 6), maxClosure)
+	w.close(now, closure)
+	w.failureClosureEnd = now + closure
+	m.emit("worker_closed", "", "worker", w.ID, "strikes", w.failureStreak, "until", w.closedUntil-now)
+}
+
+// countClosedByFailures returns how many other workers of a worker's service failures
+// close, and how many they may close: at least one, and the share maxClosedByFailures of
+// these and of the ones that take work.
+func (m *Machine) countClosedByFailures(w *worker, now time.Duration) (closed, bound int) {
+	workers := 1 // w itself
+	for _, o := range m.workerList {
+		switch {
+		case o == w || o.Service != w.Service:
+		case now < o.failureClosureEnd:
+			closed++
+			workers++
+		case m.mayStart(o, now):
+			workers++
+		}
 	}
+	return closed, max(1, int(maxClosedByFailures*float64(workers)))
 }
 
 // forgetFailures opens a worker that has restarted, as another process has failed.
 func (w *worker) forgetFailures() {
 	if w.failureStreak > 0 {
-		w.failureStreak, w.lastFailedJob, w.failuresClosedAt, w.closedUntil = 0, "", 0, 0
+		w.failureStreak, w.lastFailedJob, w.failuresCountFrom, w.failureClosureEnd, w.closedUntil = 0, "", 0, 0, 0
 	}
 }
 
