--- a/dispatch/model_renewal_test.go
+++ b/dispatch/model_renewal_test.go
@@ -179,13 +179,18 @@
 	})
 }
 
+// knownEnds returns the ends of known jobs.
+func (w *simulation) knownEnds(ends []workload.EndedRun) []workload.EndedRun {
+	return slices.DeleteFunc(slices.Clone(ends), func(e workload.EndedRun) bool { return w.jobs[e.Task.Job] == nil })
+}
+
 // deliverReport passes a report to the owner.
 func (w *simulation) deliverReport(d delayedReport) {
 	x, l := d.worker, d.loop
 	l.waiting = l.waiting && !d.regular
 	restarted := l.recordIncarnation(d.report.StartedMS)
 	l.recordClock(d, w.now)
-	w.trace("report of %s, incarnation %d, sent %v: running %v, ended %v", x.id, d.report.StartedMS, d.sent, d.report.Running, d.report.Ended)
+	w.trace("report of %s, incarnation %d, sent %v: running %v, %d ended, of known jobs %v", x.id, d.report.StartedMS, d.sent, d.report.Running, len(d.report.Ended), w.knownEnds(d.report.Ended))
 	w.recordFence(x.id, d.report.StartedMS)
 	w.m.WorkerReported(x.id, d.report, d.sent, w.now)
 	if d.report.StartedMS < x.incarnation {
