--- a/dispatch/model_renewal_test.go
+++ b/dispatch/model_renewal_test.go
@@ -135,7 +135,7 @@
 		return
 	}
 	w.execute(x, Order{Kind: orderRenewal}, call)
-	rep := workload.Report{StartedMS: x.incarnation, ClockMS: w.clock(x).Milliseconds(), Ended: slices.Clone(x.ended)}
+	rep := workload.Report{StartedMS: x.incarnation, ClockMS: w.clock(x).Milliseconds(), Ended: slices.Clone(x.ended[:min(len(x.ended), modelReportedEnds)])}
 	for _, n := range slices.SortedFunc(maps.Keys(x.runs), compareNames) {
 		rep.Running = append(rep.Running, workload.ActiveRun{Task: n, Run: x.runs[n].number, PercentDone: int(w.now/time.Millisecond) % 100})
 	}
@@ -159,26 +159,38 @@
 		if e.Sequence > acknowledged {
 			return false
 		}
+		j, ok := w.jobs[e.Task.Job]
+		if !ok {
+			return true
+		}
 		w.trace("%s forgets the end of %s run %d", x.id, e.Task, e.Run)
 		switch e.Outcome {
 		case workload.OutcomeDone:
 			if !x.strayEnds[e.Sequence] {
-				w.jobs[e.Task.Job].acknowledgedDone[e.Task] = true
+				j.acknowledgedDone[e.Task] = true
+				if j.starts[e.Task] > x.startsUntil[e.Sequence] && !x.lapsedEnds[e.Sequence] {
+					w.Fatalf("TWICE: %s was started after run %d was done on %s, which the owner takes note of later", e.Task, e.Run, x.id)
+				}
 			}
 		case workload.OutcomeFailed:
-			w.jobs[e.Task.Job].acknowledgedFailures[e.Task]++
+			j.acknowledgedFailures[e.Task]++
 		}
 		return true
 	})
 }
 
+// knownEnds returns the ends of known jobs.
+func (w *simulation) knownEnds(ends []workload.EndedRun) []workload.EndedRun {
+	return slices.DeleteFunc(slices.Clone(ends), func(e workload.EndedRun) bool { return w.jobs[e.Task.Job] == nil })
+}
+
 // deliverReport passes a report to the owner.
 func (w *simulation) deliverReport(d delayedReport) {
 	x, l := d.worker, d.loop
 	l.waiting = l.waiting && !d.regular
 	restarted := l.recordIncarnation(d.report.StartedMS)
 	l.recordClock(d, w.now)
-	w.trace("report of %s, incarnation %d, sent %v: running %v, ended %v", x.id, d.report.StartedMS, d.sent, d.report.Running, d.report.Ended)
+	w.trace("report of %s, incarnation %d, sent %v: running %v, %d ended, of known jobs %v", x.id, d.report.StartedMS, d.sent, d.report.Running, len(d.report.Ended), w.knownEnds(d.report.Ended))
 	w.recordFence(x.id, d.report.StartedMS)
 	w.m.WorkerReported(x.id, d.report, d.sent, w.now)
 	if d.report.StartedMS < x.incarnation {
--- a/internal/standin/wire/worker.go
+++ b/internal/standin/wire/worker.go
@@ -3,20 +3,24 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/store"
 	"github.com/fuchsiahill/fuchsiahill/workload"
 )
 
 const (
 	// MaxLease is the longest lease of a worker's runs.
 	MaxLease = 6 * time.Second
-	// stopDuration is how long a stop takes.
-	stopDuration = 100 * time.Millisecond
+	// stopDuration is how long a stop takes: the platform's stop_timeout_ms.
+	stopDuration = 200 * time.Millisecond
+	// maxClockSlow is how much slower than time a worker's clock may be, in percent.
+	maxClockSlow = 2
 	// tickInterval is how often a worker checks for what is due.
 	tickInterval = 10 * time.Millisecond
 )
@@ -31,7 +35,10 @@
 	address string
 	done    chan struct{}
 
-	registration sync.Mutex // held while the entry is written, so that the newest is written last
+	registration sync.Mutex     // held while the entry is written, so that the newest is written last
+	registered   store.Revision // of the worker's entry; 0: it has expired
+	lastBeat     time.Time
+	returnAt     time.Time // of an entry that has expired while the store was down
 
 	mu               sync.Mutex
 	registeredAt     string // address in the worker's entry
@@ -41,10 +48,12 @@
 	up               bool
 	restarted        chan struct{} // closed at the restart; nil while the worker is up
 	restartAt        time.Time     // zero if the worker does not restart by itself
-	lateProbability  float64       // of a command that gets no reply and is executed late
-	failProbability  float64       // of a run
+	faults           WorkerFaults
+	advice           *Advice // that starts need a ticket of; nil: none
+	clockPercent     int64   // rate of the worker's clock
 	token            int64
-	leaseDeadline    int64 // ms on the worker's clock
+	leaseDeadline    int64     // ms on the worker's clock
+	lapsedAt         time.Time // when the lease was last found to have expired
 	runs             map[workload.TaskName]*activeRun
 	highestEndedRun  map[workload.TaskName]int // highest run that was stopped or has ended
 	ended            []endedRun
@@ -62,6 +71,9 @@
 	deadly    bool
 	crashesAt time.Time // of a deadly run
 	noReply   bool      // its start gets no reply
+	assembled bool      // all tasks of its gang are present
+	broken    bool      // another task of its gang has ended
+	aloneAt   time.Time // end of a run that waits for the rest of its gang
 }
 
 type endedRun struct {
@@ -69,6 +81,8 @@
 	task    workload.TaskName
 	run     int
 	outcome workload.Outcome
+	at      time.Time
+	starts  int // of the task until then
 }
 
 // NewWorker starts a worker and registers it in the store. It returns an error if
@@ -88,7 +102,7 @@
 	mux.HandleFunc("POST /v1/pace", w.pace)
 	w.server = &http.Server{Handler: w.applyFaults(mux), ReadHeaderTimeout: time.Second}
 	w.startIncarnation()
-	go func() { _ = w.server.Serve(ln) }() // returns after Close
+	go func() { _ = w.server.Serve(limitConnections(ln, maxConnections)) }() // returns after Close
 	go w.tick()
 	return w, w.register()
 }
@@ -104,7 +118,10 @@
 func (w *Worker) beginIncarnation() {
 	w.incarnationStart, w.up, w.token, w.leaseDeadline, w.lastEndNumber = time.Now(), true, 0, 0, 0
 	w.runs, w.highestEndedRun, w.ended = make(map[workload.TaskName]*activeRun), make(map[workload.TaskName]int), nil
-	w.restartAt = time.Time{}
+	w.restartAt, w.clockPercent = time.Time{}, 100-rand.Int64N(maxClockSlow+1)
+	if w.advice != nil {
+		w.advice.endLife(w.id)
+	}
 	if w.restarted != nil {
 		close(w.restarted)
 		w.restarted = nil
@@ -121,38 +138,32 @@
 	return w.up && w.clockMS() < w.leaseDeadline
 }
 
-// Address returns the host:port where the worker listens.
-func (w *Worker) Address() string { return w.address }
-
-// register writes the worker's entry.
-func (w *Worker) register() error {
-	w.registration.Lock()
-	defer w.registration.Unlock()
+// RequireTickets makes the worker refuse starts without a valid ticket.
+func (w *Worker) RequireTickets(a *Advice) {
 	w.mu.Lock()
-	entry := map[string]any{
-		"service": serviceName, "address": w.registeredAt, "zone": "dc-1", "version": "v1", "slots": 8, "state": "ready",
-		"born":     w.incarnationStart.UnixMilli(),
-		"capacity": map[string]int64{"cpu": w.capacity.MilliCores, "mem_mb": w.capacity.MemoryMB}, "labels": []string{"a", "r1-1"},
-	}
-	w.mu.Unlock()
-	return w.store.Put("servers/"+string(w.id), entry)
+	defer w.mu.Unlock()
+	w.advice = a
 }
 
-// RegisterAt registers the worker under the address of a proxy.
-func (w *Worker) RegisterAt(address string) error {
+// UnacknowledgedEnds returns how many ends the worker has to report.
+func (w *Worker) UnacknowledgedEnds() int {
 	w.mu.Lock()
-	w.registeredAt = address
-	w.mu.Unlock()
-	return w.register()
+	defer w.mu.Unlock()
+	return len(w.ended)
 }
 
+// Address returns the host:port where the worker listens.
+func (w *Worker) Address() string { return w.address }
+
 // Close stops the stand-in.
 func (w *Worker) Close() {
 	close(w.done)
 	_ = w.server.Close()
 }
 
-func (w *Worker) clockMS() int64 { return time.Since(w.incarnationStart).Milliseconds() }
+func (w *Worker) clockMS() int64 {
+	return time.Since(w.incarnationStart).Milliseconds() * w.clockPercent / 100
+}
 
 // tick carries out ends of runs, crashes and restarts that are due, until Close.
 func (w *Worker) tick() {
@@ -172,6 +183,8 @@
 			w.mu.Unlock()
 			if restarted || unregistered {
 				unregistered = w.register() != nil // the next tick tries again
+			} else {
+				w.beat(now)
 			}
 		}
 	}
@@ -179,6 +192,9 @@
 
 func (w *Worker) endRuns(now time.Time) {
 	expired := w.clockMS() > w.leaseDeadline
+	if expired {
+		w.lapsedAt = now
+	}
 	ended := false
 	for n, r := range w.runs {
 		outcome := workload.Outcome("")
@@ -187,6 +203,12 @@
 			outcome = workload.OutcomeLeaseExpired
 		case !r.stopsAt.IsZero() && now.After(r.stopsAt):
 			outcome = workload.OutcomeStopped
+		case r.broken:
+			outcome = workload.OutcomeGangBroken
+		case r.step.Gang && !r.assembled:
+			if now.After(r.aloneAt) {
+				outcome = workload.OutcomeGangTimeout
+			}
 		case now.After(r.endsAt) && r.stopsAt.IsZero() && !r.step.Serving && !r.deadly:
 			outcome = workload.OutcomeDone
 			if r.fails {
@@ -198,9 +220,10 @@
 		}
 		ended = true
 		delete(w.runs, n)
+		w.leaveGang(n, r, outcome)
 		w.highestEndedRun[n] = max(w.highestEndedRun[n], r.run)
 		w.lastEndNumber++
-		w.ended = append(w.ended, endedRun{w.lastEndNumber, n, r.run, outcome})
+		w.ended = append(w.ended, endedRun{w.lastEndNumber, n, r.run, outcome, now, w.checker.startsOf(n)})
 		w.checker.recordEnd(n, outcome)
 	}
 	if ended {
--- a/internal/standin/wire/worker_calls.go
+++ b/internal/standin/wire/worker_calls.go
@@ -10,28 +10,48 @@
 	"github.com/fuchsiahill/fuchsiahill/workload"
 )
 
+// maxReportedEnds is how many ends a report has room for, the oldest first.
+const maxReportedEnds = 500
+
+const (
+	maxHoldWait = 2000 // ms
+	maxPercent  = 100
+)
+
 type command struct {
 	Task       string `json:"task"`
 	Run        int    `json:"run"`
+	Spec       string `json:"spec,omitempty"`
+	Percent    int    `json:"percent,omitempty"`
+	Ticket     string `json:"ticket,omitempty"`
 	DeadlineMS int64  `json:"deadline_ms"`
 	Token      int64  `json:"fencing_token"`
 	LastSeen   int64  `json:"last_seen"`
 	WaitMS     int64  `json:"wait_ms"`
 }
 
+// isValid reports whether a command has what its path asks for.
+func (c command) isValid(path string) bool {
+	if path == "/v1/hold" {
+		return c.WaitMS >= 0 && c.WaitMS <= maxHoldWait
+	}
+	_, ok := workload.ParseTaskName(c.Task)
+	return ok && c.Run >= 1 && len(c.Spec) <= MaxSpecBytes && c.Percent >= 0 && c.Percent <= maxPercent
+}
+
 // receive reads a command and locks w.mu. It returns false, without the lock, if
 // the command can't be read or if the worker has crashed since it accepted the
 // call, which then gets no reply.
 func (w *Worker) receive(rw http.ResponseWriter, r *http.Request) (command, bool) {
 	var cmd command
-	if err := json.NewDecoder(r.Body).Decode(&cmd); err != nil {
+	if err := json.NewDecoder(r.Body).Decode(&cmd); err != nil || !cmd.isValid(r.URL.Path) {
 		rw.WriteHeader(http.StatusBadRequest)
 		return cmd, false
 	}
 	w.mu.Lock()
 	if !w.up {
 		w.mu.Unlock()
-		pause(r, unresponsiveHold)
+		loseResponse(r)
 		return cmd, false
 	}
 	return cmd, true
@@ -71,7 +91,7 @@
 	reason := w.startRun(cmd, w.startTimeOf(sentTo))
 	if reason == "" && w.hidesStart(cmd) {
 		w.mu.Unlock()
-		pause(r, unresponsiveHold)
+		loseResponse(r)
 		return
 	}
 	defer w.mu.Unlock()
@@ -105,6 +125,9 @@
 	if cmd.Run <= w.highestEndedRun[n] {
 		return "old"
 	}
+	if w.advice != nil && !w.advice.isValid(ticket{n.StepName(), w.id, cmd.Ticket}) {
+		return "ticket"
+	}
 	step, _ := w.checker.requestedStep(n)
 	used := step.Need
 	for _, r := range w.runs {
@@ -116,11 +139,12 @@
 	w.checker.recordStart(w, n, cmd.Run, when)
 	duration := step.Estimate()/2 + time.Duration(rand.Int64N(int64(max(step.Estimate(), 1))))
 	now := time.Now()
-	started := &activeRun{run: cmd.Run, step: step, startedAt: now, endsAt: now.Add(duration), fails: rand.Float64() < w.failProbability}
+	started := &activeRun{run: cmd.Run, step: step, startedAt: now, endsAt: now.Add(duration), fails: rand.Float64() < w.faults.Failure}
 	if w.checker.isDeadly(n) {
 		started.deadly, started.crashesAt, started.noReply = true, now.Add(rand.N(maxCrashDelay)), rand.Float64() < noReplyProbability
 	}
 	w.runs[n] = started
+	w.joinGang(n, started, duration)
 	return ""
 }
 
@@ -171,8 +195,7 @@
 		w.mu.Unlock()
 		return
 	}
-	w.extendLease(cmd.DeadlineMS)
-	w.forgetEnded(cmd.LastSeen)
+	w.renewLease(cmd)
 	waiting, changed, incarnation := len(w.ended) == 0 && cmd.WaitMS > 0, w.runEnded, w.incarnationStart
 	w.mu.Unlock()
 	if waiting {
@@ -186,7 +209,7 @@
 	w.mu.Lock()
 	if !w.up || !w.incarnationStart.Equal(incarnation) {
 		w.mu.Unlock()
-		pause(r, unresponsiveHold)
+		loseResponse(r)
 		return
 	}
 	defer w.mu.Unlock()
@@ -195,18 +218,28 @@
 		percent := int(100 * float64(time.Since(r.startedAt)) / float64(max(r.endsAt.Sub(r.startedAt), 1)))
 		running = append(running, []any{n.String(), r.run, "", min(max(percent, 0), 100), 0})
 	}
-	for _, e := range w.ended {
+	for _, e := range w.ended[:min(len(w.ended), maxReportedEnds)] {
 		ended = append(ended, []any{e.number, e.task.String(), e.run, e.outcome, ""})
 	}
 	respond(rw, http.StatusOK, map[string]any{"clock_ms": w.clockMS(), "born": w.incarnationStart.UnixMilli(), "running": running, "ended": ended})
 }
 
+// renewLease extends the lease and forgets the ends that are acknowledged. The caller
+// holds w.mu.
+func (w *Worker) renewLease(cmd command) {
+	w.extendLease(cmd.DeadlineMS)
+	w.forgetEnded(cmd.LastSeen)
+}
+
 func (w *Worker) forgetEnded(seen int64) {
 	w.ended = slices.DeleteFunc(w.ended, func(e endedRun) bool {
 		if e.number > seen {
 			return false
 		}
 		w.checker.recordAcknowledgement(e.task, e.outcome)
+		if !e.at.Before(w.lapsedAt) {
+			w.checker.checkAcknowledgedEnd(w, e)
+		}
 		return true
 	})
 }
