Stand-in worker lists at most 500 ends in a report

It now returns the oldest 500, as the platform's pages say; the others follow once these are acknowledged.

--- a/internal/standin/wire/worker_calls.go
+++ b/internal/standin/wire/worker_calls.go
@@ -10,6 +10,9 @@
 	"github.com/fuchsiahill/fuchsiahill/workload"
 )
 
+// maxReportedEnds is how many ends a report has room for, the oldest first.
+const maxReportedEnds = 500
+
 type command struct {
 	Task       string `json:"task"`
 	Run        int    `json:"run"`
@@ -195,7 +198,7 @@
 		percent := int(100 * float64(time.Since(r.startedAt)) / float64(max(r.endsAt.Sub(r.startedAt), 1)))
 		running = append(running, []any{n.String(), r.run, "", min(max(percent, 0), 100), 0})
 	}
-	for _, e := range w.ended {
+	for _, e := range w.ended[:min(len(w.ended), maxReportedEnds)] {
 		ended = append(ended, []any{e.number, e.task.String(), e.run, e.outcome, ""})
 	}
 	respond(rw, http.StatusOK, map[string]any{"clock_ms": w.clockMS(), "born": w.incarnationStart.UnixMilli(), "running": running, "ended": ended})
