--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,6 +25,9 @@
 	pollInterval   = 250 * time.Millisecond
 	cancelShare    = 0.08
 	deadlyShare    = 0.03 // of jobs, with one task that crashes its workers
+	resubmitShare  = 0.1  // of accepted jobs
+	// maxResubmitDelay is how late a request of an accepted job arrives again at most.
+	maxResubmitDelay = 8 * time.Second
 	// visibilityBound is how long after its acceptance a job may still be unknown
 	// to a host.
 	visibilityBound = 3 * time.Second
@@ -74,10 +78,17 @@
 	id := fleet.JobID(fmt.Sprintf("%016x", draw(c, (*rand.Rand).Uint64)))
 	steps := draw(c, drawSteps)
 	deadly := draw(c, func(rng *rand.Rand) []workload.TaskName { return drawDeadlyTask(rng, id, steps) })
+	body, err := wire.EncodeJob(draw(c, drawPayload), steps)
+	if err != nil {
+		return // the steps are numbers and the payload is text
+	}
 	c.checker.RecordSubmission(id, steps, deadly...)
-	if !c.submit(id, steps) {
+	if !c.submit(id, body) {
 		return
 	}
+	if draw(c, (*rand.Rand).Float64) < resubmitShare {
+		c.group.Go(func() { c.resubmit(ctx, id, body) })
+	}
 	c.mu.Lock()
 	c.deadly += len(deadly)
 	c.mu.Unlock()
@@ -91,6 +102,19 @@
 	}
 }
 
+// drawPayload draws a payload of a character that is long when it is escaped.
+func drawPayload(rng *rand.Rand) string {
+	return strings.Repeat("<", rng.IntN(wire.MaxSpecBytes+1))
+}
+
+// resubmit submits an accepted job again some time later: it remains one job.
+func (c *callerPool) resubmit(ctx context.Context, id fleet.JobID, body []byte) {
+	delay := draw(c, func(rng *rand.Rand) time.Duration { return time.Duration(rng.Int64N(int64(maxResubmitDelay))) })
+	if wait.For(ctx, delay) == nil {
+		c.call(http.MethodPost, id, body)
+	}
+}
+
 // drawSteps draws a job of one to three steps.
 func drawSteps(rng *rand.Rand) []workload.Step {
 	steps := make([]workload.Step, 1+rng.IntN(3))
@@ -117,11 +141,7 @@
 
 // submit submits a job, up to submitAttempts times, and reports whether it was
 // accepted.
-func (c *callerPool) submit(id fleet.JobID, steps []workload.Step) bool {
-	body, err := wire.EncodeJob(steps)
-	if err != nil {
-		return false
-	}
+func (c *callerPool) submit(id fleet.JobID, body []byte) bool {
 	unknown := false
 	for range submitAttempts {
 		status, _ := c.call(http.MethodPost, id, body)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -105,11 +105,11 @@
 	}},
 	{"workers execute orders late, and some runs fail", func(ctx context.Context, r *run, rng *rand.Rand, d time.Duration) error {
 		for _, w := range r.workers {
-			w.SetFaults(0.05*rng.Float64(), 0.1*rng.Float64())
+			w.SetFaults(wire.WorkerFaults{Late: 0.05 * rng.Float64(), Failure: 0.1 * rng.Float64()})
 		}
 		_ = wait.For(ctx, d)
 		for _, w := range r.workers {
-			w.SetFaults(0, 0)
+			w.SetFaults(wire.WorkerFaults{})
 		}
 		return nil
 	}},
@@ -172,9 +172,10 @@
 	r.store.SetMode(wire.StoreHealthy)
 	for _, h := range r.hosts {
 		h.link.set(linkHealthy)
+		h.store.SetMode(wire.StoreHealthy)
 	}
 	for _, w := range r.allWorkers() {
 		w.link.set(linkHealthy)
-		w.SetFaults(0, 0)
+		w.SetFaults(wire.WorkerFaults{})
 	}
 }
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -22,6 +22,7 @@
 	daemon         string
 	settingsPath   string
 	callersAddress string // host:port
+	store          *wire.StoreFront
 	link           *proxy // connection to the store
 	logPath        string
 
@@ -40,12 +41,12 @@
 }
 
 // newHost writes a host's settings file and opens its proxy to the store.
-func newHost(dir, daemon string, index int, storeAddress string) (*hostProcess, error) {
-	link, err := newProxy(storeAddress)
+func newHost(dir, daemon string, index int, front *wire.StoreFront) (*hostProcess, error) {
+	link, err := newProxy(front.Address())
 	if err != nil {
 		return nil, err
 	}
-	h := &hostProcess{name: fmt.Sprintf("host-%d", index), daemon: daemon, link: link}
+	h := &hostProcess{name: fmt.Sprintf("host-%d", index), daemon: daemon, store: front, link: link}
 	var ready, control string
 	for _, p := range []*string{&h.callersAddress, &ready, &control} {
 		if *p, err = freePort(); err != nil {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -104,7 +104,7 @@
 	defer stop()
 	var group sync.WaitGroup
 	group.Go(func() { pool.run(load, jobsPerWorker*float64(opts.Workers)) })
-	for stream, kinds := range [][]fault{faults, faults, faults, workerFaults, entryFaults} {
+	for stream, kinds := range [][]fault{faults, faults, faults, workerFaults, entryFaults, platformFaults} {
 		group.Go(func() { r.injectFaults(load, kinds, rand.New(rand.NewPCG(opts.Seed, uint64(2+stream)))) })
 	}
 	group.Wait()
@@ -145,7 +145,11 @@
 		return err
 	}
 	for i := range r.opts.Hosts {
-		h, err := newHost(r.opts.Dir, r.opts.Daemon, i, r.store.Address())
+		front, err := r.store.AddFront()
+		if err != nil {
+			return err
+		}
+		h, err := newHost(r.opts.Dir, r.opts.Daemon, i, front)
 		if err != nil {
 			return err
 		}
--- a/internal/standin/wire/site.go
+++ b/internal/standin/wire/site.go
@@ -31,8 +31,8 @@
 		"node": h.Name, "zone": "dc-1", "region": "region-1",
 		"listen":   map[string]string{"front": h.CallersAddress, "ready": h.ReadyAddress, "control": h.MetricsAddress},
 		"limits":   map[string]any{"cpu_share": 1, "cores": 1, "memory_mb": h.MemoryMB},
-		"bounds":   map[string]any{"hold_max_ms": MaxLease.Milliseconds(), "grace_s": h.GraceSeconds, "status_s": 120, "lease_ms": 3000},
-		"platform": map[string]any{"address": h.StoreAddress, "ttl_min_ms": h.LeaseTTL},
+		"bounds":   map[string]any{"hold_max_ms": MaxLease.Milliseconds(), "grace_s": h.GraceSeconds, "status_s": 120, "lease_ms": 3000, "stop_timeout_ms": stopDuration.Milliseconds()},
+		"platform": map[string]any{"address": h.StoreAddress, "ttl_min_ms": h.LeaseTTL, "writes_per_s": writesPerSecond, "reads_per_s": readsPerSecond, "history_s": historyKept.Seconds(), "value_bytes": maxValueBytes},
 	})
 }
 
@@ -50,8 +50,11 @@
 	})
 }
 
-// EncodeJob returns the request body that submits a job with the given steps.
-func EncodeJob(steps []workload.Step) ([]byte, error) {
+// MaxSpecBytes is the longest payload of a job, in bytes.
+const MaxSpecBytes = 4000
+
+// EncodeJob returns the request body that submits a job with a payload and steps.
+func EncodeJob(payload string, steps []workload.Step) ([]byte, error) {
 	type wireStep struct {
 		Count      int   `json:"count"`
 		CPU        int64 `json:"cpu"`
@@ -63,5 +66,5 @@
 	for i, s := range steps {
 		list[i] = wireStep{s.Count, s.Need.MilliCores, s.Need.MemoryMB, s.EstimateMS, s.After}
 	}
-	return json.Marshal(map[string]any{"spec": "soak", "steps": list})
+	return json.Marshal(map[string]any{"spec": payload, "steps": list})
 }
--- a/internal/standin/wire/worker.go
+++ b/internal/standin/wire/worker.go
@@ -3,20 +3,24 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/store"
 	"github.com/fuchsiahill/fuchsiahill/workload"
 )
 
 const (
 	// MaxLease is the longest lease of a worker's runs.
 	MaxLease = 6 * time.Second
-	// stopDuration is how long a stop takes.
-	stopDuration = 100 * time.Millisecond
+	// stopDuration is how long a stop takes: the platform's stop_timeout_ms.
+	stopDuration = 200 * time.Millisecond
+	// maxClockSlow is how much slower than time a worker's clock may be, in percent.
+	maxClockSlow = 2
 	// tickInterval is how often a worker checks for what is due.
 	tickInterval = 10 * time.Millisecond
 )
@@ -31,7 +35,10 @@
 	address string
 	done    chan struct{}
 
-	registration sync.Mutex // held while the entry is written, so that the newest is written last
+	registration sync.Mutex     // held while the entry is written, so that the newest is written last
+	registered   store.Revision // of the worker's entry; 0: it has expired
+	lastBeat     time.Time
+	returnAt     time.Time // of an entry that has expired while the store was down
 
 	mu               sync.Mutex
 	registeredAt     string // address in the worker's entry
@@ -41,8 +48,8 @@
 	up               bool
 	restarted        chan struct{} // closed at the restart; nil while the worker is up
 	restartAt        time.Time     // zero if the worker does not restart by itself
-	lateProbability  float64       // of a command that gets no reply and is executed late
-	failProbability  float64       // of a run
+	faults           WorkerFaults
+	clockPercent     int64 // rate of the worker's clock
 	token            int64
 	leaseDeadline    int64 // ms on the worker's clock
 	runs             map[workload.TaskName]*activeRun
@@ -88,7 +95,7 @@
 	mux.HandleFunc("POST /v1/pace", w.pace)
 	w.server = &http.Server{Handler: w.applyFaults(mux), ReadHeaderTimeout: time.Second}
 	w.startIncarnation()
-	go func() { _ = w.server.Serve(ln) }() // returns after Close
+	go func() { _ = w.server.Serve(limitConnections(ln, maxConnections)) }() // returns after Close
 	go w.tick()
 	return w, w.register()
 }
@@ -104,7 +111,7 @@
 func (w *Worker) beginIncarnation() {
 	w.incarnationStart, w.up, w.token, w.leaseDeadline, w.lastEndNumber = time.Now(), true, 0, 0, 0
 	w.runs, w.highestEndedRun, w.ended = make(map[workload.TaskName]*activeRun), make(map[workload.TaskName]int), nil
-	w.restartAt = time.Time{}
+	w.restartAt, w.clockPercent = time.Time{}, 100-rand.Int64N(maxClockSlow+1)
 	if w.restarted != nil {
 		close(w.restarted)
 		w.restarted = nil
@@ -124,35 +131,15 @@
 // Address returns the host:port where the worker listens.
 func (w *Worker) Address() string { return w.address }
 
-// register writes the worker's entry.
-func (w *Worker) register() error {
-	w.registration.Lock()
-	defer w.registration.Unlock()
-	w.mu.Lock()
-	entry := map[string]any{
-		"service": serviceName, "address": w.registeredAt, "zone": "dc-1", "version": "v1", "slots": 8, "state": "ready",
-		"born":     w.incarnationStart.UnixMilli(),
-		"capacity": map[string]int64{"cpu": w.capacity.MilliCores, "mem_mb": w.capacity.MemoryMB}, "labels": []string{"a", "r1-1"},
-	}
-	w.mu.Unlock()
-	return w.store.Put("servers/"+string(w.id), entry)
-}
-
-// RegisterAt registers the worker under the address of a proxy.
-func (w *Worker) RegisterAt(address string) error {
-	w.mu.Lock()
-	w.registeredAt = address
-	w.mu.Unlock()
-	return w.register()
-}
-
 // Close stops the stand-in.
 func (w *Worker) Close() {
 	close(w.done)
 	_ = w.server.Close()
 }
 
-func (w *Worker) clockMS() int64 { return time.Since(w.incarnationStart).Milliseconds() }
+func (w *Worker) clockMS() int64 {
+	return time.Since(w.incarnationStart).Milliseconds() * w.clockPercent / 100
+}
 
 // tick carries out ends of runs, crashes and restarts that are due, until Close.
 func (w *Worker) tick() {
@@ -172,6 +159,8 @@
 			w.mu.Unlock()
 			if restarted || unregistered {
 				unregistered = w.register() != nil // the next tick tries again
+			} else {
+				w.beat(now)
 			}
 		}
 	}
--- a/internal/standin/wire/worker_calls.go
+++ b/internal/standin/wire/worker_calls.go
@@ -13,28 +13,44 @@
 // maxReportedEnds is how many ends a report has room for, the oldest first.
 const maxReportedEnds = 500
 
+const (
+	maxHoldWait = 2000 // ms
+	maxPercent  = 100
+)
+
 type command struct {
 	Task       string `json:"task"`
 	Run        int    `json:"run"`
+	Spec       string `json:"spec,omitempty"`
+	Percent    int    `json:"percent,omitempty"`
 	DeadlineMS int64  `json:"deadline_ms"`
 	Token      int64  `json:"fencing_token"`
 	LastSeen   int64  `json:"last_seen"`
 	WaitMS     int64  `json:"wait_ms"`
 }
 
+// isValid reports whether a command has what its path asks for.
+func (c command) isValid(path string) bool {
+	if path == "/v1/hold" {
+		return c.WaitMS >= 0 && c.WaitMS <= maxHoldWait
+	}
+	_, ok := workload.ParseTaskName(c.Task)
+	return ok && c.Run >= 1 && len(c.Spec) <= MaxSpecBytes && c.Percent >= 0 && c.Percent <= maxPercent
+}
+
 // receive reads a command and locks w.mu. It returns false, without the lock, if
 // the command can't be read or if the worker has crashed since it accepted the
 // call, which then gets no reply.
 func (w *Worker) receive(rw http.ResponseWriter, r *http.Request) (command, bool) {
 	var cmd command
-	if err := json.NewDecoder(r.Body).Decode(&cmd); err != nil {
+	if err := json.NewDecoder(r.Body).Decode(&cmd); err != nil || !cmd.isValid(r.URL.Path) {
 		rw.WriteHeader(http.StatusBadRequest)
 		return cmd, false
 	}
 	w.mu.Lock()
 	if !w.up {
 		w.mu.Unlock()
-		pause(r, unresponsiveHold)
+		loseResponse(r)
 		return cmd, false
 	}
 	return cmd, true
@@ -74,7 +90,7 @@
 	reason := w.startRun(cmd, w.startTimeOf(sentTo))
 	if reason == "" && w.hidesStart(cmd) {
 		w.mu.Unlock()
-		pause(r, unresponsiveHold)
+		loseResponse(r)
 		return
 	}
 	defer w.mu.Unlock()
@@ -119,7 +135,7 @@
 	w.checker.recordStart(w, n, cmd.Run, when)
 	duration := step.Estimate()/2 + time.Duration(rand.Int64N(int64(max(step.Estimate(), 1))))
 	now := time.Now()
-	started := &activeRun{run: cmd.Run, step: step, startedAt: now, endsAt: now.Add(duration), fails: rand.Float64() < w.failProbability}
+	started := &activeRun{run: cmd.Run, step: step, startedAt: now, endsAt: now.Add(duration), fails: rand.Float64() < w.faults.Failure}
 	if w.checker.isDeadly(n) {
 		started.deadly, started.crashesAt, started.noReply = true, now.Add(rand.N(maxCrashDelay)), rand.Float64() < noReplyProbability
 	}
@@ -174,8 +190,7 @@
 		w.mu.Unlock()
 		return
 	}
-	w.extendLease(cmd.DeadlineMS)
-	w.forgetEnded(cmd.LastSeen)
+	w.renewLease(cmd)
 	waiting, changed, incarnation := len(w.ended) == 0 && cmd.WaitMS > 0, w.runEnded, w.incarnationStart
 	w.mu.Unlock()
 	if waiting {
@@ -189,7 +204,7 @@
 	w.mu.Lock()
 	if !w.up || !w.incarnationStart.Equal(incarnation) {
 		w.mu.Unlock()
-		pause(r, unresponsiveHold)
+		loseResponse(r)
 		return
 	}
 	defer w.mu.Unlock()
@@ -204,6 +219,13 @@
 	respond(rw, http.StatusOK, map[string]any{"clock_ms": w.clockMS(), "born": w.incarnationStart.UnixMilli(), "running": running, "ended": ended})
 }
 
+// renewLease extends the lease and forgets the ends that are acknowledged. The caller
+// holds w.mu.
+func (w *Worker) renewLease(cmd command) {
+	w.extendLease(cmd.DeadlineMS)
+	w.forgetEnded(cmd.LastSeen)
+}
+
 func (w *Worker) forgetEnded(seen int64) {
 	w.ended = slices.DeleteFunc(w.ended, func(e endedRun) bool {
 		if e.number > seen {
--- a/internal/standin/wire/worker_faults.go
+++ b/internal/standin/wire/worker_faults.go
@@ -15,6 +15,8 @@
 const (
 	minLateDelay = 2 * time.Second
 	maxLateDelay = 8 * time.Second
+	// maxReplyDelay is how long other replies may overtake a reply.
+	maxReplyDelay = time.Second
 	// maxCrashDelay is the longest time from the start of a deadly run to the crash.
 	maxCrashDelay   = 300 * time.Millisecond
 	minDeadlyOutage = 500 * time.Millisecond
@@ -92,12 +94,20 @@
 	return true
 }
 
-// SetFaults sets the probability that a command is executed late and that a run
-// fails.
-func (w *Worker) SetFaults(lateProbability, failProbability float64) {
+// WorkerFaults are the probabilities of a worker's faults.
+type WorkerFaults struct {
+	Late      float64 // a call gets no reply and is executed seconds later, after newer ones
+	LostReply float64 // a call is executed at once and gets no reply
+	SlowReply float64 // a reply is overtaken by those to later calls
+	Unhealthy float64 // a start is refused for no reason of its own
+	Failure   float64 // a run fails
+}
+
+// SetFaults sets the faults to inject.
+func (w *Worker) SetFaults(f WorkerFaults) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.lateProbability, w.failProbability = lateProbability, failProbability
+	w.faults = f
 }
 
 // sentToKey is the key of the start of the incarnation to which a call was sent,
@@ -125,23 +135,56 @@
 			return
 		}
 		w.mu.Lock()
-		late := r.URL.Path != "/v1/hold" && rand.Float64() < w.lateProbability
+		faults := w.faults
 		w.mu.Unlock()
-		if !late {
-			next.ServeHTTP(rw, r.WithContext(context.WithValue(r.Context(), sentToKey{}, sentTo)))
-			return
-		}
-		var cmd command
-		if err := json.Unmarshal(body, &cmd); err == nil {
-			go func() {
-				time.Sleep(minLateDelay + time.Duration(rand.Int64N(int64(maxLateDelay-minLateDelay))))
-				w.executeLate(r.URL.Path, cmd, sentTo)
-			}()
+		r = r.WithContext(context.WithValue(r.Context(), sentToKey{}, sentTo))
+		switch draw := rand.Float64(); {
+		case draw < faults.Late:
+			w.executeAfter(minLateDelay+rand.N(maxLateDelay-minLateDelay), r.URL.Path, body, sentTo)
+			loseResponse(r)
+		case draw < faults.Late+faults.LostReply:
+			next.ServeHTTP(discardWriter{http.Header{}}, r)
+			loseResponse(r)
+		case r.URL.Path == "/v1/run-start" && rand.Float64() < faults.Unhealthy:
+			rw.WriteHeader([]int{http.StatusTooManyRequests, http.StatusServiceUnavailable}[rand.IntN(2)])
+		case rand.Float64() < faults.SlowReply:
+			reply := &heldReply{header: rw.Header()}
+			next.ServeHTTP(reply, r)
+			pause(r, rand.N(maxReplyDelay))
+			rw.WriteHeader(reply.status)
+			_, _ = rw.Write(reply.body.Bytes()) // fails only if the caller has disconnected
+		default:
+			next.ServeHTTP(rw, r)
 		}
-		pause(r, unresponsiveHold)
 	})
 }
 
+// heldReply holds a reply that is sent later.
+type heldReply struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+func (h *heldReply) Header() http.Header         { return h.header }
+func (h *heldReply) Write(b []byte) (int, error) { return h.body.Write(b) }
+func (h *heldReply) WriteHeader(status int)      { h.status = status }
+
+// executeAfter executes a call after a delay, unless it is not valid.
+func (w *Worker) executeAfter(delay time.Duration, path string, body []byte, sentTo time.Time) {
+	var cmd command
+	if err := json.Unmarshal(body, &cmd); err != nil || !cmd.isValid(path) {
+		return
+	}
+	go func() {
+		select {
+		case <-w.done:
+		case <-time.After(delay):
+			w.executeLate(path, cmd, sentTo)
+		}
+	}()
+}
+
 // awaitRestart returns the start of the incarnation to which a call was sent. If
 // the worker is down, it waits for the restart; it returns false if the caller
 // disconnects before.
@@ -186,5 +229,17 @@
 		w.startRun(cmd, max(startLate, w.startTimeOf(sentTo)))
 	case "/v1/run-stop":
 		w.stopRun(cmd)
+	case "/v1/hold":
+		if w.isFenced(cmd.Token) {
+			return
+		}
+		if !sentTo.Equal(w.incarnationStart) {
+			// Nothing can refuse a late acknowledgement before the new incarnation has
+			// a newer token.
+			cmd.LastSeen = 0
+		}
+		w.renewLease(cmd)
+	case "/v1/pace":
+		w.isFenced(cmd.Token)
 	}
 }
--- a/internal/standin/wire/worker_faults_test.go
+++ b/internal/standin/wire/worker_faults_test.go
@@ -44,6 +44,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return postBody(t, w, path, body, timeout)
+}
+
+func postBody(t *testing.T, w *Worker, path string, body []byte, timeout time.Duration) int {
+	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.Address()+path, bytes.NewReader(body))
--- a/store/storetest/memory.go
+++ b/store/storetest/memory.go
@@ -58,6 +58,17 @@
 	m.history, m.compactedTo = nil, m.revision
 }
 
+// CompactTo drops the history of changes up to a revision.
+func (m *Memory) CompactTo(revision store.Revision) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if revision <= m.compactedTo {
+		return
+	}
+	m.compactedTo = revision
+	m.history = slices.DeleteFunc(m.history, func(e store.Event) bool { return e.Revision <= revision })
+}
+
 // ExpireLease ends a lease as if its holder had not renewed it.
 func (m *Memory) ExpireLease(id store.LeaseID) {
 	m.mu.Lock()
