--- a/internal/standin/wire/checker.go
+++ b/internal/standin/wire/checker.go
@@ -31,6 +31,8 @@
 	maxFailures int
 	// cancelBound is how long after a job's cancellation its tasks may still start.
 	cancelBound time.Duration
+	gangs       gangs
+	alone       int // runs that ended alone
 }
 
 type jobRecord struct {
@@ -46,12 +48,14 @@
 	crashes            map[workload.TaskName]int  // of workers while the task ran there
 	startsAfterCrashes map[workload.TaskName]int  // of a deadly task after deadlyCrashes
 	givenUp            bool                       // shown as failed for crashes alone
+	starts             map[workload.TaskName]int  // that something could have refused
+	startsUntilFailed  map[workload.TaskName]int  // until the last acknowledged failure
 }
 
 // NewChecker returns a Checker of jobs whose tasks may fail maxFailures times and
 // may start until cancelBound after the cancellation of their job.
 func NewChecker(maxFailures int, cancelBound time.Duration) *Checker {
-	return &Checker{jobs: make(map[fleet.JobID]*jobRecord), oddCalls: make(map[fleet.WorkerID]int), maxFailures: maxFailures, cancelBound: cancelBound}
+	return &Checker{jobs: make(map[fleet.JobID]*jobRecord), oddCalls: make(map[fleet.WorkerID]int), maxFailures: maxFailures, cancelBound: cancelBound, gangs: gangs{members: make(map[gangRun]map[workload.TaskName]*Worker)}}
 }
 
 // RecordSubmission records a job before the first attempt to submit it. Each
@@ -63,6 +67,7 @@
 		steps: steps, acknowledged: make(map[workload.TaskName]bool), completed: make(map[workload.TaskName]bool),
 		failed: make(map[workload.TaskName]int), failedRuns: make(map[workload.TaskName]int), running: make(map[workload.TaskName]int),
 		deadly: make(map[workload.TaskName]bool), crashes: make(map[workload.TaskName]int), startsAfterCrashes: make(map[workload.TaskName]int),
+		starts: make(map[workload.TaskName]int), startsUntilFailed: make(map[workload.TaskName]int),
 	}
 	for _, n := range deadly {
 		job.deadly[n] = true
@@ -184,6 +189,9 @@
 		c.addViolation("UNASKED", "%s run %d on %s", n, run, w.id)
 		return
 	}
+	if when != startStray {
+		job.starts[n]++
+	}
 	if job.running[n] > 0 {
 		c.addViolation("TWICE", "%s run %d on %s during another run", n, run, w.id)
 	}
@@ -215,6 +223,26 @@
 	job.running[n]++
 }
 
+// represented returns the tasks that are done when one is: all of a gang.
+func (j *jobRecord) represented(n workload.TaskName) []workload.TaskName {
+	if !j.steps[n.Step].Gang {
+		return []workload.TaskName{n}
+	}
+	members := make([]workload.TaskName, j.steps[n.Step].Count)
+	for i := range members {
+		members[i] = n
+		members[i].Index = i
+	}
+	return members
+}
+
+// Alone returns the number of runs that ended because the rest of their gang was missing.
+func (c *Checker) Alone() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.alone
+}
+
 // recordEnd records that a run has ended.
 func (c *Checker) recordEnd(n workload.TaskName, outcome workload.Outcome) {
 	c.mu.Lock()
@@ -226,9 +254,13 @@
 	job.running[n]--
 	switch outcome {
 	case workload.OutcomeDone:
-		job.completed[n] = true
+		for _, member := range job.represented(n) {
+			job.completed[member] = true
+		}
 	case workload.OutcomeFailed:
 		job.failedRuns[n]++
+	case workload.OutcomeGangTimeout:
+		c.alone++
 	}
 }
 
@@ -254,12 +286,47 @@
 	}
 	switch outcome {
 	case workload.OutcomeDone:
-		job.acknowledged[n] = true
+		for _, member := range job.represented(n) {
+			job.acknowledged[member] = true
+		}
 	case workload.OutcomeFailed:
 		job.failed[n]++
 	}
 }
 
+// startsOf returns the number of starts of a task so far that something could have
+// refused.
+func (c *Checker) startsOf(n workload.TaskName) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if job, ok := c.jobs[n.Job]; ok {
+		return job.starts[n]
+	}
+	return 0
+}
+
+// checkAcknowledgedEnd checks that a task was not started between an end that counts and
+// the acknowledgement of that end.
+func (c *Checker) checkAcknowledgedEnd(w *Worker, e endedRun) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	job, ok := c.jobs[e.task.Job]
+	if !ok {
+		return
+	}
+	switch e.outcome {
+	case workload.OutcomeDone:
+		if again := job.starts[e.task] - e.starts; again > 0 {
+			c.addViolation("TWICE", "%s was started %d times after run %d was done on %s, which was acknowledged later", e.task, again, e.run, w.id)
+		}
+	case workload.OutcomeFailed:
+		job.startsUntilFailed[e.task] = max(job.startsUntilFailed[e.task], e.starts)
+		if again := job.starts[e.task] - job.startsUntilFailed[e.task]; again > 0 && job.failed[e.task] == c.maxFailures {
+			c.addViolation("BUDGET", "%s was started %d times after %d failures, the last of which was acknowledged later", e.task, again, c.maxFailures)
+		}
+	}
+}
+
 // recordOverload records that a start exceeded the capacity that it could rely on.
 func (c *Checker) recordOverload(w *Worker, n workload.TaskName, used, allowed fleet.Resources) {
 	c.mu.Lock()
--- a/internal/standin/wire/checker_test.go
+++ b/internal/standin/wire/checker_test.go
@@ -131,3 +131,47 @@
 		})
 	}
 }
+
+// A start between the end of a run and its acknowledgement must count, unless the lease
+// has lapsed between the two.
+func TestStartBeforeAcknowledgementIsAllowed(t *testing.T) {
+	task := workload.TaskName{Job: "job"}
+	for name, c := range map[string]struct {
+		outcome    workload.Outcome
+		startAgain bool
+		lapses     bool
+		wantBroken int
+	}{
+		"done":                         {workload.OutcomeDone, false, false, 0},
+		"done and started again":       {workload.OutcomeDone, true, false, 1},
+		"done, lapsed, started again":  {workload.OutcomeDone, true, true, 0},
+		"failed and started again":     {workload.OutcomeFailed, true, false, 1},
+		"failed and not started again": {workload.OutcomeFailed, false, false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			checker := NewChecker(1, time.Second)
+			checker.RecordSubmission("job", []workload.Step{{Count: 1}})
+			w := &Worker{id: "w", checker: checker, runEnded: make(chan struct{})}
+			w.startIncarnation()
+			w.clockPercent = 100
+			start := func(run int, ends time.Duration) {
+				checker.recordStart(w, task, run, startOnTime)
+				w.runs[task] = &activeRun{run: run, endsAt: time.Now().Add(ends), fails: c.outcome == workload.OutcomeFailed}
+			}
+			w.extendLease(MaxLease.Milliseconds())
+			start(1, 0)
+			w.endRuns(time.Now().Add(time.Millisecond))
+			if c.startAgain {
+				start(2, time.Hour)
+			}
+			if c.lapses {
+				w.leaseDeadline = -1
+				w.endRuns(time.Now().Add(time.Second))
+			}
+			w.forgetEnded(1)
+			if _, broken := checker.Violations(); len(broken) != c.wantBroken {
+				t.Errorf("broken %q, want %d", broken, c.wantBroken)
+			}
+		})
+	}
+}
--- a/internal/standin/wire/site.go
+++ b/internal/standin/wire/site.go
@@ -61,10 +61,12 @@
 		MemMB      int64 `json:"mem_mb"`
 		EstimateMS int64 `json:"estimate_ms"`
 		After      []int `json:"after,omitempty"`
+		Gang       bool  `json:"gang,omitempty"`
+		SameRack   bool  `json:"same_rack,omitempty"`
 	}
 	list := make([]wireStep, len(steps))
 	for i, s := range steps {
-		list[i] = wireStep{s.Count, s.Need.MilliCores, s.Need.MemoryMB, s.EstimateMS, s.After}
+		list[i] = wireStep{s.Count, s.Need.MilliCores, s.Need.MemoryMB, s.EstimateMS, s.After, s.Gang, s.SameRack}
 	}
 	return json.Marshal(map[string]any{"spec": payload, "steps": list})
 }
--- a/internal/standin/wire/store_faults.go
+++ b/internal/standin/wire/store_faults.go
@@ -10,6 +10,7 @@
 )
 
 const (
+	answerTime       = 4 * time.Millisecond
 	slowDelay        = 240 * time.Millisecond // 60 times the usual 4 ms
 	lossyProbability = 0.3
 	lateProbability  = 0.5 // of those calls
@@ -44,6 +45,7 @@
 			w.WriteHeader(http.StatusTooManyRequests)
 			return
 		}
+		pause(r, answerTime)
 		switch f.current() {
 		case StoreUnavailable:
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/standin/wire/worker.go
+++ b/internal/standin/wire/worker.go
@@ -51,7 +51,8 @@
 	faults           WorkerFaults
 	clockPercent     int64 // rate of the worker's clock
 	token            int64
-	leaseDeadline    int64 // ms on the worker's clock
+	leaseDeadline    int64     // ms on the worker's clock
+	lapsedAt         time.Time // when the lease was last found to have expired
 	runs             map[workload.TaskName]*activeRun
 	highestEndedRun  map[workload.TaskName]int // highest run that was stopped or has ended
 	ended            []endedRun
@@ -69,6 +70,9 @@
 	deadly    bool
 	crashesAt time.Time // of a deadly run
 	noReply   bool      // its start gets no reply
+	assembled bool      // all tasks of its gang are present
+	broken    bool      // another task of its gang has ended
+	aloneAt   time.Time // end of a run that waits for the rest of its gang
 }
 
 type endedRun struct {
@@ -76,6 +80,8 @@
 	task    workload.TaskName
 	run     int
 	outcome workload.Outcome
+	at      time.Time
+	starts  int // of the task until then
 }
 
 // NewWorker starts a worker and registers it in the store. It returns an error if
@@ -128,6 +134,13 @@
 	return w.up && w.clockMS() < w.leaseDeadline
 }
 
+// UnacknowledgedEnds returns how many ends the worker has to report.
+func (w *Worker) UnacknowledgedEnds() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.ended)
+}
+
 // Address returns the host:port where the worker listens.
 func (w *Worker) Address() string { return w.address }
 
@@ -168,6 +181,9 @@
 
 func (w *Worker) endRuns(now time.Time) {
 	expired := w.clockMS() > w.leaseDeadline
+	if expired {
+		w.lapsedAt = now
+	}
 	ended := false
 	for n, r := range w.runs {
 		outcome := workload.Outcome("")
@@ -176,6 +192,12 @@
 			outcome = workload.OutcomeLeaseExpired
 		case !r.stopsAt.IsZero() && now.After(r.stopsAt):
 			outcome = workload.OutcomeStopped
+		case r.broken:
+			outcome = workload.OutcomeGangBroken
+		case r.step.Gang && !r.assembled:
+			if now.After(r.aloneAt) {
+				outcome = workload.OutcomeGangTimeout
+			}
 		case now.After(r.endsAt) && r.stopsAt.IsZero() && !r.step.Serving && !r.deadly:
 			outcome = workload.OutcomeDone
 			if r.fails {
@@ -187,9 +209,10 @@
 		}
 		ended = true
 		delete(w.runs, n)
+		w.leaveGang(n, r, outcome)
 		w.highestEndedRun[n] = max(w.highestEndedRun[n], r.run)
 		w.lastEndNumber++
-		w.ended = append(w.ended, endedRun{w.lastEndNumber, n, r.run, outcome})
+		w.ended = append(w.ended, endedRun{w.lastEndNumber, n, r.run, outcome, now, w.checker.startsOf(n)})
 		w.checker.recordEnd(n, outcome)
 	}
 	if ended {
--- a/internal/standin/wire/worker_calls.go
+++ b/internal/standin/wire/worker_calls.go
@@ -140,6 +140,7 @@
 		started.deadly, started.crashesAt, started.noReply = true, now.Add(rand.N(maxCrashDelay)), rand.Float64() < noReplyProbability
 	}
 	w.runs[n] = started
+	w.joinGang(n, started, duration)
 	return ""
 }
 
@@ -232,6 +233,9 @@
 			return false
 		}
 		w.checker.recordAcknowledgement(e.task, e.outcome)
+		if !e.at.Before(w.lapsedAt) {
+			w.checker.checkAcknowledgedEnd(w, e)
+		}
 		return true
 	})
 }
--- a/internal/standin/wire/worker_faults.go
+++ b/internal/standin/wire/worker_faults.go
@@ -13,6 +13,8 @@
 )
 
 const (
+	// roundTrip is the way to a worker in another data centre and back.
+	roundTrip    = 2800 * time.Microsecond
 	minLateDelay = 2 * time.Second
 	maxLateDelay = 8 * time.Second
 	// maxReplyDelay is how long other replies may overtake a reply.
@@ -57,8 +59,9 @@
 	if w.restarted == nil {
 		w.restarted = make(chan struct{})
 	}
-	for n := range w.runs {
+	for n, r := range w.runs {
 		w.checker.recordCrash(n)
+		w.leaveGang(n, r, "")
 	}
 	w.runs = make(map[workload.TaskName]*activeRun)
 }
@@ -134,6 +137,7 @@
 			rw.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
+		pause(r, roundTrip)
 		w.mu.Lock()
 		faults := w.faults
 		w.mu.Unlock()
--- a/internal/standin/wire/worker_limits_test.go
+++ b/internal/standin/wire/worker_limits_test.go
@@ -56,7 +56,7 @@
 	defer w.mu.Unlock()
 	for range n {
 		w.lastEndNumber++
-		w.ended = append(w.ended, endedRun{w.lastEndNumber, workload.TaskName{Job: "other", Index: int(w.lastEndNumber)}, 1, workload.OutcomeDone})
+		w.ended = append(w.ended, endedRun{number: w.lastEndNumber, task: workload.TaskName{Job: "other", Index: int(w.lastEndNumber)}, run: 1, outcome: workload.OutcomeDone})
 	}
 }
 
