The model's workers cut reports off at 500 ends

Its workers now list the oldest 500 ends, and a start between a done run's end and its acknowledgement breaks TWICE, unless the lease lapsed between the two.

--- a/dispatch/model_renewal_test.go
+++ b/dispatch/model_renewal_test.go
@@ -135,7 +135,7 @@
 		return
 	}
 	w.execute(x, Order{Kind: orderRenewal}, call)
-	rep := workload.Report{StartedMS: x.incarnation, ClockMS: w.clock(x).Milliseconds(), Ended: slices.Clone(x.ended)}
+	rep := workload.Report{StartedMS: x.incarnation, ClockMS: w.clock(x).Milliseconds(), Ended: slices.Clone(x.ended[:min(len(x.ended), modelReportedEnds)])}
 	for _, n := range slices.SortedFunc(maps.Keys(x.runs), compareNames) {
 		rep.Running = append(rep.Running, workload.ActiveRun{Task: n, Run: x.runs[n].number, PercentDone: int(w.now/time.Millisecond) % 100})
 	}
@@ -159,14 +159,21 @@
 		if e.Sequence > acknowledged {
 			return false
 		}
+		j, ok := w.jobs[e.Task.Job]
+		if !ok {
+			return true
+		}
 		w.trace("%s forgets the end of %s run %d", x.id, e.Task, e.Run)
 		switch e.Outcome {
 		case workload.OutcomeDone:
 			if !x.strayEnds[e.Sequence] {
-				w.jobs[e.Task.Job].acknowledgedDone[e.Task] = true
+				j.acknowledgedDone[e.Task] = true
+				if j.starts[e.Task] > x.startsUntil[e.Sequence] && !x.lapsedEnds[e.Sequence] {
+					w.Fatalf("TWICE: %s was started after run %d was done on %s, which the owner takes note of later", e.Task, e.Run, x.id)
+				}
 			}
 		case workload.OutcomeFailed:
-			w.jobs[e.Task.Job].acknowledgedFailures[e.Task]++
+			j.acknowledgedFailures[e.Task]++
 		}
 		return true
 	})
--- a/dispatch/model_store_test.go
+++ b/dispatch/model_store_test.go
@@ -19,6 +19,7 @@
 	progress             workload.Progress
 	progRev              store.Revision
 	ended                map[workload.TaskName]bool // done on a worker
+	starts               map[workload.TaskName]int  // but strays
 	acknowledgedDone     map[workload.TaskName]bool // done, and the worker may forget it
 	acknowledgedFailures map[workload.TaskName]int  // failed runs that the worker may forget
 	failedRuns           map[workload.TaskName]int
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -91,7 +91,7 @@
 	j := &modelJob{
 		job: workload.Job{ID: id, Queue: testQueue, Steps: steps}, state: workload.StateQueued, stateRev: w.revision,
 		ended: make(map[workload.TaskName]bool), acknowledgedDone: make(map[workload.TaskName]bool), acknowledgedFailures: make(map[workload.TaskName]int),
-		failedRuns: make(map[workload.TaskName]int), crashes: make(map[workload.TaskName]int),
+		failedRuns: make(map[workload.TaskName]int), crashes: make(map[workload.TaskName]int), starts: make(map[workload.TaskName]int),
 	}
 	w.jobs[id] = j
 	w.m.AddJob(&j.job, j.state, j.stateRev, workload.Progress{}, w.now, false)
@@ -178,101 +178,125 @@
 func TestDispatchModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newSimulation(t)
-		t.Repeat(map[string]func(*rapid.T){
-			"step":   func(*rapid.T) { w.advance() },
-			"step 2": func(*rapid.T) { w.advance(); w.commitWrites() },
-			"wait": func(*rapid.T) {
-				for range 6 {
-					w.advance()
-				}
-			},
-			"submit": func(*rapid.T) { w.submitJob() },
-			"commit": func(*rapid.T) { w.commitWrites() },
-			"crash": func(*rapid.T) {
-				x := w.anyWorker()
-				w.trace("crash %s", x.id)
-				w.crash(x)
-			},
-			"revive": func(*rapid.T) {
-				if x := w.anyWorker(); !x.up {
-					w.boot(x)
-				}
-			},
-			"added while writes are lost": func(*rapid.T) {
-				x := w.addWorker()
-				w.submitJob()
-				for range rapid.IntRange(2, 6).Draw(t, "steps") {
-					w.advance()
-					w.loseWorkerWrites()
-				}
-				if rapid.Bool().Draw(t, "entry lapses") {
-					w.lapse(x)
-				}
-				w.lateCommits = nil
-				w.takeOver()
-				for range 4 {
-					w.advance()
-				}
-			},
-			"entry":        func(*rapid.T) { w.deliverEntry(w.anyWorker()) },
-			"entry lapses": func(*rapid.T) { w.lapse(w.anyWorker()) },
-			"entries lapse before a takeover": func(*rapid.T) {
-				for _, id := range slices.Sorted(maps.Keys(w.workers)) {
-					if rapid.Bool().Draw(t, "lapses") {
-						w.lapse(w.workers[id])
-					}
-				}
-				w.lateCommits = nil
-				w.takeOver()
+		t.Repeat(w.actions(t))
+	})
+}
+
+// TestEndsBeyondAReportAreLost checks the Machine against the rules while reports are full:
+// a run that a full report leaves out must not be taken for absent.
+func TestEndsBeyondAReportAreLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newSimulation(t)
+		actions := w.actions(t)
+		actions["ends pile up"] = func(*rapid.T) { w.pileUpEnds(w.anyWorker()) }
+		actions["ends pile up while nothing is stored"] = func(*rapid.T) {
+			x := w.anyWorker()
+			w.advance()
+			w.pileUpEnds(x)
+			for range 4 {
 				w.advance()
-			},
-			"unlisted until it is forgotten": func(*rapid.T) {
-				x := w.anyWorker()
+			}
+		}
+		t.Repeat(actions)
+	})
+}
+
+// actions returns the random actions of a simulation.
+func (w *simulation) actions(t *rapid.T) map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"step":   func(*rapid.T) { w.advance() },
+		"step 2": func(*rapid.T) { w.advance(); w.commitWrites() },
+		"wait": func(*rapid.T) {
+			for range 6 {
+				w.advance()
+			}
+		},
+		"submit": func(*rapid.T) { w.submitJob() },
+		"commit": func(*rapid.T) { w.commitWrites() },
+		"crash": func(*rapid.T) {
+			x := w.anyWorker()
+			w.trace("crash %s", x.id)
+			w.crash(x)
+		},
+		"revive": func(*rapid.T) {
+			if x := w.anyWorker(); !x.up {
+				w.boot(x)
+			}
+		},
+		"added while writes are lost": func(*rapid.T) {
+			x := w.addWorker()
+			w.submitJob()
+			for range rapid.IntRange(2, 6).Draw(t, "steps") {
+				w.advance()
+				w.loseWorkerWrites()
+			}
+			if rapid.Bool().Draw(t, "entry lapses") {
 				w.lapse(x)
-				x.partitioned = true
-				for range 20 {
-					w.renewAll()
-					w.lapse(x)
-					w.plan()
-					w.commitWrites()
-				}
-				x.partitioned = false
-			},
-			"cut": func(*rapid.T) { w.anyWorker().partitioned = true },
-			"silent for a while": func(*rapid.T) {
-				x := w.anyWorker()
-				x.partitioned = true
-				for range 5 {
-					w.advance()
-					w.commitWrites()
-				}
-				x.partitioned = rapid.Bool().Draw(t, "stays cut")
+			}
+			w.lateCommits = nil
+			w.takeOver()
+			for range 4 {
 				w.advance()
-			},
-			"restarted and cut": func(*rapid.T) {
-				x := w.anyWorker()
+			}
+		},
+		"entry":        func(*rapid.T) { w.deliverEntry(w.anyWorker()) },
+		"entry lapses": func(*rapid.T) { w.lapse(w.anyWorker()) },
+		"entries lapse before a takeover": func(*rapid.T) {
+			for _, id := range slices.Sorted(maps.Keys(w.workers)) {
+				if rapid.Bool().Draw(t, "lapses") {
+					w.lapse(w.workers[id])
+				}
+			}
+			w.lateCommits = nil
+			w.takeOver()
+			w.advance()
+		},
+		"unlisted until it is forgotten": func(*rapid.T) {
+			x := w.anyWorker()
+			w.lapse(x)
+			x.partitioned = true
+			for range 20 {
 				w.renewAll()
-				w.boot(x)
+				w.lapse(x)
 				w.plan()
-				x.partitioned = true
-				for range 10 {
-					w.advance()
-					w.commitWrites()
-				}
-			},
-			"owner killed and worker cut": func(*rapid.T) {
-				w.anyWorker().partitioned = true
-				w.lateCommits = nil
-				w.takeOver()
+				w.commitWrites()
+			}
+			x.partitioned = false
+		},
+		"cut": func(*rapid.T) { w.anyWorker().partitioned = true },
+		"silent for a while": func(*rapid.T) {
+			x := w.anyWorker()
+			x.partitioned = true
+			for range 5 {
 				w.advance()
-			},
-			"heal": func(*rapid.T) { w.anyWorker().partitioned = false },
-			"owner killed": func(*rapid.T) {
-				// Commits of the former owner check its ownership, so none is
-				// executed after this.
-				w.lateCommits = nil
-				w.takeOver()
-			},
-		})
-	})
+				w.commitWrites()
+			}
+			x.partitioned = rapid.Bool().Draw(t, "stays cut")
+			w.advance()
+		},
+		"restarted and cut": func(*rapid.T) {
+			x := w.anyWorker()
+			w.renewAll()
+			w.boot(x)
+			w.plan()
+			x.partitioned = true
+			for range 10 {
+				w.advance()
+				w.commitWrites()
+			}
+		},
+		"owner killed and worker cut": func(*rapid.T) {
+			w.anyWorker().partitioned = true
+			w.lateCommits = nil
+			w.takeOver()
+			w.advance()
+		},
+		"heal": func(*rapid.T) { w.anyWorker().partitioned = false },
+		"owner killed": func(*rapid.T) {
+			// Commits of the former owner check its ownership, so none is
+			// executed after this.
+			w.lateCommits = nil
+			w.takeOver()
+		},
+	}
 }
--- a/dispatch/model_worker_test.go
+++ b/dispatch/model_worker_test.go
@@ -15,6 +15,8 @@
 	// modelHoldMax is the longest lease that a worker grants, which is longer than
 	// the one that the owner requests.
 	modelHoldMax = 6 * time.Second
+	// modelReportedEnds is how many ends a report has room for, the oldest first.
+	modelReportedEnds = 500
 	// modelClockSlow is how much slower a worker's clock may be, in percent.
 	modelClockSlow = 2
 )
@@ -35,6 +37,8 @@
 	highestRun      map[workload.TaskName]int
 	ended           []workload.EndedRun
 	strayEnds       map[int64]bool // ends of stray runs, by sequence number
+	startsUntil     map[int64]int  // starts of the task until an end, by sequence number
+	lapsedEnds      map[int64]bool // ends before the lease lapsed, by sequence number
 	lastEnd         int64
 }
 
@@ -67,6 +71,7 @@
 	w.trace("boot %s, incarnation %d", x.id, x.incarnation)
 	x.up, x.token, x.lastEnd, x.ended, x.lease = true, 0, 0, nil, 0
 	x.bootedAt, x.clockPercent, x.strayEnds = w.now, 100-rapid.IntRange(0, modelClockSlow).Draw(w.T, "slow"), make(map[int64]bool)
+	x.startsUntil, x.lapsedEnds = make(map[int64]int), make(map[int64]bool)
 	x.runs, x.highestRun = make(map[workload.TaskName]modelRun), make(map[workload.TaskName]int)
 }
 
@@ -74,7 +79,9 @@
 // next owner it looks like a crash under the run.
 func (w *simulation) crash(x *modelWorker) {
 	for _, e := range x.ended {
-		w.jobs[e.Task.Job].crashes[e.Task]++
+		if j, ok := w.jobs[e.Task.Job]; ok {
+			j.crashes[e.Task]++
+		}
 	}
 	for _, n := range slices.SortedFunc(maps.Keys(x.runs), compareNames) {
 		w.jobs[n.Job].crashes[n]++
@@ -84,6 +91,11 @@
 
 // tick ends the runs on a worker that are over or whose lease has expired.
 func (w *simulation) tick(x *modelWorker) {
+	if x.up && w.clock(x) > x.lease {
+		for _, e := range x.ended {
+			x.lapsedEnds[e.Sequence] = true
+		}
+	}
 	for _, n := range slices.SortedFunc(maps.Keys(x.runs), compareNames) {
 		r := x.runs[n]
 		switch {
@@ -97,6 +109,17 @@
 	}
 }
 
+// pileUpEnds makes a worker list as many ends of a job that the owner no longer knows as a
+// report has room for.
+func (w *simulation) pileUpEnds(x *modelWorker) {
+	w.trace("ends pile up on %s", x.id)
+	for i := range modelReportedEnds {
+		x.lastEnd++
+		n := workload.TaskName{Job: "gone", Index: i}
+		x.ended = append(x.ended, workload.EndedRun{Sequence: x.lastEnd, Task: n, Run: 1, Outcome: workload.OutcomeDone})
+	}
+}
+
 func compareNames(a, b workload.TaskName) int {
 	if a.String() < b.String() {
 		return -1
@@ -110,7 +133,7 @@
 	delete(x.runs, n)
 	x.highestRun[n] = max(x.highestRun[n], r.number)
 	x.lastEnd++
-	x.strayEnds[x.lastEnd] = r.stray
+	x.strayEnds[x.lastEnd], x.startsUntil[x.lastEnd] = r.stray, w.jobs[n.Job].starts[n]
 	x.ended = append(x.ended, workload.EndedRun{Sequence: x.lastEnd, Task: n, Run: r.number, Outcome: how})
 	switch how {
 	case workload.OutcomeDone:
@@ -151,6 +174,7 @@
 		w.trace("start of %s run %d on %s, incarnation %d, until %v at most, stray: %v", o.Task, o.Run, x.id, x.incarnation, w.now+x.lease-w.clock(x), stray)
 		if !stray {
 			w.checkStart(x, o)
+			w.jobs[o.Task.Job].starts[o.Task]++
 		}
 		x.runs[o.Task] = modelRun{
 			stray:  stray,
