--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -25,6 +25,7 @@
 	pollInterval   = 250 * time.Millisecond
 	cancelShare    = 0.08
 	deadlyShare    = 0.03 // of jobs, with one task that crashes its workers
+	gangShare      = 0.1  // of other jobs, whose first step is a gang
 	resubmitShare  = 0.1  // of accepted jobs
 	// maxResubmitDelay is how late a request of an accepted job arrives again at most.
 	maxResubmitDelay = 8 * time.Second
@@ -78,6 +79,9 @@
 	id := fleet.JobID(fmt.Sprintf("%016x", draw(c, (*rand.Rand).Uint64)))
 	steps := draw(c, drawSteps)
 	deadly := draw(c, func(rng *rand.Rand) []workload.TaskName { return drawDeadlyTask(rng, id, steps) })
+	if len(deadly) == 0 {
+		steps[0].Gang = draw(c, (*rand.Rand).Float64) < gangShare
+	}
 	body, err := wire.EncodeJob(draw(c, drawPayload), steps)
 	if err != nil {
 		return // the steps are numbers and the payload is text
--- a/internal/standin/wire/worker.go
+++ b/internal/standin/wire/worker.go
@@ -49,7 +49,8 @@
 	restarted        chan struct{} // closed at the restart; nil while the worker is up
 	restartAt        time.Time     // zero if the worker does not restart by itself
 	faults           WorkerFaults
-	clockPercent     int64 // rate of the worker's clock
+	advice           *Advice // that starts need a ticket of; nil: none
+	clockPercent     int64   // rate of the worker's clock
 	token            int64
 	leaseDeadline    int64     // ms on the worker's clock
 	lapsedAt         time.Time // when the lease was last found to have expired
@@ -118,6 +119,9 @@
 	w.incarnationStart, w.up, w.token, w.leaseDeadline, w.lastEndNumber = time.Now(), true, 0, 0, 0
 	w.runs, w.highestEndedRun, w.ended = make(map[workload.TaskName]*activeRun), make(map[workload.TaskName]int), nil
 	w.restartAt, w.clockPercent = time.Time{}, 100-rand.Int64N(maxClockSlow+1)
+	if w.advice != nil {
+		w.advice.endLife(w.id)
+	}
 	if w.restarted != nil {
 		close(w.restarted)
 		w.restarted = nil
@@ -134,6 +138,13 @@
 	return w.up && w.clockMS() < w.leaseDeadline
 }
 
+// RequireTickets makes the worker refuse starts without a valid ticket.
+func (w *Worker) RequireTickets(a *Advice) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advice = a
+}
+
 // UnacknowledgedEnds returns how many ends the worker has to report.
 func (w *Worker) UnacknowledgedEnds() int {
 	w.mu.Lock()
--- a/internal/standin/wire/worker_calls.go
+++ b/internal/standin/wire/worker_calls.go
@@ -23,6 +23,7 @@
 	Run        int    `json:"run"`
 	Spec       string `json:"spec,omitempty"`
 	Percent    int    `json:"percent,omitempty"`
+	Ticket     string `json:"ticket,omitempty"`
 	DeadlineMS int64  `json:"deadline_ms"`
 	Token      int64  `json:"fencing_token"`
 	LastSeen   int64  `json:"last_seen"`
@@ -124,6 +125,9 @@
 	if cmd.Run <= w.highestEndedRun[n] {
 		return "old"
 	}
+	if w.advice != nil && !w.advice.isValid(ticket{n.StepName(), w.id, cmd.Ticket}) {
+		return "ticket"
+	}
 	step, _ := w.checker.requestedStep(n)
 	used := step.Need
 	for _, r := range w.runs {
