A run is absent only from a report that is known to be complete

A worker lists 500 ends in a report. Ends are forgotten only once they are stored, so that with 500 of them unstored every report brought the same ones, and a run whose end came after them was in neither list. WorkerReported took it for absent and released its task; the first report to a new owner was trusted in the same way (adoption, the tasks that wait for it, crashes of workers, records).

Ruled out: the stand-in or the renewal losing ends (they are all listed once the first ones are acknowledged), and releasing late reports (the renewal is younger than the run).

workload.Report has EndsTruncated, set by the platform's client for a full list. A run that a truncated report does not list, and that must have been there, is retired: it holds no capacity, as it does not run, but its task waits until its end is listed or a complete report shows that there is none. So work goes on, also on that worker. A restart, a replacement or the end of the lease releases it, without counting as a crash: it had ended before. A new owner waits for the first complete report of a worker, as long as its lease lasts, where it waited for the first one. Upkeep waits for the ends, and a worker without an entry is called for them.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -105,17 +105,21 @@
 	delete(m.inherited, w.ID)
 }
 
-// adoptInherited compares the first report of a worker with what a former owner has
+// hasRestartedSinceRecord reports whether an incarnation started after the one that the
+// worker's record names.
+func (w *worker) hasRestartedSinceRecord(startedMS int64) bool {
+	return w.record.startedMS != 0 && startedMS > w.record.startedMS
+}
+
+// adoptInherited compares the first complete report of a worker with what a former owner has
 // placed there. If the worker has restarted since its record was written, it has crashed
-// under the runs that neither run nor have ended.
+// under the runs that neither run nor have ended; the reports up to this one have listed
+// these ends.
 func (m *Machine) adoptInherited(w *worker, rep workload.Report, now time.Duration) {
-	if w.record.startedMS == 0 || rep.StartedMS <= w.record.startedMS {
+	if !w.hasRestartedSinceRecord(rep.StartedMS) {
 		delete(m.inherited, w.ID)
 		return
 	}
-	m.inherited[w.ID] = slices.DeleteFunc(m.inherited[w.ID], func(t *task) bool {
-		return slices.ContainsFunc(rep.Ended, func(e workload.EndedRun) bool { return e.Task == t.name && e.Run == t.lastRun })
-	})
 	m.recordInheritedCrashes(w, now)
 }
 
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -277,7 +277,8 @@
 }
 
 // mayRunElsewhere reports whether a run that a former owner started may exist on a
-// worker that has not reported to this one. This matters if the former owner was
+// worker that has not reported to this one, or may have ended there with an end that is
+// not listed yet. This matters if the former owner was
 // killed while entries of workers were missing from the store. A start that was not
 // confirmed may still be executed by a later incarnation of a worker that has an entry:
 // its deadline is on the clock of an earlier one.
@@ -293,7 +294,10 @@
 	if ok && w.listed && !t.formerConfirmed {
 		end = max(end, m.startedAt+maxOrderDelay)
 	}
-	if now >= end || ok && w.adopted {
+	if ok && w.adopted {
+		end = max(w.leaseEnd, end)
+	}
+	if now >= end || ok && w.caughtUp {
 		t.formerWorker = ""
 		return false
 	}
--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -143,7 +143,7 @@
 		return
 	}
 	if worker != nil {
-		if !worker.adopted {
+		if !worker.caughtUp {
 			return
 		}
 		for _, r := range slices.Clone(worker.runs) {
@@ -152,7 +152,7 @@
 				m.requestStop(r, "upkeep")
 			}
 		}
-		if len(worker.runs) > 0 || worker.unknownRuns > 0 {
+		if len(worker.runs) > 0 || len(worker.unlisted) > 0 || worker.unknownRuns > 0 {
 			return
 		}
 	}
--- a/dispatch/model_renewal_test.go
+++ b/dispatch/model_renewal_test.go
@@ -135,7 +135,7 @@
 		return
 	}
 	w.execute(x, Order{Kind: orderRenewal}, call)
-	rep := workload.Report{StartedMS: x.incarnation, ClockMS: w.clock(x).Milliseconds(), Ended: slices.Clone(x.ended[:min(len(x.ended), modelReportedEnds)])}
+	rep := workload.Report{StartedMS: x.incarnation, ClockMS: w.clock(x).Milliseconds(), Ended: slices.Clone(x.ended[:min(len(x.ended), w.maxEnds)]), EndsTruncated: len(x.ended) >= w.maxEnds}
 	for _, n := range slices.SortedFunc(maps.Keys(x.runs), compareNames) {
 		rep.Running = append(rep.Running, workload.ActiveRun{Task: n, Run: x.runs[n].number, PercentDone: int(w.now/time.Millisecond) % 100})
 	}
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -33,10 +33,11 @@
 	revision    store.Revision
 	termsSeen   map[int]time.Duration // when the claims of former owners were seen
 	calm        bool                  // no random faults, and runs that last
+	maxEnds     int                   // that a report lists
 }
 
 func newSimulation(t *rapid.T) *simulation {
-	w := &simulation{T: t, now: time.Second, workers: make(map[fleet.WorkerID]*modelWorker), jobs: make(map[fleet.JobID]*modelJob), records: make(map[fleet.WorkerID]StoredRecord), revision: 1, termsSeen: make(map[int]time.Duration)}
+	w := &simulation{T: t, now: time.Second, workers: make(map[fleet.WorkerID]*modelWorker), jobs: make(map[fleet.JobID]*modelJob), records: make(map[fleet.WorkerID]StoredRecord), revision: 1, termsSeen: make(map[int]time.Duration), maxEnds: modelReportedEnds}
 	for i := range 3 {
 		id := modelWorkerID(i)
 		w.workers[id] = &modelWorker{id: id, entry: 1, listed: true}
--- a/dispatch/outcomes.go
+++ b/dispatch/outcomes.go
@@ -152,6 +152,7 @@
 			m.release(r, now)
 			w.lapsed = append(w.lapsed, r)
 		}
+		m.expireUnlisted(w, now)
 		m.dropIfEmpty(w, now)
 	}
 }
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -147,11 +147,11 @@
 		marks.UnreachedSince = m.term
 	}
 	switch idle := w.Draining || now-max(w.reportedAt, w.foundAt) >= limit; {
-	case !w.adopted && now < w.formerLeaseEnd: // it may have runs that are not stored
+	case w.mayHoldUnknown(now): // it may have runs that are not stored
 	case !idle:
 		marks.Closed = false
 	case !marks.Closed:
-		marks.Closed = !slices.ContainsFunc(w.runs, func(r *run) bool { return r.task.job.saved < r.placedVersion })
+		marks.Closed = !slices.ContainsFunc(slices.Concat(w.runs, w.unlistedRuns()), func(r *run) bool { return r.task.job.saved < r.placedVersion })
 	}
 	return marks
 }
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -45,17 +45,11 @@
 	for _, r := range rep.Running {
 		m.handleRunning(w, r, now)
 	}
-	if first {
-		m.adoptInherited(w, rep, now)
-	}
-	for _, r := range slices.Clone(w.runs) {
-		if r.lastReport != w.reportCount && m.confirmedAbsent(r, sent) {
-			m.emit("run_absent", r.task.name.Job, "task", r.task.name, "run", r.number, "worker", id, "age", now-r.orderedAt)
-			if r.restarted {
-				m.recordCrash(r.task, r.number, r.restartWeight, now)
-			}
-			m.release(r, now)
-		}
+	m.catchUp(w, rep, first, now)
+	if rep.EndsTruncated {
+		m.retireAbsent(w, sent, now)
+	} else {
+		m.releaseAbsent(w, sent, now)
 	}
 	w.acknowledgeEnds()
 	w.colocated.setTails(m.interference, w.runs)
@@ -73,6 +67,10 @@
 
 // handleRunning processes a run that a worker reports as running.
 func (m *Machine) handleRunning(w *worker, rep workload.ActiveRun, now time.Duration) {
+	if r, ok := w.unlisted[runKey{rep.Task, rep.Run}]; ok {
+		r.lastReport = w.reportCount // the report is older than the one that shows that it has ended
+		return
+	}
 	r := w.find(rep.Task, rep.Run)
 	if r == nil {
 		if r = m.adopt(w, rep, now); r == nil {
@@ -140,11 +138,8 @@
 	t.runs = append(t.runs, r)
 	t.lastRun = max(t.lastRun, number)
 	t.step.lastGangRun = max(t.step.lastGangRun, number)
-	t.step.runsOnWorker[w.ID]++
 	t.job.runCount++
-	w.runs = append(w.runs, r)
-	w.addUsage(t.step.Step, 1)
-	w.colocated.add(m.interference, t.step.Step, 1)
+	m.occupy(r)
 	t.formerWorker = ""
 	if t.job.state == workload.StateQueued {
 		t.job.state = workload.StateRunning
@@ -158,6 +153,36 @@
 	return r
 }
 
+// occupy adds a run to those on its worker.
+func (m *Machine) occupy(r *run) {
+	w, s := r.worker, r.task.step
+	w.runs = append(w.runs, r)
+	s.runsOnWorker[w.ID]++
+	w.addUsage(s.Step, 1)
+	w.colocated.add(m.interference, s.Step, 1)
+}
+
+// vacate removes a run from those on its worker, and reports whether it was one.
+func (m *Machine) vacate(r *run) bool {
+	w, s := r.worker, r.task.step
+	at := slices.Index(w.runs, r)
+	if at < 0 {
+		return false
+	}
+	w.runs = slices.Delete(w.runs, at, at+1)
+	r.endProbation()
+	w.addUsage(s.Step, -1)
+	w.colocated.add(m.interference, s.Step, -1)
+	if s.runsOnWorker[w.ID]--; s.runsOnWorker[w.ID] == 0 {
+		delete(s.runsOnWorker, w.ID)
+	}
+	if r.starved {
+		r.starved = false
+		w.starvedRuns--
+	}
+	return true
+}
+
 // addUsage adds n times the resources of a task of a step to the worker's usage; n is
 // negative to subtract.
 func (w *worker) addUsage(s *workload.Step, n int64) {
@@ -175,23 +200,14 @@
 // release removes a run that is certainly not on its worker and can't appear there.
 func (m *Machine) release(r *run, now time.Duration) {
 	w, t := r.worker, r.task
-	at := slices.Index(w.runs, r)
-	if at < 0 {
+	if _, ok := w.unlisted[r.key()]; ok {
+		delete(w.unlisted, r.key())
+	} else if !m.vacate(r) {
 		return
 	}
-	w.runs = slices.Delete(w.runs, at, at+1)
-	r.endProbation()
-	w.addUsage(t.step.Step, -1)
-	w.colocated.add(m.interference, t.step.Step, -1)
-	if t.step.runsOnWorker[w.ID]--; t.step.runsOnWorker[w.ID] == 0 {
-		delete(t.step.runsOnWorker, w.ID)
-	}
 	if t.job.runCount--; t.job.runCount == 0 {
 		t.job.idleSince = now
 	}
-	if r.starved {
-		w.starvedRuns--
-	}
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
 	if len(t.runs) == 0 && !t.done {
 		t.step.waitingCount++
@@ -215,6 +231,12 @@
 		orderedAt = r.orderedAt
 		m.learnRunTime(r, e, now)
 		m.release(r, now)
+	} else if r := w.unlisted[runKey{e.Task, e.Run}]; r != nil {
+		orderedAt = r.orderedAt // when it ended is not known
+		m.release(r, now)
+	}
+	if t.formerWorker == w.ID && t.lastRun == e.Run {
+		t.formerWorker = ""
 	}
 	t.lastRun = max(t.lastRun, e.Run)
 	if e.Checkpoint != "" {
--- a/dispatch/takeover.go
+++ b/dispatch/takeover.go
@@ -43,9 +43,9 @@
 }
 
 // allAdopted reports whether every worker that might have runs known only to a
-// former owner has reported to this one, or can no longer have any.
+// former owner has reported all of them to this one, or can no longer have any.
 func (m *Machine) allAdopted(now time.Duration) bool {
-	return now >= m.formerLeasesEnd || !slices.ContainsFunc(m.workerList, func(w *worker) bool { return w.isAwaited(now) })
+	return !slices.ContainsFunc(m.workerList, func(w *worker) bool { return w.isAwaited(now) })
 }
 
 // allReported reports whether every worker has reported to this owner that the former one
@@ -54,10 +54,10 @@
 	return !slices.ContainsFunc(m.workerList, func(w *worker) bool { return !w.adopted && !w.record.wasClosed })
 }
 
-// isAwaited reports whether a worker may have runs known only to a former owner and has
-// not reported to this one. Nothing was started on one without a record.
+// isAwaited reports whether a worker may have runs, or ends of runs, known only to a former
+// owner. Nothing was started on one without a record.
 func (w *worker) isAwaited(now time.Duration) bool {
-	return w.record.inherited && !w.adopted && !w.record.wasClosed && now < w.formerLeaseEnd
+	return w.record.inherited && !w.record.wasClosed && w.mayHoldUnknown(now)
 }
 
 // reserveInherited keeps the processor free that inherited serving tasks need while they are
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -16,6 +16,7 @@
 	unlistedAt time.Duration // when its entry was removed; 0: this owner has not seen that
 	record     recordState
 	adopted    bool // has reported to this owner
+	caughtUp   bool // has sent a complete report to this owner
 	leased     bool // has been sent a lease by this owner
 	// formerLeaseEnd is when the leases that former owners have extended have ended.
 	formerLeaseEnd time.Duration
@@ -25,6 +26,7 @@
 	unknownRuns        int
 	incarnationStartMS int64           // Unix time at which the newest known incarnation started; 0: unknown
 	runs               []*run          // in the order of their start
+	unlisted           map[runKey]*run // ended, as a truncated report shows, which does not list their ends
 	used               fleet.Resources // by the runs that count against its capacity
 	serving            int64           // millicores of serving runs
 	bestEffort         int64           // millicores requested by best-effort runs
@@ -109,7 +111,7 @@
 
 // dropIfEmpty forgets an unlisted worker that can't have runs of this owner.
 func (m *Machine) dropIfEmpty(w *worker, now time.Duration) {
-	if w.listed && !w.replaced || len(w.runs) > 0 || now < w.leaseEnd || w.mayHaveCrashed(now) {
+	if w.listed && !w.replaced || len(w.runs) > 0 || len(w.unlisted) > 0 || now < w.leaseEnd || w.mayHaveCrashed(now) {
 		return
 	}
 	if w.record.writing {
@@ -143,6 +145,7 @@
 	w.tailsAreOwn = false
 	w.leaseEnd = max(w.leaseEnd, now+leaseBound(m.limits.LongestLease))
 	w.incarnationStartMS, w.processedEnd, w.acknowledgedEnd, w.unacknowledged, w.leased, w.unknownRuns = startMS, 0, 0, nil, false, 0
+	m.restartUnlisted(w, now)
 	for _, r := range slices.Clone(w.runs) {
 		m.emit("run_restarted_under", r.task.name.Job, "task", r.task.name, "run", r.number, "worker", w.ID, "age", now-r.orderedAt,
 			"accepted", r.confirmedAt > 0, "reported", r.lastReport > 0, "stopping", r.state == runStopping)
@@ -165,12 +168,13 @@
 		return
 	}
 	m.emit("worker_replaced", "", "worker", id, "runs", len(w.runs), "report_age", now-w.reportedAt)
-	w.replaced, w.adopted, w.leaseEnd, w.unknownRuns = true, true, now, 0
+	w.replaced, w.adopted, w.caughtUp, w.leaseEnd, w.unknownRuns = true, true, true, now, 0
 	m.recordLapsedCrashes(w, now)
 	for _, r := range slices.Clone(w.runs) {
 		m.recordCrash(r.task, r.number, m.weighCrash(r), now)
 		m.release(r, now)
 	}
+	m.releaseUnlisted(w, now)
 	m.recordInheritedCrashes(w, now)
 	m.dropIfEmpty(w, now)
 }
@@ -186,11 +190,11 @@
 }
 
 // Addresses returns the addresses of the workers whose leases are to be renewed: all
-// but those that have reported, have no entry any more and have no runs.
+// but those that have sent a complete report, have no entry any more and have no runs.
 func (m *Machine) Addresses() map[fleet.WorkerID]string {
 	addresses := make(map[fleet.WorkerID]string, len(m.workers))
 	for id, w := range m.workers {
-		if !w.replaced && (w.listed || !w.adopted || len(w.runs) > 0 || len(w.lapsed) > 0) {
+		if !w.replaced && (w.listed || !w.caughtUp || len(w.runs) > 0 || len(w.unlisted) > 0 || len(w.lapsed) > 0) {
 			addresses[id] = w.Address
 		}
 	}
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -222,6 +222,9 @@
 	ClockMS   int64 // the worker's clock
 	Running   []ActiveRun
 	Ended     []EndedRun
+	// EndsTruncated means that further ends may follow those in Ended, the oldest ones
+	// that the worker has not forgotten. Running is always complete.
+	EndsTruncated bool
 }
 
 // Progress is the durable state of a job's tasks.
