--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -193,7 +193,6 @@
 			after = e.Key
 			m.applyNewer([]store.Event{{Entry: e}})
 		}
-		more = more && len(entries) > 0
 	}
 	m.mu.Lock()
 	var gone []store.Event
--- a/owner/load.go
+++ b/owner/load.go
@@ -129,7 +129,10 @@
 	var first store.Revision
 	after, more := "", true
 	for more {
-		entries, truncated, revision, err := d.readPage(ctx, prefix, after)
+		var entries []store.Entry
+		var revision store.Revision
+		var err error
+		entries, more, revision, err = d.readPage(ctx, prefix, after)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -140,7 +143,6 @@
 			all[e.Key] = e
 			after = e.Key
 		}
-		more = truncated && len(entries) > 0
 	}
 	return all, first, nil
 }
