A machine is removed only after two lists without it

A machine that one list lacked counted as removed: its wave could be completed without it (MIXED), and one that is down for its upkeep no longer counted towards the cap (LIMIT). Not seen on the platform; found by asking of each list that comes in pages what makes absence from it safe.

A machine that only the last list lacks keeps its state, and one that the first list of an owner lacks may be down.

TestLateWriteReopensWave passes two lists without the machine instead of one, as that is what removal now takes; what it checks is unchanged.

--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -17,6 +17,9 @@
 	waves    []*waveState
 	machines map[string]workload.Machine
 	listed   bool // machines has been set
+	// absences counts the last lists in a row without a machine. Pages are no snapshot, so
+	// that a list may lack one that is there.
+	absences map[string]int
 	// ordersFrom is when this owner may first order maintenance, so that it does not
 	// alternate with the former one.
 	ordersFrom time.Duration
@@ -62,15 +65,34 @@
 	m.emit("wave_taken_in", "", "wave", w.Number, "machines", len(w.Machines), "cap", w.MaxDown, "begun", len(s.started))
 }
 
-// SetMachines replaces the platform's list of machines.
+// absentLists is how many lists in a row lack a machine that has been removed.
+const absentLists = 2
+
+// SetMachines replaces the platform's list of machines. A machine that only this list lacks
+// keeps its state.
 func (m *Machine) SetMachines(list []workload.Machine) {
-	m.maintenance.machines = make(map[string]workload.Machine, len(list))
+	before, absences := m.maintenance.machines, m.maintenance.absences
+	m.maintenance.machines, m.maintenance.absences = make(map[string]workload.Machine, len(list)), make(map[string]int)
 	for _, x := range list {
 		m.maintenance.machines[x.ID] = x
 	}
+	for _, w := range m.maintenance.waves {
+		for _, id := range w.Machines {
+			if _, ok := m.maintenance.machines[id]; ok || m.maintenance.absences[id] > 0 {
+				continue
+			}
+			m.maintenance.absences[id] = absences[id] + 1
+			if x, ok := before[id]; ok && !m.maintenance.isRemoved(id) {
+				m.maintenance.machines[id] = x
+			}
+		}
+	}
 	m.maintenance.listed = true
 }
 
+// isRemoved reports whether a machine is no longer on the platform.
+func (s *maintenance) isRemoved(id string) bool { return s.absences[id] >= absentLists }
+
 // WavesOpen reports whether any wave is not completed.
 func (m *Machine) WavesOpen() bool {
 	return slices.ContainsFunc(m.maintenance.waves, func(w *waveState) bool { return !w.completed })
@@ -100,12 +122,12 @@
 		x, known := m.maintenance.machines[id]
 		switch {
 		case w.started[id]:
-			if known && x.State != workload.MachineUp {
+			if !m.maintenance.isRemoved(id) && (!known || x.State != workload.MachineUp) {
 				down++
 			}
 			continue
-		case !known:
-			continue // it was removed from the platform
+		case m.maintenance.isRemoved(id):
+			continue
 		}
 		remaining++
 		// A machine may be down by an order that a former owner could not record.
--- a/owner/waves_test.go
+++ b/owner/waves_test.go
@@ -24,7 +24,9 @@
 		t.Fatal("no record of the wave was written")
 	}
 	d.deps.Store = s
-	d.machine.SetMachines(nil) // m1 has been removed, which completes the wave
+	for range 2 {
+		d.machine.SetMachines(nil) // m1 has been removed, which completes the wave
+	}
 	d.machine.Plan(steady.Now()+farFuture, 0)
 	d.commitWaves()
 	key, completed := platform.WaveStatusEntry(1, true)
