A worker is closed only once the ends of its runs are stored

The record of a draining or silent worker says that all placements on it are stored, so that the next owner awaits it only for tasks that are known to have run there. It looked at runs only: one that had ended, with neither its placement nor its end stored yet, was not counted, and the next owner could start its task before it had read the end (TWICE). Not seen in a run; found while reading what a new owner takes for complete.

TestWorkerIsClosedBeforeItsEndsAreStored failed before.

--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -151,11 +151,18 @@
 	case !idle:
 		marks.Closed = false
 	case !marks.Closed:
-		marks.Closed = !slices.ContainsFunc(slices.Concat(w.runs, w.unlistedRuns()), func(r *run) bool { return r.task.job.saved < r.placedVersion })
+		marks.Closed = !w.hasUnstored()
 	}
 	return marks
 }
 
+// hasUnstored reports whether a placement on the worker is not stored, or the end of a run
+// whose placement may not be.
+func (w *worker) hasUnstored() bool {
+	return slices.ContainsFunc(slices.Concat(w.runs, w.unlistedRuns()), func(r *run) bool { return r.task.job.saved < r.placedVersion }) ||
+		slices.ContainsFunc(w.unacknowledged, func(e unacknowledgedEnd) bool { return e.job != nil && e.job.saved < e.version })
+}
+
 // WorkerWritesDone records that writes are stored at a revision.
 func (m *Machine) WorkerWritesDone(writes []WorkerWrite, revision store.Revision) {
 	for _, x := range writes {
