--- a/internal/standin/wire/machines_test.go
+++ b/internal/standin/wire/machines_test.go
@@ -23,7 +23,7 @@
 
 func TestMachineListIsWhole(t *testing.T) {
 	m := newTestMachines(t, newTestWorker(t), 2*machinesPerPage+2)
-	machines, err := platform.NewMachineClient(m.Address(), "h1").List()
+	machines, err := platform.NewMachineClient(m.Address(), "h1", func() bool { return true }).List()
 	if err != nil || len(machines) != 2*machinesPerPage+2 {
 		t.Fatalf("%d machines, error %v", len(machines), err)
 	}
@@ -48,7 +48,7 @@
 func TestMachineObeysAnyOrder(t *testing.T) {
 	w := newTestWorker(t)
 	m := newTestMachines(t, w, 1)
-	c := platform.NewMachineClient(m.Address(), "h1")
+	c := platform.NewMachineClient(m.Address(), "h1", func() bool { return true })
 	requireRefusal(t, "no such machine", c.StartMaintenance("m-77", 1, 5), platform.RefusedInvalid)
 	requireRefusal(t, "another wave", c.StartMaintenance("m-00", 2, 5), "wave")
 	requireRefusal(t, "in order", c.StartMaintenance("m-00", 1, 5), "")
@@ -69,7 +69,7 @@
 
 func TestMachineOrdersHaveNoRate(t *testing.T) {
 	m := newTestMachines(t, newTestWorker(t), 1)
-	c := platform.NewMachineClient(m.Address(), "h1")
+	c := platform.NewMachineClient(m.Address(), "h1", func() bool { return true })
 	m.mu.Lock()
 	m.duties.perSecond, m.reads.perSecond = 2, 2
 	m.mu.Unlock()
