--- a/dispatch/attribution.go
+++ b/dispatch/attribution.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/fuchsiahill/fuchsiahill/workload"
 )
 
 // A high tail latency does not show its cause: the worker may be slow, or the serving task
@@ -159,6 +161,18 @@
 	}
 }
 
+// endedBeside notes that a run of a step has left a worker.
+func (m *Machine) endedBeside(w *worker, s *workload.Step, now time.Duration) {
+	switch {
+	case s.BestEffort:
+		w.loadedAt = now
+	case s.Serving && s.TargetMS > 0:
+		if image := m.interference.serving.number(s.Image); w.colocated.serving[image] == 0 {
+			m.endTrial(w, image)
+		}
+	}
+}
+
 // endTrial takes back the raises for a serving image whose last task has left the worker.
 func (m *Machine) endTrial(w *worker, serving int) {
 	w.trials = slices.DeleteFunc(w.trials, func(t *trial) bool {
