--- a/dispatch/attribution.go
+++ b/dispatch/attribution.go
@@ -147,15 +147,15 @@
 	t.peak = max(t.peak, tail)
 	switch {
 	case high && unloaded:
-		kept := 1.0
+		kept := keptNone
 		if tail < ownTailShare*t.peak {
 			kept = (t.peak - tail) / t.predicted
 		}
-		m.settle(w, t, "high in a pause", upTo(kept))
+		m.settle(w, t, "high in a pause", kept)
 	case high && t.fellAt > 0:
-		m.settle(w, t, "high again", all)
+		m.settle(w, t, "high again", keptAll)
 	case t.fellAt > 0 && now-t.fellAt >= trialPeriod:
-		m.settle(w, t, "not high in a pause", all)
+		m.settle(w, t, "not high in a pause", keptAll)
 	case tail < lowTail && t.fellAt == 0:
 		t.fellAt = now
 	}
@@ -179,43 +179,40 @@
 		if t.serving != serving {
 			return false
 		}
-		m.settle(w, t, "serving task gone", none)
+		m.settle(w, t, "serving task gone", keptNone)
 		return true
 	})
 }
 
-// none, upTo and all say how much of the factor of a raise is confirmed.
-func none(float64) float64       { return 1 }
-func all(factor float64) float64 { return factor }
-func upTo(most float64) func(float64) float64 {
-	return func(factor float64) float64 { return min(factor, max(most, 1)) }
-}
+// keptNone and keptAll are the factors up to which raises are confirmed that are refuted, and
+// confirmed as a whole.
+var keptNone, keptAll = 1.0, math.Inf(1)
 
-// settle confirms the given part of each raise of a trial, and takes the rest back.
-func (m *Machine) settle(w *worker, t *trial, why string, confirmed func(factor float64) float64) {
+// settle confirms each raise of a trial up to the factor kept, and takes the rest back.
+func (m *Machine) settle(w *worker, t *trial, why string, kept float64) {
 	in := m.interference
 	bestEffortImages, servingImages := in.bestEffort.names(), in.serving.names()
 	for _, r := range t.raises {
 		before := *in.entry(r.bestEffort, r.serving)
 		event := "interference_refuted"
-		if confirmed(r.factor) > 1 {
+		if kept > keptNone {
 			event = "interference_confirmed"
 		}
-		in.settle(r, confirmed)
+		in.settle(r, kept)
 		m.emit(event, "", "worker", w.ID, "image", bestEffortImages[r.bestEffort], "beside", servingImages[r.serving], "why", why,
-			"factor", r.factor, "confirmed", confirmed(r.factor), "pressure", *in.entry(r.bestEffort, r.serving), "before", before)
+			"factor", r.factor, "confirmed", min(r.factor, max(kept, keptNone)), "pressure", *in.entry(r.bestEffort, r.serving), "before", before)
 	}
 	t.raises = nil
 }
 
-// settle confirms the given part of a raise, and takes the rest back, except what later
+// settle confirms a raise up to the factor kept, and takes the rest back, except what later
 // observations have corrected already.
-func (in *interference) settle(r pressureRaise, confirmed func(factor float64) float64) {
+func (in *interference) settle(r pressureRaise, kept float64) {
 	unconfirmed := in.unconfirmedFactor(r.bestEffort, r.serving)
 	factor := min(r.factor, *unconfirmed)
 	*unconfirmed = withoutRounding(*unconfirmed/factor, 1)
 	p := in.entry(r.bestEffort, r.serving)
-	*p = withoutRounding(max(*p/factor*confirmed(factor), minPressure), initialPressure)
+	*p = withoutRounding(max(*p/factor*min(factor, max(kept, keptNone)), minPressure), initialPressure)
 }
 
 // withoutRounding returns x, or exact if x differs from that by rounding only.
--- a/dispatch/attribution_trial_test.go
+++ b/dispatch/attribution_trial_test.go
@@ -121,7 +121,7 @@
 		raises := in.raise(0, tail, []imageUsage{{image: 0, share: 0.2}})
 		raises2 := in.raise(0, tail, []imageUsage{{image: 0, share: 0.2}})
 		for _, r := range append(raises, raises2...) {
-			in.settle(r, none)
+			in.settle(r, keptNone)
 		}
 		if in.interferes(0) {
 			known++
