--- a/owner/commit.go
+++ b/owner/commit.go
@@ -99,10 +99,10 @@
 	}
 }
 
-// transaction builds the store transaction for writes, conditional on ownership
-// and on the revisions of the keys that it replaces.
+// transaction builds the store transaction for writes, conditional on the revisions of the
+// keys that it replaces.
 func (d *dispatcher) transaction(writes []dispatch.Write) (store.Txn, error) {
-	txn := store.Txn{Checks: []store.Check{{Key: intake.OwnerKey, Revision: d.revision}}}
+	var txn store.Txn
 	for _, w := range writes {
 		id := string(w.Job)
 		if w.StateChanged {
--- a/owner/commit_test.go
+++ b/owner/commit_test.go
@@ -54,6 +54,11 @@
 	return d, s
 }
 
+// replaceStore replaces the store behind that of the term.
+func (d *dispatcher) replaceStore(s store.Transactional) {
+	d.deps.Store.(*termStore).Transactional = s
+}
+
 // storeRecords stores the records of workers that are due.
 func (d *dispatcher) storeRecords(t *testing.T) {
 	t.Helper()
--- a/owner/dispatcher.go
+++ b/owner/dispatcher.go
@@ -10,6 +10,7 @@
 
 	"github.com/fuchsiahill/fuchsiahill/dispatch"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/intake"
 	"github.com/fuchsiahill/fuchsiahill/internal/steady"
 	"github.com/fuchsiahill/fuchsiahill/internal/wait"
 	"github.com/fuchsiahill/fuchsiahill/platform"
@@ -106,8 +107,10 @@
 		owner: o, deps: o.deps, term: term, revision: revision, lease: lease, planRequested: make(chan struct{}, 1),
 		machine: dispatch.New(limits, term, steady.Now()),
 		workers: make(map[fleet.WorkerID]*workerLoop), lastTokens: make(map[fleet.WorkerID]int64), submissions: make(map[fleet.JobID]bool), withheld: make(map[fleet.JobID]store.Event), workerEntries: make(map[fleet.WorkerID]workload.Worker), waveRevisions: make(map[string]store.Revision), waveRecordRevisions: make(map[int64]store.Revision),
-		inFlight: newInFlight(), limiter: orderLimiter{limits: limitsOf(h)}, connections: platform.NewConnections(h.UsableDescriptors()),
+		inFlight: newInFlight(), limiter: orderLimiter{limits: limitsOf(h)},
 	}
+	d.deps.Store = &termStore{Transactional: o.deps.Store, claim: store.Check{Key: intake.OwnerKey, Revision: revision}}
+	d.connections = platform.NewConnections(h.UsableDescriptors(), func() bool { return d.authorised(steady.Now()) })
 	d.machine.RecordTerms(o.claimsSeen())
 	d.authorityEnd.Store(int64(sent + ownerTTL))
 	d.reason.Store("unknown")
@@ -130,22 +133,28 @@
 	return now < end || now < end+maxStoreOutage && d.workersAnswer(now)
 }
 
+// holdsLease reports whether no other host can be the owner. Orders to machines need that: a
+// machine knows of a later owner only once that one has ordered it, while a worker does from
+// its first renewal.
+func (d *dispatcher) holdsLease() bool {
+	return steady.Now() < time.Duration(d.authorityEnd.Load())
+}
+
 const (
 	// maxStoreOutage bounds dispatching without the store. The longest outage
 	// in the users' requirements is 9 s.
 	maxStoreOutage = 15 * time.Second
-	// minAnsweredShare is the fraction of the workers that must have answered
-	// within answeredWindow.
+	// minAnsweredShare is the fraction of the workers that must have answered a
+	// renewal sent within answeredWindow, which leaves a second beyond the long poll.
 	minAnsweredShare = 0.8
-	answeredWindow   = time.Second
+	answeredWindow   = renewalLongPoll + time.Second
 	// formerOwnerSlack is how long after a change of owner the former one may
-	// still renew a worker that the new one can't reach: answeredWindow, plus a
-	// renewal in flight.
-	formerOwnerSlack = answeredWindow + 600*time.Millisecond
+	// still renew a worker that the new one can't reach.
+	formerOwnerSlack = answeredWindow
 )
 
 // workersAnswer reports whether at least minAnsweredShare of the workers have
-// answered a renewal within answeredWindow.
+// answered a renewal sent within answeredWindow.
 func (d *dispatcher) workersAnswer(now time.Duration) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/owner/handover.go
+++ b/owner/handover.go
@@ -44,10 +44,7 @@
 func (d *dispatcher) storeTermAges() {
 	value, err := json.Marshal(d.owner.claim(d.term))
 	if err == nil {
-		_, err = d.deps.Store.Commit(store.Txn{
-			Checks: []store.Check{{Key: intake.OwnerKey, Revision: d.revision}},
-			Puts:   []store.Put{{Key: intake.TermKey, Value: value}},
-		})
+		_, err = d.deps.Store.Commit(store.Txn{Puts: []store.Put{{Key: intake.TermKey, Value: value}}})
 	}
 	if err != nil {
 		d.deps.Log("term_ages_not_stored", "term", d.term, "err", err)
--- a/owner/orders.go
+++ b/owner/orders.go
@@ -119,7 +119,7 @@
 func hasFailed(err error) bool {
 	var unknown *platform.UnknownOutcomeError
 	var notSent *platform.NotSentError
-	return errors.As(err, &unknown) || errors.As(err, &notSent) && !notSent.Busy
+	return errors.As(err, &unknown) || errors.As(err, &notSent) && !notSent.Local
 }
 
 // classifyOutcome returns the outcome of an order from the error of its call.
--- a/owner/orders_test.go
+++ b/owner/orders_test.go
@@ -63,7 +63,7 @@
 			defer server.Close()
 			d, _ := testDispatcher(t)
 			address := strings.TrimPrefix(server.URL, "http://")
-			w := &workerLoop{id: "w1", client: platform.NewWorkerClient("w1", address, new(platform.Connections)), token: 1, clockMS: 1, clockAt: steady.Now(), deadline: time.Hour.Milliseconds()}
+			w := &workerLoop{id: "w1", client: platform.NewWorkerClient("w1", address, d.connections), token: 1, clockMS: 1, clockAt: steady.Now(), deadline: time.Hour.Milliseconds()}
 			d.authorityEnd.Store(int64(steady.Now() + left))
 			for _, kind := range []dispatch.OrderKind{dispatch.OrderStart, dispatch.OrderStop, dispatch.OrderThrottle} {
 				d.sendOrder(w, dispatch.Order{Kind: kind, Worker: "w1", Task: workload.TaskName{Job: "a"}, Run: 1})
--- a/owner/publish.go
+++ b/owner/publish.go
@@ -67,10 +67,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = d.deps.Store.Commit(store.Txn{
-		Checks: []store.Check{{Key: intake.OwnerKey, Revision: d.revision}},
-		Puts:   []store.Put{{Key: intake.LoadKey, Value: value}},
-	})
+	_, err = d.deps.Store.Commit(store.Txn{Puts: []store.Put{{Key: intake.LoadKey, Value: value}}})
 	return err
 }
 
@@ -86,10 +83,7 @@
 			continue
 		}
 		if err == nil {
-			_, err = d.deps.Store.Commit(store.Txn{
-				Checks: []store.Check{{Key: intake.OwnerKey, Revision: d.revision}},
-				Puts:   []store.Put{{Key: intake.EstimatesKey, Value: value}},
-			})
+			_, err = d.deps.Store.Commit(store.Txn{Puts: []store.Put{{Key: intake.EstimatesKey, Value: value}}})
 		}
 		if err != nil {
 			d.deps.Log("lessons_not_stored", "term", d.term, "err", err)
--- a/owner/records.go
+++ b/owner/records.go
@@ -60,7 +60,7 @@
 // owns dispatching.
 func (d *dispatcher) commitRecords(ctx context.Context, writes []dispatch.WorkerWrite) {
 	began := steady.Now()
-	revision, err := d.commitRepeatedly(ctx, recordTransaction(d.revision, writes))
+	revision, err := d.commitRepeatedly(ctx, recordTransaction(writes))
 	var conflict *store.TxnConflictError
 	switch {
 	case err == nil, errors.As(err, &conflict):
@@ -119,8 +119,8 @@
 }
 
 // recordTransaction builds the store transaction for changes of worker records.
-func recordTransaction(owner store.Revision, writes []dispatch.WorkerWrite) store.Txn {
-	txn := store.Txn{Checks: []store.Check{{Key: intake.OwnerKey, Revision: owner}}}
+func recordTransaction(writes []dispatch.WorkerWrite) store.Txn {
+	var txn store.Txn
 	for _, w := range writes {
 		key := intake.WorkerPrefix + string(w.ID)
 		txn.Checks = append(txn.Checks, store.Check{Key: key, Revision: w.Revision})
--- a/owner/records_test.go
+++ b/owner/records_test.go
@@ -39,7 +39,7 @@
 				t.Fatalf("writes %v, want the record of w2", writes)
 			}
 			faulty := &faultyStore{Transactional: s, memory: s, fault: tt.fault, always: !tt.recovers}
-			d.deps.Store = faulty
+			d.replaceStore(faulty)
 			began := steady.Now()
 			d.commitRecords(t.Context(), writes)
 			if took := steady.Now() - began; tt.starts > 0 && took > 2*recordRetryDelay {
--- a/owner/restart_test.go
+++ b/owner/restart_test.go
@@ -76,7 +76,7 @@
 
 // loopFor returns the renewal loop of w1 for a scripted worker, without a goroutine.
 func loopFor(d *dispatcher, s *scriptedWorker) *workerLoop {
-	w := &workerLoop{id: "w1", address: s.address(), client: platform.NewWorkerClient("w1", s.address(), new(platform.Connections)), cancel: func() {}, answered: true, token: 7}
+	w := &workerLoop{id: "w1", address: s.address(), client: platform.NewWorkerClient("w1", s.address(), platform.NewConnections(0, always)), cancel: func() {}, answered: true, token: 7}
 	d.workers["w1"] = w
 	d.authorityEnd.Store(int64(steady.Now() + time.Hour))
 	return w
@@ -293,7 +293,7 @@
 	d.machine.StartAnswered(started[0], dispatch.Accepted, now)
 	w := loopFor(d, newScriptedWorker(t))
 	for _, id := range []fleet.WorkerID{"w0", "w1"} {
-		w.id, w.client = id, platform.NewWorkerClient(id, address, new(platform.Connections))
+		w.id, w.client = id, platform.NewWorkerClient(id, address, platform.NewConnections(0, always))
 		if err := d.renewOnce(w, 0); err == nil {
 			t.Fatal("a worker with another ID took the renewal")
 		}
@@ -347,7 +347,7 @@
 		err      error
 		extended bool
 	}{
-		"busy":          {&platform.NotSentError{Busy: true}, true},
+		"busy":          {&platform.NotSentError{Local: true}, true},
 		"refused":       {&platform.RefusedError{Reason: platform.RefusedUnhealthy}, true},
 		"no connection": {&platform.NotSentError{}, false},
 		"no answer":     {&platform.UnknownOutcomeError{}, false},
--- a/owner/sweep.go
+++ b/owner/sweep.go
@@ -23,7 +23,7 @@
 		keys := d.keysEndedBefore(time.Now().Add(-time.Duration(retentionFactor * float64(d.deps.Settings.StatusRetention))))
 		for len(keys) > 0 && ctx.Err() == nil {
 			n := min(len(keys), store.MaxTxnEntries-1)
-			_, err := d.deps.Store.Commit(store.Txn{Checks: []store.Check{{Key: intake.OwnerKey, Revision: d.revision}}, Deletes: keys[:n]})
+			_, err := d.deps.Store.Commit(store.Txn{Deletes: keys[:n]})
 			if err != nil {
 				d.deps.Log("sweep_failed", "keys", len(keys), "err", err)
 				break // retried by the next sweep
--- a/owner/waves.go
+++ b/owner/waves.go
@@ -8,7 +8,6 @@
 
 	"github.com/fuchsiahill/fuchsiahill/dispatch"
 	"github.com/fuchsiahill/fuchsiahill/intake"
-	"github.com/fuchsiahill/fuchsiahill/internal/steady"
 	"github.com/fuchsiahill/fuchsiahill/internal/wait"
 	"github.com/fuchsiahill/fuchsiahill/platform"
 	"github.com/fuchsiahill/fuchsiahill/store"
@@ -24,33 +23,38 @@
 	if d.deps.Settings.MachinesAddress == "" {
 		return
 	}
-	machines := platform.NewMachineClient(d.deps.Settings.MachinesAddress, d.deps.Settings.Host)
+	machines := platform.NewMachineClient(d.deps.Settings.MachinesAddress, d.deps.Settings.Host, d.holdsLease)
 	for wait.For(ctx, waveInterval) == nil {
-		if !d.loadWaves() || !d.authorised(steady.Now()) {
+		if !d.loadWaves() || !d.holdsLease() {
 			continue
 		}
-		list, err := machines.List()
+		d.advanceWaves(machines)
+	}
+}
+
+// advanceWaves reads the list of machines and sends the maintenance orders that are due.
+func (d *dispatcher) advanceWaves(machines *platform.MachineClient) {
+	list, err := machines.List()
+	if err != nil {
+		d.deps.Log("machines_unread", "term", d.term, "err", err)
+		return
+	}
+	d.mu.Lock()
+	d.machine.SetMachines(list)
+	orders := d.machine.TakeMaintenanceOrders()
+	d.mu.Unlock()
+	d.requestPlan()
+	for _, o := range orders {
+		err := machines.StartMaintenance(o.Machine, o.Wave, int64(d.term))
+		outcome := classifyOutcome(err)
 		if err != nil {
-			d.deps.Log("machines_unread", "term", d.term, "err", err)
-			continue
+			d.deps.Log("order_failed", "kind", "upkeep", "machine", o.Machine, "wave", o.Wave, "outcome", outcome, "err", err)
 		}
 		d.mu.Lock()
-		d.machine.SetMachines(list)
-		orders := d.machine.TakeMaintenanceOrders()
+		d.machine.MaintenanceAnswered(o, outcome)
 		d.mu.Unlock()
-		d.requestPlan()
-		for _, o := range orders {
-			err := machines.StartMaintenance(o.Machine, o.Wave, int64(d.term))
-			outcome := classifyOutcome(err)
-			if err != nil {
-				d.deps.Log("order_failed", "kind", "upkeep", "machine", o.Machine, "wave", o.Wave, "outcome", outcome, "err", err)
-			}
-			d.mu.Lock()
-			d.machine.MaintenanceAnswered(o, outcome)
-			d.mu.Unlock()
-		}
-		d.commitWaves()
 	}
+	d.commitWaves()
 }
 
 // loadWaves passes new or changed wave requests to the machine, and reports
@@ -117,7 +121,7 @@
 		var revision store.Revision
 		if err == nil {
 			revision, err = d.deps.Store.Commit(store.Txn{
-				Checks: []store.Check{{Key: intake.OwnerKey, Revision: d.revision}, {Key: recordKey, Revision: d.waveRecordRevisions[record.Wave]}},
+				Checks: []store.Check{{Key: recordKey, Revision: d.waveRecordRevisions[record.Wave]}},
 				Puts:   []store.Put{{Key: recordKey, Value: value}, {Key: key, Value: status}},
 			})
 		}
--- a/owner/waves_test.go
+++ b/owner/waves_test.go
@@ -18,12 +18,12 @@
 	d, s := testDispatcher(t)
 	d.machine.SetWave(workload.Wave{Number: 1, Machines: []string{"m1"}, MaxDown: 1}, dispatch.WaveRecord{})
 	late := &withholdingStore{Transactional: s}
-	d.deps.Store = late
+	d.replaceStore(late)
 	d.commitWaves()
 	if late.txn == nil {
 		t.Fatal("no record of the wave was written")
 	}
-	d.deps.Store = s
+	d.replaceStore(s)
 	d.machine.SetMachines(nil) // m1 has been removed, which completes the wave
 	d.machine.Plan(steady.Now()+farFuture, 0)
 	d.commitWaves()
