An entry that the store refuses no longer holds up the others

A transaction that was refused for its content (400) was treated as one that failed: all of its jobs became due again, the oldest first, so that the entry at fault was in the next one too, and only one was sent at a time.

store.CommitDivided divides such a transaction until the entry at fault is alone, and commits the others. A refused job or record is tried again alone after 5 s; a final state isn't held back. Waves, estimates and load are held back for 5 s as well. Refusals are logged (entry_refused) and counted (store_entries_refused). A refused submission is answered as not accepted, where its whole batch had an unknown outcome. Answers of 500 and above say nothing about the content and leave the outcome unknown.

The tests failed with refusals treated as failures, as before: the progress of 6 of 9 other jobs and the records of 14 of 14 other workers were not stored; load, waves and estimates were sent 10 times in a row; 9 other submissions of a batch had an unknown outcome.

--- a/dispatch/forgotten.go
+++ b/dispatch/forgotten.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/store"
@@ -37,19 +38,19 @@
 	if f.sent {
 		f.record.doomed = f.record.revision
 	}
-	f.record.wasClosed = false
+	f.record.wasClosed, f.record.hold = false, hold{}
 	return f.record
 }
 
 // takeDeletes returns up to limit deletes of the records of forgotten workers.
-func (m *Machine) takeDeletes(limit int) []WorkerWrite {
+func (m *Machine) takeDeletes(limit int, now time.Duration) []WorkerWrite {
 	var writes []WorkerWrite
 	for i := range m.forgotten {
 		f := &m.forgotten[i]
 		if len(writes) == limit {
 			break
 		}
-		if f.writing {
+		if f.writing || f.record.hold.active(now) {
 			continue
 		}
 		f.writing, f.sent = true, true
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -27,6 +27,7 @@
 	version, saving, saved int64
 	// urgent is set by changes that must be written at once; others may be batched.
 	urgent        bool
+	hold          hold
 	dirtySince    time.Duration  // of the oldest change that is not being saved
 	storedState   workload.State // state that is stored
 	runCount      int            // current runs of all its tasks
@@ -318,6 +319,7 @@
 func (m *Machine) endJob(j *job, state workload.State, now time.Duration) {
 	j.state = state
 	j.markUrgent()
+	j.hold = hold{}
 	m.recordJobEnded(j, now)
 	m.demand.released.add(float64(servingRequest(&j.Job)), now)
 	for _, o := range j.occurrences {
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -43,6 +43,7 @@
 	doomed    store.Revision // at this revision the key may still be deleted
 	startedMS int64          // incarnation that it names
 	writing   bool
+	hold      hold
 	stored    WorkerMarks // by the last write that was answered
 	possible  WorkerMarks // may be stored
 	unsettled bool        // a write without an answer may have stored other marks, or may still
@@ -85,7 +86,8 @@
 
 // TakeWorkerWrites returns the changes of worker records that are due at now, as many
 // as fit into a transaction of the given number of entries. A worker is not returned
-// again before WorkerWritesDone or WorkerWritesFailed.
+// again before WorkerWritesDone, WorkerWritesFailed or WorkerWriteRefused. One that was
+// refused is returned alone.
 func (m *Machine) TakeWorkerWrites(entries int, now time.Duration) []WorkerWrite {
 	limit := entries / entriesPerWorker
 	var writes []WorkerWrite
@@ -94,14 +96,17 @@
 			return writes
 		}
 		marks, due := m.recordDue(w, now)
-		if !due {
+		if !due || w.record.hold.refused && len(writes) > 0 {
 			continue
 		}
 		w.record.writing = true
 		w.record.possible.add(marks)
 		writes = append(writes, WorkerWrite{WorkerRecord: WorkerRecord{w.Worker, marks}, Revision: w.record.revision})
+		if w.record.hold.refused {
+			return writes
+		}
 	}
-	return append(writes, m.takeDeletes(limit-len(writes))...)
+	return append(writes, m.takeDeletes(limit-len(writes), now)...)
 }
 
 const (
@@ -122,7 +127,7 @@
 func (m *Machine) recordDue(w *worker, now time.Duration) (marks WorkerMarks, due bool) {
 	marks = m.marks(w, now)
 	switch {
-	case w.record.writing:
+	case w.record.writing, w.record.hold.active(now):
 		return marks, false
 	case !w.record.isStored():
 		return marks, w.listed || len(w.runs) > 0
@@ -171,7 +176,7 @@
 			m.emit("worker_quiet", "", "worker", x.ID, "quiet", x.Closed, "unreached_since", x.UnreachedSince, "draining", w.Draining, "revision", revision, "runs", len(w.runs))
 		}
 		w.record.writing, w.record.unsettled, w.record.revision, w.record.startedMS = false, false, revision, x.StartedMS
-		w.record.stored, w.record.possible = x.WorkerMarks, x.WorkerMarks
+		w.record.stored, w.record.possible, w.record.hold = x.WorkerMarks, x.WorkerMarks, hold{}
 	}
 }
 
--- a/dispatch/writes.go
+++ b/dispatch/writes.go
@@ -51,12 +51,15 @@
 }
 
 // TakeWrites returns the writes that are due at now, as many as fit into a transaction
-// of the given number of entries. A job is not returned again before WritesDone or
-// WritesFailed.
+// of the given number of entries. A job is not returned again before WritesDone,
+// WritesFailed or WriteRefused. One that was refused is returned alone.
 func (m *Machine) TakeWrites(entries int, now time.Duration) []Write {
 	var writes []Write
 	for _, id := range m.dirtyJobs(now) {
 		j := m.jobs[id]
+		if j.hold.refused && len(writes) > 0 {
+			continue
+		}
 		w := Write{
 			Job: id, Queue: j.Queue, AcceptedMS: j.AcceptedMS, State: j.state, StateChanged: j.state != j.storedState, Revision: j.revision, ProgressRevision: j.progressRevision, version: j.version,
 		}
@@ -68,6 +71,9 @@
 			w.Progress = j.progress()
 		}
 		writes = append(writes, w)
+		if j.hold.refused {
+			break
+		}
 	}
 	return writes
 }
@@ -86,7 +92,7 @@
 func (m *Machine) dirtyJobs(now time.Duration) []fleet.JobID {
 	var ids []fleet.JobID
 	for id, j := range m.jobs {
-		if j.version > j.saved && j.saving == j.saved && (j.urgent || now-j.dirtySince >= placementBatchDelay) {
+		if j.version > j.saved && j.saving == j.saved && !j.hold.active(now) && (j.urgent || now-j.dirtySince >= placementBatchDelay) {
 			ids = append(ids, id)
 		}
 	}
@@ -101,7 +107,7 @@
 		if !ok {
 			continue
 		}
-		j.saved, j.saving = w.version, w.version
+		j.saved, j.saving, j.hold = w.version, w.version, hold{}
 		if !w.State.Final() {
 			j.progressRevision = max(j.progressRevision, revision)
 		}
@@ -125,6 +131,36 @@
 	}
 }
 
+// hold keeps an entry that the store refused for its content from being written, as it is
+// probably refused again.
+type hold struct {
+	refused bool // the last write was refused
+	until   time.Duration
+}
+
+// active reports whether the entry must not be written at now.
+func (h hold) active(now time.Duration) bool { return now < h.until }
+
+// WriteRefused makes a write due again at a time. The store refused it for its content.
+func (m *Machine) WriteRefused(w Write, until time.Duration) {
+	m.WritesFailed([]Write{w})
+	if j, ok := m.jobs[w.Job]; ok && (w.State.Final() || !j.state.Final()) { // a final state replaces the content
+		j.hold = hold{true, until}
+	}
+}
+
+// WorkerWriteRefused is WriteRefused for the record of a worker.
+func (m *Machine) WorkerWriteRefused(x WorkerWrite, until time.Duration) {
+	m.WorkerWritesFailed([]WorkerWrite{x}, nil)
+	if x.Delete {
+		if at := m.forgottenIndex(x.ID); at >= 0 {
+			m.forgotten[at].record.hold = hold{true, until}
+		}
+	} else if w := m.workers[x.ID]; w != nil {
+		w.record.hold = hold{true, until}
+	}
+}
+
 // forgetEnded forgets jobs whose final state is stored and that have no runs.
 func (m *Machine) forgetEnded() {
 	for id, j := range m.jobs {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -145,10 +145,18 @@
 	return nil
 }
 
-// commitBatch writes a batch. On a conflict it answers the submissions of
-// existing jobs and retries the others.
+// commitBatch writes a batch, and answers its submissions.
 func (in *Intake) commitBatch(batch []*submission) {
-	for range maxCASAttempts {
+	store.CommitDivided(batch, in.commitTogether, func(s *submission, err error) {
+		s.done <- &RefusedError{Reason: "the store refuses the job: " + err.Error()}
+	})
+}
+
+// commitTogether writes submissions in one transaction. On a conflict it answers those of
+// existing jobs and retries the others. Unless the transaction is refused for its content,
+// it answers all of them.
+func (in *Intake) commitTogether(batch []*submission) error {
+	for attempt := range maxCASAttempts {
 		var txn store.Txn
 		for _, s := range batch {
 			key := StatePrefix + string(s.job.ID)
@@ -158,9 +166,15 @@
 		}
 		_, err := in.store.Commit(txn)
 		var conflict *store.TxnConflictError
-		if !errors.As(err, &conflict) {
+		switch {
+		case store.IsRefused(err) && attempt == 0:
+			return err
+		case store.IsRefused(err):
+			in.commitBatch(batch) // without those that have been answered
+			return nil
+		case !errors.As(err, &conflict):
 			in.replyAll(batch, err)
-			return
+			return nil
 		}
 		var remaining []*submission
 		for _, s := range batch {
@@ -171,10 +185,11 @@
 			}
 		}
 		if batch = remaining; len(batch) == 0 {
-			return
+			return nil
 		}
 	}
 	in.replyAll(batch, &store.UnavailableError{Op: "submit", Cause: errors.New("conflicts")})
+	return nil
 }
 
 // replyAll answers the submissions of a batch with the outcome of a commit.
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -56,24 +56,32 @@
 const maxCommitBackoffShift = 4
 
 // commit writes changes of jobs, on condition that this host still owns
-// dispatching.
+// dispatching. Jobs that the store refuses for their content are held back.
 func (d *dispatcher) commit(writes []dispatch.Write) {
+	store.CommitDivided(writes, d.commitJobs, d.writeRefused)
+}
+
+// commitJobs writes changes of jobs in one transaction, and returns its error. It leaves
+// the writes as they are if the transaction is refused for its content.
+func (d *dispatcher) commitJobs(writes []dispatch.Write) error {
 	txn, err := d.transaction(writes)
 	if err != nil {
-		d.deps.Log("commit_failed", "jobs", len(writes), "err", err)
-		return
+		return err
 	}
 	began := steady.Now()
 	revision, err := d.deps.Store.Commit(txn)
 	d.deps.Metrics.Observe("commit", steady.Now()-began)
 	var conflict *store.TxnConflictError
 	errors.As(err, &conflict)
+	if store.IsRefused(err) {
+		return err
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err == nil {
 		d.failedCommits.Store(0)
 		d.machine.WritesDone(writes, revision)
-		return
+		return nil
 	}
 	d.machine.WritesFailed(writes)
 	if conflict == nil {
@@ -81,11 +89,11 @@
 	}
 	d.deps.Log("commit_failed", "jobs", len(writes), "age", steady.Now()-began, "err", err)
 	if conflict == nil {
-		return
+		return err
 	}
 	if conflict.At(intake.OwnerKey).Revision != d.revision {
 		d.end("the owner key has changed")
-		return
+		return err
 	}
 	for _, e := range conflict.Current {
 		if id, ok := strings.CutPrefix(e.Key, intake.ProgressPrefix); ok {
@@ -97,6 +105,7 @@
 			}
 		}
 	}
+	return err
 }
 
 // transaction builds the store transaction for writes, conditional on the revisions of the
@@ -119,7 +128,7 @@
 		}
 		value, err := json.Marshal(w.Progress)
 		if err != nil {
-			return txn, err
+			return txn, &store.BadRequestError{Message: err.Error()}
 		}
 		txn.Checks = append(txn.Checks, store.Check{Key: intake.ProgressPrefix + id, Revision: w.ProgressRevision})
 		txn.Puts = append(txn.Puts, store.Put{Key: intake.ProgressPrefix + id, Value: value})
--- a/owner/dispatcher.go
+++ b/owner/dispatcher.go
@@ -65,6 +65,7 @@
 	planRequested chan struct{}
 	// failedCommits counts consecutive failed commits.
 	failedCommits atomic.Int64
+	heldBack      heldBack // entries of transactions with a single entry
 	// failedRecordCommits counts those of worker records.
 	failedRecordCommits atomic.Int64
 
--- a/owner/publish.go
+++ b/owner/publish.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = d.deps.Store.Commit(store.Txn{Puts: []store.Put{{Key: intake.LoadKey, Value: value}}})
+	_, err = d.commitAlone(intake.LoadKey, store.Txn{Puts: []store.Put{{Key: intake.LoadKey, Value: value}}})
 	return err
 }
 
@@ -75,16 +75,7 @@
 func (d *dispatcher) storeEstimatesLoop(ctx context.Context) {
 	var stored []byte
 	for wait.For(ctx, estimatesInterval) == nil {
-		d.mu.Lock()
-		estimates := d.machine.Estimates(steady.Now())
-		d.mu.Unlock()
-		value, err := json.Marshal(estimates)
-		if err == nil && bytes.Equal(value, stored) {
-			continue
-		}
-		if err == nil {
-			_, err = d.deps.Store.Commit(store.Txn{Puts: []store.Put{{Key: intake.EstimatesKey, Value: value}}})
-		}
+		value, err := d.storeEstimates(stored)
 		if err != nil {
 			d.deps.Log("lessons_not_stored", "term", d.term, "err", err)
 			continue
@@ -93,6 +84,20 @@
 	}
 }
 
+// storeEstimates stores the machine's learned estimates unless they are as stored before,
+// and returns the stored value.
+func (d *dispatcher) storeEstimates(stored []byte) ([]byte, error) {
+	d.mu.Lock()
+	estimates := d.machine.Estimates(steady.Now())
+	d.mu.Unlock()
+	value, err := json.Marshal(estimates)
+	if err != nil || bytes.Equal(value, stored) {
+		return stored, err
+	}
+	_, err = d.commitAlone(intake.EstimatesKey, store.Txn{Puts: []store.Put{{Key: intake.EstimatesKey, Value: value}}})
+	return value, err
+}
+
 // restoreEstimates passes the former owner's learned estimates to the machine.
 // They are optional: dispatching continues if they can't be read.
 func (d *dispatcher) restoreEstimates() {
--- a/owner/records.go
+++ b/owner/records.go
@@ -57,12 +57,21 @@
 }
 
 // commitRecords stores changes of worker records, on condition that this host still
-// owns dispatching.
+// owns dispatching. Records that the store refuses for their content are held back.
 func (d *dispatcher) commitRecords(ctx context.Context, writes []dispatch.WorkerWrite) {
+	commit := func(writes []dispatch.WorkerWrite) error { return d.commitWorkers(ctx, writes) }
+	store.CommitDivided(writes, commit, d.workerWriteRefused)
+}
+
+// commitWorkers stores changes of worker records in one transaction, and returns its
+// error. It leaves the writes as they are if the transaction is refused for its content.
+func (d *dispatcher) commitWorkers(ctx context.Context, writes []dispatch.WorkerWrite) error {
 	began := steady.Now()
 	revision, err := d.commitRepeatedly(ctx, recordTransaction(writes))
 	var conflict *store.TxnConflictError
 	switch {
+	case store.IsRefused(err):
+		return err
 	case err == nil, errors.As(err, &conflict):
 		d.failedRecordCommits.Store(0)
 	default:
@@ -73,7 +82,7 @@
 	}
 	if conflict != nil && conflict.At(intake.OwnerKey).Revision != d.revision {
 		d.end("the owner key has changed")
-		return
+		return err
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -83,6 +92,7 @@
 		d.machine.WorkerWritesFailed(writes, d.currentRecords(conflict, writes))
 	}
 	d.requestPlan()
+	return err
 }
 
 // commitRepeatedly sends a transaction until one of its attempts is answered. At most
--- a/owner/sweep.go
+++ b/owner/sweep.go
@@ -23,8 +23,7 @@
 		keys := d.keysEndedBefore(time.Now().Add(-time.Duration(retentionFactor * float64(d.deps.Settings.StatusRetention))))
 		for len(keys) > 0 && ctx.Err() == nil {
 			n := min(len(keys), store.MaxTxnEntries-1)
-			_, err := d.deps.Store.Commit(store.Txn{Deletes: keys[:n]})
-			if err != nil {
+			if err := d.sweep(keys[:n]); err != nil {
 				d.deps.Log("sweep_failed", "keys", len(keys), "err", err)
 				break // retried by the next sweep
 			}
@@ -33,6 +32,19 @@
 	}
 }
 
+// sweep deletes keys, and returns the first error that is no refusal of a single key.
+func (d *dispatcher) sweep(keys []string) error {
+	var failed error
+	store.CommitDivided(keys, func(keys []string) error {
+		_, err := d.deps.Store.Commit(store.Txn{Deletes: keys})
+		if failed == nil && !store.IsRefused(err) {
+			failed = err
+		}
+		return err
+	}, func(key string, err error) { d.refused(key, err) })
+	return failed
+}
+
 // keysEndedBefore returns the state keys of jobs that ended before limit.
 func (d *dispatcher) keysEndedBefore(limit time.Time) []string {
 	var keys []string
--- a/owner/waves.go
+++ b/owner/waves.go
@@ -120,7 +120,7 @@
 		value, err := json.Marshal(record)
 		var revision store.Revision
 		if err == nil {
-			revision, err = d.deps.Store.Commit(store.Txn{
+			revision, err = d.commitAlone(recordKey, store.Txn{
 				Checks: []store.Check{{Key: recordKey, Revision: d.waveRecordRevisions[record.Wave]}},
 				Puts:   []store.Put{{Key: recordKey, Value: value}, {Key: key, Value: status}},
 			})
