Stored progress is bounded by what is under way

Ended occurrences and tasks that are done are stored as ranges. Values of earlier builds are read; hosts of earlier builds don't read ranges. Members of a gang that are done keep their run numbers until the whole gang is done, as the next run of the gang needs a higher one. The end of a failed run that a worker lists again to the next owner isn't counted as a further failure if the task is done, as the numbers of its failed runs are no longer stored.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -148,6 +148,7 @@
 	if state.Final() {
 		return
 	}
+	nj.restoreDone(progress)
 	for _, p := range progress.Tasks {
 		if t := nj.restore(p); t != nil && t.formerWorker != "" {
 			m.inherited[t.formerWorker] = append(m.inherited[t.formerWorker], t)
@@ -204,6 +205,29 @@
 	return t
 }
 
+// restoreDone applies the stored ranges of what is done. Numbers that the job doesn't have
+// are ignored.
+func (j *job) restoreDone(p workload.Progress) {
+	for _, r := range p.EndedOccurrences {
+		for k := max(0, r.First); k < min(r.First+r.Count, j.Occurrences()); k++ {
+			for _, s := range j.occurrence(k).steps {
+				for _, t := range s.tasks {
+					t.done = true
+				}
+			}
+		}
+	}
+	for _, r := range p.Done {
+		for i := range r.Count {
+			t := j.find(workload.TaskName{Job: j.ID, Occurrence: r.Occurrence, Step: r.Step, Index: r.First + i})
+			if t == nil {
+				break
+			}
+			t.done = true
+		}
+	}
+}
+
 // recount sets the counters of an occurrence after its tasks were restored.
 func (o *occurrence) recount() {
 	o.stepsLeft = 0
@@ -227,15 +251,27 @@
 	return !slices.ContainsFunc(s.After, func(i int) bool { return o.steps[i].doneCount < o.steps[i].Count })
 }
 
-// progress returns the state of the job's tasks that must be stored.
+// progress returns the state of the job's tasks that must be stored. Its size is bounded by
+// what is under way: what is done is stored as ranges.
 func (j *job) progress() workload.Progress {
 	var p workload.Progress
 	for k, o := range j.occurrences {
 		if o == nil {
 			continue
 		}
+		if o.stepsLeft == 0 {
+			p.EndOccurrence(k)
+			continue
+		}
 		for i, s := range o.steps {
+			// The other members of a gang are started with a run number above those of the
+			// ones that are done.
+			omitRuns := !s.Gang || s.doneCount == s.Count
 			for x, t := range s.tasks {
+				if t.done && omitRuns {
+					p.EndTask(t.name)
+					continue
+				}
 				if t.lastRun == 0 && !t.done {
 					continue
 				}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -237,7 +237,7 @@
 		w.failureStreak = 0
 		m.markTaskDone(t, now)
 	case workload.OutcomeFailed:
-		if slices.Contains(t.failedRuns, e.Run) {
+		if slices.Contains(t.failedRuns, e.Run) || t.done && orderedAt == 0 { // not stored of tasks that are done
 			return
 		}
 		t.failedRuns = append(t.failedRuns, e.Run)
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -224,11 +224,54 @@
 	Ended     []EndedRun
 }
 
-// Progress is the durable state of a job's tasks.
+// Progress is the durable state of a job's tasks. Hosts of earlier builds stored the tasks
+// that are done among Tasks.
 type Progress struct {
+	// EndedOccurrences are the occurrences of which all tasks are done.
+	EndedOccurrences []Range `json:"o,omitempty"`
+	// Done are tasks of other occurrences that are done.
+	Done []TaskRange `json:"e,omitempty"`
+	// Tasks are those that have been started and are in neither of these.
 	Tasks []TaskProgress `json:"t,omitempty"`
 }
 
+// Range is a range of numbers.
+type Range struct {
+	First int `json:"i,omitempty"`
+	Count int `json:"n"`
+}
+
+// TaskRange is a range of the tasks of a step.
+type TaskRange struct {
+	Occurrence int `json:"k,omitempty"`
+	Step       int `json:"s,omitempty"`
+	Range
+}
+
+// next is the number that follows the range.
+func (r Range) next() int { return r.First + r.Count }
+
+// EndOccurrence adds an occurrence that is done. It follows the ones added before.
+func (p *Progress) EndOccurrence(k int) {
+	if n := len(p.EndedOccurrences); n > 0 && p.EndedOccurrences[n-1].next() == k {
+		p.EndedOccurrences[n-1].Count++
+		return
+	}
+	p.EndedOccurrences = append(p.EndedOccurrences, Range{k, 1})
+}
+
+// EndTask adds a task that is done. It follows the ones added before.
+func (p *Progress) EndTask(name TaskName) {
+	if n := len(p.Done); n > 0 {
+		last := &p.Done[n-1]
+		if last.Occurrence == name.Occurrence && last.Step == name.Step && last.next() == name.Index {
+			last.Count++
+			return
+		}
+	}
+	p.Done = append(p.Done, TaskRange{name.Occurrence, name.Step, Range{name.Index, 1}})
+}
+
 // TaskProgress is the durable state of one task.
 type TaskProgress struct {
 	Occurrence int     `json:"k,omitempty"`
