The next owner runs occurrences that waited while later ones ran

Callers saw a timed job that stayed running for good: its first occurrence waited for the only worker that may run it, the second one ran, and the owner was killed.

Each owner now counts from the first occurrence and creates what is missing.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -23,6 +23,7 @@
 	inherited        bool          // was accepted under a former owner
 	arrivedAt        time.Duration // when it was accepted
 	occurrences      []*occurrence // by number; future ones are nil or missing
+	dueOccurrences   int           // how many this owner has found due
 
 	version, saving, saved int64
 	// urgent is set by changes that must be written at once; others may be batched.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -120,14 +120,16 @@
 	return jobs
 }
 
-// createDueOccurrences creates the occurrences that are due.
+// createDueOccurrences creates the occurrences that are due. What a former owner has stored may
+// lack some of them: a later one can have run while an earlier one waited.
 func (m *Machine) createDueOccurrences(j *job, unixMS int64) {
 	if j.Repeats == 0 {
 		j.occurrence(0)
 		return
 	}
-	for len(j.occurrences) < j.Repeats && unixMS >= j.FirstMS+int64(len(j.occurrences))*j.IntervalMS {
-		j.occurrence(len(j.occurrences))
+	for j.dueOccurrences < j.Repeats && unixMS >= j.FirstMS+int64(j.dueOccurrences)*j.IntervalMS {
+		j.occurrence(j.dueOccurrences)
+		j.dueOccurrences++
 	}
 }
 
