--- a/review/standin2/jobs.go
+++ b/review/standin2/jobs.go
@@ -98,6 +98,13 @@
 	return nil
 }
 
+// startsOf returns how many runs of a job have begun.
+func (s *site) startsOf(j *job) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return j.startsTotal
+}
+
 // runEnded records the end of a run.
 func (s *site) runEnded(m *minion, r *taskRun, how string) {
 	s.mu.Lock()
