--- a/review/standin2/rolling.go
+++ b/review/standin2/rolling.go
@@ -96,13 +96,11 @@
 			continue
 		}
 		s.record("SIGTERM to %s", h.name)
-		_ = h.cmd.Process.Signal(syscall.SIGTERM)
+		h.signal(syscall.SIGTERM)
 		go func() {
-			_ = h.cmd.Wait()
-			if err := h.start(s.daemon); err != nil {
-				s.record("%s not started: %v", h.name, err)
+			if h.restart(s.daemon) {
+				s.record("%s is started again", h.name)
 			}
-			s.record("%s is started again", h.name)
 		}()
 	}
 }
--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -156,7 +156,10 @@
 	callers  string // address
 	settings string // path
 	log      string // path
-	cmd      *exec.Cmd
+
+	mu    sync.Mutex // held from the end of a process to the start of the next one
+	cmd   *exec.Cmd
+	ended bool // no process is started any more
 }
 
 func freeAddress() (string, error) {
@@ -220,10 +223,38 @@
 		return err
 	}
 	defer log.Close() // the process has its own descriptor
-	h.cmd = exec.CommandContext(context.Background(), daemon, "node")
-	h.cmd.Env = []string{"FUCHSIAHILL_BOOT=" + h.settings, "PATH=" + os.Getenv("PATH")}
-	h.cmd.Stdout, h.cmd.Stderr = log, log
-	return h.cmd.Start()
+	cmd := exec.CommandContext(context.Background(), daemon, "node")
+	cmd.Env = []string{"FUCHSIAHILL_BOOT=" + h.settings, "PATH=" + os.Getenv("PATH")}
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	h.cmd = cmd
+	return nil
+}
+
+// signal sends a signal to the present process, if there is one.
+func (h *host) signal(sig syscall.Signal) {
+	if h.cmd != nil && h.cmd.Process != nil {
+		_ = h.cmd.Process.Signal(sig) // fails only if it has ended
+	}
+}
+
+// restart waits for the end of the present process and starts the next one, unless the host is
+// ended. It reports whether it has started one.
+func (h *host) restart(daemon string) bool {
+	_ = h.cmd.Wait() // ended by a signal
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.ended && h.start(daemon) == nil
+}
+
+// end kills the present process and starts no further one.
+func (h *host) end() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ended = true
+	h.signal(syscall.SIGKILL)
 }
 
 // awaitReady waits until each host answers a question about its queue.
@@ -251,12 +282,7 @@
 // close ends the hosts and stops the stand-ins.
 func (s *site) close() {
 	for _, h := range s.hosts {
-		if h.cmd == nil || h.cmd.Process == nil {
-			continue
-		}
-		_ = h.cmd.Process.Signal(syscall.SIGCONT)
-		_ = h.cmd.Process.Kill()
-		_ = h.cmd.Wait() // it was killed
+		h.end()
 	}
 	s.store.Close()
 	s.mu.Lock()
