--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -138,6 +138,8 @@
 	// utilisationReportedAt is when the utilisation event was last emitted.
 	utilisationReportedAt time.Duration
 	workspacesReportedAt  time.Duration // when the waits of workspaces were last emitted
+	// servingWaitsReportedAt is when the waits of serving tasks were last emitted.
+	servingWaitsReportedAt time.Duration
 }
 
 const (
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -46,6 +46,7 @@
 	m.recordWorkspaceWaits(jobs, p, now)
 	m.recordUtilisation(jobs, p, now)
 	m.recordTakeover(now)
+	m.recordServingWaits(now)
 	m.lastPlanAt = now
 }
 
