--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -98,7 +98,7 @@
 			if t.formerConfirmed {
 				weight = possibleCrash
 			}
-			t.formerWorker = ""
+			t.forgetFormerRun(now)
 			m.recordCrash(t, t.lastRun, weight, now)
 		}
 	}
--- a/dispatch/forgotten.go
+++ b/dispatch/forgotten.go
@@ -11,18 +11,41 @@
 
 // forgottenRecord is the record of a forgotten worker, which is to be deleted. It is
 // kept until it is known that the delete was executed or never will be.
+//
+// Invariant: the record is deleted only once no stored progress names the worker. Without
+// a record, the next owner can't tell when the leases of the worker have ended.
 type forgottenRecord struct {
-	id      fleet.WorkerID
-	record  recordState
-	writing bool
-	sent    bool // a delete may be executed, now or later
+	id       fleet.WorkerID
+	record   recordState
+	unstored []unstoredJob // may be stored with a run on the worker
+	writing  bool
+	sent     bool // a delete may be executed, now or later
+}
+
+// unstoredJob is a job whose stored progress is older than a version.
+type unstoredJob struct {
+	job     *job
+	version int64
 }
 
 // forgetRecord makes the record of a worker due to be deleted.
 func (m *Machine) forgetRecord(w *worker) {
-	if w.record.revision != 0 {
-		m.forgotten = append(m.forgotten, forgottenRecord{id: w.ID, record: w.record})
+	if w.record.revision == 0 {
+		return
 	}
+	f := forgottenRecord{id: w.ID, record: w.record}
+	for _, j := range m.jobs {
+		if j.saved < j.version {
+			f.unstored = append(f.unstored, unstoredJob{j, j.version})
+		}
+	}
+	m.forgotten = append(m.forgotten, f)
+}
+
+// mayDelete reports whether no stored progress names the worker.
+func (f *forgottenRecord) mayDelete() bool {
+	f.unstored = slices.DeleteFunc(f.unstored, func(u unstoredJob) bool { return u.job.saved >= u.version })
+	return len(f.unstored) == 0
 }
 
 // restoreForgotten returns what is stored about a worker that is found again. A delete
@@ -50,7 +73,7 @@
 		if len(writes) == limit {
 			break
 		}
-		if f.writing || f.record.hold.active(now) {
+		if f.writing || f.record.hold.active(now) || !f.mayDelete() {
 			continue
 		}
 		f.writing, f.sent = true, true
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -296,6 +296,22 @@
 	return p
 }
 
+// forgetFormerRun records that no run of the task exists any more that a former owner started.
+func (t *task) forgetFormerRun(now time.Duration) {
+	if t.formerWorker != "" {
+		t.formerWorker = ""
+		t.job.recordPlacementEnd(now)
+	}
+}
+
+// recordPlacementEnd makes the progress due to be written after a run has ended: the next owner
+// would wait for the leases of the worker that the stored one names.
+func (j *job) recordPlacementEnd(now time.Duration) {
+	if !j.state.Final() {
+		j.markDirty(now)
+	}
+}
+
 // failures returns the number of failed runs.
 func (t *task) failures() int { return len(t.failedRuns) }
 
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -213,6 +213,9 @@
 		t.job.idleSince = now
 	}
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
+	if !t.done {
+		t.job.recordPlacementEnd(now)
+	}
 	if len(t.runs) == 0 && !t.done {
 		t.step.waitingCount++
 		t.waitingSince = now
@@ -240,7 +243,7 @@
 		m.release(r, now)
 	}
 	if t.formerWorker == w.ID && t.lastRun == e.Run {
-		t.formerWorker = ""
+		t.forgetFormerRun(now)
 	}
 	t.lastRun = max(t.lastRun, e.Run)
 	if e.Checkpoint != "" {
--- a/dispatch/takeover.go
+++ b/dispatch/takeover.go
@@ -125,7 +125,7 @@
 		end = max(w.leaseEnd, end)
 	}
 	if now >= end || ok && w.caughtUp {
-		t.formerWorker = ""
+		t.forgetFormerRun(now)
 		return false
 	}
 	return true
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -186,3 +186,65 @@
 	}
 	t.Errorf("w1 runs %v, want the inherited task among them", r.running["w1"])
 }
+
+// forgottenAfter is the time after which an owner has forgotten a lost worker.
+const forgottenAfter = crashMemory + 5*time.Second
+
+// An owner that saw a run end with its worker, while no other one had room, did not store
+// that: each later owner waited anew for the former leases of a worker that nothing is
+// recorded of.
+func TestEndOfRunOnLostWorkerIsNotStored(t *testing.T) {
+	tests := map[string]func(r *succession){
+		"seen by the owner that started it": func(r *succession) { r.leave("w2") },
+		"seen by the next owner": func(r *succession) {
+			r.leave("w2")
+			r.takeOver()
+		},
+		"seen by the owner after the next": func(r *succession) {
+			r.leave("w2")
+			r.takeOver()
+			r.pass(2 * time.Second)
+			r.takeOver()
+		},
+	}
+	for name, lose := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newSuccession(t)
+			r.list("w1", true) // no room
+			lose(r)
+			r.pass(forgottenAfter)
+			if _, ok := r.records["w2"]; ok {
+				t.Fatal("the lost worker is still recorded")
+			}
+			r.list("w1", false)
+			r.takeOver()
+			r.pass(startDelay)
+			if !r.serves() {
+				t.Errorf("the task does not run %v after the takeover, with room for it", startDelay)
+			}
+		})
+	}
+}
+
+// The record of a lost worker was deleted while the stored progress of a job still named the
+// worker: an owner that took over in between waited for the longest former lease.
+func TestRecordIsDeletedBeforeProgressThatNamesItsWorker(t *testing.T) {
+	r := newSuccession(t)
+	r.list("w1", true) // no room
+	r.leave("w2")
+	for end := r.now + forgottenAfter; r.now < end; r.now += 100 * time.Millisecond {
+		r.m.Plan(r.now, 0)
+		writes := r.m.TakeWorkerWrites(31, r.now)
+		for _, x := range writes {
+			if x.Delete {
+				t.Fatalf("the record of %s is deleted, the stored progress is %+v", x.ID, r.progress.Tasks)
+			}
+		}
+		r.m.WorkerWritesDone(writes, 50)
+	}
+	r.store()
+	r.pass(time.Second)
+	if _, ok := r.records["w2"]; ok {
+		t.Error("the lost worker is still recorded once the progress is stored")
+	}
+}
