--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -130,7 +130,8 @@
 	// worker has reported may exist until formerLeasesEnd.
 	startedAt          time.Duration
 	formerLeasesEnd    time.Duration
-	calledPromptly     bool                  // see maxCallDelay
+	claimedAt          time.Duration         // before this owner's claim was made
+	handingOver        bool                  // see BeginHandover
 	termsSeen          map[int]time.Duration // when a claim of ownership was seen first, by term
 	lastPlanAt         time.Duration         // when the last plan was made
 	takeoverComplete   bool                  // reported by takeover_complete
@@ -155,7 +156,7 @@
 // term 1.
 func New(limits Limits, term int, now time.Duration) *Machine {
 	return &Machine{
-		limits: limits, term: term, startedAt: now, lastPlanAt: now, formerLeasesEnd: now + leaseBound(limits.LeaseMax),
+		limits: limits, term: term, startedAt: now, claimedAt: now, lastPlanAt: now, formerLeasesEnd: now + leaseBound(limits.LeaseMax),
 		rankInTime: finishStarted, rankLate: finishStartedLate, config: &workload.Config{}, dataCentresOut: make(map[fleet.DataCentre]bool),
 		workers: make(map[fleet.WorkerID]*worker), jobs: make(map[fleet.JobID]*job), inherited: make(map[fleet.WorkerID][]*task), workspaceUsed: make(map[string]fleet.Resources), workspaceServing: make(map[string]fleet.Resources), submissions: make(map[string]*submissions), queues: make(map[string]*queueStats),
 		jobSizes: make(map[string]*jobSizeStats), startRoom: StartRoom{Starts: startsPerPlan, Bytes: math.MaxInt},
--- a/dispatch/model_takeover_test.go
+++ b/dispatch/model_takeover_test.go
@@ -100,3 +100,74 @@
 		w.checkWaiting()
 	})
 }
+
+// handOver shuts the owner down: it stores what its successor has to know, as far as the store
+// answers, and is replaced. None of its commits is executed after that.
+func (w *simulation) handOver() {
+	w.trace("owner of term %d shuts down", w.term)
+	w.m.BeginHandover()
+	for range 3 {
+		w.commitWrites()
+	}
+	w.lateCommits = nil
+	w.takeOver()
+}
+
+// TestTaskRunsTwiceAfterHandover checks the Machine against the rules while owners are shut
+// down: what the last one has stored of leases must hold for the next.
+func TestTaskRunsTwiceAfterHandover(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newSimulation(t)
+		actions := w.actions(t)
+		actions["owner shut down"] = func(*rapid.T) { w.handOver() }
+		actions["worker cut and owner shut down"] = func(*rapid.T) {
+			x := w.anyWorker()
+			x.partitioned = true
+			for range rapid.IntRange(0, 3).Draw(t, "steps") {
+				w.advance()
+			}
+			w.handOver()
+			w.advance()
+			x.partitioned = rapid.Bool().Draw(t, "stays cut")
+		}
+		t.Repeat(actions)
+	})
+}
+
+// TestTaskWaitsLongerWithTenOwners checks that the tasks of a lost worker run again once its
+// lease has ended, while ten owners follow one another in 20 to 50 s. The wait may not depend
+// on when they do.
+func TestTaskWaitsLongerWithTenOwners(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newSimulation(t)
+		w.calm = true
+		ms := func(shortest, longest time.Duration, label string) time.Duration {
+			return time.Duration(rapid.Int64Range(shortest.Milliseconds(), longest.Milliseconds()).Draw(t, label)) * time.Millisecond
+		}
+		w.advanceUntil(w.now + 2*time.Second)
+		w.submitJob()
+		w.advanceUntil(w.now + 2*time.Second)
+		const owners = 10
+		longest := ms(startDelay, 5*time.Second, "longest ownership")
+		lost := w.now + ms(0, 3*longest, "loss")
+		lapses := lost + ms(0, 4*time.Second, "entry")
+		var left *modelWorker
+		for range owners {
+			w.handOver()
+			for end := w.now + ms(startDelay, longest, "ownership"); w.now < end; {
+				if left == nil && w.now >= lost {
+					left = w.anyWorker()
+					w.leaveForGood(left)
+				}
+				if left != nil && w.now >= lapses {
+					w.lapse(left)
+				}
+				w.advance()
+				w.commitWrites()
+			}
+			if w.now >= lost+inheritedWait+startDelay {
+				w.checkWaiting()
+			}
+		}
+	})
+}
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -54,7 +54,7 @@
 	w.trace("owner of term %d", w.term)
 	w.lateReports = nil
 	w.m = New(testLimits, w.term, w.now)
-	w.m.RecordTerms(maps.Clone(w.termsSeen))
+	w.m.RecordTerms(maps.Clone(w.termsSeen), w.now)
 	if w.calm || rapid.Bool().Draw(w.T, "claim seen") {
 		w.termsSeen[w.term] = w.now
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -78,7 +78,7 @@
 
 // mayStart reports whether new work may be placed on a worker.
 func (m *Machine) mayStart(w *worker, now time.Duration) bool {
-	return w.listed && w.adopted && w.leased && w.record.isStored() && w.entryIsCurrent() && w.unknownRuns == 0 && !w.evacuating && !w.record.possible.Closed && !w.replaced && !w.Draining && !m.dataCentresOut[w.DataCentre] && now >= w.closedUntil && now-w.reportedAt < maxReportAge
+	return w.listed && w.adopted && w.leased && w.record.isStored() && w.entryIsCurrent() && w.unknownRuns == 0 && !w.evacuating && !w.record.possible.Closed && w.record.possible.UnreachedSince == 0 && !w.replaced && !w.Draining && !m.dataCentresOut[w.DataCentre] && now >= w.closedUntil && now-w.reportedAt < maxReportAge
 }
 
 // entryIsCurrent reports whether the worker's entry describes the incarnation that
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -25,12 +25,24 @@
 	// the worker, so that none of them has extended its lease, nor does before it has
 	// cleared this. 0: the last one has reached it, or has not told.
 	UnreachedSince int `json:"Unreached,omitempty"`
+	// LeaseEnd is when the leases have ended that owners of earlier terms than
+	// UnreachedSince have extended. Records of earlier versions lack it.
+	LeaseEnd LeaseEnd `json:"LeaseEnd,omitzero"`
+}
+
+// LeaseEnd is a time that the next owner can tell on its own clock: AfterMS milliseconds
+// after the claim of Term was made, at the latest.
+type LeaseEnd struct {
+	Term    int   `json:"Term"`
+	AfterMS int64 `json:"AfterMS"`
 }
 
 // add adds marks that may be stored beside the present ones.
 func (k *WorkerMarks) add(marks WorkerMarks) {
 	k.Closed = k.Closed || marks.Closed
-	k.UnreachedSince = max(k.UnreachedSince, marks.UnreachedSince)
+	if marks.UnreachedSince > k.UnreachedSince {
+		k.UnreachedSince, k.LeaseEnd = marks.UnreachedSince, marks.LeaseEnd
+	}
 }
 
 // recordState describes what is stored about a worker.
@@ -66,7 +78,7 @@
 	w := m.workers[record.ID]
 	w.record = recordState{revision: revision, startedMS: record.StartedMS, stored: record.WorkerMarks, possible: record.WorkerMarks, inherited: true, wasClosed: record.Closed}
 	if record.UnreachedSince > 0 {
-		w.formerLeaseEnd = m.leasesEndBefore(record.UnreachedSince)
+		w.formerLeaseEnd, w.formerOrdersEnd = m.restoreLeaseEnd(record.WorkerMarks)
 		w.leaseEnd = w.formerLeaseEnd
 	}
 }
@@ -144,14 +156,19 @@
 	if !w.listed {
 		limit = unlistedUnresponsiveAfter
 	}
+	silent := now-max(w.reportedAt, w.foundAt) >= limit
+	failing := w.failedAt > 0
 	marks := w.record.possible
 	switch {
-	case w.adopted:
-		marks.UnreachedSince = 0
-	case marks.UnreachedSince == 0 && !w.leased && w.failedAt > 0 && now-m.startedAt >= unreachedAfter && m.hasReachedMost():
-		marks.UnreachedSince = m.term
+	case w.adopted && !failing:
+		marks.UnreachedSince, marks.LeaseEnd = 0, LeaseEnd{}
+	case marks.UnreachedSince > 0 || !failing:
+	case !w.adopted && !w.leased && now-m.startedAt >= unreachedAfter && m.hasReachedMost():
+		marks.UnreachedSince, marks.LeaseEnd = m.term, m.leaseEndAt(w.formerLeaseEnd)
+	case (w.adopted || w.leased) && (m.handingOver || silent && !w.listed):
+		marks.UnreachedSince, marks.LeaseEnd = m.term+1, m.leaseEndAt(m.runsEnd(w))
 	}
-	switch idle := w.Draining || now-max(w.reportedAt, w.foundAt) >= limit; {
+	switch idle := w.Draining || silent || failing && m.handingOver; {
 	case w.mayHoldUnknown(now): // it may have runs that are not stored
 	case !idle:
 		marks.Closed = false
@@ -180,7 +197,7 @@
 			continue
 		}
 		if x.WorkerMarks != (WorkerMarks{}) || w.record.possible != (WorkerMarks{}) {
-			m.emit("worker_quiet", "", "worker", x.ID, "quiet", x.Closed, "unreached_since", x.UnreachedSince, "draining", w.Draining, "revision", revision, "runs", len(w.runs))
+			m.emit("worker_quiet", "", "worker", x.ID, "quiet", x.Closed, "unreached_since", x.UnreachedSince, "lease_end_term", x.LeaseEnd.Term, "lease_end_after_ms", x.LeaseEnd.AfterMS, "draining", w.Draining, "revision", revision, "runs", len(w.runs))
 		}
 		w.record.writing, w.record.unsettled, w.record.revision, w.record.startedMS = false, false, revision, x.StartedMS
 		w.record.stored, w.record.possible, w.record.hold = x.WorkerMarks, x.WorkerMarks, hold{}
--- a/dispatch/record_test.go
+++ b/dispatch/record_test.go
@@ -170,3 +170,57 @@
 		})
 	}
 }
+
+// A worker that an owner had started work on was recorded as one that the owner had not
+// reached, once it had restarted and could not be called, so that the next owner took its
+// leases for over.
+func TestRestartedWorkerIsRecordedAsUnreached(t *testing.T) {
+	r := newRig(t, "w1", "w2")
+	r.addJob("j", cpuStep(1, 3000))
+	worker := r.planStarts()[0].Worker
+	restarted := r.m.workers[worker].Worker
+	restarted.StartedMS = 2
+	r.m.SetWorker(restarted, r.now)
+	r.m.CallFailed(worker, r.now)
+	r.now += unreachedAfter
+	if marks := r.m.marks(r.m.workers[worker], r.now); marks.UnreachedSince != 0 {
+		t.Errorf("marks %+v while the runs of this owner may exist, want none", marks)
+	}
+	r.m.BeginHandover()
+	want := r.m.runsEnd(r.m.workers[worker])
+	marks := r.m.marks(r.m.workers[worker], r.now)
+	if end := r.m.claimedAt + time.Duration(marks.LeaseEnd.AfterMS)*time.Millisecond; marks.UnreachedSince != r.m.term+1 || marks.LeaseEnd.Term != r.m.term || end < want {
+		t.Errorf("marks %+v at the end of term %d, want the end of the runs at %v", marks, r.m.term, want)
+	}
+}
+
+// A new owner took the stored end of a lease for a time on its own clock, or for one after its
+// own claim.
+func TestLeaseEndIsCountedFromClaim(t *testing.T) {
+	const term, now = 9, 100 * time.Second
+	longest := leaseBound(testLimits.LeaseMax)
+	seen := map[int]time.Duration{6: 90 * time.Second, 7: 97 * time.Second}
+	tests := map[string]struct {
+		marks               WorkerMarks
+		leaseEnd, ordersEnd time.Duration
+	}{
+		"recorded at a handover":              {WorkerMarks{UnreachedSince: 7, LeaseEnd: LeaseEnd{6, 11000}}, 101 * time.Second, 101 * time.Second},
+		"recorded at a handover, has passed":  {WorkerMarks{UnreachedSince: 7, LeaseEnd: LeaseEnd{6, 8000}}, 98 * time.Second, 98 * time.Second},
+		"unanswered start at a handover":      {WorkerMarks{UnreachedSince: 7, LeaseEnd: LeaseEnd{6, 20000}}, now + longest, 110 * time.Second},
+		"not reached":                         {WorkerMarks{UnreachedSince: 7, LeaseEnd: LeaseEnd{7, 5000}}, 102 * time.Second, 102*time.Second - longest + maxOrderDelay},
+		"not reached, state loaded for long":  {WorkerMarks{UnreachedSince: 7, LeaseEnd: LeaseEnd{7, 9000}}, now + longest, min(106*time.Second-longest, now) + maxOrderDelay},
+		"not reached, of an earlier version":  {WorkerMarks{UnreachedSince: 7}, 97*time.Second + maxCallDelay + longest, 97*time.Second + maxCallDelay + maxOrderDelay},
+		"claim not seen, but a later one":     {WorkerMarks{UnreachedSince: 6, LeaseEnd: LeaseEnd{5, 11000}}, 101 * time.Second, 101 * time.Second},
+		"claim not seen, and none since then": {WorkerMarks{UnreachedSince: 9, LeaseEnd: LeaseEnd{8, 3000}}, 103 * time.Second, 103 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := New(testLimits, term, now)
+			m.RecordTerms(seen, now)
+			m.RestoreWorker(WorkerRecord{Worker: workload.Worker{ID: "w1"}, WorkerMarks: test.marks}, 5, now)
+			if w := m.workers["w1"]; w.formerLeaseEnd != test.leaseEnd || w.formerOrdersEnd != test.ordersEnd {
+				t.Errorf("leases end at %v and starts at %v, want %v and %v", w.formerLeaseEnd, w.formerOrdersEnd, test.leaseEnd, test.ordersEnd)
+			}
+		})
+	}
+}
--- a/dispatch/slow_takeover_test.go
+++ b/dispatch/slow_takeover_test.go
@@ -73,7 +73,7 @@
 			}
 		}
 		takeOver(r, 3, load+500*time.Millisecond)
-		r.m.RecordTerms(map[int]time.Duration{2: 0})
+		r.m.RecordTerms(map[int]time.Duration{2: 0}, r.now)
 		restore(r, marks)
 		inherit(r)
 		expectNoStart(t, r)
--- a/dispatch/takeover.go
+++ b/dispatch/takeover.go
@@ -8,18 +8,23 @@
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 )
 
-// RecordTerms records when this host saw former owners claim their terms. Each claim was
-// made at that time at the latest.
-func (m *Machine) RecordTerms(seen map[int]time.Duration) { m.termsSeen = seen }
+// RecordTerms records when this host saw former owners claim their terms, each claim being
+// made at that time at the latest, and a time before which it did not make its own.
+func (m *Machine) RecordTerms(seen map[int]time.Duration, claimedAt time.Duration) {
+	m.termsSeen, m.claimedAt = seen, claimedAt
+}
+
+// BeginHandover records that this owner shuts down, so that what the next one has to know is
+// due to be written at once.
+func (m *Machine) BeginHandover() { m.handingOver = true }
 
-// maxCallDelay is the time from the claim of an owner to its first calls to workers up to
-// which its records of unreached workers count from the claim.
+// maxCallDelay is the time from the claim of an owner to its first calls to workers that
+// records of earlier versions, which lack LeaseEnd, count with.
 const maxCallDelay = 400 * time.Millisecond
 
 // CallsStarted records that this owner begins to call the workers. Until then a former owner
 // that is cut off from the store may go on renewing leases.
 func (m *Machine) CallsStarted(now time.Duration) {
-	m.calledPromptly = now-m.startedAt <= maxCallDelay
 	end := now + leaseBound(m.limits.LeaseMax)
 	for _, w := range m.workerList {
 		if w.formerLeaseEnd == m.formerLeasesEnd {
@@ -30,15 +35,49 @@
 	m.formerLeasesEnd = end
 }
 
-// leasesEndBefore returns when all leases have ended that owners of earlier terms than the
-// given one have extended.
-func (m *Machine) leasesEndBefore(term int) time.Duration {
-	end := m.formerLeasesEnd
+// leaseEndAt returns the LeaseEnd of a time on this owner's clock.
+func (m *Machine) leaseEndAt(end time.Duration) LeaseEnd {
+	return LeaseEnd{Term: m.term, AfterMS: (end - m.claimedAt + time.Millisecond - 1).Milliseconds()}
+}
+
+// afterClaim returns a time on this owner's clock that is at least d after the claim of a
+// term: the time after this host saw that claim or a later one.
+func (m *Machine) afterClaim(term int, d time.Duration) time.Duration {
+	at := m.startedAt
 	for t, seen := range m.termsSeen {
 		if t >= term {
-			end = min(end, seen+maxCallDelay+leaseBound(m.limits.LeaseMax))
+			at = min(at, seen)
 		}
 	}
+	return at + d
+}
+
+// restoreLeaseEnd returns until when former owners' leases of a worker may last whose record
+// says that the last ones have not reached it, and until when starts without an answer may
+// be executed there.
+func (m *Machine) restoreLeaseEnd(marks WorkerMarks) (leaseEnd, ordersEnd time.Duration) {
+	longest := leaseBound(m.limits.LeaseMax)
+	switch at := marks.LeaseEnd; {
+	case at.Term == 0:
+		leaseEnd = m.afterClaim(marks.UnreachedSince, maxCallDelay+longest)
+	case at.Term < marks.UnreachedSince: // the owner of that term knew of all starts
+		leaseEnd = m.afterClaim(at.Term, time.Duration(at.AfterMS)*time.Millisecond)
+		return min(leaseEnd, m.formerLeasesEnd), min(leaseEnd, m.startedAt+maxOrderDelay)
+	default:
+		leaseEnd = m.afterClaim(at.Term, time.Duration(at.AfterMS)*time.Millisecond)
+	}
+	return min(leaseEnd, m.formerLeasesEnd), min(leaseEnd-longest, m.startedAt) + maxOrderDelay
+}
+
+// runsEnd returns until when runs may exist on a worker if its lease is not extended again.
+func (m *Machine) runsEnd(w *worker) time.Duration {
+	end := max(w.leaseEnd, w.formerLeaseEnd)
+	if !w.caughtUp {
+		end = max(end, w.formerOrdersEnd)
+	}
+	for _, r := range slices.Concat(w.runs, w.unlistedRuns()) {
+		end = max(end, m.nextIncarnationBound(r))
+	}
 	return end
 }
 
@@ -119,7 +158,7 @@
 		end = w.formerLeaseEnd
 	}
 	if ok && w.listed && !t.formerConfirmed {
-		end = max(end, m.startedAt+maxOrderDelay)
+		end = max(end, w.formerOrdersEnd)
 	}
 	if ok && w.adopted {
 		end = max(w.leaseEnd, end)
@@ -138,12 +177,9 @@
 	return ok && !w.adopted && w.failedAt == 0
 }
 
-// hasReachedMost reports whether so many workers have seen this owner's token, soon after its
-// claim, that a former owner that is still at work has stopped, for want of answers.
+// hasReachedMost reports whether so many workers have seen this owner's token that a former
+// owner that is still at work has stopped, for want of answers.
 func (m *Machine) hasReachedMost() bool {
-	if !m.calledPromptly {
-		return false
-	}
 	reached := 0
 	for _, w := range m.workerList {
 		if w.adopted {
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -60,7 +60,7 @@
 func (r *succession) takeOver() {
 	r.term++
 	r.m = New(testLimits, r.term, r.now)
-	r.m.RecordTerms(maps.Clone(r.claims))
+	r.m.RecordTerms(maps.Clone(r.claims), r.now)
 	r.claims[r.term] = r.now
 	r.m.SetConfig(&workload.Config{
 		Queues:   []workload.Queue{{Name: testQueue, Service: testService, MaxAttempts: 3, Stretch: 2, Objective: time.Second}},
@@ -94,6 +94,14 @@
 	}
 }
 
+// handOver stores what the owner leaves when it shuts down, and replaces it.
+func (r *succession) handOver() {
+	r.m.BeginHandover()
+	r.store()
+	r.store() // what depends on the writes before
+	r.takeOver()
+}
+
 // store carries out the writes of the owner.
 func (r *succession) store() {
 	r.revision++
@@ -248,3 +256,71 @@
 		t.Error("the lost worker is still recorded once the progress is stored")
 	}
 }
+
+// Each owner counted the leases of its predecessors from its own claim, also of a worker that the
+// last one had long known to be lost, so that owners that were shut down in quick succession
+// started a task late or, below the longest lease, never.
+func TestLostWorkersLeaseIsWaitedForByEachOwner(t *testing.T) {
+	const owners, took = 10, 40 * time.Second
+	tests := map[string]struct {
+		lost, entryLapses time.Duration // after the first of the owners has claimed
+	}{
+		"lost soon after a claim":       {200 * time.Millisecond, 3800 * time.Millisecond},
+		"lost in the middle of a term":  {2 * time.Second, 5500 * time.Millisecond},
+		"lost just before a handover":   {3900 * time.Millisecond, 7500 * time.Millisecond},
+		"lost with its entry":           {2 * time.Second, 2 * time.Second},
+		"lost while owners have passed": {13 * time.Second, 16 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newSuccession(t)
+			began := r.now
+			lost, lapses, handover := began+test.lost, began+test.entryLapses, began+took/owners
+			for r.now < began+took {
+				switch {
+				case r.now >= lapses:
+					delete(r.listed, "w2")
+					r.m.WorkerGone("w2", r.now)
+					lapses = began + took
+				case r.now >= lost && !r.gone["w2"]:
+					r.gone["w2"], r.running["w2"] = true, nil
+				case r.now >= handover:
+					r.handOver()
+					handover += took / owners
+				}
+				r.pass(100 * time.Millisecond)
+				limit := leaseBound(testLimits.Lease)
+				if r.now-lost >= limit && !r.m.allAdopted(r.now) {
+					t.Fatalf("inherited jobs are held back %v after the loss of a worker, in term %d", r.now-lost, r.term)
+				}
+				if limit += startDelay; r.now-lost >= limit && !r.serves() {
+					t.Fatalf("the task does not run %v after its worker was lost, in term %d", limit, r.term)
+				}
+			}
+			if r.term < owners {
+				t.Errorf("%d owners, want %d", r.term, owners)
+			}
+		})
+	}
+}
+
+// A start without an answer may be executed long after it was sent. Each owner counted that
+// time from its own claim.
+func TestUnansweredStartIsWaitedForByEachOwner(t *testing.T) {
+	r := newSuccession(t)
+	r.gone["w2"], r.running["w2"] = true, nil // it can't be called, and keeps its entry
+	r.progress = workload.Progress{Tasks: []workload.TaskProgress{{Run: 1, Worker: "w2"}}}
+	sent := r.now
+	for r.now-sent < maxOrderDelay {
+		r.takeOver() // the former owner was killed
+		r.pass(4 * time.Second)
+		if r.now-sent < maxOrderDelay && r.serves() {
+			t.Fatalf("the task is started again %v after its start", r.now-sent)
+		}
+	}
+	r.takeOver()
+	r.pass(startDelay)
+	if !r.serves() {
+		t.Errorf("the task does not run %v after a start without an answer, in term %d", r.now-sent, r.term)
+	}
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -20,7 +20,10 @@
 	leased     bool // has been sent a lease by this owner
 	// formerLeaseEnd is when the leases that former owners have extended have ended.
 	formerLeaseEnd time.Duration
-	evacuating     bool // its machine is due for maintenance, so its runs are moved away
+	// formerOrdersEnd is until when a start of a former owner without an answer may be
+	// executed.
+	formerOrdersEnd time.Duration
+	evacuating      bool // its machine is due for maintenance, so its runs are moved away
 	// unknownRuns counts the reported runs of jobs that are unknown because they
 	// have ended. Their size is not known, and they are being stopped.
 	unknownRuns        int
@@ -85,7 +88,7 @@
 func (m *Machine) SetWorker(info workload.Worker, now time.Duration) {
 	w, ok := m.workers[info.ID]
 	if !ok {
-		w = &worker{foundAt: now, leaseEnd: now + leaseBound(m.limits.LeaseMax), formerLeaseEnd: m.formerLeasesEnd, avoidsServing: avoidsServing(info.ID), record: m.restoreForgotten(info.ID)}
+		w = &worker{foundAt: now, leaseEnd: now + leaseBound(m.limits.LeaseMax), formerLeaseEnd: m.formerLeasesEnd, formerOrdersEnd: m.startedAt + maxOrderDelay, avoidsServing: avoidsServing(info.ID), record: m.restoreForgotten(info.ID)}
 		m.workers[info.ID] = w
 		at, _ := slices.BinarySearchFunc(m.workerList, info.ID, func(w *worker, id fleet.WorkerID) int { return strings.Compare(string(w.ID), string(id)) })
 		m.workerList = slices.Insert(m.workerList, at, w)
--- a/owner/dispatcher.go
+++ b/owner/dispatcher.go
@@ -115,7 +115,7 @@
 	}
 	d.deps.Store = &termStore{Transactional: o.deps.Store, claim: store.Check{Key: intake.OwnerKey, Revision: revision}}
 	d.connections = platform.NewConnections(h.UsableDescriptors(), func() bool { return d.authorised(steady.Now()) })
-	d.machine.RecordTerms(o.claimsSeen())
+	d.machine.RecordTerms(o.claimsSeen(), sent)
 	d.authorityEnd.Store(int64(sent + ownerTTL))
 	d.reason.Store("unknown")
 	return d
--- a/owner/handover.go
+++ b/owner/handover.go
@@ -22,6 +22,9 @@
 func (d *dispatcher) handOver() {
 	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
 	defer cancel()
+	d.mu.Lock()
+	d.machine.BeginHandover()
+	d.mu.Unlock()
 	for ctx.Err() == nil {
 		d.mu.Lock()
 		jobs := d.machine.TakeWrites(store.MaxTxnEntries-1, steady.Now())
--- a/owner/handover_test.go
+++ b/owner/handover_test.go
@@ -35,6 +35,27 @@
 	}
 }
 
+// An owner that was shut down did not store when the leases end of a worker that it can't
+// reach, so that its successor waited for the longest lease from its own claim.
+func TestDrainingOwnerDropsLeaseEnd(t *testing.T) {
+	d, s := testDispatcher(t)
+	now := steady.Now()
+	d.machine.RenewalSent("w1", now)
+	d.machine.CallFailed("w1", now)
+	d.handOver()
+	e, err := s.Get(intake.WorkerPrefix + "w1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	record, err := decodeWorkerRecord(e.Value)
+	if err != nil || record.UnreachedSince != d.term+1 || record.LeaseEnd.Term != d.term {
+		t.Errorf("stored %+v, error %v; want the end of the leases of term %d", record, err, d.term)
+	}
+	if d.machine.MayExtendLease("w1") {
+		t.Error("the lease may be extended beyond its stored end")
+	}
+}
+
 // A host that was restarted between two terms had not seen the claims of earlier ones, and
 // counted former leases from its own start.
 func TestRestartedHostForgetsEarlierClaims(t *testing.T) {
