--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -257,6 +257,23 @@
 	}
 }
 
+// An owner that shut down did not store the changes that it was still batching, so that the
+// next one waited for what had ended.
+func TestHandoverDropsBatchedChanges(t *testing.T) {
+	r := newRig(t, "w1")
+	r.addJob("j", cpuStep(1, 3000))
+	r.planStarts()
+	r.store()
+	r.m.jobs["j"].markDirty(r.now)
+	if writes := r.m.TakeWrites(31, r.now); len(writes) != 0 {
+		t.Fatalf("writes %v, want them batched", writes)
+	}
+	r.m.BeginHandover()
+	if writes := r.m.TakeWrites(31, r.now); len(writes) != 1 {
+		t.Errorf("writes %v at the handover, want the batched one", writes)
+	}
+}
+
 // Each owner counted the leases of its predecessors from its own claim, also of a worker that the
 // last one had long known to be lost, so that owners that were shut down in quick succession
 // started a task late or, below the longest lease, never.
--- a/dispatch/writes.go
+++ b/dispatch/writes.go
@@ -93,7 +93,7 @@
 func (m *Machine) dirtyJobs(now time.Duration) []fleet.JobID {
 	var ids []fleet.JobID
 	for id, j := range m.jobs {
-		if j.version > j.saved && j.saving == j.saved && !j.hold.active(now) && (j.urgent || now-j.dirtySince >= placementBatchDelay) {
+		if j.version > j.saved && j.saving == j.saved && !j.hold.active(now) && (j.urgent || m.handingOver || now-j.dirtySince >= placementBatchDelay) {
 			ids = append(ids, id)
 		}
 	}
