--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -25,16 +25,17 @@
 	// the worker, so that none of them has extended its lease, nor does before it has
 	// cleared this. 0: the last one has reached it, or has not told.
 	UnreachedSince int `json:"Unreached,omitempty"`
-	// LeaseEnd is when the leases have ended that owners of earlier terms than
-	// UnreachedSince have extended. Records of earlier versions lack it.
+	// LeaseEnd is when what owners of earlier terms than UnreachedSince have done there has
+	// ended. Records of earlier versions lack it.
 	LeaseEnd LeaseEnd `json:"LeaseEnd,omitzero"`
 }
 
-// LeaseEnd is a time that the next owner can tell on its own clock: AfterMS milliseconds
-// after the claim of Term was made, at the latest.
+// LeaseEnd holds times in milliseconds after the claim of a term was made, which the next
+// owner can tell on its own clock.
 type LeaseEnd struct {
-	Term    int   `json:"Term"`
-	AfterMS int64 `json:"AfterMS"`
+	Term          int   `json:"Term"`
+	AfterMS       int64 `json:"AfterMS"`       // all leases have ended
+	OrdersAfterMS int64 `json:"OrdersAfterMS"` // no start without an answer is executed any more
 }
 
 // add adds marks that may be stored beside the present ones.
@@ -164,7 +165,7 @@
 		marks.UnreachedSince, marks.LeaseEnd = 0, LeaseEnd{}
 	case marks.UnreachedSince > 0 || !failing:
 	case !w.adopted && !w.leased && now-m.startedAt >= unreachedAfter && m.hasReachedMost():
-		marks.UnreachedSince, marks.LeaseEnd = m.term, m.leaseEndAt(w.formerLeaseEnd)
+		marks.UnreachedSince, marks.LeaseEnd = m.term, m.leaseEndAt(w.formerLeaseEnd, w.formerOrdersEnd)
 	case (w.adopted || w.leased) && (m.handingOver || silent && !w.listed):
 		marks.UnreachedSince, marks.LeaseEnd = m.term+1, m.leaseEndAt(m.runsEnd(w))
 	}
@@ -197,7 +198,7 @@
 			continue
 		}
 		if x.WorkerMarks != (WorkerMarks{}) || w.record.possible != (WorkerMarks{}) {
-			m.emit("worker_quiet", "", "worker", x.ID, "quiet", x.Closed, "unreached_since", x.UnreachedSince, "lease_end_term", x.LeaseEnd.Term, "lease_end_after_ms", x.LeaseEnd.AfterMS, "draining", w.Draining, "revision", revision, "runs", len(w.runs))
+			m.emit("worker_quiet", "", "worker", x.ID, "quiet", x.Closed, "unreached_since", x.UnreachedSince, "lease_end_term", x.LeaseEnd.Term, "lease_end_after_ms", x.LeaseEnd.AfterMS, "orders_end_after_ms", x.LeaseEnd.OrdersAfterMS, "draining", w.Draining, "revision", revision, "runs", len(w.runs))
 		}
 		w.record.writing, w.record.unsettled, w.record.revision, w.record.startedMS = false, false, revision, x.StartedMS
 		w.record.stored, w.record.possible, w.record.hold = x.WorkerMarks, x.WorkerMarks, hold{}
--- a/dispatch/takeover.go
+++ b/dispatch/takeover.go
@@ -35,9 +35,10 @@
 	m.formerLeasesEnd = end
 }
 
-// leaseEndAt returns the LeaseEnd of a time on this owner's clock.
-func (m *Machine) leaseEndAt(end time.Duration) LeaseEnd {
-	return LeaseEnd{Term: m.term, AfterMS: (end - m.claimedAt + time.Millisecond - 1).Milliseconds()}
+// leaseEndAt returns the LeaseEnd of two times on this owner's clock.
+func (m *Machine) leaseEndAt(leases, orders time.Duration) LeaseEnd {
+	afterMS := func(t time.Duration) int64 { return (t - m.claimedAt + time.Millisecond - 1).Milliseconds() }
+	return LeaseEnd{Term: m.term, AfterMS: afterMS(leases), OrdersAfterMS: afterMS(orders)}
 }
 
 // afterClaim returns a time on this owner's clock that is at least d after the claim of a
@@ -55,30 +56,35 @@
 // restoreLeaseEnd returns until when former owners' leases of a worker may last whose record
 // says that the last ones have not reached it, and until when starts without an answer may
 // be executed there.
-func (m *Machine) restoreLeaseEnd(marks WorkerMarks) (leaseEnd, ordersEnd time.Duration) {
-	longest := leaseBound(m.limits.LeaseMax)
-	switch at := marks.LeaseEnd; {
-	case at.Term == 0:
-		leaseEnd = m.afterClaim(marks.UnreachedSince, maxCallDelay+longest)
-	case at.Term < marks.UnreachedSince: // the owner of that term knew of all starts
-		leaseEnd = m.afterClaim(at.Term, time.Duration(at.AfterMS)*time.Millisecond)
-		return min(leaseEnd, m.formerLeasesEnd), min(leaseEnd, m.startedAt+maxOrderDelay)
-	default:
-		leaseEnd = m.afterClaim(at.Term, time.Duration(at.AfterMS)*time.Millisecond)
-	}
-	return min(leaseEnd, m.formerLeasesEnd), min(leaseEnd-longest, m.startedAt) + maxOrderDelay
-}
-
-// runsEnd returns until when runs may exist on a worker if its lease is not extended again.
-func (m *Machine) runsEnd(w *worker) time.Duration {
-	end := max(w.leaseEnd, w.formerLeaseEnd)
+func (m *Machine) restoreLeaseEnd(marks WorkerMarks) (leases, orders time.Duration) {
+	end := marks.LeaseEnd
+	if end.Term == 0 {
+		leases = m.afterClaim(marks.UnreachedSince, maxCallDelay+leaseBound(m.limits.LeaseMax))
+		orders = m.afterClaim(marks.UnreachedSince, maxCallDelay+maxOrderDelay)
+	} else {
+		leases = m.afterClaim(end.Term, time.Duration(end.AfterMS)*time.Millisecond)
+		orders = m.afterClaim(end.Term, time.Duration(end.OrdersAfterMS)*time.Millisecond)
+	}
+	return min(leases, m.formerLeasesEnd), min(orders, m.startedAt+maxOrderDelay)
+}
+
+// runsEnd returns until when runs may exist on a worker if its lease is not extended again, and
+// until when a start without an answer may still be executed. One whose placement is not
+// stored counts as a run: the next owner knows of it only that the worker may have some.
+func (m *Machine) runsEnd(w *worker) (leases, orders time.Duration) {
+	leases = max(w.leaseEnd, w.formerLeaseEnd)
 	if !w.caughtUp {
-		end = max(end, w.formerOrdersEnd)
+		orders = w.formerOrdersEnd
 	}
 	for _, r := range slices.Concat(w.runs, w.unlistedRuns()) {
-		end = max(end, m.nextIncarnationBound(r))
+		end := m.nextIncarnationBound(r)
+		if r.confirmedAt > 0 || r.task.job.saved < r.placedVersion {
+			leases = max(leases, end)
+		} else {
+			orders = max(orders, end)
+		}
 	}
-	return end
+	return leases, max(leases, orders)
 }
 
 // allAdopted reports whether every worker that might have runs known only to a
