--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -332,10 +332,13 @@
 	return t.formerWorker
 }
 
-// isConfirmed reports whether the newest run is known to have been executed.
+// isConfirmed reports whether the newest run is known to have been executed. Once its worker is
+// recorded as unreached, that is a run that the worker has listed: the leases there are recorded
+// for these alone.
 func (t *task) isConfirmed() bool {
 	if n := len(t.runs); n > 0 {
-		return t.runs[n-1].confirmedAt > 0
+		r := t.runs[n-1]
+		return r.confirmedAt > 0 && (r.lastReport > 0 || r.worker.record.possible.UnreachedSince == 0)
 	}
 	return t.formerWorker != "" && t.formerConfirmed
 }
--- a/dispatch/outcomes.go
+++ b/dispatch/outcomes.go
@@ -121,20 +121,21 @@
 }
 
 // nextIncarnationBound returns until when a run that no report has listed may be on an
-// incarnation of its worker that the owner does not know of. An accepted one has a
-// deadline on another clock there; one without an answer may still be executed, unless the
-// worker is gone for good.
+// incarnation of its worker that the owner does not know of, unless the worker is gone for
+// good. An accepted one has a deadline on another clock there; one without an answer may
+// still be executed.
 func (m *Machine) nextIncarnationBound(r *run) time.Duration {
-	switch {
-	case r.lastReport > 0:
+	if r.lastReport > 0 {
 		return 0
-	case r.confirmedAt > 0:
-		return r.worker.acceptedAt + leaseBound(m.limits.LongestLease)
-	case !r.worker.listed && r.worker.unlistedAt > 0:
-		return min(r.worker.unlistedAt+entryReturnTime, r.orderedAt+maxOrderDelay)
-	default:
-		return r.orderedAt + maxOrderDelay
 	}
+	end := r.orderedAt + maxOrderDelay
+	if r.confirmedAt > 0 {
+		end = r.worker.acceptedAt + leaseBound(m.limits.LongestLease)
+	}
+	if !r.worker.listed && r.worker.unlistedAt > 0 {
+		end = min(end, r.worker.unlistedAt+entryReturnTime)
+	}
+	return end
 }
 
 // expireLeases releases runs that have certainly ended because the lease of their
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -35,7 +35,7 @@
 type LeaseEnd struct {
 	Term          int   `json:"Term"`
 	AfterMS       int64 `json:"AfterMS"`       // all leases have ended
-	OrdersAfterMS int64 `json:"OrdersAfterMS"` // no start without an answer is executed any more
+	OrdersAfterMS int64 `json:"OrdersAfterMS"` // starts whose runs the worker has not listed are not executed any more
 }
 
 // add adds marks that may be stored beside the present ones.
@@ -113,6 +113,9 @@
 			continue
 		}
 		w.record.writing = true
+		if marks.UnreachedSince > w.record.possible.UnreachedSince {
+			w.recordUnlistedRuns(now)
+		}
 		w.record.possible.add(marks)
 		writes = append(writes, WorkerWrite{WorkerRecord: WorkerRecord{w.Worker, marks}, Revision: w.record.revision})
 		if w.record.hold.refused {
@@ -179,6 +182,16 @@
 	return marks
 }
 
+// recordUnlistedRuns makes the runs that the worker has accepted and not listed due to be stored
+// as unconfirmed.
+func (w *worker) recordUnlistedRuns(now time.Duration) {
+	for _, r := range w.runs {
+		if r.confirmedAt > 0 && r.lastReport == 0 && !r.task.job.state.Final() {
+			r.task.job.markDirty(now)
+		}
+	}
+}
+
 // hasUnstored reports whether a placement on the worker is not stored, or the end of a run
 // whose placement may not be.
 func (w *worker) hasUnstored() bool {
--- a/dispatch/record_test.go
+++ b/dispatch/record_test.go
@@ -224,27 +224,47 @@
 	}
 }
 
-// One start without an answer on a lost worker held back all tasks that had run there, as the
-// record had one time for both.
-func TestUnansweredStartHoldsBackOtherTasks(t *testing.T) {
-	r := newRig(t, "w1")
-	r.addJob("ran", cpuStep(1, 1000))
-	first := r.planStarts()[0]
-	r.report("w1", workload.Report{Running: []workload.ActiveRun{runningOf(first)}})
-	r.addJob("unanswered", cpuStep(1, 1000))
-	r.m.Plan(r.now, 0)
-	for _, o := range r.m.TakeOrders() {
-		r.m.StartAnswered(o, NoAnswer, r.now)
-	}
-	sent := r.now
-	r.m.CallFailed("w1", r.now)
-	r.m.BeginHandover()
-	end := func() LeaseEnd { return r.m.marks(r.m.workers["w1"], r.now).LeaseEnd }
-	if want := r.m.leaseEndAt(sent+maxOrderDelay, sent+maxOrderDelay); end() != want {
-		t.Errorf("%+v before the placement is stored, want %+v", end(), want)
+// One start on a lost worker that had no answer, or was accepted and not listed, held back all
+// tasks that had run there, as the record had one time for both.
+func TestUnlistedStartHoldsBackOtherTasks(t *testing.T) {
+	tests := map[string]struct {
+		outcome Outcome
+		after   time.Duration // the start, until when its run may exist
+	}{
+		"no answer": {NoAnswer, maxOrderDelay},
+		"accepted":  {Accepted, leaseBound(testLimits.LongestLease)},
 	}
-	r.store()
-	if want := r.m.leaseEndAt(r.m.workers["w1"].leaseEnd, sent+maxOrderDelay); end() != want {
-		t.Errorf("%+v once the placement is stored, want %+v", end(), want)
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, "w1")
+			r.addJob("ran", cpuStep(1, 1000))
+			first := r.planStarts()[0]
+			r.report("w1", workload.Report{Running: []workload.ActiveRun{runningOf(first)}})
+			r.addJob("unlisted", cpuStep(1, 1000))
+			r.m.Plan(r.now, 0)
+			for _, o := range r.m.TakeOrders() {
+				r.m.StartAnswered(o, test.outcome, r.now)
+			}
+			end := r.now + test.after
+			r.m.CallFailed("w1", r.now)
+			r.m.BeginHandover()
+			marks := func() LeaseEnd { return r.m.marks(r.m.workers["w1"], r.now).LeaseEnd }
+			if want := r.m.leaseEndAt(end, end); marks() != want {
+				t.Errorf("%+v before the placement is stored, want %+v", marks(), want)
+			}
+			r.store()
+			if want := r.m.leaseEndAt(r.m.workers["w1"].leaseEnd, end); marks() != want {
+				t.Errorf("%+v once the placement is stored, want %+v", marks(), want)
+			}
+			r.m.TakeWorkerWrites(31, r.now)
+			for _, x := range r.m.TakeWrites(31, r.now) {
+				if x.Job == "unlisted" && x.Progress.Tasks[0].Confirmed {
+					t.Errorf("stored %+v, want the unlisted run as unconfirmed", x.Progress.Tasks)
+				}
+			}
+			if task := r.m.jobs["unlisted"].occurrences[0].steps[0].tasks[0]; task.isConfirmed() {
+				t.Error("the unlisted run counts as confirmed")
+			}
+		})
 	}
 }
--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -134,24 +134,36 @@
 }
 
 // A start without an answer on a worker that had left for good held its task for as long as
-// a late order may take to arrive, although the worker's entry was gone.
+// a late order may take to arrive, although the worker's entry was gone; one that was accepted
+// and not listed held it for the longest lease.
 func TestUnansweredStartOnLostWorkerHoldsItsTask(t *testing.T) {
-	r := newRig(t, "w1")
-	r.addJob("j", cpuStep(1, 1000))
-	starts := r.planOnly()
-	if len(starts) != 1 {
-		t.Fatalf("started %v, want one task", starts)
+	tests := map[string]struct {
+		outcome Outcome
+		lapses  time.Duration // of the entry
+	}{
+		"no answer": {NoAnswer, 4500 * time.Millisecond}, // three heartbeats
+		"accepted":  {Accepted, 2 * time.Second},
 	}
-	r.m.StartAnswered(starts[0], NoAnswer, r.now)
-	r.m.CallFailed("w1", r.now)
-	r.addWorker("w2", fleet.Resources{MilliCores: 4000, MemoryMB: 8000})
-	r.now += 4500 * time.Millisecond // three heartbeats
-	r.m.WorkerGone("w1", r.now)
-	r.report("w2", workload.Report{})
-	r.noStart("while the entry may return")
-	r.now += entryReturnTime
-	r.report("w2", workload.Report{})
-	if starts := r.planStarts(); len(starts) != 1 || starts[0].Worker != "w2" {
-		t.Errorf("started %v once w1 was gone for good, want the task on w2", starts)
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, "w1")
+			r.addJob("j", cpuStep(1, 1000))
+			starts := r.planOnly()
+			if len(starts) != 1 {
+				t.Fatalf("started %v, want one task", starts)
+			}
+			r.m.StartAnswered(starts[0], test.outcome, r.now)
+			r.m.CallFailed("w1", r.now)
+			r.addWorker("w2", fleet.Resources{MilliCores: 4000, MemoryMB: 8000})
+			r.now += test.lapses
+			r.m.WorkerGone("w1", r.now)
+			r.report("w2", workload.Report{})
+			r.noStart("while the entry may return")
+			r.now += entryReturnTime
+			r.report("w2", workload.Report{})
+			if starts := r.planStarts(); len(starts) != 1 || starts[0].Worker != "w2" {
+				t.Errorf("started %v once w1 was gone for good, want the task on w2", starts)
+			}
+		})
 	}
 }
--- a/dispatch/takeover.go
+++ b/dispatch/takeover.go
@@ -54,8 +54,8 @@
 }
 
 // restoreLeaseEnd returns until when former owners' leases of a worker may last whose record
-// says that the last ones have not reached it, and until when starts without an answer may
-// be executed there.
+// says that the last ones have not reached it, and until when starts may be executed there
+// whose runs it has not listed.
 func (m *Machine) restoreLeaseEnd(marks WorkerMarks) (leases, orders time.Duration) {
 	end := marks.LeaseEnd
 	if end.Term == 0 {
@@ -68,9 +68,9 @@
 	return min(leases, m.formerLeasesEnd), min(orders, m.startedAt+maxOrderDelay)
 }
 
-// runsEnd returns until when runs may exist on a worker if its lease is not extended again, and
-// until when a start without an answer may still be executed. One whose placement is not
-// stored counts as a run: the next owner knows of it only that the worker may have some.
+// runsEnd returns until when the runs that a worker has listed may exist if its lease is not
+// extended again, and until when others may. One whose placement is not stored counts among the
+// first: the next owner knows of it only that the worker may have runs.
 func (m *Machine) runsEnd(w *worker) (leases, orders time.Duration) {
 	leases = max(w.leaseEnd, w.formerLeaseEnd)
 	if !w.caughtUp {
@@ -78,7 +78,7 @@
 	}
 	for _, r := range slices.Concat(w.runs, w.unlistedRuns()) {
 		end := m.nextIncarnationBound(r)
-		if r.confirmedAt > 0 || r.task.job.saved < r.placedVersion {
+		if r.task.job.saved < r.placedVersion {
 			leases = max(leases, end)
 		} else {
 			orders = max(orders, end)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -20,8 +20,8 @@
 	leased     bool // has been sent a lease by this owner
 	// formerLeaseEnd is when the leases that former owners have extended have ended.
 	formerLeaseEnd time.Duration
-	// formerOrdersEnd is until when a start of a former owner without an answer may be
-	// executed.
+	// formerOrdersEnd is until when starts of former owners may be executed whose runs the
+	// worker has not listed.
 	formerOrdersEnd time.Duration
 	evacuating      bool // its machine is due for maintenance, so its runs are moved away
 	// unknownRuns counts the reported runs of jobs that are unknown because they
