--- a/dispatch/closure_test.go
+++ b/dispatch/closure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -76,3 +77,71 @@
 		r.addJob(fleet.JobID(fmt.Sprintf("at %v", r.now)), servingStep("img", 1, 100))
 	}
 }
+
+// Tasks that last waited for a worker that runs of batch jobs had closed, with room for them
+// there and nowhere else.
+func TestServiceWaitsForClosedWorker(t *testing.T) {
+	tests := map[string]func() *rig{
+		"by failures": func() *rig { return failingRig(t) },
+		"as slow": func() *rig {
+			r := newRig(t, "w1")
+			r.now += maxServingDelay
+			r.m.workers["w1"].closeAsSlow(r.now)
+			return r
+		},
+	}
+	for name, closedRig := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := closedRig()
+			reopens := r.m.workers["w1"].closedUntil
+			r.addJob("service", servingStep("img", 3, 1000))
+			r.report("w1", workload.Report{})
+			var rep workload.Report
+			for ; r.now < reopens-500*time.Millisecond && len(rep.Running) < 3; r.now += 100 * time.Millisecond {
+				starts := r.planStarts()
+				if len(starts) > 1 {
+					t.Fatalf("started %v at once on a worker that may be at fault", starts)
+				}
+				for _, o := range starts {
+					rep.Running = append(rep.Running, runningOf(o))
+				}
+				r.report("w1", rep)
+			}
+			if len(rep.Running) < 3 {
+				t.Errorf("%d of 3 tasks run on w1, which is closed for another %v", len(rep.Running), reopens-r.now)
+			}
+		})
+	}
+}
+
+// A worker at fault got one serving task after the other while it was closed.
+func TestServicesFailOnClosedWorker(t *testing.T) {
+	r := failingRig(t)
+	r.addJob("service", servingStep("img", 3, 1000))
+	r.addJob("batch", cpuStep(3, 1000))
+	r.report("w1", workload.Report{})
+	tried := 0
+	for end := r.now + firstClosure - 500*time.Millisecond; r.now < end; r.now += 100 * time.Millisecond {
+		var rep workload.Report
+		for _, o := range r.planStarts() {
+			tried++
+			rep.Ended = append(rep.Ended, r.endOf(o, workload.OutcomeFailed))
+		}
+		r.report("w1", rep)
+	}
+	if tried != 1 {
+		t.Errorf("%d tasks were tried on a closed worker on which each fails, want 1", tried)
+	}
+}
+
+// A serving task was tried on a closed worker with room for it on another.
+func TestServicePrefersOpenWorker(t *testing.T) {
+	r := failingRig(t)
+	r.addWorker("w2", testCapacity)
+	r.addJob("service", servingStep("img", 1, 1000))
+	r.report("w1", workload.Report{})
+	starts := r.planStarts()
+	if len(starts) == 0 || slices.ContainsFunc(starts, func(o Order) bool { return o.Worker != "w2" }) {
+		t.Errorf("started %v, want the tasks on w2", starts)
+	}
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -16,6 +16,7 @@
 type placer struct {
 	m        *Machine
 	eligible []*worker
+	closed   []*worker // that a serving task may try
 	now      time.Duration
 	// unplaceable holds the classes of tasks that did not fit, so that similar
 	// tasks are not tried again in the same plan.
@@ -69,8 +70,11 @@
 		starvedRooms: make(map[fleet.Service]*starvedRoom), shares: m.newCapacityShares(now),
 	}
 	for _, w := range m.workerList {
-		if m.mayStart(w, now) {
+		switch {
+		case m.mayStart(w, now):
 			p.eligible = append(p.eligible, w)
+		case m.mayTry(w, now):
+			p.closed = append(p.closed, w)
 		}
 	}
 	return p
@@ -78,7 +82,23 @@
 
 // mayStart reports whether new work may be placed on a worker.
 func (m *Machine) mayStart(w *worker, now time.Duration) bool {
-	return w.listed && w.adopted && w.leased && w.record.isStored() && w.entryIsCurrent() && w.unknownRuns == 0 && !w.evacuating && !w.record.possible.Closed && w.record.possible.UnreachedSince == 0 && !w.replaced && !w.Draining && !m.dataCentresOut[w.DataCentre] && now >= w.closedUntil && now-w.reportedAt < maxReportAge
+	return m.isUsable(w, now) && now >= w.closedUntil
+}
+
+// mayTry reports whether a closed worker may be tried with a serving task: one that runs of
+// batch jobs have closed. Those that fail through their own fault close sound workers, too, and
+// a slow worker is better than none. A further failure ends that.
+func (m *Machine) mayTry(w *worker, now time.Duration) bool {
+	end := w.slowClosureEnd
+	if w.failureStreak == failuresToClose {
+		end = max(end, w.failureClosureEnd)
+	}
+	return m.isUsable(w, now) && now < w.closedUntil && w.closedUntil <= end
+}
+
+// isUsable reports whether a worker is there for new work, unless it is closed.
+func (m *Machine) isUsable(w *worker, now time.Duration) bool {
+	return w.listed && w.adopted && w.leased && w.record.isStored() && w.entryIsCurrent() && w.unknownRuns == 0 && !w.evacuating && !w.record.possible.Closed && w.record.possible.UnreachedSince == 0 && !w.replaced && !w.Draining && !m.dataCentresOut[w.DataCentre] && now-w.reportedAt < maxReportAge
 }
 
 // entryIsCurrent reports whether the worker's entry describes the incarnation that
@@ -129,6 +149,25 @@
 	return best
 }
 
+// placeOnClosed returns the best closed worker that a serving task which fits on no other may
+// try, one task at a time until each has survived its start.
+func (p *placer) placeOnClosed(t *task, service fleet.Service) *worker {
+	var best *worker
+	var bestScore int64
+	for _, w := range p.closed {
+		if w.Service != service || w.hasFreshRun() || !p.fits(t, w, nil) {
+			continue
+		}
+		if score := p.score(t, w); best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	if best != nil {
+		p.m.emit("closed_worker_tried", t.job.ID, "task", t.name, "worker", best.ID, "strikes", best.failureStreak, "closed_for", best.closedUntil-p.now)
+	}
+	return best
+}
+
 // isConstrained reports whether a task may fit on other workers than tasks of its class.
 func (t *task) isConstrained(p *placer) bool {
 	return t.isSuspect() || t.step.MaxPerWorker > 0 || t.step.Label != "" || t.avoidance.isActive(p.now) || p.needsTicket
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -266,6 +266,9 @@
 			break
 		}
 		w := p.place(t, service, nil)
+		if w == nil && s.Serving {
+			w = p.placeOnClosed(t, service)
+		}
 		if w == nil && s.BestEffort && p.mayStartStarved(t.job, service) && m.startStarved(t, service, p, now) {
 			continue
 		}
--- a/dispatch/slow.go
+++ b/dispatch/slow.go
@@ -92,12 +92,18 @@
 	if now >= w.closedUntil {
 		m.emit("worker_slow", "", "worker", w.ID, "speed", w.speed, "compared", w.speedSamples)
 	}
-	w.close(now, slowClosure)
+	w.closeAsSlow(now)
 	for _, o := range w.runs {
 		m.moveIfFaster(o, now)
 	}
 }
 
+// closeAsSlow closes a worker that proves slow.
+func (w *worker) closeAsSlow(now time.Duration) {
+	w.close(now, slowClosure)
+	w.slowClosureEnd = now + slowClosure
+}
+
 // moveIfFaster stops a batch run on a slow worker if its task would end sooner
 // elsewhere.
 func (m *Machine) moveIfFaster(r *run, now time.Duration) {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -62,6 +62,7 @@
 	lastFailedJob     fleet.JobID
 	failuresCountFrom time.Duration // when a run was ordered at the earliest for its failure to count
 	failureClosureEnd time.Duration // until when failures close it
+	slowClosureEnd    time.Duration // until when it is closed as slow
 	throttleChangedAt time.Duration // when CPU shares were last changed
 	observedAt        time.Duration // when tail latencies were last observed
 	highTailAt        time.Duration // when a tail latency was last too high
