--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -145,6 +145,9 @@
 	}
 	nj := &job{Job: *j, state: state, storedState: state, revision: revision, inherited: inherited, arrivedAt: arrived}
 	nj.idleSince = max(arrived, m.startedAt)
+	if inherited && nj.hasWaitedForRoom() {
+		nj.blockedFor = max(0, m.startedAt-arrived)
+	}
 	m.jobs[j.ID] = nj
 	nj.estimatedWork = m.remainingWork(nj)
 	if m.jobSizes[j.Queue] == nil {
@@ -173,6 +176,12 @@
 	m.completeIfDone(nj, arrived)
 }
 
+// hasWaitedForRoom reports whether an inherited job has waited for capacity since it was accepted:
+// nothing of it has run, it was due at once, and no cap of a workspace can have held it back.
+func (j *job) hasWaitedForRoom() bool {
+	return j.state == workload.StateQueued && j.Repeats == 0 && j.Workspace == ""
+}
+
 // occurrence returns the occurrence with number k and creates it if needed.
 func (j *job) occurrence(k int) *occurrence {
 	for len(j.occurrences) <= k {
--- a/dispatch/starvation_test.go
+++ b/dispatch/starvation_test.go
@@ -293,3 +293,33 @@
 		t.Errorf("its next task starts after another %v", took)
 	}
 }
+
+// A job that found no room was starved only after it had waited for starvedAfter under one
+// owner, so that it never ran while owners changed more often.
+func TestStarvedJobWaitsAnewForEachOwner(t *testing.T) {
+	const age = starvedAfter + time.Second
+	tests := map[string]struct {
+		age  time.Duration
+		set  func(*workload.Job)
+		at   workload.State
+		want bool
+	}{
+		"has never run":             {age, func(*workload.Job) {}, workload.StateQueued, true},
+		"is younger":                {starvedAfter - time.Second, func(*workload.Job) {}, workload.StateQueued, false},
+		"has run":                   {age, func(*workload.Job) {}, workload.StateRunning, false},
+		"a cap may have held it":    {age, func(j *workload.Job) { j.Workspace = "team" }, workload.StateQueued, false},
+		"may not have been due yet": {age, func(j *workload.Job) { j.Repeats = 2 }, workload.StateQueued, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			const now = time.Minute
+			m := New(testLimits, 9, now)
+			j := workload.Job{ID: "j", Queue: testQueue, Steps: []workload.Step{cpuStep(1, 1000)}}
+			test.set(&j)
+			m.AddJob(&j, test.at, 1, workload.Progress{}, now-test.age, true)
+			if got := m.jobs["j"].isStarved(); got != test.want {
+				t.Errorf("starved: %v, %v after it was accepted; want %v", got, test.age, test.want)
+			}
+		})
+	}
+}
