--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -105,6 +105,17 @@
 	delete(m.inherited, w.ID)
 }
 
+// forgetInherited records that no run exists on a worker any more that a former owner has
+// placed there and that is not known to this one.
+func (m *Machine) forgetInherited(w *worker, now time.Duration) {
+	for _, t := range m.inherited[w.ID] {
+		if t.formerWorker == w.ID {
+			t.forgetFormerRun(now)
+		}
+	}
+	delete(m.inherited, w.ID)
+}
+
 // hasRestartedSinceRecord reports whether an incarnation started after the one that the
 // worker's record names.
 func (w *worker) hasRestartedSinceRecord(startedMS int64) bool {
@@ -117,7 +128,7 @@
 // these ends.
 func (m *Machine) adoptInherited(w *worker, rep workload.Report, now time.Duration) {
 	if !w.hasRestartedSinceRecord(rep.StartedMS) {
-		delete(m.inherited, w.ID)
+		m.forgetInherited(w, now)
 		return
 	}
 	m.recordInheritedCrashes(w, now)
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -166,7 +166,7 @@
 	switch {
 	case w.adopted && !failing:
 		marks.UnreachedSince, marks.LeaseEnd = 0, LeaseEnd{}
-	case marks.UnreachedSince > 0 || !failing:
+	case marks.UnreachedSince > 0, !failing: // as they are
 	case !w.adopted && !w.leased && now-m.startedAt >= unreachedAfter && m.hasReachedMost():
 		marks.UnreachedSince, marks.LeaseEnd = m.term, m.leaseEndAt(w.formerLeaseEnd, w.formerOrdersEnd)
 	case (w.adopted || w.leased) && (m.handingOver || silent && !w.listed):
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -234,6 +234,29 @@
 	}
 }
 
+// A worker that had reported no run of a task was lost before the task was tried again. The
+// stored progress went on naming it, after its record was deleted.
+func TestAbsentRunIsNotStored(t *testing.T) {
+	r := newRig(t)
+	lost := workload.Worker{ID: "w1", StartedMS: 1, Service: testService, Capacity: testCapacity}
+	r.m.SetWorker(lost, r.now)
+	r.m.RestoreWorker(WorkerRecord{Worker: lost}, 5, r.now)
+	progress := workload.Progress{Tasks: []workload.TaskProgress{{Index: 0, Run: 1, Worker: "w1"}, {Index: 1, Run: 1, Worker: "w1"}}}
+	r.m.AddJob(&workload.Job{ID: "j", Queue: testQueue, Steps: []workload.Step{cpuStep(2, 9000)}}, workload.StateRunning, 2, progress, r.now, true)
+	r.report("w1", workload.Report{})
+	r.planStarts() // neither fits
+	r.now += placementBatchDelay
+	writes := r.m.TakeWrites(31, r.now)
+	if len(writes) != 1 {
+		t.Fatalf("writes %v, want the progress", writes)
+	}
+	for _, p := range writes[0].Progress.Tasks {
+		if p.Worker != "" {
+			t.Errorf("task %d is stored on %s, which has reported that it has no run there", p.Index, p.Worker)
+		}
+	}
+}
+
 // The record of a lost worker was deleted while the stored progress of a job still named the
 // worker: an owner that took over in between waited for the longest former lease.
 func TestRecordIsDeletedBeforeProgressThatNamesItsWorker(t *testing.T) {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -124,13 +124,8 @@
 	if w.record.writing {
 		return // the response to the write carries the revision
 	}
-	for _, t := range m.inherited[w.ID] {
-		if t.formerWorker == w.ID {
-			t.forgetFormerRun(now)
-		}
-	}
+	m.forgetInherited(w, now)
 	m.forgetRecord(w)
-	delete(m.inherited, w.ID)
 	delete(m.workers, w.ID)
 	m.workerList = slices.DeleteFunc(m.workerList, func(o *worker) bool { return o == w })
 }
