--- a/dispatch/model_takeover_test.go
+++ b/dispatch/model_takeover_test.go
@@ -22,6 +22,21 @@
 	minOwnership = time.Second
 )
 
+// newCalmSimulation returns a simulation without random faults, with a job that was just
+// submitted.
+func newCalmSimulation(t *rapid.T) *simulation {
+	w := newSimulation(t)
+	w.calm = true
+	w.advanceUntil(w.now + 2*time.Second)
+	w.submitJob()
+	return w
+}
+
+// drawDuration draws a duration in whole milliseconds.
+func (w *simulation) drawDuration(shortest, longest time.Duration, label string) time.Duration {
+	return time.Duration(rapid.Int64Range(shortest.Milliseconds(), longest.Milliseconds()).Draw(w.T, label)) * time.Millisecond
+}
+
 // leaveForGood crashes a worker that does not come back.
 func (w *simulation) leaveForGood(x *modelWorker) {
 	w.trace("%s leaves for good", x.id)
@@ -70,22 +85,16 @@
 // worker has left for good and owners have changed in quick succession.
 func TestTasksWaitAnewForEachOwner(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newSimulation(t)
-		w.calm = true
-		ms := func(shortest, longest time.Duration, label string) time.Duration {
-			return time.Duration(rapid.Int64Range(shortest.Milliseconds(), longest.Milliseconds()).Draw(t, label)) * time.Millisecond
-		}
-		w.advanceUntil(w.now + 2*time.Second)
-		w.submitJob()
-		w.advanceUntil(w.now + ms(time.Millisecond, 3*time.Second, "before the loss"))
+		w := newCalmSimulation(t)
+		w.advanceUntil(w.now + w.drawDuration(time.Millisecond, 3*time.Second, "before the loss"))
 		left := w.anyWorker()
 		w.leaveForGood(left)
-		entryLapses := w.now + ms(time.Millisecond, 3*time.Second, "entry")
-		w.advanceUntil(w.now + ms(0, time.Second, "owner notices"))
+		entryLapses := w.now + w.drawDuration(time.Millisecond, 3*time.Second, "entry")
+		w.advanceUntil(w.now + w.drawDuration(0, time.Second, "owner notices"))
 		firstUnable := w.now
 		for range rapid.IntRange(1, 4).Draw(t, "owners") {
 			w.takeOver()
-			end := w.now + ms(minOwnership, inheritedWait, "ownership")
+			end := w.now + w.drawDuration(minOwnership, inheritedWait, "ownership")
 			w.advanceUntil(min(end, entryLapses))
 			if w.now >= entryLapses {
 				w.lapse(left)
@@ -139,22 +148,16 @@
 // on when they do.
 func TestTaskWaitsLongerWithTenOwners(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newSimulation(t)
-		w.calm = true
-		ms := func(shortest, longest time.Duration, label string) time.Duration {
-			return time.Duration(rapid.Int64Range(shortest.Milliseconds(), longest.Milliseconds()).Draw(t, label)) * time.Millisecond
-		}
-		w.advanceUntil(w.now + 2*time.Second)
-		w.submitJob()
+		w := newCalmSimulation(t)
 		w.advanceUntil(w.now + 2*time.Second)
 		const owners = 10
-		longest := ms(startDelay, 5*time.Second, "longest ownership")
-		lost := w.now + ms(0, 3*longest, "loss")
-		lapses := lost + ms(0, 4*time.Second, "entry")
+		longest := w.drawDuration(startDelay, 5*time.Second, "longest ownership")
+		lost := w.now + w.drawDuration(0, 3*longest, "loss")
+		lapses := lost + w.drawDuration(0, 4*time.Second, "entry")
 		var left *modelWorker
 		for range owners {
 			w.handOver()
-			for end := w.now + ms(startDelay, longest, "ownership"); w.now < end; {
+			for end := w.now + w.drawDuration(startDelay, longest, "ownership"); w.now < end; {
 				if left == nil && w.now >= lost {
 					left = w.anyWorker()
 					w.leaveForGood(left)
