Tasks take memory before they run and after they are done

What callers saw: 400 valid jobs of 60 bytes each, one step of 10,000 tasks, took a host of 184 MB to over 1 GB; its machine would have ended the process, and each next owner reads the same jobs.

Cause: the owner made a record for each task of a job as soon as the job was known, and kept it until the job ended; all occurrences of a repeated job that were due were made at once.

Change: a step keeps records of the tasks that are under way, and a bit for each task that is done out of turn. Tasks that were never started have none. An occurrence of which nothing is left is dropped, and further occurrences of a job are opened once its open ones have fewer than 4,096 steps. The rates of done tasks that are kept for comparison are the latest 1,024 of a step.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -70,7 +70,7 @@
 		return
 	}
 	slices.SortStableFunc(candidates, func(a, b *worker) int { return cmp.Compare(idleMilliCores(b), idleMilliCores(a)) })
-	q := AdviceRequest{Step: workload.TaskName{Job: j.ID, Occurrence: s.tasks[0].name.Occurrence, Step: s.tasks[0].name.Step}}
+	q := AdviceRequest{Step: workload.TaskName{Job: j.ID, Occurrence: s.occurrence, Step: s.index}}
 	for _, w := range candidates[:min(len(candidates), workersPerRequest)] {
 		q.Workers = append(q.Workers, w.ID)
 		s.tickets.asked[w.ID] = true
@@ -106,11 +106,10 @@
 	if !ok {
 		return
 	}
-	t := j.find(q.Step)
-	if t == nil {
+	s := j.step(q.Step)
+	if s == nil {
 		return
 	}
-	s := t.step
 	s.tickets.inFlight = false
 	if issued == nil {
 		for _, id := range q.Workers {
@@ -125,6 +124,9 @@
 			ticketTTL = c.Advice.TicketTTL
 		}
 	}
+	if s.tickets.valid == nil {
+		return // its occurrence has ended
+	}
 	for id, text := range issued {
 		s.tickets.valid[id] = ticket{text, now + ticketTTL - ticketMargin}
 	}
--- a/dispatch/backlog.go
+++ b/dispatch/backlog.go
@@ -197,7 +197,7 @@
 			continue
 		}
 		for _, s := range o.steps {
-			for _, t := range s.tasks {
+			for t := range s.tasks.recorded() {
 				for _, r := range t.runs {
 					cores += float64(s.Need.MilliCores) / 1000 * float64(max(r.cpuShare, 0)) / fullCPUShare
 				}
--- a/dispatch/crash_evidence_test.go
+++ b/dispatch/crash_evidence_test.go
@@ -184,7 +184,7 @@
 			next.m.SetWorker(worker, next.now)
 			test.report.StartedMS = test.startedMS
 			next.report("w0", test.report)
-			if got := next.m.jobs["a"].occurrence(0).steps[0].tasks[0].crashWeight() > 0; got != test.want {
+			if got := next.m.jobs["a"].occurrence(0).steps[0].record(0).crashWeight() > 0; got != test.want {
 				t.Errorf("crash recorded: %v, want %v", got, test.want)
 			}
 		})
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -158,7 +158,7 @@
 			if !o.ready(s) {
 				continue
 			}
-			for _, t := range s.tasks {
+			for t := range s.tasks.recorded() {
 				for _, r := range t.runs {
 					if r.cpuShare < fullCPUShare {
 						held++
@@ -219,8 +219,8 @@
 			if s.waitingCount == 0 || !o.ready(s) {
 				continue
 			}
-			for _, t := range s.tasks {
-				if !t.done && len(t.runs) == 0 {
+			for i := s.tasks.first; i < s.Count; i++ {
+				if t := s.peek(i, &task{}); t != nil && len(t.runs) == 0 {
 					return t
 				}
 			}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -22,8 +22,12 @@
 	progressRevision store.Revision
 	inherited        bool          // was accepted under a former owner
 	arrivedAt        time.Duration // when it was accepted
-	occurrences      []*occurrence // by number; future ones are nil or missing
-	dueOccurrences   int           // how many this owner has found due
+	// occurrences are those from firstOccurrence on, by number; future ones are nil or
+	// missing. The earlier ones have ended.
+	occurrences     []*occurrence
+	firstOccurrence int
+	dueOccurrences  int // how many this owner has found due
+	opened          int // how many of those it has created
 
 	version, saving, saved int64
 	// urgent is set by changes that must be written at once; others may be batched.
@@ -50,21 +54,27 @@
 
 // occurrence is one execution of a job's steps.
 type occurrence struct {
-	steps     []*step
-	stepsLeft int // steps that are not done
+	steps     []*step // nil once all are done and have no runs
+	stepsLeft int     // steps that are not done
 }
 
+// endedOccurrence stands for every occurrence of which nothing is left.
+var endedOccurrence = &occurrence{}
+
 // step is a step of one occurrence.
 type step struct {
 	*workload.Step
-	tasks        []*task
-	doneCount    int
-	waitingCount int // tasks that are neither done nor have a run
-	lastGangRun  int // highest run number of the gang
-	runsOnWorker map[fleet.WorkerID]int
+	job               *job
+	occurrence, index int
+	tasks             taskList
+	doneCount         int
+	waitingCount      int // tasks that are neither done nor have a run
+	lastGangRun       int // highest run number of the gang
+	runsOnWorker      map[fleet.WorkerID]int
 	// doneRates are the progress rates, in percent per second, of runs that are
 	// done.
 	doneRates []float64
+	nextRate  int     // position of the oldest rate, once as many are kept as may be
 	tickets   tickets // from the advice service, if the queue has one
 	// heldSince is since when its workspace's cap holds back the next task or the gang; 0:
 	// it does not.
@@ -168,11 +178,7 @@
 			m.inherited[t.formerWorker] = append(m.inherited[t.formerWorker], t)
 		}
 	}
-	for _, o := range nj.occurrences {
-		if o != nil {
-			o.recount()
-		}
-	}
+	nj.recount()
 	m.completeIfDone(nj, arrived)
 }
 
@@ -182,31 +188,79 @@
 	return j.state == workload.StateQueued && j.Repeats == 0 && j.Workspace == ""
 }
 
+// occurrenceAt returns the occurrence with number k, or nil if it has not been created.
+func (j *job) occurrenceAt(k int) *occurrence {
+	switch k -= j.firstOccurrence; {
+	case k < 0:
+		return endedOccurrence
+	case k < len(j.occurrences):
+		return j.occurrences[k]
+	default:
+		return nil
+	}
+}
+
+// setOccurrence sets an occurrence that is not below firstOccurrence.
+func (j *job) setOccurrence(k int, o *occurrence) {
+	for j.firstOccurrence+len(j.occurrences) <= k {
+		j.occurrences = append(j.occurrences, nil)
+	}
+	j.occurrences[k-j.firstOccurrence] = o
+}
+
 // occurrence returns the occurrence with number k and creates it if needed.
 func (j *job) occurrence(k int) *occurrence {
-	for len(j.occurrences) <= k {
-		j.occurrences = append(j.occurrences, nil)
+	if o := j.occurrenceAt(k); o != nil {
+		return o
 	}
-	if j.occurrences[k] == nil {
-		o := &occurrence{stepsLeft: len(j.Steps)}
-		for i := range j.Steps {
-			s := &step{Step: &j.Steps[i], waitingCount: j.Steps[i].Count, runsOnWorker: make(map[fleet.WorkerID]int)}
-			for t := range s.Count {
-				s.tasks = append(s.tasks, &task{job: j, step: s, name: workload.TaskName{Job: j.ID, Occurrence: k, Step: i, Index: t}, waitingSince: j.arrivedAt})
-			}
-			o.steps = append(o.steps, s)
-		}
-		j.occurrences[k] = o
+	o := &occurrence{steps: make([]*step, 0, len(j.Steps)), stepsLeft: len(j.Steps)}
+	for i := range j.Steps {
+		o.steps = append(o.steps, &step{Step: &j.Steps[i], job: j, occurrence: k, index: i, waitingCount: j.Steps[i].Count})
 	}
-	return j.occurrences[k]
+	j.setOccurrence(k, o)
+	return o
 }
 
-// find returns the task with the given name, or nil if the job has none.
-func (j *job) find(n workload.TaskName) *task {
+// endOccurrence drops an occurrence of which nothing is left.
+func (j *job) endOccurrence(k int) {
+	if k < j.firstOccurrence {
+		return
+	}
+	j.setOccurrence(k, endedOccurrence)
+	for len(j.occurrences) > 0 && j.occurrences[0] == endedOccurrence {
+		j.occurrences = j.occurrences[1:]
+		j.firstOccurrence++
+	}
+}
+
+// dropOccurrence drops an occurrence if all its tasks are done and none has a record.
+func (j *job) dropOccurrence(k int) {
+	o := j.occurrenceAt(k)
+	if o == nil || o.stepsLeft > 0 || slices.ContainsFunc(o.steps, func(s *step) bool { return s.tasks.first < s.Count }) {
+		return
+	}
+	j.endOccurrence(k)
+}
+
+// step returns the step of a task, or nil if the job has none of that name. For an occurrence
+// of which nothing is left it returns one that is not kept.
+func (j *job) step(n workload.TaskName) *step {
 	if n.Occurrence < 0 || n.Occurrence >= j.Occurrences() || n.Step < 0 || n.Step >= len(j.Steps) || n.Index < 0 || n.Index >= j.Steps[n.Step].Count {
 		return nil
 	}
-	return j.occurrence(n.Occurrence).steps[n.Step].tasks[n.Index]
+	if o := j.occurrence(n.Occurrence); o != endedOccurrence {
+		return o.steps[n.Step]
+	}
+	s := &j.Steps[n.Step]
+	return &step{Step: s, job: j, occurrence: n.Occurrence, index: n.Step, doneCount: s.Count, tasks: taskList{first: s.Count, end: s.Count}}
+}
+
+// find returns the task with the given name, or nil if the job has none.
+func (j *job) find(n workload.TaskName) *task {
+	if s := j.step(n); s != nil {
+		return s.record(n.Index)
+	}
+	return nil
 }
 
 // restore applies the stored progress of one task, and returns the task, or nil if the
@@ -230,20 +284,27 @@
 func (j *job) restoreDone(p workload.Progress) {
 	for _, r := range p.EndedOccurrences {
 		for k := max(0, r.First); k < min(r.First+r.Count, j.Occurrences()); k++ {
-			for _, s := range j.occurrence(k).steps {
-				for _, t := range s.tasks {
-					t.done = true
-				}
-			}
+			j.endOccurrence(k)
 		}
 	}
 	for _, r := range p.Done {
-		for i := range r.Count {
-			t := j.find(workload.TaskName{Job: j.ID, Occurrence: r.Occurrence, Step: r.Step, Index: r.First + i})
-			if t == nil {
-				break
-			}
-			t.done = true
+		s := j.step(workload.TaskName{Job: j.ID, Occurrence: r.Occurrence, Step: r.Step})
+		if s == nil || r.First < 0 {
+			continue
+		}
+		for i := r.First; i < min(r.First+r.Count, s.Count); i++ {
+			s.tasks.markDone(i)
+		}
+	}
+}
+
+// recount sets the counters of the occurrences after their tasks were restored.
+func (j *job) recount() {
+	first := j.firstOccurrence // dropping the first ones changes it
+	for i, o := range slices.Clone(j.occurrences) {
+		if o != nil && o != endedOccurrence {
+			o.recount()
+			j.dropOccurrence(first + i)
 		}
 	}
 }
@@ -252,17 +313,21 @@
 func (o *occurrence) recount() {
 	o.stepsLeft = 0
 	for _, s := range o.steps {
-		s.doneCount, s.waitingCount = 0, 0
-		for _, t := range s.tasks {
-			if t.done {
-				s.doneCount++
-			} else if len(t.runs) == 0 {
-				s.waitingCount++
+		s.doneCount = s.tasks.countDone()
+		s.waitingCount = s.Count - s.doneCount
+		for t := range s.tasks.recorded() {
+			if !t.done && len(t.runs) > 0 {
+				s.waitingCount--
 			}
 		}
 		if s.doneCount < s.Count {
 			o.stepsLeft++
 		}
+		for _, t := range slices.Clone(s.tasks.records) {
+			if t.mayDropRecord() {
+				s.tasks.markDone(t.name.Index)
+			}
+		}
 	}
 }
 
@@ -275,7 +340,11 @@
 // what is under way: what is done is stored as ranges.
 func (j *job) progress() workload.Progress {
 	var p workload.Progress
+	for k := range j.firstOccurrence {
+		p.EndOccurrence(k)
+	}
 	for k, o := range j.occurrences {
+		k += j.firstOccurrence
 		if o == nil {
 			continue
 		}
@@ -287,9 +356,13 @@
 			// The other members of a gang are started with a run number above those of the
 			// ones that are done.
 			omitRuns := !s.Gang || s.doneCount == s.Count
-			for x, t := range s.tasks {
-				if t.done && omitRuns {
-					p.EndTask(t.name)
+			for x := range s.tasks.end {
+				t := s.tasks.get(x)
+				if t == nil {
+					continue
+				}
+				if t.done && (omitRuns || t == doneTask) {
+					p.EndTask(workload.TaskName{Job: j.ID, Occurrence: k, Step: i, Index: x})
 					continue
 				}
 				if t.lastRun == 0 && !t.done {
@@ -354,7 +427,7 @@
 
 // allDone reports whether all occurrences are done.
 func (j *job) allDone() bool {
-	if len(j.occurrences) < j.Occurrences() {
+	if j.firstOccurrence+len(j.occurrences) < j.Occurrences() {
 		return false
 	}
 	return !slices.ContainsFunc(j.occurrences, func(o *occurrence) bool { return o == nil || o.stepsLeft > 0 })
@@ -378,7 +451,7 @@
 			continue
 		}
 		for _, s := range o.steps {
-			for _, t := range s.tasks {
+			for t := range s.tasks.recorded() {
 				for _, r := range t.runs {
 					m.requestStop(r, string(state))
 				}
--- a/dispatch/machine_test.go
+++ b/dispatch/machine_test.go
@@ -431,7 +431,7 @@
 	r := newRig(t, "w1")
 	r.addJob("bad", cpuStep(1, 1000))
 	r.addJob("good", cpuStep(1, 1000))
-	r.m.jobs["bad"].occurrence(0).steps[0].tasks[0] = nil
+	r.m.jobs["bad"].occurrence(0).steps[0].job = nil
 	for range 3 {
 		for _, o := range r.planStarts() {
 			if o.Task.Job != "good" {
--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -191,10 +191,10 @@
 	if !s.Serving {
 		return s.Checkpoints
 	}
-	missing := 1
-	for _, t := range s.tasks {
-		if t != r.task && !t.fullyServing() {
-			missing++
+	missing := s.Count
+	for t := range s.tasks.recorded() {
+		if t != r.task && t.fullyServing() {
+			missing--
 		}
 	}
 	return missing <= s.MaxUnavailable
--- a/dispatch/outcomes.go
+++ b/dispatch/outcomes.go
@@ -60,7 +60,7 @@
 	if !s.Gang {
 		return
 	}
-	for _, t := range s.tasks {
+	for t := range s.tasks.recorded() {
 		for _, r := range t.runs {
 			if r.number == number {
 				m.requestStop(r, "a member of the gang was refused")
--- a/dispatch/overdue_test.go
+++ b/dispatch/overdue_test.go
@@ -181,7 +181,7 @@
 		}
 	}
 	p := r.m.newPlacer(r.now)
-	waiting := r.m.jobs["f"].occurrence(0).steps[0].tasks[0]
+	waiting := r.m.jobs["f"].occurrence(0).steps[0].record(0)
 	if _, ok := p.placeStarved(waiting, testService); ok {
 		t.Error("a starved job gets a worker with a high tail latency before it is overdue")
 	}
--- a/dispatch/ownload.go
+++ b/dispatch/ownload.go
@@ -65,7 +65,7 @@
 func (m *Machine) calmTails(s *step, pressure func(l *colocatedLoad, in *interference, serving int, capacity int64) float64, now time.Duration) []float64 {
 	image := m.interference.serving.number(s.Image)
 	tails := m.ownTailBuffer[:0]
-	for _, t := range s.tasks {
+	for t := range s.tasks.recorded() {
 		for _, r := range t.runs {
 			w := r.worker
 			if r.state == runRunning && r.gauge > 0 && now-w.reportedAt < maxReportAge &&
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -180,7 +180,12 @@
 	var chosen []*worker
 	taken := make(map[fleet.WorkerID]int)
 	trial := &placer{m: p.m, eligible: p.eligible, now: p.now, unplaceable: make(map[placementClass]bool), minUnplaced: make(map[string]int64), needsTicket: p.needsTicket}
-	for _, t := range s.tasks {
+	var unstarted task
+	for i := range s.Count {
+		t := s.peek(i, &unstarted)
+		if t == nil {
+			break
+		}
 		w := trial.place(t, service, taken)
 		if w == nil {
 			break
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -131,9 +131,38 @@
 		j.occurrence(0)
 		return
 	}
-	for j.dueOccurrences < j.Repeats && unixMS >= j.FirstMS+int64(j.dueOccurrences)*j.IntervalMS {
-		j.occurrence(j.dueOccurrences)
-		j.dueOccurrences++
+	j.dueOccurrences = max(j.dueOccurrences, j.countDue(unixMS))
+	for open := j.openSteps(); j.opened < j.dueOccurrences && open < maxOpenSteps; j.opened++ {
+		if j.occurrence(j.opened).stepsLeft > 0 {
+			open += len(j.Steps)
+		}
+	}
+}
+
+// maxOpenSteps bounds the steps of the occurrences of a job that are open at once. Further ones
+// that are due wait for one of these to end.
+const maxOpenSteps = 4096
+
+// openSteps returns the number of steps of the occurrences that are open.
+func (j *job) openSteps() int {
+	n := 0
+	for _, o := range j.occurrences {
+		if o != nil && o.stepsLeft > 0 {
+			n += len(j.Steps)
+		}
+	}
+	return n
+}
+
+// countDue returns how many occurrences are due.
+func (j *job) countDue(unixMS int64) int {
+	switch {
+	case unixMS < j.FirstMS:
+		return 0
+	case j.IntervalMS == 0:
+		return j.Repeats
+	default:
+		return int(min(uint64(unixMS-j.FirstMS)/uint64(j.IntervalMS), uint64(j.Repeats-1))) + 1
 	}
 }
 
@@ -147,7 +176,7 @@
 		return j.arrivedAt
 	}
 	k := max(0, slices.IndexFunc(j.occurrences, func(o *occurrence) bool { return o != nil && o.stepsLeft > 0 }))
-	dueMS := j.FirstMS + int64(k)*j.IntervalMS
+	dueMS := j.FirstMS + int64(j.firstOccurrence+k)*j.IntervalMS
 	return now - max(0, time.Duration(unixMS-dueMS)*time.Millisecond)
 }
 
@@ -255,11 +284,13 @@
 	if s.Serving && !m.mayPlaceServing(now) {
 		return
 	}
-	for _, t := range s.tasks {
-		if m.room.exhausted() || p.single && t.job.runCount > 0 {
+	var unstarted task
+	for i := s.tasks.first; i < s.Count; i++ {
+		if m.room.exhausted() || p.single && s.job.runCount > 0 {
 			break
 		}
-		if t.done || len(t.runs) > 0 || t.hasUnstoredCrash() || m.mayRunElsewhere(t, now) {
+		t := s.peek(i, &unstarted)
+		if t == nil || len(t.runs) > 0 || t.hasUnstoredCrash() || m.mayRunElsewhere(t, now) {
 			continue
 		}
 		if !p.withinCap(t.job, s, 1) {
@@ -281,6 +312,7 @@
 		if !p.takeUnreserved(s, service, 1) {
 			break
 		}
+		t = s.record(i)
 		m.start(t, w, m.nextRun(t), now)
 	}
 }
@@ -290,12 +322,13 @@
 	if s.waitingCount < s.Count-s.doneCount || s.doneCount > 0 {
 		return false
 	}
-	if slices.ContainsFunc(s.tasks, func(t *task) bool { return t.hasUnstoredCrash() || m.mayRunElsewhere(t, now) }) {
-		return false
-	}
-	number := 0
-	for _, t := range s.tasks {
-		number = max(number, m.nextRun(t))
+	unstarted := s.newTask(0)
+	number, checkpoint := m.nextRun(&unstarted), ""
+	for t := range s.tasks.recorded() {
+		if t.hasUnstoredCrash() || m.mayRunElsewhere(t, now) {
+			return false
+		}
+		number, checkpoint = max(number, m.nextRun(t)), max(checkpoint, t.checkpoint)
 	}
 	var chosen []*worker
 	if s.SameRack {
@@ -307,11 +340,8 @@
 	if chosen == nil || !p.takeUnreserved(s, service, s.Count) {
 		return false
 	}
-	checkpoint := ""
-	for _, t := range s.tasks {
-		checkpoint = max(checkpoint, t.checkpoint)
-	}
-	for i, t := range s.tasks {
+	for i := range s.Count {
+		t := s.record(i)
 		t.checkpoint = checkpoint
 		m.start(t, chosen[i], number, now)
 	}
--- a/dispatch/progress_size_test.go
+++ b/dispatch/progress_size_test.go
@@ -19,13 +19,15 @@
 	}
 	j := &job{Job: submitted}
 	for k := range min(done+1, occurrences) {
-		for _, x := range j.occurrence(k).steps[0].tasks {
+		step := j.occurrence(k).steps[0]
+		for i := range step.Count {
+			x := step.record(i)
 			x.lastRun, x.done = 1, k < done
 			if !x.done {
 				x.formerWorker, x.formerConfirmed = "worker-0123456789", true
 			}
 		}
-		j.occurrences[k].recount()
+		j.recount()
 	}
 	return j, submitted
 }
@@ -77,10 +79,10 @@
 // Tasks that are done here and there in a step need the most ranges.
 func TestScatteredTasksOutgrowTheValue(t *testing.T) {
 	j, _ := longJob(t, 1, workload.MaxTasks, 0)
-	for i, x := range j.occurrences[0].steps[0].tasks {
-		x.done = i%2 == 0
+	for i := range workload.MaxTasks {
+		j.occurrences[0].steps[0].record(i).done = i%2 == 0
 	}
-	j.occurrences[0].recount()
+	j.recount()
 	size := len(encodeProgress(t, j))
 	t.Logf("%d bytes", size)
 	if size > store.MaxValueBytes {
@@ -110,9 +112,9 @@
 	step.Gang = true
 	submitted := workload.Job{ID: "a", Queue: testQueue, Steps: []workload.Step{step}}
 	j := &job{Job: submitted}
-	tasks := j.occurrence(0).steps[0].tasks
-	tasks[0].lastRun, tasks[0].done = 7, true
-	j.occurrences[0].recount()
+	first := j.occurrence(0).steps[0].record(0)
+	first.lastRun, first.done = 7, true
+	j.recount()
 	r := newRig(t)
 	r.m.AddJob(&submitted, workload.StateRunning, 1, storedProgress(t, j), r.now, true)
 	if got := r.m.jobs["a"].occurrences[0].steps[0].lastGangRun; got != 7 {
--- a/dispatch/ranking.go
+++ b/dispatch/ranking.go
@@ -135,10 +135,14 @@
 
 // tasksDone counts the tasks of a step of an occurrence that are done.
 func (j *job) tasksDone(occurrence, step int) int {
-	if occurrence >= len(j.occurrences) || j.occurrences[occurrence] == nil {
+	switch o := j.occurrenceAt(occurrence); o {
+	case nil:
 		return 0
+	case endedOccurrence:
+		return j.Steps[step].Count
+	default:
+		return o.steps[step].doneCount
 	}
-	return j.occurrences[occurrence].steps[step].doneCount
 }
 
 // leastWork ranks the job with the least remaining work first, so that the most jobs
--- a/dispatch/record_test.go
+++ b/dispatch/record_test.go
@@ -262,7 +262,7 @@
 					t.Errorf("stored %+v, want the unlisted run as unconfirmed", x.Progress.Tasks)
 				}
 			}
-			if task := r.m.jobs["unlisted"].occurrences[0].steps[0].tasks[0]; task.isConfirmed() {
+			if task := r.m.jobs["unlisted"].occurrences[0].steps[0].record(0); task.isConfirmed() {
 				t.Error("the unlisted run counts as confirmed")
 			}
 		})
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -159,6 +159,9 @@
 func (m *Machine) occupy(r *run) {
 	w, s := r.worker, r.task.step
 	w.runs = append(w.runs, r)
+	if s.runsOnWorker == nil {
+		s.runsOnWorker = make(map[fleet.WorkerID]int)
+	}
 	s.runsOnWorker[w.ID]++
 	w.addUsage(s.Step, 1)
 	w.colocated.add(m.interference, s.Step, 1)
@@ -220,6 +223,7 @@
 		t.step.waitingCount++
 		t.waitingSince = now
 	}
+	t.dropRecord()
 }
 
 // handleEnded processes the end of a run that a worker reports.
@@ -281,8 +285,11 @@
 // markTaskDone marks a task as done, or all tasks of its gang.
 func (m *Machine) markTaskDone(t *task, now time.Duration) {
 	tasks := []*task{t}
-	if t.step.Gang {
-		tasks = t.step.tasks
+	if s := t.step; s.Gang && !t.done {
+		tasks = tasks[:0]
+		for i := range s.Count {
+			tasks = append(tasks, s.record(i))
+		}
 	}
 	for _, t := range tasks {
 		if t.done {
@@ -300,7 +307,10 @@
 		}
 	}
 	if s := t.step; s.doneCount == s.Count {
-		o := t.job.occurrences[t.name.Occurrence]
+		o := t.job.occurrenceAt(t.name.Occurrence)
+		if o == endedOccurrence {
+			return
+		}
 		o.stepsLeft = 0
 		for _, s := range o.steps {
 			if s.doneCount < s.Count {
@@ -309,6 +319,9 @@
 		}
 		m.completeIfDone(t.job, now)
 	}
+	for _, t := range tasks {
+		t.dropRecord()
+	}
 }
 
 // acknowledgeEnds lets the worker forget the ends whose effects are stored.
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -17,7 +17,9 @@
 // once. Otherwise smaller tasks would take each gap as it appears, and the gang
 // would never start while the load exceeds the capacity.
 func (p *placer) reserve(s *step, service fleet.Service) {
-	if p.reservedServices[service] || p.now-s.tasks[0].waitingSince < reserveAfter {
+	var unstarted task
+	first := s.peek(0, &unstarted)
+	if p.reservedServices[service] || first == nil || p.now-first.waitingSince < reserveAfter {
 		return
 	}
 	kept := p.workersForGang(s, service)
@@ -28,10 +30,10 @@
 	p.eligible = slices.DeleteFunc(p.eligible, func(w *worker) bool { return slices.Contains(kept, w) })
 	clear(p.unplaceable)
 	clear(p.minUnplaced)
-	j := s.tasks[0].job
+	j := s.job
 	if !j.hasReservation {
 		j.hasReservation = true
-		p.m.emit("room_kept", j.ID, "step", s.tasks[0].name.StepName(), "members", s.Count, "workers", len(kept), "waited", p.now-s.tasks[0].waitingSince)
+		p.m.emit("room_kept", j.ID, "step", first.name.StepName(), "members", s.Count, "workers", len(kept), "waited", p.now-first.waitingSince)
 	}
 }
 
@@ -78,8 +80,8 @@
 // gangMembersOn returns how many members of a gang a worker could take once its
 // current batch runs have ended.
 func (p *placer) gangMembersOn(s *step, w *worker, service fleet.Service) int {
-	t := s.tasks[0]
-	if w.Service != service || s.Label != "" && !slices.Contains(w.Labels, s.Label) || t.avoidance.excludes(w.ID, p.now) {
+	first := s.tasks.get(0)
+	if w.Service != service || s.Label != "" && !slices.Contains(w.Labels, s.Label) || first != nil && first.avoidance.excludes(w.ID, p.now) {
 		return 0
 	}
 	free := w.Capacity
--- a/dispatch/runtime.go
+++ b/dispatch/runtime.go
@@ -52,13 +52,26 @@
 		return // its duration does not show how long the task takes at full CPU share
 	}
 	if r.task.checkpoint == "" || !s.Checkpoints {
-		r.task.step.doneRates = append(r.task.step.doneRates, 100/max(now-r.orderedAt, time.Millisecond).Seconds())
+		s.recordRate(100 / max(now-r.orderedAt, time.Millisecond).Seconds())
 	}
 	ratio := min(max(float64(now-r.orderedAt)/float64(s.Estimate()), ratioMin), ratioMax)
 	q.samples++
 	q.ratio += max(ratioWeight, 1/float64(q.samples)) * (ratio - q.ratio)
 }
 
+// maxDoneRates bounds the rates that are kept of the tasks of a step that are done, the latest ones.
+const maxDoneRates = 1024
+
+// recordRate keeps the progress rate of a run that is done.
+func (s *step) recordRate(rate float64) {
+	if len(s.doneRates) < maxDoneRates {
+		s.doneRates = append(s.doneRates, rate)
+		return
+	}
+	s.doneRates[s.nextRate] = rate
+	s.nextRate = (s.nextRate + 1) % maxDoneRates
+}
+
 // expectedRunTime returns the expected run time of a task of a step.
 func (m *Machine) expectedRunTime(queue string, s *workload.Step) time.Duration {
 	ratio := 1.0
--- a/dispatch/serving_waits.go
+++ b/dispatch/serving_waits.go
@@ -19,7 +19,7 @@
 		if j.state.Final() {
 			continue
 		}
-		for _, t := range j.servingTasksWaiting() {
+		for t, count := range j.servingTasksWaiting() {
 			cause := room
 			switch {
 			case j.inherited && !adopted:
@@ -29,10 +29,10 @@
 			case !mayPlace:
 				cause = delay
 			}
-			counts[cause]++
-			if name := t.name.String(); counts[cause] == 1 || name < first[cause] {
+			if name := t.name.String(); counts[cause] == 0 || name < first[cause] {
 				first[cause] = name
 			}
+			counts[cause] += count
 		}
 	}
 	if len(counts) == 0 {
--- a/dispatch/slow.go
+++ b/dispatch/slow.go
@@ -52,7 +52,7 @@
 // those that are done, in percent per second; 0 if there are too few.
 func (m *Machine) siblingRate(r *run) float64 {
 	rates := append(m.ratesBuffer[:0], r.task.step.doneRates...)
-	for _, t := range r.task.step.tasks {
+	for t := range r.task.step.tasks.recorded() {
 		for _, o := range t.runs {
 			if o != r && o.worker != r.worker && o.rate > 0 && o.cpuShare == fullCPUShare {
 				rates = append(rates, o.rate)
--- a/dispatch/starvation_test.go
+++ b/dispatch/starvation_test.go
@@ -208,7 +208,7 @@
 	for range 20 {
 		r.step(200 * time.Millisecond)
 	}
-	run := r.m.jobs["f"].occurrences[0].steps[0].tasks[0].runs
+	run := r.m.jobs["f"].occurrences[0].steps[0].record(0).runs
 	if len(run) != 1 || run[0].state != runRunning || run[0].cpuShare != 0 {
 		t.Errorf("runs %v, want one at a CPU share of 0", run)
 	}
--- a/dispatch/takeover.go
+++ b/dispatch/takeover.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"iter"
 	"slices"
 	"strings"
 	"time"
@@ -119,33 +120,29 @@
 		if !j.inherited || j.state.Final() {
 			continue
 		}
-		for _, t := range j.servingTasksWaiting() {
+		for t, count := range j.servingTasksWaiting() {
 			if !m.mayStillRun(t) {
-				p.unreserved[m.serviceOf(j)] -= t.step.Need.MilliCores
+				p.unreserved[m.serviceOf(j)] -= int64(count) * t.step.Need.MilliCores
 			}
 		}
 	}
 }
 
-// servingTasksWaiting returns the serving tasks of a job that have no run.
-func (j *job) servingTasksWaiting() []*task {
-	var waiting []*task
-	for _, o := range j.occurrences {
-		if o == nil || o.stepsLeft == 0 {
-			continue
-		}
-		for _, s := range o.steps {
-			if !s.Serving || s.waitingCount == 0 || !o.ready(s) {
+// servingTasksWaiting returns the serving tasks of a job that have no run, and how many of
+// them there are: the first of those of a step that have not been started stands for all.
+func (j *job) servingTasksWaiting() iter.Seq2[*task, int] {
+	return func(yield func(*task, int) bool) {
+		for _, o := range j.occurrences {
+			if o == nil || o.stepsLeft == 0 {
 				continue
 			}
-			for _, t := range s.tasks {
-				if !t.done && len(t.runs) == 0 {
-					waiting = append(waiting, t)
+			for _, s := range o.steps {
+				if s.Serving && s.waitingCount > 0 && o.ready(s) && !s.eachWaiting(yield) {
+					return
 				}
 			}
 		}
 	}
-	return waiting
 }
 
 // mayRunElsewhere reports whether a run that a former owner started may exist on a
--- a/dispatch/truncated_test.go
+++ b/dispatch/truncated_test.go
@@ -22,7 +22,7 @@
 
 // taskOf returns the first task of a job.
 func (r *rig) taskOf(id fleet.JobID) *task {
-	return r.m.jobs[id].occurrence(0).steps[0].tasks[0]
+	return r.m.jobs[id].occurrence(0).steps[0].record(0)
 }
 
 // completes fails the test if job a is not completed.
