Names of images grow the matrix of interference

What callers could do: each name of an image in a job that is accepted gets a row or a column in the matrices of learned interference, and an entry on each worker. 5,000 names of best-effort images and 5,000 of serving ones, in a few bodies, are 25 million pairs of 32 bytes.

Cause: the numbers of images are never taken back, and nothing bounds them.

Change: images beyond 128 of a kind share the number of the empty name, so that what is learned about them is shared. Deployments use a few images.

Evidence: TestImagesOfCallersGrowTheMatrix, 500 names: 500 rows before, 128 now. Open: names of a crowd keep their numbers until the owner changes, so that other images learn together until then.

--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -29,17 +29,26 @@
 	triedAt    [][]time.Duration // when a run was last placed beside the serving image
 }
 
-// imageNumbers numbers images in the order of their first use.
+// imageNumbers numbers images in the order of their first use. Images beyond maxImages share
+// the number of the empty one.
 type imageNumbers map[string]int
 
+// maxImages bounds the matrices of pairs, which callers' names of images would let grow.
+const maxImages = 128
+
 // number returns the number of an image and assigns one if needed.
 func (n imageNumbers) number(image string) int {
 	i, ok := n[image]
-	if !ok {
+	switch {
+	case ok:
+		return i
+	case image != "" && len(n) >= maxImages-1:
+		return n.number("")
+	default:
 		i = len(n)
 		n[image] = i
+		return i
 	}
-	return i
 }
 
 // imageUsage is the processor that a best-effort image uses on a worker, as a share of
