Tasks that request nothing are under way in any number

What callers could do: tasks without requests fit on any worker, so that all tasks of all jobs may run at once, and each that is under way takes a record and a run of its owner.

Cause: only the resources of workers bounded the tasks that are under way.

Change: an owner starts further tasks only while those that have been started and are not done are fewer than an eighth of its memory allows, at 1 KiB each: 23,500 on a host of 184 MB. A gang may exceed that, as it starts as a whole. The log says tasks_wait_for_memory. clients.task_bytes overrides the default.

Evidence: TestTasksUnderWayExceedTheMemory and TestDoneTasksLeaveNoRoom; without the check in startTasks 100 of 100 tasks start with a limit of 10.

--- a/admission/limits.go
+++ b/admission/limits.go
@@ -15,11 +15,14 @@
 	BodyRate              int64         // least bytes per second of a body, after BodyGrace
 	BodyGrace             time.Duration // before the rate of a body counts
 	AnswerStall           time.Duration // longest time in which an answer makes no progress
+	TaskBytes             int64         // of tasks that are under way, on their owner
 }
 
 const (
 	// bytesShare is the share of the memory for requests that are not admitted yet.
 	bytesShare = 0.125
+	// tasksShare is the share of the memory for tasks that are under way.
+	tasksShare = 0.125
 	// connectionMemoryShare is the share of the memory for the connections themselves.
 	connectionMemoryShare = 0.15
 	// connectionBytes is the memory of a connection: the stacks of its goroutines, its
@@ -44,7 +47,8 @@
 	}
 	return Limits{
 		Bytes: int64(bytesShare * float64(memoryBytes)), Connections: connections, ConnectionsPerAddress: connections, HeaderBytes: defaultHeaderBytes,
-		BodyRate: defaultBodyRate, BodyGrace: defaultBodyGrace, AnswerStall: defaultAnswerStall,
+		TaskBytes: int64(tasksShare * float64(memoryBytes)),
+		BodyRate:  defaultBodyRate, BodyGrace: defaultBodyGrace, AnswerStall: defaultAnswerStall,
 	}
 }
 
@@ -57,6 +61,7 @@
 	BodyRate              int64 `json:"body_bytes_per_s"`
 	BodyGraceMS           int64 `json:"body_grace_ms"`
 	AnswerStallMS         int64 `json:"answer_stall_ms"`
+	TaskBytes             int64 `json:"task_bytes"`
 }
 
 // LimitError reports an override that can't be used.
@@ -84,6 +89,7 @@
 		{"header_bytes", int64(o.HeaderBytes), func(n int64) { l.HeaderBytes = int(n) }},
 		{"body_bytes_per_s", o.BodyRate, func(n int64) { l.BodyRate = n }},
 		{"body_grace_ms", o.BodyGraceMS, func(n int64) { l.BodyGrace = time.Duration(n) * time.Millisecond }},
+		{"task_bytes", o.TaskBytes, func(n int64) { l.TaskBytes = n }},
 		{"answer_stall_ms", o.AnswerStallMS, func(n int64) { l.AnswerStall = time.Duration(n) * time.Millisecond }},
 	} {
 		if v.value < 0 || v.value > math.MaxInt32 {
--- a/dispatch/footprint.go
+++ b/dispatch/footprint.go
@@ -28,3 +28,6 @@
 	}
 	return total
 }
+
+// MaxRecords returns how many tasks may be under way within an amount of memory in bytes.
+func MaxRecords(bytes int64) int { return int(bytes / recordBytes) }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -29,6 +29,7 @@
 	dueOccurrences  int // how many this owner has found due
 	opened          int // how many of those it has created
 
+	records                int // of its tasks
 	version, saving, saved int64
 	// urgent is set by changes that must be written at once; others may be batched.
 	urgent        bool
@@ -293,7 +294,7 @@
 			continue
 		}
 		for i := r.First; i < min(r.First+r.Count, s.Count); i++ {
-			s.tasks.markDone(i)
+			s.markDone(i)
 		}
 	}
 }
@@ -325,7 +326,7 @@
 		}
 		for _, t := range slices.Clone(s.tasks.records) {
 			if t.mayDropRecord() {
-				s.tasks.markDone(t.name.Index)
+				s.markDone(t.name.Index)
 			}
 		}
 	}
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -21,6 +21,7 @@
 	LeaseMax         time.Duration // longest lease that any owner could have requested
 	LongestLease     time.Duration // longest lease that a worker grants, whatever is requested
 	Quota            QuotaLimits
+	Records          int           // tasks that are under way, see MaxRecords; 0: any
 	MaintenanceDelay time.Duration // a new owner orders no machine maintenance for this long, so that two owners do not alternate
 }
 
@@ -121,6 +122,8 @@
 	orders            []Order
 	startRoom         StartRoom // for the next plan
 	room              StartRoom // what the current plan has left of it
+	recordRoom        int       // how many tasks that have no record may be started
+	recordsReportedAt time.Duration
 	events            []Event
 	superseded        bool
 	maintenance       maintenance
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -29,6 +29,7 @@
 	m.planMaintenance(now)
 	p := m.newPlacer(now)
 	m.reserveInherited(p)
+	m.setRecordRoom()
 	m.room = StartRoom{Starts: min(startsPerPlan, m.startRoom.Starts), Bytes: m.startRoom.Bytes}
 	jobs := m.waitingJobs(now, unixMS)
 	m.orderByShare(jobs)
@@ -46,6 +47,7 @@
 	m.recordWorkspaceWaits(jobs, p, now)
 	m.recordUtilisation(jobs, p, now)
 	m.recordTakeover(now)
+	m.recordRecords(len(jobs), now)
 	m.recordServingWaits(now)
 	m.lastPlanAt = now
 }
@@ -290,6 +292,9 @@
 			break
 		}
 		t := s.peek(i, &unstarted)
+		if t == &unstarted && m.recordRoom <= 0 {
+			break
+		}
 		if t == nil || len(t.runs) > 0 || t.hasUnstoredCrash() || m.mayRunElsewhere(t, now) {
 			continue
 		}
@@ -312,14 +317,14 @@
 		if !p.takeUnreserved(s, service, 1) {
 			break
 		}
-		t = s.record(i)
+		t = m.recordOf(t)
 		m.start(t, w, m.nextRun(t), now)
 	}
 }
 
 // startGang starts all members of a gang, or none, and reports whether it has.
 func (m *Machine) startGang(s *step, service fleet.Service, p *placer, now time.Duration) bool {
-	if s.waitingCount < s.Count-s.doneCount || s.doneCount > 0 {
+	if s.waitingCount < s.Count-s.doneCount || s.doneCount > 0 || m.recordRoom <= 0 {
 		return false
 	}
 	unstarted := s.newTask(0)
@@ -340,6 +345,7 @@
 	if chosen == nil || !p.takeUnreserved(s, service, s.Count) {
 		return false
 	}
+	m.recordRoom -= s.countUnstarted()
 	for i := range s.Count {
 		t := s.record(i)
 		t.checkpoint = checkpoint
--- a/dispatch/starvation.go
+++ b/dispatch/starvation.go
@@ -250,7 +250,7 @@
 	if !ok {
 		return false
 	}
-	t = t.step.record(t.name.Index)
+	t = m.recordOf(t)
 	j, w, percent := t.job, chosen.worker, chosen.cpuShare()
 	m.emit("job_starved", j.ID, "task", t.name, "worker", w.ID, "idle", now-j.idleSince, "passed", j.blockedFor, "image", t.step.Image,
 		"strain", chosen.strain, "percent", percent, "overdue", chosen.overdue)
--- a/dispatch/tasklist.go
+++ b/dispatch/tasklist.go
@@ -129,12 +129,21 @@
 	case nil:
 		started := s.newTask(index)
 		s.tasks.add(&started)
+		s.job.records++
 		return &started
 	default:
 		return t
 	}
 }
 
+// markDone drops the record of a task that is done, if it has one.
+func (s *step) markDone(index int) {
+	if t := s.tasks.get(index); t != nil && t != doneTask {
+		s.job.records--
+	}
+	s.tasks.markDone(index)
+}
+
 // peek returns the record of a task, in unstarted one of a task that has not been started,
 // or nil if the task is done.
 func (s *step) peek(index int, unstarted *task) *task {
@@ -187,7 +196,7 @@
 		return
 	}
 	s := t.step
-	s.tasks.markDone(t.name.Index)
+	s.markDone(t.name.Index)
 	if s.tasks.first == s.Count {
 		s.job.dropOccurrence(s.occurrence)
 	}
--- a/owner/dispatcher.go
+++ b/owner/dispatcher.go
@@ -106,6 +106,7 @@
 		LongestLease:     h.MaxTaskLease,
 		MaintenanceDelay: h.MaintenanceDelay,
 		Quota:            dispatch.QuotaLimits{Window: h.QuotaWindow, Overage: h.QuotaOverage, Slack: h.QuotaSlack},
+		Records:          dispatch.MaxRecords(h.Clients.TaskBytes),
 	}
 	d := &dispatcher{
 		owner: o, deps: o.deps, term: term, revision: revision, lease: lease, planRequested: make(chan struct{}, 1),
