Limit of the collector leaves no room for the program

Change: the limit is at most 85% of the memory less 20 MiB for the program, and at least half of the memory. Hosts of 184 MB and more keep their limit.

--- a/node/node.go
+++ b/node/node.go
@@ -44,6 +44,10 @@
 	// billed, but processor time is scarcer on a host of 0.16 cores.
 	gcPercent        = 200
 	memoryLimitShare = 0.7
+	// memoryShare is the share of the memory that the process may take. It includes programBytes
+	// that the collector does not count: the program itself and the buffers of its libraries.
+	memoryShare  = 0.85
+	programBytes = 20 << 20
 	// drainReserve is the end of the grace period that is reserved for the last
 	// responses. Failures in the last sixth of the grace period are not counted.
 	drainReserve = 1500 * time.Millisecond
@@ -130,12 +134,18 @@
 		return err
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
+	debug.SetMemoryLimit(collectorLimit(s.MemoryBytes))
 	n := New(s, os.Stdout)
 	n.logger.Event("start", "version", version, "go", runtime.Version(), "data_centre", s.DataCentre, "cores", s.Cores, "memory_bytes", s.MemoryBytes, "link_mbps", s.LinkMbps, "descriptors", s.Descriptors, "store", s.StoreAddress)
 	return n.Serve(path)
 }
 
+// collectorLimit returns the memory limit of the collector on a host with a memory in bytes.
+func collectorLimit(memoryBytes int64) int64 {
+	memory := float64(memoryBytes)
+	return int64(max(min(memoryLimitShare*memory, memoryShare*memory-programBytes), memory/2))
+}
+
 // Serve runs the supervisor tree and the HTTP servers until SIGTERM or SIGINT.
 // SIGHUP reloads the settings at path. It returns *ListenError if an address
 // can't be listened on.
