Nothing bounds the memory of accepted jobs

What callers saw: a host that accepted whatever was valid ran out of memory with the jobs that its owner held, and each next owner read the same jobs.

Cause: only the work that waits in line refused jobs, by the owner's load, which is told once a second and knows nothing of jobs without an estimate. That is why the same crowd took a host to 1 GB or hardly anything: it depended on whether the load was told before the crowd came.

Change: what a job takes (JobBytes) is known before it is accepted and stands in its record. Every host follows the records of all jobs and keeps a ledger of them, with the jobs that it is about to accept itself, so that a job is counted at the moment of its acceptance. A job is refused with 503 if four times what it takes, with what its source holds, exceeds what is left of an eighth of the memory: a source may hold as much as is left for all others, and the largest jobs are refused first. A source is a workspace, or else the address of the caller. What other hosts may have accepted unseen counts as 16 times the host's own. Retry-After comes from the rate at which jobs release memory. A refusal is given only after the store has said that the job was not accepted before. The number of pending jobs comes from the ledger as well, where each request for it decoded all records.

--- a/admission/limits.go
+++ b/admission/limits.go
@@ -15,13 +15,16 @@
 	BodyRate              int64         // least bytes per second of a body, after BodyGrace
 	BodyGrace             time.Duration // before the rate of a body counts
 	AnswerStall           time.Duration // longest time in which an answer makes no progress
+	JobBytes              int64         // of accepted jobs, on their owner
 	TaskBytes             int64         // of tasks that are under way, on their owner
 }
 
 const (
 	// bytesShare is the share of the memory for requests that are not admitted yet.
 	bytesShare = 0.125
-	// tasksShare is the share of the memory for tasks that are under way.
+	// jobsShare is the share of the memory for accepted jobs, and tasksShare that for their tasks
+	// that are under way.
+	jobsShare  = 0.125
 	tasksShare = 0.125
 	// connectionMemoryShare is the share of the memory for the connections themselves.
 	connectionMemoryShare = 0.15
@@ -47,8 +50,8 @@
 	}
 	return Limits{
 		Bytes: int64(bytesShare * float64(memoryBytes)), Connections: connections, ConnectionsPerAddress: connections, HeaderBytes: defaultHeaderBytes,
-		TaskBytes: int64(tasksShare * float64(memoryBytes)),
-		BodyRate:  defaultBodyRate, BodyGrace: defaultBodyGrace, AnswerStall: defaultAnswerStall,
+		JobBytes: int64(jobsShare * float64(memoryBytes)), TaskBytes: int64(tasksShare * float64(memoryBytes)),
+		BodyRate: defaultBodyRate, BodyGrace: defaultBodyGrace, AnswerStall: defaultAnswerStall,
 	}
 }
 
@@ -61,6 +64,7 @@
 	BodyRate              int64 `json:"body_bytes_per_s"`
 	BodyGraceMS           int64 `json:"body_grace_ms"`
 	AnswerStallMS         int64 `json:"answer_stall_ms"`
+	JobBytes              int64 `json:"job_bytes"`
 	TaskBytes             int64 `json:"task_bytes"`
 }
 
@@ -89,6 +93,7 @@
 		{"header_bytes", int64(o.HeaderBytes), func(n int64) { l.HeaderBytes = int(n) }},
 		{"body_bytes_per_s", o.BodyRate, func(n int64) { l.BodyRate = n }},
 		{"body_grace_ms", o.BodyGraceMS, func(n int64) { l.BodyGrace = time.Duration(n) * time.Millisecond }},
+		{"job_bytes", o.JobBytes, func(n int64) { l.JobBytes = n }},
 		{"task_bytes", o.TaskBytes, func(n int64) { l.TaskBytes = n }},
 		{"answer_stall_ms", o.AnswerStallMS, func(n int64) { l.AnswerStall = time.Duration(n) * time.Millisecond }},
 	} {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -29,7 +29,8 @@
 	dueOccurrences  int // how many this owner has found due
 	opened          int // how many of those it has created
 
-	records                int // of its tasks
+	bytes                  int64 // see JobBytes
+	records                int   // of its tasks
 	version, saving, saved int64
 	// urgent is set by changes that must be written at once; others may be batched.
 	urgent        bool
@@ -154,7 +155,7 @@
 	if _, ok := m.jobs[j.ID]; ok {
 		return
 	}
-	nj := &job{Job: *j, state: state, storedState: state, revision: revision, inherited: inherited, arrivedAt: arrived}
+	nj := &job{Job: *j, bytes: JobBytes(j), state: state, storedState: state, revision: revision, inherited: inherited, arrivedAt: arrived}
 	nj.idleSince = max(arrived, m.startedAt)
 	if inherited && nj.hasWaitedForRoom() {
 		nj.blockedFor = max(0, m.startedAt-arrived)
--- a/dispatch/writes.go
+++ b/dispatch/writes.go
@@ -38,6 +38,8 @@
 	Queue      string
 	AcceptedMS int64
 	Workspace  string
+	Bytes      int64  // JobBytes of the job
+	Source     uint32 // of the job
 	State      workload.State
 	// StateChanged is set if State differs from the stored state. State may be
 	// written only if its key is still at Revision.
@@ -62,7 +64,7 @@
 			continue
 		}
 		w := Write{
-			Job: id, Queue: j.Queue, AcceptedMS: j.AcceptedMS, Workspace: j.Workspace, State: j.state, StateChanged: j.state != j.storedState, Revision: j.revision, ProgressRevision: j.progressRevision, version: j.version,
+			Job: id, Queue: j.Queue, AcceptedMS: j.AcceptedMS, Workspace: j.Workspace, Bytes: j.bytes, Source: j.Source, State: j.state, StateChanged: j.state != j.storedState, Revision: j.revision, ProgressRevision: j.progressRevision, version: j.version,
 		}
 		if entries -= w.Entries(); entries < 0 {
 			break
--- a/intake/bench_test.go
+++ b/intake/bench_test.go
@@ -18,7 +18,7 @@
 // in-memory store.
 func BenchmarkSubmit(b *testing.B) {
 	s := storetest.NewMemory()
-	in := New(s, mirror.New(s, SharedPrefix, 0, func(store.Event) {}, func(string, ...any) {}))
+	in := New(s, mirror.New(s, SharedPrefix, 0, func(store.Event) {}, func(string, ...any) {}), 0)
 	ctx, cancel := context.WithCancel(b.Context())
 	defer cancel()
 	go func() { _ = in.Serve(ctx) }() // ends with ctx
@@ -40,7 +40,7 @@
 func BenchmarkCachedState(b *testing.B) {
 	s := storetest.NewMemory()
 	shared := mirror.New(s, SharedPrefix, 0, func(store.Event) {}, func(string, ...any) {})
-	in := New(s, shared)
+	in := New(s, shared, 0)
 	const id = "00000000000000aa"
 	shared.Preload(map[string]store.Entry{StatePrefix + id: {Key: StatePrefix + id, Revision: 1, Value: Record{Queue: "q", State: workload.StateRunning, AcceptedMS: 1}.Encode()}}, 1)
 	for name, caller := range map[string]workspace.Caller{"workspace": {Workspace: "one"}, "none": {}} {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"time"
 
+	"github.com/fuchsiahill/fuchsiahill/dispatch"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/steady"
 	"github.com/fuchsiahill/fuchsiahill/mirror"
@@ -43,6 +44,8 @@
 	StoreUnavailable bool
 	// Prediction is set if the job would have ended too late to be of use.
 	Prediction *Prediction
+	// OutOfMemory says that the owner has no memory for the job.
+	OutOfMemory bool
 }
 
 func (e *RefusedError) Error() string { return "intake: not accepted: " + e.Reason }
@@ -66,6 +69,7 @@
 	store  store.Transactional
 	shared *mirror.Mirror
 	queue  chan *submission
+	ledger *ledger
 }
 
 type submission struct {
@@ -75,11 +79,16 @@
 	done   chan error
 }
 
-// New returns an Intake. Submissions are committed only while Serve runs.
-func New(s store.Transactional, shared *mirror.Mirror) *Intake {
-	return &Intake{store: s, shared: shared, queue: make(chan *submission, 1024)}
+// New returns an Intake that accepts jobs up to an amount of memory in bytes, 0 for any; see
+// JobBytes of package dispatch. Submissions are committed only while Serve runs, and changes
+// of the mirror must be passed to HandleSharedChange.
+func New(s store.Transactional, shared *mirror.Mirror, jobBytes int64) *Intake {
+	return &Intake{store: s, shared: shared, queue: make(chan *submission, 1024), ledger: newLedger(jobBytes)}
 }
 
+// HandleSharedChange counts a change in the mirror.
+func (in *Intake) HandleSharedChange(e store.Event) { in.ledger.apply(e, steady.Now()) }
+
 // Serve commits submissions until ctx ends. It returns ctx's error.
 func (in *Intake) Serve(ctx context.Context) error {
 	slots := make(chan struct{}, maxCommitsInFlight)
@@ -124,7 +133,21 @@
 	}
 	stored := *job
 	stored.Workspace = caller.Workspace
+	stored.Source = sourceOf(&stored)
 	job = &stored
+	if refused := in.ledger.reserve(job, steady.Now()); refused != nil {
+		return in.confirmRefusal(caller, job, refused)
+	}
+	err := in.submit(ctx, caller, job)
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		in.ledger.release(job.ID, steady.Now())
+	}
+	return err
+}
+
+// submit stores a job that has been counted.
+func (in *Intake) submit(ctx context.Context, caller workspace.Caller, job *workload.Job) error {
 	body, err := json.Marshal(job)
 	if err != nil {
 		return &RefusedError{Reason: err.Error()}
@@ -143,6 +166,21 @@
 	}
 }
 
+// confirmRefusal returns the outcome of a submission for which there is no room: the refusal, unless
+// the job has been accepted before or that isn't known.
+func (in *Intake) confirmRefusal(caller workspace.Caller, job *workload.Job, refused *RefusedError) error {
+	e, err := in.lookup(caller, job.ID)
+	var missing *JobNotFoundError
+	switch {
+	case err == nil:
+		return checkExisting(e, caller, job)
+	case errors.As(err, &missing):
+		return refused
+	default:
+		return &UnknownOutcomeError{Cause: err}
+	}
+}
+
 // errIDInUse is the cause of an unknown outcome that tells the caller nothing.
 var errIDInUse = errors.New("not confirmed")
 
@@ -185,7 +223,7 @@
 		var txn store.Txn
 		for _, s := range batch {
 			key := StatePrefix + string(s.job.ID)
-			record := Record{Queue: s.job.Queue, State: workload.StateQueued, AcceptedMS: s.job.AcceptedMS, Workspace: s.job.Workspace}
+			record := Record{Queue: s.job.Queue, State: workload.StateQueued, AcceptedMS: s.job.AcceptedMS, Workspace: s.job.Workspace, Bytes: dispatch.JobBytes(s.job), Source: s.job.Source}
 			txn.Checks = append(txn.Checks, store.Check{Key: key})
 			txn.Puts = append(txn.Puts, store.Put{Key: key, Value: record.Encode()}, store.Put{Key: SubmissionPrefix + string(s.job.ID), Value: s.body})
 		}
@@ -369,15 +407,4 @@
 }
 
 // Pending returns the number of jobs in a queue that have started no task.
-func (in *Intake) Pending(queue string) int {
-	n := 0
-	in.shared.Each(func(e store.Entry) {
-		if _, ok := JobIDFromKey(e.Key); !ok {
-			return
-		}
-		if r, err := DecodeRecord(e.Value); err == nil && r.Queue == queue && r.State == workload.StateQueued {
-			n++
-		}
-	})
-	return n
-}
+func (in *Intake) Pending(queue string) int { return in.ledger.pending(queue) }
--- a/intake/record.go
+++ b/intake/record.go
@@ -30,6 +30,10 @@
 	AcceptedMS int64          `json:"a"`
 	EndedMS    int64          `json:"e,omitempty"`
 	Workspace  string         `json:"w,omitempty"` // that submitted it; empty: its queue asked for no key
+	// Bytes is the memory that the job takes of its owner until it has ended, and Source whom
+	// that counts to.
+	Bytes  int64  `json:"b,omitempty"`
+	Source uint32 `json:"o,omitempty"`
 }
 
 // Encode returns the stored value of r.
--- a/intake/refused_test.go
+++ b/intake/refused_test.go
@@ -21,7 +21,7 @@
 	}
 	for name, first := range map[string]fleet.JobID{"at once": "new", "after a conflict": "known"} {
 		t.Run(name, func(t *testing.T) {
-			in := New(&conflictFirst{storetest.Refusing{Transactional: s, Part: SubmissionPrefix + "bad"}}, nil)
+			in := New(&conflictFirst{storetest.Refusing{Transactional: s, Part: SubmissionPrefix + "bad"}}, nil, 0)
 			batch := []*submission{newSubmission(first), newSubmission("bad")}
 			for i := range 8 {
 				batch = append(batch, newSubmission(fleet.JobID(fmt.Sprintf("%s-%d", first, i))))
--- a/intake/workspace_test.go
+++ b/intake/workspace_test.go
@@ -38,7 +38,7 @@
 	t.Helper()
 	s := &countingStore{Transactional: storetest.NewMemory()}
 	shared := mirror.New(s, SharedPrefix, 0, func(store.Event) {}, func(string, ...any) {})
-	in := New(s, shared)
+	in := New(s, shared, 0)
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	go func() { _ = in.Serve(ctx) }() // ends with ctx
--- a/internal/crowd/clients.go
+++ b/internal/crowd/clients.go
@@ -1,9 +1,12 @@
 package crowd
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"strings"
 
 	"github.com/fuchsiahill/fuchsiahill/internal/standin/wire"
@@ -112,6 +115,38 @@
 	}
 }
 
+// jobs sends a number of jobs on one connection, each with an ID of its own, and reads
+// the answer to each. If cancels is set, it cancels each job at once.
+func jobs(count int, job string, cancels bool) func(index int) Client {
+	return func(index int) Client {
+		return func(conn net.Conn, arrived func()) {
+			answers := bufio.NewReader(conn)
+			for i := range count {
+				id := fmt.Sprintf("%08x%08x", index+1, i)
+				post := requestLine("POST", id) + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(job), job)
+				if !exchange(conn, answers, post) || cancels && !exchange(conn, answers, requestLine("DELETE", id)+"\r\n") {
+					return
+				}
+			}
+			arrived()
+			awaitClose(conn)
+		}
+	}
+}
+
+// exchange sends a request, reads its answer and reports whether the connection stays.
+func exchange(conn net.Conn, answers *bufio.Reader, request string) bool {
+	if !send(conn, []byte(request), len(request)) {
+		return false
+	}
+	answer, err := http.ReadResponse(answers, nil)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, answer.Body)
+	return answer.Body.Close() == nil && err == nil && !answer.Close
+}
+
 // endlessHeader sends header lines up to size bytes and no end of them.
 func endlessHeader(size int) Client {
 	return func(conn net.Conn, arrived func()) {
--- a/internal/crowd/host_test.go
+++ b/internal/crowd/host_test.go
@@ -38,20 +38,34 @@
 
 var (
 	peakPattern    = regexp.MustCompile(`VmHWM:\s+(\d+) kB`)
+	filePattern    = regexp.MustCompile(`RssFile:(\s+\d+) kB`)
 	workerCapacity = fleet.Resources{MilliCores: 64000, MemoryMB: 64000}
 )
 
-// daemonHost is a process of the real daemon, with a store and a worker.
-type daemonHost struct {
+// process is one of the system's own, which a crowd is played against.
+type process struct {
 	cmd             *exec.Cmd
-	address         string // for callers
-	settings        wire.HostSettings
 	exited          chan struct{}
 	peakDescriptors atomic.Int64
 }
 
+// daemonHost is a process of the real daemon, with a store and a worker.
+type daemonHost struct {
+	*process
+	address  string // for callers
+	settings wire.HostSettings
+}
+
 // startHost starts a host with the given limits and waits until it has accepted a job.
 func startHost(t *testing.T, memoryMB, maxDescriptors int) *daemonHost {
+	t.Helper()
+	h := startHostOn(t, startStore(t), "host-0", memoryMB, maxDescriptors)
+	h.submit(t, "00000000000000aa")
+	return h
+}
+
+// startStore starts a store with a worker and a configuration.
+func startStore(t *testing.T) *wire.Store {
 	t.Helper()
 	site, err := wire.NewStore()
 	check(t, err)
@@ -60,42 +74,89 @@
 	check(t, err)
 	t.Cleanup(worker.Close)
 	check(t, site.Configure(1, maxFailures, nil))
+	return site
+}
+
+// startHostOn starts a host on a store.
+func startHostOn(t *testing.T, site *wire.Store, name string, memoryMB, maxDescriptors int) *daemonHost {
+	t.Helper()
 	settings := wire.HostSettings{
-		Name: "host-0", CallersAddress: freeAddress(t), ReadyAddress: freeAddress(t), MetricsAddress: freeAddress(t), StoreAddress: site.Address(),
+		Name: name, CallersAddress: freeAddress(t), ReadyAddress: freeAddress(t), MetricsAddress: freeAddress(t), StoreAddress: site.Address(),
 		MemoryMB: memoryMB, MaxDescriptors: maxDescriptors, GraceSeconds: graceSeconds, LeaseTTL: 1000,
 		PeerAddress: netip.MustParseAddrPort(freeAddress(t)),
 	}
 	data, err := settings.Encode()
 	check(t, err)
-	dir := t.TempDir()
-	path, daemon := filepath.Join(dir, "settings.json"), filepath.Join(dir, "fuchsiahilld")
+	path := filepath.Join(t.TempDir(), "settings.json")
 	check(t, os.WriteFile(path, data, 0o600))
-	out, err := exec.Command("go", "build", "-o", daemon, "github.com/fuchsiahill/fuchsiahill/cmd/fuchsiahilld").CombinedOutput()
+	cmd := exec.CommandContext(context.Background(), build(t, "fuchsiahilld"), "node")
+	cmd.Env = []string{wire.SettingsVariable + "=" + path}
+	p, _ := startProcess(t, cmd)
+	return &daemonHost{process: p, address: settings.CallersAddress, settings: settings}
+}
+
+// accepted returns how many of the jobs of the first clients of jobs the host knows.
+func (h *daemonHost) accepted(t *testing.T, clients int) int {
+	t.Helper()
+	client := &http.Client{Timeout: callTimeout}
+	n := 0
+	for began, i := time.Now(), 0; i < clients && time.Since(began) < hangTimeout; {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+h.address+wire.CallersPrefix+fmt.Sprintf("%08x%08x", i+1, 0), nil)
+		check(t, err)
+		req.Host = wire.CallersHost
+		resp, err := client.Do(req)
+		if err != nil {
+			time.Sleep(retryPause)
+			continue
+		}
+		_ = resp.Body.Close()
+		switch resp.StatusCode {
+		case http.StatusOK:
+			n++
+		case http.StatusGone:
+		default: // not ready, or too many questions at once
+			time.Sleep(retryPause)
+			continue
+		}
+		i++
+	}
+	return n
+}
+
+// build builds a command of the project and returns its path.
+func build(t *testing.T, command string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), command)
+	out, err := exec.Command("go", "build", "-o", path, "github.com/fuchsiahill/fuchsiahill/cmd/"+command).CombinedOutput()
 	if err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	logs, err := os.Create(filepath.Join(dir, "log"))
+	return path
+}
+
+// startProcess starts a process, ends it with the test, and returns the path of its log.
+func startProcess(t *testing.T, cmd *exec.Cmd) (p *process, log string) {
+	t.Helper()
+	logs, err := os.Create(filepath.Join(t.TempDir(), "log"))
 	check(t, err)
-	h := &daemonHost{cmd: exec.CommandContext(context.Background(), daemon, "node"), address: settings.CallersAddress, settings: settings, exited: make(chan struct{})}
-	h.cmd.Env = []string{wire.SettingsVariable + "=" + path}
-	h.cmd.Stdout, h.cmd.Stderr = logs, logs
-	check(t, h.cmd.Start())
+	p = &process{cmd: cmd, exited: make(chan struct{})}
+	cmd.Stdout, cmd.Stderr = logs, logs
+	check(t, cmd.Start())
 	go func() {
-		_ = h.cmd.Wait() // the tests check when it exits, not how
-		close(h.exited)
+		_ = cmd.Wait() // the tests check when it exits, not how
+		close(p.exited)
 	}()
 	t.Cleanup(func() {
-		_ = h.cmd.Process.Kill() // it may have ended by itself
-		<-h.exited
+		_ = cmd.Process.Kill() // it may have ended by itself
+		<-p.exited
 		_ = logs.Close()
 		if t.Failed() {
 			tail, _ := os.ReadFile(logs.Name()) // best effort
 			t.Logf("log:\n%s", tail[max(0, len(tail)-2000):])
 		}
 	})
-	h.submit(t, "00000000000000aa")
-	go h.sample()
-	return h
+	go p.sample()
+	return p, logs.Name()
 }
 
 func check(t *testing.T, err error) {
@@ -117,15 +178,15 @@
 }
 
 // sample records the peak number of open descriptors until the process exits.
-func (h *daemonHost) sample() {
+func (p *process) sample() {
 	for {
 		select {
-		case <-h.exited:
+		case <-p.exited:
 			return
 		case <-time.After(sampleInterval):
 		}
-		if entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", h.cmd.Process.Pid)); err == nil {
-			h.peakDescriptors.Store(max(h.peakDescriptors.Load(), int64(len(entries))))
+		if entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid)); err == nil {
+			p.peakDescriptors.Store(max(p.peakDescriptors.Load(), int64(len(entries))))
 		}
 	}
 }
@@ -134,7 +195,20 @@
 // refusal or a broken connection.
 func (h *daemonHost) submit(t *testing.T, id string) {
 	t.Helper()
-	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	h.submitFrom(t, "", id)
+}
+
+// otherAddress is one that crowds don't come from.
+const otherAddress = "127.0.0.2"
+
+// submitFrom is submit from a local address, or from any if it is empty.
+func (h *daemonHost) submitFrom(t *testing.T, source, id string) {
+	t.Helper()
+	dialer := &net.Dialer{}
+	if source != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(source)}
+	}
+	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}}
 	last := "nothing"
 	for began := time.Now(); time.Since(began) < hangTimeout; time.Sleep(retryPause) {
 		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+h.address+wire.CallersPrefix+id, bytes.NewReader(jobBody(1000)))
@@ -155,14 +229,14 @@
 }
 
 // checkBounds checks that the process lives, and what it has taken at most.
-func (h *daemonHost) checkBounds(t *testing.T, memoryMB, maxDescriptors int) {
+func (p *process) checkBounds(t *testing.T, memoryMB, maxDescriptors int) {
 	t.Helper()
 	select {
-	case <-h.exited:
-		t.Fatalf("the host has ended: %v", h.cmd.ProcessState)
+	case <-p.exited:
+		t.Fatalf("the host has ended: %v", p.cmd.ProcessState)
 	default:
 	}
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.cmd.Process.Pid))
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
 	check(t, err)
 	match := peakPattern.FindSubmatch(status)
 	if match == nil {
@@ -170,8 +244,9 @@
 	}
 	peakKB, err := strconv.ParseInt(string(match[1]), 10, 64)
 	check(t, err)
-	bound, descriptors := int64(memoryShare*float64(memoryMB<<10)), h.peakDescriptors.Load()
-	t.Logf("peak resident %d kB of %d kB, %d descriptors of %d", peakKB, bound, descriptors, maxDescriptors)
+	file := filePattern.FindSubmatch(status)
+	bound, descriptors := int64(memoryShare*float64(memoryMB<<10)), p.peakDescriptors.Load()
+	t.Logf("peak resident %d kB of %d kB, now%s kB of files, %d descriptors of %d", peakKB, bound, file[1], descriptors, maxDescriptors)
 	if peakKB > bound {
 		t.Errorf("peak resident memory is %d kB, the bound is %d kB", peakKB, bound)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -111,7 +111,7 @@
 	n.clients = newClientGuard(s.Clients, n.logger, n.metrics)
 	n.operator = mirror.New(client, platform.OperatorPrefix, operatorBatchDelay, n.handleOperatorChange, n.logger.Event)
 	n.shared = mirror.New(client, intake.SharedPrefix, sharedBatchDelay, n.handleSharedChange, n.logger.Event)
-	n.intake = intake.New(client, n.shared)
+	n.intake = intake.New(client, n.shared, s.Clients.JobBytes)
 	n.owner = owner.New(owner.Deps{Settings: s, Store: client, Shared: n.shared, Operator: n.operator, Log: n.logger.Event, Metrics: n.metrics})
 	calls := peer.NewClient(s.Host, n.peerAddress, peer.ClientOptions{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, Logger: n.logger})
 	n.relay = relay.New(calls, n.relayTarget, n.noteVersion)
@@ -286,6 +286,11 @@
 func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	var text strings.Builder
 	n.clients.publish()
+	jobs := n.intake.Usage()
+	n.metrics.Set("jobs_held", jobs.Jobs)
+	n.metrics.Set("jobs_sources", jobs.Sources)
+	n.metrics.Set("jobs_bytes", int(jobs.Bytes))
+	n.metrics.Set("jobs_bytes_limit", int(jobs.Limit))
 	n.metrics.Each(func(name, value string) { fmt.Fprintf(&text, "fuchsiahill_%s %s\n", name, value) })
 	_, _ = io.WriteString(w, text.String()) // a failed write means that the scraper has disconnected
 }
@@ -315,5 +320,6 @@
 		n.load.Store(&load)
 		return
 	}
+	n.intake.HandleSharedChange(e)
 	n.owner.HandleSharedChange(e)
 }
--- a/node/serve.go
+++ b/node/serve.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/fuchsiahill/fuchsiahill/dispatch"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/intake"
 	"github.com/fuchsiahill/fuchsiahill/internal/steady"
@@ -137,11 +138,15 @@
 	if !ok {
 		return &intake.RefusedError{Reason: "the queue is not in the configuration", RetryAfter: storeRetryAfter}
 	}
-	if refused := n.admit(cfg, q, job); refused != nil && !n.intake.MayExist(caller, job.ID) {
-		n.recordRefusal(job, refused)
-		return refused
+	if refused := n.admit(cfg, q, job); refused != nil {
+		if !n.intake.MayExist(caller, job.ID) {
+			n.recordRefusal(job, refused)
+			return refused
+		}
 	}
-	return n.intake.Submit(ctx, caller, job)
+	err = n.intake.Submit(ctx, caller, job)
+	n.recordRefusal(job, err)
+	return err
 }
 
 // admit decides by the configuration and the published load whether a new job is admitted.
@@ -170,10 +175,17 @@
 }
 
 // recordRefusal logs and counts a job that is refused because it would end too late to be
-// of use.
+// of use, or for want of memory.
 func (n *Node) recordRefusal(job *workload.Job, err error) {
 	var refused *intake.RefusedError
-	if !errors.As(err, &refused) || refused.Prediction == nil {
+	if !errors.As(err, &refused) {
+		return
+	}
+	if refused.OutOfMemory {
+		n.metrics.Count("jobs_refused_memory", 1)
+		n.logger.Event("job_refused_memory", "job", job.ID, "queue", job.Queue, "source", job.Source, "bytes", dispatch.JobBytes(job), "retry_after", refused.RetryAfter, "reason", refused.Reason)
+	}
+	if refused.Prediction == nil {
 		return
 	}
 	p := refused.Prediction
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -115,7 +115,7 @@
 	for _, w := range writes {
 		id := string(w.Job)
 		if w.StateChanged {
-			record := intake.Record{Queue: w.Queue, State: w.State, AcceptedMS: w.AcceptedMS, Workspace: w.Workspace}
+			record := intake.Record{Queue: w.Queue, State: w.State, AcceptedMS: w.AcceptedMS, Workspace: w.Workspace, Bytes: w.Bytes, Source: w.Source}
 			if w.State.Final() {
 				record.EndedMS = time.Now().UnixMilli()
 			}
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -121,6 +121,7 @@
 	IntervalMS int64       `json:"every,omitempty"`   // between occurrences
 	AcceptedMS int64       `json:"at"`                // Unix time
 	Workspace  string      `json:"ws,omitempty"`      // that submitted it; empty: none, its queue was public
+	Source     uint32      `json:"src,omitempty"`     // hash of its workspace or of the address that it came from
 }
 
 // Occurrences returns how many times the steps run.
