A new owner takes in more jobs than its memory holds

What callers saw: after an owner had run out of memory with accepted jobs, the next one read the same jobs, and ended likewise.

Cause: an owner loaded every job of the store, and kept the submissions as they were stored beside the jobs that it had decoded.

Change: an owner that has no memory for a job of which nothing has run holds it back: the job stays in the store, and is added once there is room, the oldest first. Jobs with runs are loaded first. A former owner may have started a task without storing that; what a worker says of a job that is held back stays unacknowledged, and makes the job due at once, as a cancellation does. While jobs are held back the owner publishes that, and hosts accept no further ones. The copy of the submissions keeps no values.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -155,12 +155,14 @@
 	if _, ok := m.jobs[j.ID]; ok {
 		return
 	}
+	delete(m.heldBack, j.ID)
 	nj := &job{Job: *j, bytes: JobBytes(j), state: state, storedState: state, revision: revision, inherited: inherited, arrivedAt: arrived}
 	nj.idleSince = max(arrived, m.startedAt)
 	if inherited && nj.hasWaitedForRoom() {
 		nj.blockedFor = max(0, m.startedAt-arrived)
 	}
 	m.jobs[j.ID] = nj
+	m.heldBytes += nj.bytes
 	nj.estimatedWork = m.remainingWork(nj)
 	if m.jobSizes[j.Queue] == nil {
 		m.jobSizes[j.Queue] = &jobSizeStats{}
@@ -466,7 +468,13 @@
 // has written. States at old revisions are ignored.
 func (m *Machine) StateChanged(id fleet.JobID, state workload.State, revision store.Revision, now time.Duration) {
 	j, ok := m.jobs[id]
-	if !ok || revision <= j.revision {
+	if !ok {
+		if state == workload.StateCancelled {
+			m.want(id)
+		}
+		return
+	}
+	if revision <= j.revision {
 		return
 	}
 	j.revision, j.storedState = revision, state
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -21,6 +21,7 @@
 	LeaseMax         time.Duration // longest lease that any owner could have requested
 	LongestLease     time.Duration // longest lease that a worker grants, whatever is requested
 	Quota            QuotaLimits
+	JobBytes         int64         // memory for the jobs that are held, see JobBytes; 0: any
 	Records          int           // tasks that are under way, see MaxRecords; 0: any
 	MaintenanceDelay time.Duration // a new owner orders no machine maintenance for this long, so that two owners do not alternate
 }
@@ -124,6 +125,8 @@
 	room              StartRoom // what the current plan has left of it
 	recordRoom        int       // how many tasks that have no record may be started
 	recordsReportedAt time.Duration
+	heldBytes         int64 // of the jobs, see JobBytes
+	heldBack          map[fleet.JobID]*heldJob
 	events            []Event
 	superseded        bool
 	maintenance       maintenance
@@ -161,7 +164,7 @@
 	return &Machine{
 		limits: limits, term: term, startedAt: now, claimedAt: now, lastPlanAt: now, formerLeasesEnd: now + leaseBound(limits.LeaseMax),
 		rankInTime: finishStarted, rankLate: finishStartedLate, config: &workload.Config{}, dataCentresOut: make(map[fleet.DataCentre]bool),
-		workers: make(map[fleet.WorkerID]*worker), jobs: make(map[fleet.JobID]*job), inherited: make(map[fleet.WorkerID][]*task), workspaceUsed: make(map[string]fleet.Resources), workspaceServing: make(map[string]fleet.Resources), submissions: make(map[string]*submissions), queues: make(map[string]*queueStats),
+		workers: make(map[fleet.WorkerID]*worker), jobs: make(map[fleet.JobID]*job), heldBack: make(map[fleet.JobID]*heldJob), inherited: make(map[fleet.WorkerID][]*task), workspaceUsed: make(map[string]fleet.Resources), workspaceServing: make(map[string]fleet.Resources), submissions: make(map[string]*submissions), queues: make(map[string]*queueStats),
 		jobSizes: make(map[string]*jobSizeStats), startRoom: StartRoom{Starts: startsPerPlan, Bytes: math.MaxInt},
 		interference: newInterference(now), maintenance: maintenance{ordersFrom: now + limits.MaintenanceDelay},
 	}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -32,6 +32,10 @@
 	w.adopted, w.reportedAt, w.failedAt, w.lapsed = true, now, 0, nil
 	for _, e := range rep.Ended {
 		if e.Sequence > w.processedEnd {
+			if m.want(e.Task.Job) {
+				rep.EndsTruncated = true // it is listed again
+				break
+			}
 			w.processedEnd = e.Sequence
 			m.handleEnded(w, e, now)
 		}
@@ -108,6 +112,10 @@
 	if ok {
 		t = j.find(rep.Task)
 	}
+	if t == nil && m.want(rep.Task.Job) {
+		w.unknownRuns++
+		return nil
+	}
 	if t == nil {
 		w.unknownRuns++
 		m.emit("run_unknown", rep.Task.Job, "task", rep.Task, "run", rep.Run, "worker", w.ID)
--- a/dispatch/writes.go
+++ b/dispatch/writes.go
@@ -169,6 +169,7 @@
 	for id, j := range m.jobs {
 		if j.state.Final() && j.saved == j.version && j.runCount == 0 {
 			delete(m.jobs, id)
+			m.heldBytes -= j.bytes
 		}
 	}
 }
--- a/intake/admit.go
+++ b/intake/admit.go
@@ -19,6 +19,8 @@
 	BestEffort map[string]QueueLoad `json:"b,omitempty"`
 	// Serving limits services; nil means no limit.
 	Serving *ServingLoad `json:"s,omitempty"`
+	// Full means that the owner holds accepted jobs back for want of memory.
+	Full bool `json:"f,omitempty"`
 	// Workspaces are those with waiting work, by name, up to a bound.
 	Workspaces map[string]WorkspaceLoad `json:"w,omitempty"`
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -89,6 +89,10 @@
 // HandleSharedChange counts a change in the mirror.
 func (in *Intake) HandleSharedChange(e store.Event) { in.ledger.apply(e, steady.Now()) }
 
+// SetOwnerFull records whether the owner has published that it holds jobs back for want of
+// memory: no further ones are accepted.
+func (in *Intake) SetOwnerFull(full bool) { in.ledger.setOwnerFull(full, steady.Now()) }
+
 // Serve commits submissions until ctx ends. It returns ctx's error.
 func (in *Intake) Serve(ctx context.Context) error {
 	slots := make(chan struct{}, maxCommitsInFlight)
--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -52,6 +52,9 @@
 	// released is the decayed sum of the bytes that were released, at releasedAt.
 	released   float64
 	releasedAt time.Duration
+	// ownerFullUntil is until when what the owner has published holds: that it holds jobs back for
+	// want of memory.
+	ownerFullUntil time.Duration
 }
 
 type account struct {
@@ -167,7 +170,7 @@
 		return nil
 	}
 	missing := l.shortfall(job.Source, bytes)
-	if missing == 0 {
+	if missing == 0 && now >= l.ownerFullUntil {
 		l.replace(job.ID, account{bytes: bytes, source: job.Source, unseen: true}, now)
 		l.expiry = append(l.expiry, expiry{job.ID, now + unseenTimeout})
 		return nil
@@ -202,6 +205,16 @@
 	}
 }
 
+// setOwnerFull records whether the owner has published that it holds jobs back.
+func (l *ledger) setOwnerFull(full bool, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ownerFullUntil = 0
+	if full {
+		l.ownerFullUntil = now + maxLoadAge
+	}
+}
+
 // pending returns the number of jobs of a queue that have started no task.
 func (l *ledger) pending(queue string) int {
 	l.mu.Lock()
--- a/intake/ledger_test.go
+++ b/intake/ledger_test.go
@@ -80,6 +80,12 @@
 				l.release(fleet.JobID(fmt.Sprint(i)), 0)
 			}
 		}, jobOf("x", otherSource), false},
+		"the owner holds jobs back": {func(l *ledger) { l.setOwnerFull(true, 0) }, jobOf("x", 1), true},
+		"the owner holds none back any more": {func(l *ledger) {
+			l.setOwnerFull(true, 0)
+			l.setOwnerFull(false, 0)
+		}, jobOf("x", 1), false},
+		"the owner was replaced": {func(l *ledger) { l.setOwnerFull(true, -maxLoadAge) }, jobOf("x", 1), false},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/crowd/accepted_test.go
+++ b/internal/crowd/accepted_test.go
@@ -60,3 +60,30 @@
 		})
 	}
 }
+
+// TestTakeoverExhaustsMemory lets a host of little memory take over from one that has accepted more
+// jobs than fit there. It lives, stays within its memory, knows the accepted jobs and goes on.
+func TestTakeoverExhaustsMemory(t *testing.T) {
+	const (
+		largeMemoryMB = 512
+		job           = `{"spec":"crowd","steps":[{"count":1,"cpu":100,"mem_mb":64,"constraints":"none"},{"count":9999,"cpu":100,"mem_mb":64,"after":[0]}]}`
+	)
+	site := startStore(t)
+	first := startHostOn(t, site, "host-0", largeMemoryMB, manyDescriptors)
+	c := Start(first.address, bodyCrowd, jobs(1, job, false))
+	c.AwaitArrival()
+	time.Sleep(holdTime)
+	accepted := first.accepted(t, bodyCrowd)
+	c.Close()
+	if accepted < bodyCrowd/4 {
+		t.Fatalf("%d jobs were accepted", accepted)
+	}
+	check(t, first.cmd.Process.Kill())
+	<-first.exited
+	second := startHostOn(t, site, "host-1", memoryMB, manyDescriptors)
+	time.Sleep(holdTime)
+	if got := second.accepted(t, bodyCrowd); got != accepted {
+		t.Errorf("%d jobs are known of %d", got, accepted)
+	}
+	second.checkBounds(t, memoryMB, manyDescriptors)
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"sync"
 	"time"
 
@@ -47,6 +46,7 @@
 	disconnected bool
 	regainedAt   time.Duration
 	preloaded    store.Revision // from which changes are followed; 0: the copy is loaded first
+	keysOnly     bool
 }
 
 // New returns a mirror that calls apply with each change, in order of revision
@@ -57,13 +57,27 @@
 	return &Mirror{store: s, prefix: prefix, batchDelay: batchDelay, apply: apply, log: log, entries: make(map[string]store.Entry), deleted: make(map[string]store.Revision)}
 }
 
+// KeepKeysOnly makes the copy hold the entries without their values, which only apply gets. It is
+// called before the mirror is preloaded or served.
+func (m *Mirror) KeepKeysOnly() { m.keysOnly = true }
+
+// kept returns an entry as the copy holds it.
+func (m *Mirror) kept(e store.Entry) store.Entry {
+	if m.keysOnly {
+		e.Value = nil
+	}
+	return e
+}
+
 // Preload fills the copy with entries that were read and applied before it is served. It
 // then follows the changes after revision, that of the first page of these entries, and does
 // not read them again.
 func (m *Mirror) Preload(entries map[string]store.Entry, revision store.Revision) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	maps.Copy(m.entries, entries)
+	for key, e := range entries {
+		m.entries[key] = m.kept(e)
+	}
 	m.preloaded = revision
 }
 
@@ -216,7 +230,7 @@
 				delete(m.entries, e.Key)
 				m.deleted[e.Key] = e.Revision
 			} else {
-				m.entries[e.Key] = e.Entry
+				m.entries[e.Key] = m.kept(e.Entry)
 				delete(m.deleted, e.Key)
 			}
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -318,6 +318,7 @@
 			return
 		}
 		n.load.Store(&load)
+		n.intake.SetOwnerFull(load.Full)
 		return
 	}
 	n.intake.HandleSharedChange(e)
--- a/owner/changes.go
+++ b/owner/changes.go
@@ -23,6 +23,7 @@
 	if e.Deleted {
 		delete(d.submissions, id)
 		delete(d.withheld, id)
+		d.machine.DropHeldBack(id)
 		return
 	}
 	if d.submissions[id] {
@@ -34,7 +35,7 @@
 		d.withheld[id] = e
 		return
 	}
-	d.addSubmission(id, e)
+	d.addSubmission(id, e, mayHoldBack)
 }
 
 // releaseWithheld adds the submissions that came while another host could be the owner.
@@ -42,13 +43,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for id, e := range d.withheld {
-		d.addSubmission(id, e)
+		d.addSubmission(id, e, mayHoldBack)
 	}
 	clear(d.withheld)
 }
 
 // addSubmission adds a submission to the machine. d.mu is held.
-func (d *dispatcher) addSubmission(id fleet.JobID, e store.Event) {
+func (d *dispatcher) addSubmission(id fleet.JobID, e store.Event, addition addition) {
 	// The job's state was written in the same transaction as its submission.
 	state := store.Entry{Key: intake.StatePrefix + string(id), Revision: e.Revision}
 	if known, ok := d.deps.Shared.Get(state.Key); ok && known.Revision > e.Revision {
@@ -59,7 +60,7 @@
 			state.Value = intake.Record{Queue: job.Queue, State: workload.StateQueued, AcceptedMS: job.AcceptedMS, Workspace: job.Workspace}.Encode()
 		}
 	}
-	d.addJob(e.Entry, state, nil, steady.Now(), false)
+	d.addJob(e.Entry, state, nil, steady.Now(), addition)
 	d.requestPlan()
 }
 
@@ -118,6 +119,7 @@
 // submissionMirror returns the mirror of the submissions, from what was loaded on.
 func (d *dispatcher) submissionMirror() *mirror.Mirror {
 	m := mirror.New(d.deps.Store, intake.SubmissionPrefix, submissionBatchDelay, d.handleSubmissionChange, d.deps.Log)
+	m.KeepKeysOnly()
 	m.Preload(d.loadedSubmissions.entries, d.loadedSubmissions.revision)
 	d.loadedSubmissions = loadedKeys{}
 	return m
--- a/owner/dispatcher.go
+++ b/owner/dispatcher.go
@@ -106,6 +106,7 @@
 		LongestLease:     h.MaxTaskLease,
 		MaintenanceDelay: h.MaintenanceDelay,
 		Quota:            dispatch.QuotaLimits{Window: h.QuotaWindow, Overage: h.QuotaOverage, Slack: h.QuotaSlack},
+		JobBytes:         h.Clients.JobBytes,
 		Records:          dispatch.MaxRecords(h.Clients.TaskBytes),
 	}
 	d := &dispatcher{
@@ -191,6 +192,7 @@
 	group.Go(func() { d.planLoop(ctx) })
 	group.Go(func() { d.inFlightLoop(ctx) })
 	group.Go(func() { d.commitLoop(ctx) })
+	group.Go(func() { d.heldBackLoop(ctx) })
 	group.Go(func() { d.recordLoop(ctx) })
 	group.Go(func() { d.publishLoadLoop(ctx) })
 	group.Go(func() { d.storeEstimatesLoop(ctx) })
--- a/owner/load.go
+++ b/owner/load.go
@@ -1,11 +1,15 @@
 package owner
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
+	"github.com/fuchsiahill/fuchsiahill/dispatch"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/intake"
 	"github.com/fuchsiahill/fuchsiahill/internal/steady"
@@ -68,7 +72,7 @@
 func (d *dispatcher) loadJobs(ctx context.Context) (loaded, known int, err error) {
 	// The submissions come first: the state of each one that is read is there, and one that
 	// is accepted later is followed.
-	submissions, revision, err := d.readAll(ctx, intake.SubmissionPrefix)
+	submissions, revision, err := d.readWithin(ctx, intake.SubmissionPrefix, d.deps.Settings.Clients.JobBytes)
 	if err != nil {
 		return 0, 0, err
 	}
@@ -82,23 +86,74 @@
 		return 0, 0, err
 	}
 	now := steady.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for id, body := range submissions {
-		state, ok := states[intake.StatePrefix+id[len(intake.SubmissionPrefix):]]
+	for _, key := range loadingOrder(submissions, states) {
+		id := key[len(intake.SubmissionPrefix):]
+		body, p := submissions[key], progress[intake.ProgressPrefix+id]
+		state, ok := states[intake.StatePrefix+id]
 		if !ok {
-			d.deps.Log("submission_without_state", "key", id, "revision", body.Revision)
+			d.deps.Log("submission_without_state", "key", key, "revision", body.Revision)
 			continue
 		}
-		p := progress[intake.ProgressPrefix+id[len(intake.SubmissionPrefix):]]
-		if d.addJob(body, state, p.Value, now, true) {
-			d.machine.ProgressStored(fleet.JobID(id[len(intake.SubmissionPrefix):]), p.Revision)
+		if len(body.Value) == 0 {
+			if d.holdUnread(fleet.JobID(id), state, p) {
+				continue
+			}
+			if body, err = d.readOne(ctx, key); err != nil {
+				return 0, 0, err
+			}
+		}
+		d.mu.Lock()
+		if d.addJob(body, state, p.Value, now, addition{inherited: true, mayHoldBack: true}) {
+			d.machine.ProgressStored(fleet.JobID(id), p.Revision)
 			loaded++
 		}
+		d.mu.Unlock()
 	}
 	return loaded, len(states), nil
 }
 
+// holdUnread holds back a job whose submission was not kept for want of memory, and reports
+// whether it may: nothing of it has been started.
+func (d *dispatcher) holdUnread(id fleet.JobID, state, progress store.Entry) bool {
+	r, err := intake.DecodeRecord(state.Value)
+	if err != nil || r.State != workload.StateQueued || len(progress.Value) > 0 {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.submissions[id] = true
+	d.machine.HoldBack(id, r.Bytes, r.AcceptedMS, true)
+	return true
+}
+
+// readOne reads the entry of a key that may be gone.
+func (d *dispatcher) readOne(ctx context.Context, key string) (store.Entry, error) {
+	entries, _, _, err := d.readPage(ctx, key, "")
+	for _, e := range entries {
+		if e.Key == key {
+			return e, err
+		}
+	}
+	return store.Entry{Key: key}, err
+}
+
+// loadingOrder returns the keys of submissions in the order in which they take the memory of the
+// owner: those that have runs, then the others by the time of their acceptance.
+func loadingOrder(submissions, states map[string]store.Entry) []string {
+	order := make(map[string]int64, len(submissions))
+	for key := range submissions {
+		r, err := intake.DecodeRecord(states[intake.StatePrefix+key[len(intake.SubmissionPrefix):]].Value)
+		if err == nil && r.State == workload.StateQueued {
+			order[key] = max(r.AcceptedMS, 0)
+		} else {
+			order[key] = -1
+		}
+	}
+	return slices.SortedFunc(maps.Keys(submissions), func(a, b string) int {
+		return cmp.Or(cmp.Compare(order[a], order[b]), cmp.Compare(a, b))
+	})
+}
+
 // restoreKnownWorkers adds the workers recorded by former owners.
 func (d *dispatcher) restoreKnownWorkers(entries map[string]store.Entry) {
 	d.mu.Lock()
@@ -123,6 +178,13 @@
 // readAll reads all entries under a prefix, by key, and returns the store's revision at the
 // first page.
 func (d *dispatcher) readAll(ctx context.Context, prefix string) (map[string]store.Entry, store.Revision, error) {
+	return d.readWithin(ctx, prefix, 0)
+}
+
+// readWithin is readAll that leaves out the values of further entries once those of the first ones
+// take limit bytes; 0: it leaves out none.
+func (d *dispatcher) readWithin(ctx context.Context, prefix string, limit int64) (map[string]store.Entry, store.Revision, error) {
+	taken := int64(0)
 	all := make(map[string]store.Entry)
 	var first store.Revision
 	after, more := "", true
@@ -138,6 +200,9 @@
 			first = revision
 		}
 		for _, e := range entries {
+			if taken += int64(len(e.Value)); limit > 0 && taken > limit {
+				e.Value = nil
+			}
 			all[e.Key] = e
 			after = e.Key
 		}
@@ -177,9 +242,18 @@
 	return errors.As(err, &unavailable) || errors.As(err, &unknown)
 }
 
-// addJob adds a submission to the machine. It reports whether the entries could
-// be decoded.
-func (d *dispatcher) addJob(body, state store.Entry, progress []byte, now time.Duration, inherited bool) bool {
+// addition is how a job comes to the machine.
+type addition struct {
+	inherited   bool // it was accepted under a former owner
+	mayHoldBack bool // it stays in the store while there is no memory for it
+}
+
+// mayHoldBack is the addition of a job that was accepted under this owner.
+var mayHoldBack = addition{mayHoldBack: true}
+
+// addJob adds a submission to the machine, or holds it back. It reports whether the entries
+// could be decoded.
+func (d *dispatcher) addJob(body, state store.Entry, progress []byte, now time.Duration, a addition) bool {
 	var job workload.Job
 	if err := json.Unmarshal(body.Value, &job); err != nil {
 		d.deps.Log("submission_unreadable", "key", body.Key, "revision", body.Revision, "err", err)
@@ -202,11 +276,15 @@
 		}
 	}
 	d.submissions[job.ID] = true
+	if bytes := dispatch.JobBytes(&job); a.mayHoldBack && record.State == workload.StateQueued && len(progress) == 0 && !d.machine.HasRoomFor(bytes) {
+		d.machine.HoldBack(job.ID, bytes, job.AcceptedMS, a.inherited)
+		return true
+	}
 	arrived := now
-	if inherited {
+	if a.inherited {
 		arrived = arrivalTime(&job, now, time.Now().UnixMilli())
 	}
-	d.machine.AddJob(&job, record.State, state.Revision, p, arrived, inherited)
+	d.machine.AddJob(&job, record.State, state.Revision, p, arrived, a.inherited)
 	return true
 }
 
--- a/owner/load_test.go
+++ b/owner/load_test.go
@@ -101,7 +101,7 @@
 		t.Run(name, func(t *testing.T) {
 			d, s := testDispatcher(t)
 			state := intake.Record{Queue: "q", State: workload.StateQueued}
-			d.addJob(store.Entry{Key: "s/bad", Value: []byte(tt.submission)}, store.Entry{Key: "f/j/bad", Value: state.Encode()}, []byte(tt.progress), time.Second, true)
+			d.addJob(store.Entry{Key: "s/bad", Value: []byte(tt.submission)}, store.Entry{Key: "f/j/bad", Value: state.Encode()}, []byte(tt.progress), time.Second, addition{inherited: true})
 			submit(t, d, s, workload.Job{ID: "good", Queue: "q", Steps: []workload.Step{{Count: 1, EstimateMS: 1000}}})
 			d.machine.Plan(2*time.Second, 1)
 			started := false
@@ -124,7 +124,7 @@
 		d, _ := testDispatcher(t)
 		d.deps.Log = func(string, ...any) {}
 		state := intake.Record{Queue: "q", State: workload.StateQueued}
-		d.addJob(store.Entry{Key: "s/a", Value: submission}, store.Entry{Key: "f/j/a", Value: state.Encode()}, progress, time.Second, true)
+		d.addJob(store.Entry{Key: "s/a", Value: submission}, store.Entry{Key: "f/j/a", Value: state.Encode()}, progress, time.Second, addition{inherited: true})
 		for i := range 3 {
 			d.machine.Plan(time.Duration(i+2)*time.Second, 1_000_000)
 			for _, e := range d.machine.TakeEvents() {
--- a/owner/publish.go
+++ b/owner/publish.go
@@ -31,14 +31,15 @@
 		now := steady.Now()
 		ordinary, bestEffort := d.machine.Backlogs(now)
 		serving, workspaces := d.machine.ServingRoom(now), d.machine.WorkspaceBacklogs(now)
+		full := d.machine.CountHeldBack() > 0
 		d.mu.Unlock()
 		d.reportWorkspaces(workspaces)
-		relevant := len(ordinary)+len(bestEffort)+len(workspaces) > 0 || serving.Scarce
+		relevant := len(ordinary)+len(bestEffort)+len(workspaces) > 0 || serving.Scarce || full
 		if !relevant && !published {
 			continue
 		}
 		load := LoadFromBacklogs(ordinary, bestEffort, time.Now().UnixMilli())
-		load.Workspaces = WorkspaceLoads(workspaces)
+		load.Workspaces, load.Full = WorkspaceLoads(workspaces), full
 		if err := d.publishLoad(load, serving); err != nil {
 			d.deps.Log("load_not_told", "term", d.term, "err", err)
 			continue
