Submission of a job that is cancelled at once stays in the store

Cause: a job whose cancellation is known before its submission was added with a final state, and nothing was due to be written. Only the write of a final state deletes the submission, so that it stayed, in the owner's copy too, and each later owner loaded it.

Change: a job that is added with a final state is written, which deletes its submission and its progress.

Evidence: TestSubmissionOfCancelledJobIsKept: no write before.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -174,6 +174,7 @@
 		m.recordSubmission(nj.Workspace, arrived)
 	}
 	if state.Final() {
+		nj.markUrgent() // its submission may still be stored
 		return
 	}
 	nj.restoreDone(progress)
