Questions for unknown jobs take all calls of the store

What callers saw: 300 clients that ask for jobs which nobody submitted, and cancel them, kept one host from accepting anything: an ordinary job got 503 for two minutes, until the test gave up.

Cause: a query or a cancellation of a job that the host does not know is a read of the store. All hosts and the owner share the reads that the store accepts; with none left, hosts have no view and the owner no lease.

Change: a host reads at most 100 such jobs a second from the store, 200 at once. Beyond that a query or a cancellation gets 503 with Retry-After, and nothing was done. Jobs that the host knows need no read.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/fuchsiahill/fuchsiahill/dispatch"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/steady"
@@ -66,10 +68,11 @@
 
 // Intake accepts and cancels jobs. It is safe for concurrent use.
 type Intake struct {
-	store  store.Transactional
-	shared *mirror.Mirror
-	queue  chan *submission
-	ledger *ledger
+	store   store.Transactional
+	shared  *mirror.Mirror
+	queue   chan *submission
+	ledger  *ledger
+	lookups *rate.Limiter
 }
 
 type submission struct {
@@ -83,7 +86,10 @@
 // JobBytes of package dispatch. Submissions are committed only while Serve runs, and changes
 // of the mirror must be passed to HandleSharedChange.
 func New(s store.Transactional, shared *mirror.Mirror, jobBytes int64) *Intake {
-	return &Intake{store: s, shared: shared, queue: make(chan *submission, 1024), ledger: newLedger(jobBytes)}
+	return &Intake{
+		store: s, shared: shared, queue: make(chan *submission, 1024),
+		ledger: newLedger(jobBytes), lookups: rate.NewLimiter(lookupsPerSecond, lookupBurst),
+	}
 }
 
 // HandleSharedChange counts a change in the mirror.
@@ -175,16 +181,34 @@
 func (in *Intake) confirmRefusal(caller workspace.Caller, job *workload.Job, refused *RefusedError) error {
 	e, err := in.lookup(caller, job.ID)
 	var missing *JobNotFoundError
+	var limited *LookupLimitError
 	switch {
 	case err == nil:
 		return checkExisting(e, caller, job)
 	case errors.As(err, &missing):
 		return refused
+	case errors.As(err, &limited):
+		return err
 	default:
 		return &UnknownOutcomeError{Cause: err}
 	}
 }
 
+const (
+	// lookupsPerSecond bounds the calls to the store for jobs that this host does not know: all
+	// hosts share the calls that the store accepts.
+	lookupsPerSecond = 100
+	lookupBurst      = 200
+)
+
+// LookupLimitError reports that requests for jobs that this host does not know exceed the calls to
+// the store that it may make for them. Whether there is such a job is not known.
+type LookupLimitError struct{ ID fleet.JobID }
+
+func (e *LookupLimitError) Error() string {
+	return fmt.Sprintf("intake: too many requests for unknown jobs to look for %s", e.ID)
+}
+
 // errIDInUse is the cause of an unknown outcome that tells the caller nothing.
 var errIDInUse = errors.New("not confirmed")
 
@@ -281,20 +305,27 @@
 }
 
 // MayExist reports whether a job of the caller may already have been accepted by any host.
-// It is true if the store can't be read.
-func (in *Intake) MayExist(caller workspace.Caller, id fleet.JobID) bool {
+// It is true if the store can't be read. Errors are *LookupLimitError.
+func (in *Intake) MayExist(caller workspace.Caller, id fleet.JobID) (bool, error) {
 	_, err := in.lookup(caller, id)
 	var missing *JobNotFoundError
-	return !errors.As(err, &missing)
+	var limited *LookupLimitError
+	if errors.As(err, &limited) {
+		return true, err
+	}
+	return !errors.As(err, &missing), nil
 }
 
-// lookup returns the entry of a job that the caller may use. Errors are *JobNotFoundError
-// and those of the store. A job of another workspace is read from the store like an unknown
+// lookup returns the entry of a job that the caller may use. Errors are *JobNotFoundError,
+// *LookupLimitError and those of the store. A job of another workspace is read from the store like an unknown
 // one.
 func (in *Intake) lookup(caller workspace.Caller, id fleet.JobID) (store.Entry, error) {
 	if e, ok := in.shared.Get(StatePrefix + string(id)); ok && mayUse(caller, e) {
 		return e, nil
 	}
+	if !in.lookups.Allow() {
+		return store.Entry{}, &LookupLimitError{ID: id}
+	}
 	return in.read(caller, id)
 }
 
@@ -338,11 +369,14 @@
 func (in *Intake) State(caller workspace.Caller, id fleet.JobID, queue string) (workload.State, error) {
 	e, err := in.lookup(caller, id)
 	var missing *JobNotFoundError
+	var limited *LookupLimitError
 	switch {
 	case err == nil:
 		return in.decodeState(e, id, queue)
 	case errors.As(err, &missing):
 		return "", err
+	case errors.As(err, &limited):
+		return "", &RefusedError{Reason: err.Error(), RetryAfter: time.Second}
 	default: // a failed read has no effect
 		refused := storeUnavailableError()
 		refused.Reason += ": " + err.Error()
@@ -371,9 +405,12 @@
 	e, lookupErr := in.lookup(caller, id)
 	for range maxCASAttempts {
 		var missing *JobNotFoundError
+		var limited *LookupLimitError
 		switch {
 		case errors.As(lookupErr, &missing):
 			return lookupErr
+		case errors.As(lookupErr, &limited):
+			return &RefusedError{Reason: lookupErr.Error(), RetryAfter: time.Second}
 		case lookupErr != nil:
 			return storeUnavailableError()
 		}
--- a/intake/workspace_test.go
+++ b/intake/workspace_test.go
@@ -83,8 +83,9 @@
 					t.Errorf("%s: %d reads, %d writes; of an unknown job %d, %d", what, reads, writes, wantReads, wantWrites)
 				}
 			}
-			if _, ok := in.CachedState(foreign, ownJob, "q"); ok || in.MayExist(foreign, ownJob) {
-				t.Error("another workspace learns that the job exists")
+			_, cached := in.CachedState(foreign, ownJob, "q")
+			if exists, err := in.MayExist(foreign, ownJob); cached || exists || err != nil {
+				t.Errorf("another workspace learns that the job exists: %t, %t, %v", cached, exists, err)
 			}
 			if state, err := in.State(workspace.Caller{Workspace: "one"}, ownJob, "q"); err != nil || state != workload.StateQueued {
 				t.Errorf("its workspace gets %s, %v", state, err)
--- a/internal/crowd/accepted_test.go
+++ b/internal/crowd/accepted_test.go
@@ -61,6 +61,19 @@
 	}
 }
 
+// TestQuestionsStarveTheOwner asks for jobs that nobody submitted, and cancels them. The store, which
+// all hosts share, still has calls for ordinary jobs: one is accepted, run and shown as completed.
+func TestQuestionsStarveTheOwner(t *testing.T) {
+	h := startHost(t, memoryMB, manyDescriptors)
+	c := Start(h.address, bodyCrowd, questions)
+	defer c.Close()
+	c.AwaitArrival()
+	time.Sleep(holdTime)
+	h.submit(t, "00000000000000bb")
+	h.awaitCompletion(t, "00000000000000bb")
+	h.checkBounds(t, memoryMB, manyDescriptors)
+}
+
 // TestTakeoverExhaustsMemory lets a host of little memory take over from one that has accepted more
 // jobs than fit there. It lives, stays within its memory, knows the accepted jobs and goes on.
 func TestTakeoverExhaustsMemory(t *testing.T) {
--- a/internal/crowd/clients.go
+++ b/internal/crowd/clients.go
@@ -134,6 +134,20 @@
 	}
 }
 
+// questions sends queries and cancellations of jobs that nobody submitted, without end.
+func questions(index int) Client {
+	return func(conn net.Conn, arrived func()) {
+		answers := bufio.NewReader(conn)
+		arrived()
+		for i := 0; ; i++ {
+			id := fmt.Sprintf("%08x%08x", index+1, i)
+			if !exchange(conn, answers, requestLine("GET", id)+"\r\n") || !exchange(conn, answers, requestLine("DELETE", id)+"\r\n") {
+				return
+			}
+		}
+	}
+}
+
 // exchange sends a request, reads its answer and reports whether the connection stays.
 func exchange(conn net.Conn, answers *bufio.Reader, request string) bool {
 	if !send(conn, []byte(request), len(request)) {
--- a/internal/crowd/host_test.go
+++ b/internal/crowd/host_test.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -95,22 +96,45 @@
 	return &daemonHost{process: p, address: settings.CallersAddress, settings: settings}
 }
 
+// state returns the status of a query of a job, and its state; 0: there was no answer.
+func (h *daemonHost) state(t *testing.T, client *http.Client, id string) (status int, state string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+h.address+wire.CallersPrefix+id, nil)
+	check(t, err)
+	req.Host = wire.CallersHost
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var answer struct{ State string }
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, answer.State
+}
+
+// awaitCompletion waits until a job is shown as completed.
+func (h *daemonHost) awaitCompletion(t *testing.T, id string) {
+	t.Helper()
+	client := &http.Client{Timeout: callTimeout}
+	last := ""
+	for began := time.Now(); time.Since(began) < hangTimeout; time.Sleep(retryPause) {
+		var status int
+		if status, last = h.state(t, client, id); status == http.StatusOK && last == "completed" {
+			return
+		}
+	}
+	t.Errorf("the job is not completed: %q", last)
+}
+
 // accepted returns how many of the jobs of the first clients of jobs the host knows.
 func (h *daemonHost) accepted(t *testing.T, clients int) int {
 	t.Helper()
 	client := &http.Client{Timeout: callTimeout}
 	n := 0
 	for began, i := time.Now(), 0; i < clients && time.Since(began) < hangTimeout; {
-		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+h.address+wire.CallersPrefix+fmt.Sprintf("%08x%08x", i+1, 0), nil)
-		check(t, err)
-		req.Host = wire.CallersHost
-		resp, err := client.Do(req)
-		if err != nil {
-			time.Sleep(retryPause)
-			continue
-		}
-		_ = resp.Body.Close()
-		switch resp.StatusCode {
+		switch status, _ := h.state(t, client, fmt.Sprintf("%08x%08x", i+1, 0)); status {
 		case http.StatusOK:
 			n++
 		case http.StatusGone:
--- a/node/serve.go
+++ b/node/serve.go
@@ -139,7 +139,11 @@
 		return &intake.RefusedError{Reason: "the queue is not in the configuration", RetryAfter: storeRetryAfter}
 	}
 	if refused := n.admit(cfg, q, job); refused != nil {
-		if !n.intake.MayExist(caller, job.ID) {
+		exists, err := n.intake.MayExist(caller, job.ID)
+		if err != nil {
+			return err
+		}
+		if !exists {
 			n.recordRefusal(job, refused)
 			return refused
 		}
