Bodies and connections of gateway and api have no bound

What callers saw: fuchsiahill dev under 1,200 connections with bodies of 65,536 bytes that stop one byte short took up to 230,820 kB, opened all descriptors that it might, and with bodies that are passed on as they arrive it answered nobody else for two minutes.

Cause: the gateway read a body whole, up to the limit for retries, before admission, and the api likewise; nothing bounded their connections.

Change: both servers are bounded by guards of package netguard: an eighth of the host's memory for bodies, and connections by memory and descriptors. A body is read in segments that are drawn from that budget until the request ends; one for which there is no memory gets 503 with the outcome not-run (overloaded) and Retry-After. An answer whose handler waits between two writes, as it passes on those of a slow server, isn't taken for one that nobody reads. The configuration gets memory_mb (256), descriptors (the limit of the process) and clients.

Evidence: TestCrowdAtGateway fails in five of nine cases on: 184,356 kB (whole bodies), 172,612 (pieces), 194,720 (chunks of a byte), 230,820 (jobs) of 160,153, and no answer (streamed). Now 44,168 to 51,396 kB, 80,744 while bodies are streamed, and 443 descriptors at most. TestBufferLosesBytes, TestBuffersOfServedRequestsExceedTheBudget, TestPausingAnswerIsTakenForUnread.

--- a/api/errors.go
+++ b/api/errors.go
@@ -126,7 +126,13 @@
 	var tooLarge *http.MaxBytesError
 	var syntax *strictjson.SyntaxError
 	var value *strictjson.ValueError
+	var overloaded *OverloadedError
 	switch {
+	case errors.As(err, &overloaded):
+		return &Error{
+			Status: http.StatusServiceUnavailable, Code: CodeUnavailable, Reason: "overloaded", Message: "the host has no memory for the body",
+			RetryAfterMS: defaultRetryAfter.Milliseconds(),
+		}
 	case errors.As(err, &tooLarge):
 		message := fmt.Sprintf("body above the limit of %d bytes", tooLarge.Limit)
 		return &Error{Status: http.StatusRequestEntityTooLarge, Code: CodeTooLarge, Message: message}
--- a/api/handler.go
+++ b/api/handler.go
@@ -126,8 +126,11 @@
 		ctx, cancel := context.WithTimeout(r.Context(), timeout)
 		defer cancel()
 		r = r.WithContext(ctx)
-		r.Body = http.MaxBytesReader(w, r.Body, bytes)
-		value, err := e(r)
+		err := bufferBody(w, r, bytes)
+		var value any
+		if err == nil {
+			value, err = e(r)
+		}
 		if err != nil {
 			h.writeError(w, r, err)
 			return
--- a/config/config.go
+++ b/config/config.go
@@ -11,6 +11,7 @@
 	"github.com/go-playground/validator/v10"
 	"github.com/rotisserie/eris"
 
+	"github.com/fuchsiahill/fuchsiahill/admission"
 	"github.com/fuchsiahill/fuchsiahill/auth"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/strictjson"
@@ -22,6 +23,7 @@
 	DefaultPeerAddress      = "127.0.0.1:7401"
 	DefaultOperatorsAddress = "127.0.0.1:7402"
 	DefaultDrainTimeout     = 30 * time.Second
+	DefaultMemoryMB         = 256
 )
 
 // Host is the configuration of one entry host. Addresses are IP:port.
@@ -44,6 +46,27 @@
 	TLS    TLS          `json:"tls,omitzero"`
 
 	DrainTimeoutMS int64 `json:"drain_timeout_ms,omitempty" validate:"gte=0,lte=600000"` // 0: DefaultDrainTimeout
+
+	MemoryMB    int64               `json:"memory_mb,omitempty" validate:"gte=0,lte=1048576"`   // of the host; 0: DefaultMemoryMB
+	Descriptors int                 `json:"descriptors,omitempty" validate:"gte=0,lte=1048576"` // for sockets; 0: the limit of the process
+	Clients     admission.Overrides `json:"clients,omitzero"`                                   // of what callers may take of the host
+}
+
+// ClientLimits returns what callers may take of a host that may open a number of descriptors if the
+// configuration does not say. Errors are *InvalidError.
+func (h *Host) ClientLimits(descriptors int) (admission.Limits, error) {
+	if h.Descriptors > 0 {
+		descriptors = h.Descriptors
+	}
+	memoryMB := h.MemoryMB
+	if memoryMB == 0 {
+		memoryMB = DefaultMemoryMB
+	}
+	limits, err := h.Clients.Apply(admission.DefaultLimits(memoryMB<<20, descriptors))
+	if err != nil {
+		return limits, invalid("clients", err.Error())
+	}
+	return limits, nil
 }
 
 // DrainTimeout returns the maximum duration of the drain in a graceful shutdown.
@@ -154,6 +177,9 @@
 	if _, err := auth.NewTokens(h.Tokens); err != nil {
 		return err
 	}
+	if _, err := h.ClientLimits(0); err != nil {
+		return err
+	}
 	if err := h.TLS.validate(); err != nil {
 		return err
 	}
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -24,6 +24,7 @@
 	reasonPeerFailed      = "peer"
 	reasonRequestBody     = string(backend.ReasonRequestBody)
 	reasonDeadline        = string(route.RefusedDeadline)
+	reasonOverloaded      = "overloaded"
 )
 
 // unknownRetryAfter is sent to callers whose request has an unknown outcome, or
@@ -74,6 +75,14 @@
 	return fmt.Sprintf("gateway: outcome of forwarded request: %s (%s)", e.Outcome, e.Reason)
 }
 
+// OverloadedError reports that the host has no memory for the body of the request.
+type OverloadedError struct{ Cause error }
+
+func (e *OverloadedError) Error() string { return fmt.Sprintf("gateway: overloaded: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *OverloadedError) Unwrap() error { return e.Cause }
+
 // BodyError reports that the caller's body could not be read.
 type BodyError struct{ Cause error }
 
@@ -105,6 +114,7 @@
 		draining     *DrainingError
 		bad          *BadRequestError
 		body         *BodyError
+		overloaded   *OverloadedError
 	)
 	switch {
 	case errors.As(err, &refused):
@@ -115,6 +125,8 @@
 		return notRunFailure(reasonNoServer, time.Second)
 	case errors.As(err, &draining):
 		return notRunFailure(reasonDraining, otherHostRetryAfter)
+	case errors.As(err, &overloaded):
+		return notRunFailure(reasonOverloaded, time.Second)
 	case errors.As(err, &body):
 		return failure{http.StatusBadRequest, backend.NotRun, reasonRequestBody, 0}
 	case errors.As(err, &bad):
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -15,6 +14,7 @@
 	"github.com/fuchsiahill/fuchsiahill/backend"
 	"github.com/fuchsiahill/fuchsiahill/dedupe"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
+	"github.com/fuchsiahill/fuchsiahill/netguard"
 	"github.com/fuchsiahill/fuchsiahill/settings"
 )
 
@@ -36,10 +36,10 @@
 	in       *http.Request
 	path     url.URL // as sent to the backend server
 	header   http.Header
-	idValue  [1]string // X-Request-Id
-	body     []byte    // the part of the body that has been read
-	unread   io.Reader // the rest of the body, nil if there is none
-	length   int64     // of the complete body, -1 if not known
+	idValue  [1]string        // X-Request-Id
+	body     *netguard.Buffer // the part of the body that has been read, nil if there is none
+	unread   io.Reader        // the rest of the body, nil if there is none
+	length   int64            // of the complete body, -1 if not known
 	deadline time.Time
 }
 
@@ -64,6 +64,10 @@
 	ctx := r.Context()
 	w.Header()[backend.RequestIDHeader] = q.idValue[:]
 	if err := q.readBody(w); err != nil {
+		var overloaded *OverloadedError
+		if errors.As(err, &overloaded) {
+			w.Header().Set("Connection", "close") // the rest of the body is not read
+		}
 		g.writeFailure(w, err)
 		return
 	}
@@ -146,16 +150,20 @@
 		q.unread = body
 		return nil
 	}
-	data, err := io.ReadAll(io.LimitReader(body, limit+1))
-	if err != nil {
+	data, err := netguard.ReadBuffer(q.in, limit, q.deadline)
+	var shed *netguard.ShedError
+	switch {
+	case errors.As(err, &shed) && shed.Reason != netguard.ReasonSlowBody:
+		return &OverloadedError{Cause: err}
+	case err != nil:
 		return &BodyError{Cause: err}
 	}
 	q.body = data
-	if int64(len(data)) > limit {
+	if !data.Ended() {
 		q.unread = body
 		return nil
 	}
-	q.length = int64(len(data))
+	q.length = data.Len()
 	_ = control.SetReadDeadline(time.Time{})
 	return nil
 }
@@ -172,12 +180,12 @@
 		ContentLength: q.length,
 	}
 	switch {
-	case q.unread != nil && len(q.body) > 0:
-		out.Body = io.NopCloser(io.MultiReader(bytes.NewReader(q.body), q.unread))
+	case q.unread != nil && q.body != nil:
+		out.Body = io.NopCloser(io.MultiReader(q.body.Reader(), q.unread))
 	case q.unread != nil:
 		out.Body = io.NopCloser(q.unread)
 	case q.length > 0:
-		out.Body = io.NopCloser(bytes.NewReader(q.body))
+		out.Body = io.NopCloser(q.body.Reader())
 	}
 	return out
 }
--- a/host/host.go
+++ b/host/host.go
@@ -73,6 +73,7 @@
 	apiCalls        *expvar.Map // API responses by code
 	callersServer   *http.Server
 	operatorsServer *http.Server
+	clients         *clientGuards
 }
 
 // New opens the listeners of cfg and connects the components of the host. The
@@ -88,9 +89,16 @@
 	if err != nil {
 		return nil, err
 	}
+	limits, err := cfg.ClientLimits(descriptorLimit())
+	if err != nil {
+		return nil, err
+	}
+	h.clients = h.newClientGuards(limits)
 	if h.listeners, err = listen(cfg); err != nil {
 		return nil, err
 	}
+	h.listeners.callers = h.clients.callers.Listen(h.listeners.callers)
+	h.listeners.operators = h.clients.operators.Listen(h.listeners.operators)
 	if err := h.listeners.enableTLS(cfg.TLS); err != nil {
 		h.listeners.close()
 		return nil, err
@@ -320,4 +328,5 @@
 	})
 	h.callersServer = api.NewServer(callersRouter(tokens, h.gateway, handler))
 	h.operatorsServer = api.NewServer(operatorsRouter(tokens, h.vars(), handler))
+	h.clients.protect(h.callersServer, h.operatorsServer)
 }
--- a/host/http.go
+++ b/host/http.go
@@ -42,6 +42,8 @@
 // than to the process, so that several hosts can run in one process.
 func (h *Host) vars() *expvar.Map {
 	vars := new(expvar.Map).Init()
+	vars.Set("clients", h.clients.vars())
+	vars.Set("clients_shed", h.clients.shed)
 	vars.Set("store_calls", h.meteredStore.Counts())
 	vars.Set("peer_calls", h.peerClient.Vars())
 	vars.Set("settings", h.tracker.Vars())
--- a/internal/dev/entryhost.go
+++ b/internal/dev/entryhost.go
@@ -44,6 +44,12 @@
 	Propagation: 500 * time.Millisecond,
 }
 
+const (
+	// hostMemoryMB and hostDescriptors are the parts of the process of each of its hosts.
+	hostMemoryMB    = 64
+	hostDescriptors = 320
+)
+
 func newConfig(site *standin.Site, id fleet.HostID, dc fleet.DataCentre) *config.Host {
 	cfg := config.Default()
 	cfg.ID = id
@@ -51,6 +57,8 @@
 	cfg.HTTPAddress = "127.0.0.1:0"
 	cfg.PeerAddress = "127.0.0.1:0"
 	cfg.OperatorsAddress = "127.0.0.1:0"
+	cfg.MemoryMB = hostMemoryMB
+	cfg.Descriptors = hostDescriptors
 	cfg.StoreURL = site.StoreURL
 	cfg.HostListURL = site.HostsURL
 	return cfg
--- a/netguard/body.go
+++ b/netguard/body.go
@@ -1,6 +1,7 @@
 package netguard
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"iter"
@@ -33,11 +34,13 @@
 
 // body is a request body that arrives.
 type body struct {
-	conn  *Conn // nil: not guarded
-	first []byte
-	rest  []*[segmentBytes]byte
-	used  int // of the last segment of rest
-	total int64
+	conn     *Conn // nil: not guarded
+	first    []byte
+	rest     []*[segmentBytes]byte
+	used     int // of the last segment of rest
+	total    int64
+	deadline time.Time // by which it must be there; zero: none
+	ended    bool      // it has been read to its end
 }
 
 // Decode reads a request's body of at most limit bytes and calls decode with it.
@@ -53,6 +56,9 @@
 	if err := b.read(req, limit); err != nil {
 		return err
 	}
+	if !b.ended {
+		return b.tooLarge(limit)
+	}
 	if c := b.conn; c != nil {
 		if err := c.guard.draw(c, max(0, cost(b.parts())-freeDecodeBytes)); err != nil {
 			return err
@@ -74,6 +80,48 @@
 	return decode(data)
 }
 
+// Buffer is the beginning of a request body, or all of it.
+type Buffer struct{ body body }
+
+// ReadBuffer reads a request's body up to its end or until more than limit bytes have arrived,
+// by a deadline unless that is zero. What it holds is drawn from the budget until the request
+// ends. Errors are *ShedError and those of the connection.
+func ReadBuffer(req *http.Request, limit int64, deadline time.Time) (*Buffer, error) {
+	b := &Buffer{body{conn: connOf(req), deadline: deadline}}
+	err := b.body.read(req, limit)
+	if c := b.body.conn; err == nil && c != nil {
+		if b.body.ended {
+			deadline = time.Time{} // net/http reads beside the handler
+		}
+		if !c.enter(admission.PhaseServing) {
+			err = &ShedError{c.reason()}
+		} else {
+			err = c.SetReadDeadline(deadline)
+		}
+	}
+	if err != nil {
+		b.body.free()
+		return nil, err
+	}
+	return b, nil
+}
+
+// Len returns the number of bytes that were read.
+func (b *Buffer) Len() int64 { return b.body.total }
+
+// Ended reports whether that is the whole body.
+func (b *Buffer) Ended() bool { return b.body.ended }
+
+// Reader returns a new reader of what was read.
+func (b *Buffer) Reader() io.Reader {
+	var parts []io.Reader
+	for part := range b.body.parts() {
+		parts = append(parts, bytes.NewReader(part))
+	}
+	return io.MultiReader(parts...)
+}
+
+// read reads the body up to its end, or until more than limit bytes have arrived.
 func (b *body) read(req *http.Request, limit int64) error {
 	size := int64(firstSegmentBytes)
 	if req.ContentLength >= 0 {
@@ -88,7 +136,8 @@
 		}
 	}
 	if req.ContentLength > limit {
-		return b.tooLarge(limit)
+		b.first = b.first[:0]
+		return nil
 	}
 	into := b.first
 	filled := 0
@@ -116,8 +165,9 @@
 		}
 		switch {
 		case b.total > limit:
-			return b.tooLarge(limit)
+			return nil
 		case errors.Is(err, io.EOF):
+			b.ended = true
 			return nil
 		case err != nil:
 			return b.readError(err)
@@ -147,8 +197,11 @@
 	if c == nil {
 		return nil
 	}
-	deadline := c.guard.limits.BodyDeadline(since, b.total)
-	if err := c.SetReadDeadline(c.guard.start.Add(deadline)); err != nil {
+	deadline := c.guard.start.Add(c.guard.limits.BodyDeadline(since, b.total))
+	if !b.deadline.IsZero() && b.deadline.Before(deadline) {
+		deadline = b.deadline
+	}
+	if err := c.SetReadDeadline(deadline); err != nil {
 		return err
 	}
 	if c.phase() == admission.PhaseShed { // its deadline may have been moved
--- a/netguard/conn.go
+++ b/netguard/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/netip"
@@ -51,6 +52,8 @@
 	lines           int          // of the header; read by one goroutine at a time
 	cause           atomic.Pointer[Reason]
 	closed          atomic.Bool
+	handling        atomic.Bool  // a handler is at work
+	writeDeadline   atomic.Int64 // that the handler has set, Unix time in ns; 0: none
 }
 
 func addressOf(conn net.Conn) netip.Addr {
@@ -167,16 +170,33 @@
 	return max(0, received-freeHeaderBytes) + headerLineBytes*int64(max(0, lines-freeHeaderLines))
 }
 
+// SetWriteDeadline implements net.Conn. The answer must make progress all the same.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	deadline := int64(0)
+	if !t.IsZero() {
+		deadline = t.UnixNano()
+	}
+	c.writeDeadline.Store(deadline)
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // Write implements net.Conn. An answer must make progress.
 func (c *Conn) Write(p []byte) (int, error) {
 	limit := c.guard.limits.AnswerStall
-	if err := c.beginAnswer(); err != nil {
+	if c.handling.Load() {
+		// Between two writes it is the handler that takes its time, not the client.
+		defer c.beginWrite()()
+	} else if err := c.beginAnswer(); err != nil {
 		return 0, err
 	}
 	if c.phase() == admission.PhaseShed {
 		limit = refusalTimeout
 	}
-	if err := c.SetWriteDeadline(time.Now().Add(limit)); err != nil {
+	deadline := time.Now().Add(limit)
+	if set := c.writeDeadline.Load(); set != 0 && set < deadline.UnixNano() {
+		deadline = time.Unix(0, set)
+	}
+	if err := c.Conn.SetWriteDeadline(deadline); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Write(p)
@@ -186,6 +206,15 @@
 	return n, err
 }
 
+// beginWrite begins a write of a handler and returns what ends it.
+func (c *Conn) beginWrite() func() {
+	c.progress.Store(int64(c.guard.now()))
+	if !c.current.CompareAndSwap(int32(admission.PhaseServing), int32(admission.PhaseAnswer)) {
+		return func() {}
+	}
+	return func() { c.current.CompareAndSwap(int32(admission.PhaseAnswer), int32(admission.PhaseServing)) }
+}
+
 // beginAnswer ends the phase of serving. It limits the reads from here on: net/http
 // discards the rest of a body that the handler has not read, before and after it writes
 // the answer. A read sets no deadline itself, as net/http ends one that it has begun
@@ -228,10 +257,10 @@
 func (g *Guard) Protect(server *http.Server) {
 	server.MaxHeaderBytes = g.limits.HeaderBytes
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
-		return context.WithValue(ctx, connKey{}, conn)
+		return context.WithValue(ctx, connKey{}, guardedConn(conn))
 	}
 	server.ConnState = func(conn net.Conn, s http.ConnState) {
-		if c, ok := conn.(*Conn); ok && s == http.StateIdle {
+		if c := guardedConn(conn); c != nil && s == http.StateIdle {
 			g.release(c, c.held.Load())
 			c.begin(admission.PhaseIdle, g.now())
 		}
@@ -246,11 +275,23 @@
 		if !c.enter(admission.PhaseServing) {
 			panic(http.ErrAbortHandler) // a return would answer 200
 		}
+		c.handling.Store(true)
+		defer c.handling.Store(false) // a handler may panic
 		next.ServeHTTP(w, req)
+		c.handling.Store(false)
 		_ = c.beginAnswer() // fails only on a closed connection
 	})
 }
 
+// guardedConn returns the connection of the guard below a connection that may have TLS, or nil.
+func guardedConn(conn net.Conn) *Conn {
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
+	}
+	c, _ := conn.(*Conn)
+	return c
+}
+
 // connOf returns the connection of a request, nil if it is not guarded.
 func connOf(req *http.Request) *Conn {
 	c, _ := req.Context().Value(connKey{}).(*Conn)
--- a/node/clients.go
+++ b/node/clients.go
@@ -1,9 +1,6 @@
 package node
 
 import (
-	"sync"
-	"time"
-
 	"github.com/fuchsiahill/fuchsiahill/admission"
 	"github.com/fuchsiahill/fuchsiahill/internal/oplog"
 	"github.com/fuchsiahill/fuchsiahill/netguard"
@@ -11,9 +8,6 @@
 	"github.com/fuchsiahill/fuchsiahill/platform"
 )
 
-// refusalLogInterval is the least time between two log lines of the same reason.
-const refusalLogInterval = time.Second
-
 // adminLimits bound the connections to the addresses for readiness and metrics, which
 // the platform and a few scrapers call about once a second. Bodies are not read.
 var adminLimits = admission.Limits{
@@ -37,44 +31,17 @@
 type clientGuard struct {
 	guard   *netguard.Guard
 	admin   *netguard.Guard
-	logger  *oplog.Logger
 	metrics *owner.Metrics
-
-	mu     sync.Mutex
-	recent map[string]recentRefusals // by entrance and reason; nil before the first one
-}
-
-// recentRefusals are those of one entrance and reason.
-type recentRefusals struct {
-	logged time.Time // when the last line was written
-	more   int       // since then
 }
 
 func newClientGuard(limits admission.Limits, logger *oplog.Logger, metrics *owner.Metrics) *clientGuard {
-	c := &clientGuard{logger: logger, metrics: metrics}
-	c.guard = netguard.New(limits, func(r netguard.Refusal) { c.record("clients", r) })
-	c.admin = netguard.New(adminLimits, func(r netguard.Refusal) { c.record("admin", r) })
-	return c
-}
-
-// record counts a connection that was given up and logs it, unless a line of its
-// reason was logged just before.
-func (c *clientGuard) record(entrance string, r netguard.Refusal) {
-	name := entrance + "_shed_" + string(r.Reason)
-	c.metrics.Count(name, 1)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.recent == nil {
-		c.recent = make(map[string]recentRefusals)
-	}
-	last, now := c.recent[name], time.Now()
-	if now.Sub(last.logged) < refusalLogInterval {
-		last.more++
-		c.recent[name] = last
-		return
+	reporter := netguard.NewReporter(
+		func(name string) { metrics.Count(name, 1) },
+		func(keyvals ...any) { logger.Event("client_shed", keyvals...) },
+	)
+	return &clientGuard{
+		guard: netguard.New(limits, reporter.Entrance("clients")), admin: netguard.New(adminLimits, reporter.Entrance("admin")), metrics: metrics,
 	}
-	c.logger.Event("client_shed", "entrance", entrance, "reason", r.Reason, "address", r.Address, "phase", r.Phase, "held", r.Held, "received", r.Received, "more", last.more)
-	c.recent[name] = recentRefusals{logged: now}
 }
 
 // publish sets the gauges.
