Callers take memory that the owner's host needs

Cause: the bytes and connections of callers were bounded by shares of the memory alone, 27.5% in all, also on the host whose process holds 1,000 workers and all accepted jobs: together these exceed the smallest host.

Bytes and connections shrink alike, and those that exceed them go by the same order as before.

By itself the change is shown by TestClientsKeepMemoryThatOthersNeed and TestRoomForClientsOutlivesTheNeedOfOthers. The large sizes (crowdlarge: TestSmallestOwner, TestClientsWithinEachLimit) are run by hand.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -102,6 +102,30 @@
 	}
 }
 
+func TestRoomForClientsOutlivesTheNeedOfOthers(t *testing.T) {
+	l := DefaultLimits(184<<20, 3900)
+	for name, tt := range map[string]struct {
+		room  int64
+		share float64
+	}{
+		"all of it":    {l.Memory(), 1},
+		"more than it": {2 * l.Memory(), 1},
+		"half":         {l.Memory() / 2, 0.5},
+		"nothing":      {0, minClientShare},
+		"less":         {-1 << 30, minClientShare},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := l.Within(tt.room)
+			if share := float64(got.Memory()) / float64(l.Memory()); share > tt.share || share < tt.share-0.01 {
+				t.Errorf("clients get %.3f of their memory, want %.3f", share, tt.share)
+			}
+			if got.ConnectionsPerAddress > got.Connections {
+				t.Errorf("%d connections of an address of %d in all", got.ConnectionsPerAddress, got.Connections)
+			}
+		})
+	}
+}
+
 func TestLegalBodyOnASlowLinkMeetsADeadline(t *testing.T) {
 	const legalBytes, linkBytesPerSecond = 262_144, 2e6 / 8 / 100 // a hundredth of a link of 2 Mbit/s
 	l := DefaultLimits(184<<20, 3900)
--- a/admission/limits.go
+++ b/admission/limits.go
@@ -55,6 +55,25 @@
 	}
 }
 
+// minClientShare is the share of their limits that clients may take at any time.
+const minClientShare = 0.125
+
+// Memory returns the memory that clients take at most.
+func (l Limits) Memory() int64 { return l.Bytes + int64(l.Connections)*connectionBytes }
+
+// Within returns the limits for a host whose other work leaves an amount of memory for clients:
+// their bytes and connections shrink alike.
+func (l Limits) Within(room int64) Limits {
+	share := max(minClientShare, float64(room)/float64(max(l.Memory(), 1)))
+	if share >= 1 {
+		return l
+	}
+	l.Bytes = int64(share * float64(l.Bytes))
+	l.Connections = max(1, int(share*float64(l.Connections)))
+	l.ConnectionsPerAddress = min(l.ConnectionsPerAddress, l.Connections)
+	return l
+}
+
 // Overrides replace single limits. Zero values replace nothing.
 type Overrides struct {
 	Bytes                 int64 `json:"bytes"`
--- a/internal/crowd/accepted_test.go
+++ b/internal/crowd/accepted_test.go
@@ -81,7 +81,7 @@
 		largeMemoryMB = 512
 		job           = `{"spec":"crowd","steps":[{"count":1,"cpu":100,"mem_mb":64,"constraints":"none"},{"count":9999,"cpu":100,"mem_mb":64,"after":[0]}]}`
 	)
-	site := startStore(t)
+	site := startStore(t, 1)
 	first := startHostOn(t, site, "host-0", largeMemoryMB, manyDescriptors)
 	c := Start(first.address, bodyCrowd, jobs(1, job, false))
 	c.AwaitArrival()
--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/fuchsiahill/fuchsiahill/internal/standin/wire"
 )
@@ -70,6 +71,28 @@
 	}
 }
 
+// TestCrowdAtOwner plays bodies that stop short, beside jobs of many tasks, at the owner of many
+// workers, which holds more than other hosts.
+func TestCrowdAtOwner(t *testing.T) { playCrowdAtOwner(t, 150, memoryMB, bodyCrowd) }
+
+func playCrowdAtOwner(t *testing.T, workers, memoryMB, crowd int) {
+	t.Helper()
+	const tasks = 10_000
+	h := startHostOn(t, startStore(t, workers), "host-0", memoryMB, manyDescriptors)
+	h.submit(t, "00000000000000aa")
+	wide := Start(h.address, crowd/3, wideJob(tasks))
+	defer wide.Close()
+	wide.AwaitArrival()
+	finish := make(chan struct{})
+	c := Start(h.address, crowd, body(bodyBytes, bodyBytes, few, finish))
+	defer c.Close()
+	c.AwaitArrival()
+	time.Sleep(holdTime)
+	close(finish)
+	h.submitFrom(t, otherAddress, "00000000000000bb")
+	h.checkBounds(t, memoryMB, manyDescriptors)
+}
+
 // TestCrowdOfAcceptedJobs hands in small valid jobs whose tasks an owner holds.
 func TestCrowdOfAcceptedJobs(t *testing.T) {
 	const (
--- a/internal/crowd/host_test.go
+++ b/internal/crowd/host_test.go
@@ -60,20 +60,23 @@
 // startHost starts a host with the given limits and waits until it has accepted a job.
 func startHost(t *testing.T, memoryMB, maxDescriptors int) *daemonHost {
 	t.Helper()
-	h := startHostOn(t, startStore(t), "host-0", memoryMB, maxDescriptors)
+	h := startHostOn(t, startStore(t, 1), "host-0", memoryMB, maxDescriptors)
 	h.submit(t, "00000000000000aa")
 	return h
 }
 
-// startStore starts a store with a worker and a configuration.
-func startStore(t *testing.T) *wire.Store {
+// startStore starts a store with workers and a configuration.
+func startStore(t *testing.T, workers int) *wire.Store {
 	t.Helper()
 	site, err := wire.NewStore()
 	check(t, err)
 	t.Cleanup(site.Close)
-	worker, err := wire.NewWorker("w-0", workerCapacity, wire.NewChecker(maxFailures, hangTimeout), site)
-	check(t, err)
-	t.Cleanup(worker.Close)
+	checker := wire.NewChecker(maxFailures, hangTimeout)
+	for i := range workers {
+		worker, err := wire.NewWorker(fleet.WorkerID(fmt.Sprintf("w-%d", i)), workerCapacity, checker, site)
+		check(t, err)
+		t.Cleanup(worker.Close)
+	}
 	check(t, site.Configure(1, maxFailures, nil))
 	return site
 }
--- a/internal/crowd/smallest_test.go
+++ b/internal/crowd/smallest_test.go
@@ -2,7 +2,10 @@
 
 package crowd
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // TestSmallestHost plays large crowds against a host of the smallest size in use. It
 // is run by hand: go test -tags crowd,crowdlarge -run TestSmallestHost ./internal/crowd
@@ -34,3 +37,23 @@
 		})
 	}
 }
+
+// TestSmallestOwner plays a crowd at the owner of as many workers as the target size has.
+func TestSmallestOwner(t *testing.T) { playCrowdAtOwner(t, 1000, 184, 1500) }
+
+// TestClientsWithinEachLimit hands in small jobs on many connections for minutes.
+func TestClientsWithinEachLimit(t *testing.T) {
+	const (
+		smallestMemoryMB = 184
+		smallestMaximum  = 4100
+		clients          = 1500
+		jobsOfEach       = 100
+	)
+	h := startHost(t, smallestMemoryMB, smallestMaximum)
+	c := Start(h.address, clients, jobs(jobsOfEach, `{"spec":"crowd","steps":[{"count":1,"cpu":100,"mem_mb":64}]}`, false))
+	defer c.Close()
+	c.AwaitArrival()
+	time.Sleep(time.Minute)
+	h.submitFrom(t, otherAddress, "00000000000000bb")
+	h.checkBounds(t, smallestMemoryMB, smallestMaximum)
+}
--- a/netguard/buffer_test.go
+++ b/netguard/buffer_test.go
@@ -136,3 +136,25 @@
 		}
 	}
 }
+
+// What the rest of the process holds is taken from the memory of clients.
+func TestClientsKeepMemoryThatOthersNeed(t *testing.T) {
+	l := limits()
+	g, address, _ := guarded(t, l, ignore)
+	for range 30 {
+		send(t, address, post(200_000, 1, ""))
+	}
+	for range 20 {
+		send(t, address, "")
+	}
+	waitForBytes(t, g, func(n int64) bool { return n > 5<<20 })
+	g.SetRoom(l.Memory() / 4)
+	waitForBytes(t, g, func(n int64) bool { return n <= l.Bytes/4 })
+	if got := g.Usage().Connections; got > l.Connections/4 {
+		t.Errorf("%d connections, want at most %d", got, l.Connections/4)
+	}
+	g.SetRoom(l.Memory())
+	if got := status(t, send(t, address, post(200_000, 0, ""))); got != http.StatusOK {
+		t.Errorf("status %d", got)
+	}
+}
--- a/netguard/guard.go
+++ b/netguard/guard.go
@@ -43,8 +43,9 @@
 	start  time.Time
 	report func(Refusal)
 
-	mu    sync.Mutex
-	conns []*Conn // in no order
+	mu     sync.Mutex
+	within admission.Limits // limits within the memory that is left, see SetRoom
+	conns  []*Conn          // in no order
 	// Invariant: used is the sum of held of all connections, and releasing that of
 	// the ones that are given up.
 	used, releasing int64
@@ -54,7 +55,7 @@
 // New returns a guard that calls report, from any goroutine, for each connection
 // that is given up.
 func New(limits admission.Limits, report func(Refusal)) *Guard {
-	g := &Guard{limits: limits, start: time.Now(), report: report}
+	g := &Guard{limits: limits, within: limits, start: time.Now(), report: report}
 	g.changed = sync.NewCond(&g.mu)
 	return g
 }
@@ -72,6 +73,33 @@
 	return Usage{Connections: len(g.conns), Bytes: g.used}
 }
 
+// Memory returns the memory that the connections take.
+func (g *Guard) Memory() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return admission.Limits{Bytes: g.used, Connections: len(g.conns)}.Memory()
+}
+
+// SetRoom sets the memory that is left for the connections, and gives up those that exceed it.
+func (g *Guard) SetRoom(room int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.within = g.limits.Within(room)
+	for g.used-g.releasing > g.within.Bytes {
+		victim, ok := admission.WeakestHolder(g.now(), g.connections(nil))
+		if !ok || !victim.giveUp(ReasonBytes) {
+			break
+		}
+	}
+	for len(g.conns) > g.within.Connections {
+		victim, ok := admission.WeakestConnection(g.now(), g.connections(nil))
+		if !ok || !victim.giveUp(ReasonConnections) {
+			break
+		}
+	}
+	g.changed.Broadcast()
+}
+
 // now is the time on the clock of the connections.
 func (g *Guard) now() time.Duration { return time.Since(g.start) }
 
@@ -104,13 +132,13 @@
 	c.since.Store(int64(now))
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.limits.ConnectionsPerAddress < g.limits.Connections {
+	if g.within.ConnectionsPerAddress < g.within.Connections {
 		same := func(o *Conn) bool { return o.address == c.address }
-		if g.count(same) >= g.limits.ConnectionsPerAddress && !g.displace(c, ReasonAddress, g.connections(same)) {
+		if g.count(same) >= g.within.ConnectionsPerAddress && !g.displace(c, ReasonAddress, g.connections(same)) {
 			return nil
 		}
 	}
-	if len(g.conns) >= g.limits.Connections && !g.displace(c, ReasonConnections, g.connections(nil)) {
+	if len(g.conns) >= g.within.Connections && !g.displace(c, ReasonConnections, g.connections(nil)) {
 		return nil
 	}
 	c.index = len(g.conns)
@@ -156,15 +184,15 @@
 func (g *Guard) draw(c *Conn, n int64) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for g.used+n > g.limits.Bytes {
-		if c.held.Load()+n > g.limits.Bytes {
+	for g.used+n > g.within.Bytes {
+		if c.held.Load()+n > g.within.Bytes {
 			c.giveUp(ReasonBytes)
 			return &ShedError{ReasonBytes}
 		}
 		if c.phase() == admission.PhaseShed {
 			return &ShedError{c.reason()}
 		}
-		if g.used-g.releasing+n <= g.limits.Bytes {
+		if g.used-g.releasing+n <= g.within.Bytes {
 			g.changed.Wait()
 			continue
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -188,7 +188,7 @@
 // supervisor returns the tree of the services that run beside the HTTP servers.
 func (n *Node) supervisor() *suture.Supervisor {
 	tree := suture.New("node", suture.Spec{EventHook: func(e suture.Event) { n.logger.Event("supervisor", "what", e.String()) }})
-	for _, s := range []suture.Service{n.logger, n.operator, n.shared, n.intake, n.owner, n.follower} {
+	for _, s := range []suture.Service{n.logger, n.operator, n.shared, n.intake, n.owner, n.follower, &memoryService{n}} {
 		tree.Add(s)
 	}
 	if n.peers != nil {
