--- a/admission/limits.go
+++ b/admission/limits.go
@@ -15,11 +15,17 @@
 	BodyRate              int64         // least bytes per second of a body, after BodyGrace
 	BodyGrace             time.Duration // before the rate of a body counts
 	AnswerStall           time.Duration // longest time in which an answer makes no progress
+	JobBytes              int64         // of accepted jobs, on their owner
+	TaskBytes             int64         // of tasks that are under way, on their owner
 }
 
 const (
 	// bytesShare is the share of the memory for requests that are not admitted yet.
 	bytesShare = 0.125
+	// jobsShare is the share of the memory for accepted jobs, and tasksShare that for their tasks
+	// that are under way.
+	jobsShare  = 0.125
+	tasksShare = 0.125
 	// connectionMemoryShare is the share of the memory for the connections themselves.
 	connectionMemoryShare = 0.15
 	// connectionBytes is the memory of a connection: the stacks of its goroutines, its
@@ -44,10 +50,30 @@
 	}
 	return Limits{
 		Bytes: int64(bytesShare * float64(memoryBytes)), Connections: connections, ConnectionsPerAddress: connections, HeaderBytes: defaultHeaderBytes,
+		JobBytes: int64(jobsShare * float64(memoryBytes)), TaskBytes: int64(tasksShare * float64(memoryBytes)),
 		BodyRate: defaultBodyRate, BodyGrace: defaultBodyGrace, AnswerStall: defaultAnswerStall,
 	}
 }
 
+// minClientShare is the share of their limits that clients may take at any time.
+const minClientShare = 0.125
+
+// Memory returns the memory that clients take at most.
+func (l Limits) Memory() int64 { return l.Bytes + int64(l.Connections)*connectionBytes }
+
+// Within returns the limits for a host whose other work leaves an amount of memory for clients:
+// their bytes and connections shrink alike.
+func (l Limits) Within(room int64) Limits {
+	share := max(minClientShare, float64(room)/float64(max(l.Memory(), 1)))
+	if share >= 1 {
+		return l
+	}
+	l.Bytes = int64(share * float64(l.Bytes))
+	l.Connections = max(1, int(share*float64(l.Connections)))
+	l.ConnectionsPerAddress = min(l.ConnectionsPerAddress, l.Connections)
+	return l
+}
+
 // Overrides replace single limits. Zero values replace nothing.
 type Overrides struct {
 	Bytes                 int64 `json:"bytes"`
@@ -57,6 +83,8 @@
 	BodyRate              int64 `json:"body_bytes_per_s"`
 	BodyGraceMS           int64 `json:"body_grace_ms"`
 	AnswerStallMS         int64 `json:"answer_stall_ms"`
+	JobBytes              int64 `json:"job_bytes"`
+	TaskBytes             int64 `json:"task_bytes"`
 }
 
 // LimitError reports an override that can't be used.
@@ -84,6 +112,8 @@
 		{"header_bytes", int64(o.HeaderBytes), func(n int64) { l.HeaderBytes = int(n) }},
 		{"body_bytes_per_s", o.BodyRate, func(n int64) { l.BodyRate = n }},
 		{"body_grace_ms", o.BodyGraceMS, func(n int64) { l.BodyGrace = time.Duration(n) * time.Millisecond }},
+		{"job_bytes", o.JobBytes, func(n int64) { l.JobBytes = n }},
+		{"task_bytes", o.TaskBytes, func(n int64) { l.TaskBytes = n }},
 		{"answer_stall_ms", o.AnswerStallMS, func(n int64) { l.AnswerStall = time.Duration(n) * time.Millisecond }},
 	} {
 		if v.value < 0 || v.value > math.MaxInt32 {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -9,6 +9,9 @@
 	"fmt"
 	"time"
 
+	"golang.org/x/time/rate"
+
+	"github.com/fuchsiahill/fuchsiahill/dispatch"
 	"github.com/fuchsiahill/fuchsiahill/fleet"
 	"github.com/fuchsiahill/fuchsiahill/internal/steady"
 	"github.com/fuchsiahill/fuchsiahill/mirror"
@@ -43,6 +46,8 @@
 	StoreUnavailable bool
 	// Prediction is set if the job would have ended too late to be of use.
 	Prediction *Prediction
+	// OutOfMemory says that the owner has no memory for the job.
+	OutOfMemory bool
 }
 
 func (e *RefusedError) Error() string { return "intake: not accepted: " + e.Reason }
@@ -63,9 +68,11 @@
 
 // Intake accepts and cancels jobs. It is safe for concurrent use.
 type Intake struct {
-	store  store.Transactional
-	shared *mirror.Mirror
-	queue  chan *submission
+	store   store.Transactional
+	shared  *mirror.Mirror
+	queue   chan *submission
+	ledger  *ledger
+	lookups *rate.Limiter
 }
 
 type submission struct {
@@ -75,11 +82,23 @@
 	done   chan error
 }
 
-// New returns an Intake. Submissions are committed only while Serve runs.
-func New(s store.Transactional, shared *mirror.Mirror) *Intake {
-	return &Intake{store: s, shared: shared, queue: make(chan *submission, 1024)}
+// New returns an Intake that accepts jobs up to an amount of memory in bytes, 0 for any; see
+// JobBytes of package dispatch. Submissions are committed only while Serve runs, and changes
+// of the mirror must be passed to HandleSharedChange.
+func New(s store.Transactional, shared *mirror.Mirror, jobBytes int64) *Intake {
+	return &Intake{
+		store: s, shared: shared, queue: make(chan *submission, 1024),
+		ledger: newLedger(jobBytes), lookups: rate.NewLimiter(lookupsPerSecond, lookupBurst),
+	}
 }
 
+// HandleSharedChange counts a change in the mirror.
+func (in *Intake) HandleSharedChange(e store.Event) { in.ledger.apply(e, steady.Now()) }
+
+// SetOwnerFull records whether the owner has published that it holds jobs back for want of
+// memory: no further ones are accepted.
+func (in *Intake) SetOwnerFull(full bool) { in.ledger.setOwnerFull(full, steady.Now()) }
+
 // Serve commits submissions until ctx ends. It returns ctx's error.
 func (in *Intake) Serve(ctx context.Context) error {
 	slots := make(chan struct{}, maxCommitsInFlight)
@@ -124,7 +143,21 @@
 	}
 	stored := *job
 	stored.Workspace = caller.Workspace
+	stored.Source = sourceOf(&stored)
 	job = &stored
+	if refused := in.ledger.reserve(job, steady.Now()); refused != nil {
+		return in.confirmRefusal(caller, job, refused)
+	}
+	err := in.submit(ctx, caller, job)
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		in.ledger.release(job.ID, steady.Now())
+	}
+	return err
+}
+
+// submit stores a job that has been counted.
+func (in *Intake) submit(ctx context.Context, caller workspace.Caller, job *workload.Job) error {
 	body, err := json.Marshal(job)
 	if err != nil {
 		return &RefusedError{Reason: err.Error()}
@@ -143,6 +176,39 @@
 	}
 }
 
+// confirmRefusal returns the outcome of a submission for which there is no room: the refusal, unless
+// the job has been accepted before or that isn't known.
+func (in *Intake) confirmRefusal(caller workspace.Caller, job *workload.Job, refused *RefusedError) error {
+	e, err := in.lookup(caller, job.ID)
+	var missing *JobNotFoundError
+	var limited *LookupLimitError
+	switch {
+	case err == nil:
+		return checkExisting(e, caller, job)
+	case errors.As(err, &missing):
+		return refused
+	case errors.As(err, &limited):
+		return err
+	default:
+		return &UnknownOutcomeError{Cause: err}
+	}
+}
+
+const (
+	// lookupsPerSecond bounds the calls to the store for jobs that this host does not know: all
+	// hosts share the calls that the store accepts.
+	lookupsPerSecond = 100
+	lookupBurst      = 200
+)
+
+// LookupLimitError reports that requests for jobs that this host does not know exceed the calls to
+// the store that it may make for them. Whether there is such a job is not known.
+type LookupLimitError struct{ ID fleet.JobID }
+
+func (e *LookupLimitError) Error() string {
+	return fmt.Sprintf("intake: too many requests for unknown jobs to look for %s", e.ID)
+}
+
 // errIDInUse is the cause of an unknown outcome that tells the caller nothing.
 var errIDInUse = errors.New("not confirmed")
 
@@ -185,7 +251,7 @@
 		var txn store.Txn
 		for _, s := range batch {
 			key := StatePrefix + string(s.job.ID)
-			record := Record{Queue: s.job.Queue, State: workload.StateQueued, AcceptedMS: s.job.AcceptedMS, Workspace: s.job.Workspace}
+			record := Record{Queue: s.job.Queue, State: workload.StateQueued, AcceptedMS: s.job.AcceptedMS, Workspace: s.job.Workspace, Bytes: dispatch.JobBytes(s.job), Source: s.job.Source}
 			txn.Checks = append(txn.Checks, store.Check{Key: key})
 			txn.Puts = append(txn.Puts, store.Put{Key: key, Value: record.Encode()}, store.Put{Key: SubmissionPrefix + string(s.job.ID), Value: s.body})
 		}
@@ -239,20 +305,27 @@
 }
 
 // MayExist reports whether a job of the caller may already have been accepted by any host.
-// It is true if the store can't be read.
-func (in *Intake) MayExist(caller workspace.Caller, id fleet.JobID) bool {
+// It is true if the store can't be read. Errors are *LookupLimitError.
+func (in *Intake) MayExist(caller workspace.Caller, id fleet.JobID) (bool, error) {
 	_, err := in.lookup(caller, id)
 	var missing *JobNotFoundError
-	return !errors.As(err, &missing)
+	var limited *LookupLimitError
+	if errors.As(err, &limited) {
+		return true, err
+	}
+	return !errors.As(err, &missing), nil
 }
 
-// lookup returns the entry of a job that the caller may use. Errors are *JobNotFoundError
-// and those of the store. A job of another workspace is read from the store like an unknown
+// lookup returns the entry of a job that the caller may use. Errors are *JobNotFoundError,
+// *LookupLimitError and those of the store. A job of another workspace is read from the store like an unknown
 // one.
 func (in *Intake) lookup(caller workspace.Caller, id fleet.JobID) (store.Entry, error) {
 	if e, ok := in.shared.Get(StatePrefix + string(id)); ok && mayUse(caller, e) {
 		return e, nil
 	}
+	if !in.lookups.Allow() {
+		return store.Entry{}, &LookupLimitError{ID: id}
+	}
 	return in.read(caller, id)
 }
 
@@ -296,11 +369,14 @@
 func (in *Intake) State(caller workspace.Caller, id fleet.JobID, queue string) (workload.State, error) {
 	e, err := in.lookup(caller, id)
 	var missing *JobNotFoundError
+	var limited *LookupLimitError
 	switch {
 	case err == nil:
 		return in.decodeState(e, id, queue)
 	case errors.As(err, &missing):
 		return "", err
+	case errors.As(err, &limited):
+		return "", &RefusedError{Reason: err.Error(), RetryAfter: time.Second}
 	default: // a failed read has no effect
 		refused := storeUnavailableError()
 		refused.Reason += ": " + err.Error()
@@ -329,9 +405,12 @@
 	e, lookupErr := in.lookup(caller, id)
 	for range maxCASAttempts {
 		var missing *JobNotFoundError
+		var limited *LookupLimitError
 		switch {
 		case errors.As(lookupErr, &missing):
 			return lookupErr
+		case errors.As(lookupErr, &limited):
+			return &RefusedError{Reason: lookupErr.Error(), RetryAfter: time.Second}
 		case lookupErr != nil:
 			return storeUnavailableError()
 		}
@@ -369,15 +448,4 @@
 }
 
 // Pending returns the number of jobs in a queue that have started no task.
-func (in *Intake) Pending(queue string) int {
-	n := 0
-	in.shared.Each(func(e store.Entry) {
-		if _, ok := JobIDFromKey(e.Key); !ok {
-			return
-		}
-		if r, err := DecodeRecord(e.Value); err == nil && r.Queue == queue && r.State == workload.StateQueued {
-			n++
-		}
-	})
-	return n
-}
+func (in *Intake) Pending(queue string) int { return in.ledger.pending(queue) }
--- a/node/node.go
+++ b/node/node.go
@@ -44,6 +44,10 @@
 	// billed, but processor time is scarcer on a host of 0.16 cores.
 	gcPercent        = 200
 	memoryLimitShare = 0.7
+	// memoryShare is the share of the memory that the process may take. It includes programBytes
+	// that the collector does not count: the program itself and the buffers of its libraries.
+	memoryShare  = 0.85
+	programBytes = 20 << 20
 	// drainReserve is the end of the grace period that is reserved for the last
 	// responses. Failures in the last sixth of the grace period are not counted.
 	drainReserve = 1500 * time.Millisecond
@@ -107,7 +111,7 @@
 	n.clients = newClientGuard(s.Clients, n.logger, n.metrics)
 	n.operator = mirror.New(client, platform.OperatorPrefix, operatorBatchDelay, n.handleOperatorChange, n.logger.Event)
 	n.shared = mirror.New(client, intake.SharedPrefix, sharedBatchDelay, n.handleSharedChange, n.logger.Event)
-	n.intake = intake.New(client, n.shared)
+	n.intake = intake.New(client, n.shared, s.Clients.JobBytes)
 	n.owner = owner.New(owner.Deps{Settings: s, Store: client, Shared: n.shared, Operator: n.operator, Log: n.logger.Event, Metrics: n.metrics})
 	calls := peer.NewClient(s.Host, n.peerAddress, peer.ClientOptions{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, Logger: n.logger})
 	n.relay = relay.New(calls, n.relayTarget, n.noteVersion)
@@ -130,12 +134,18 @@
 		return err
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
+	debug.SetMemoryLimit(collectorLimit(s.MemoryBytes))
 	n := New(s, os.Stdout)
 	n.logger.Event("start", "version", version, "go", runtime.Version(), "data_centre", s.DataCentre, "cores", s.Cores, "memory_bytes", s.MemoryBytes, "link_mbps", s.LinkMbps, "descriptors", s.Descriptors, "store", s.StoreAddress)
 	return n.Serve(path)
 }
 
+// collectorLimit returns the memory limit of the collector on a host with a memory in bytes.
+func collectorLimit(memoryBytes int64) int64 {
+	memory := float64(memoryBytes)
+	return int64(max(min(memoryLimitShare*memory, memoryShare*memory-programBytes), memory/2))
+}
+
 // Serve runs the supervisor tree and the HTTP servers until SIGTERM or SIGINT.
 // SIGHUP reloads the settings at path. It returns *ListenError if an address
 // can't be listened on.
@@ -178,7 +188,7 @@
 // supervisor returns the tree of the services that run beside the HTTP servers.
 func (n *Node) supervisor() *suture.Supervisor {
 	tree := suture.New("node", suture.Spec{EventHook: func(e suture.Event) { n.logger.Event("supervisor", "what", e.String()) }})
-	for _, s := range []suture.Service{n.logger, n.operator, n.shared, n.intake, n.owner, n.follower} {
+	for _, s := range []suture.Service{n.logger, n.operator, n.shared, n.intake, n.owner, n.follower, &memoryService{n}} {
 		tree.Add(s)
 	}
 	if n.peers != nil {
@@ -276,6 +286,11 @@
 func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	var text strings.Builder
 	n.clients.publish()
+	jobs := n.intake.Usage()
+	n.metrics.Set("jobs_held", jobs.Jobs)
+	n.metrics.Set("jobs_sources", jobs.Sources)
+	n.metrics.Set("jobs_bytes", int(jobs.Bytes))
+	n.metrics.Set("jobs_bytes_limit", int(jobs.Limit))
 	n.metrics.Each(func(name, value string) { fmt.Fprintf(&text, "fuchsiahill_%s %s\n", name, value) })
 	_, _ = io.WriteString(w, text.String()) // a failed write means that the scraper has disconnected
 }
@@ -303,7 +318,9 @@
 			return
 		}
 		n.load.Store(&load)
+		n.intake.SetOwnerFull(load.Full)
 		return
 	}
+	n.intake.HandleSharedChange(e)
 	n.owner.HandleSharedChange(e)
 }
