--- a/intake/ledger_test.go
+++ b/intake/ledger_test.go
@@ -25,6 +25,14 @@
 	return store.Event{Entry: store.Entry{Key: StatePrefix + string(job.ID), Value: r.Encode()}}
 }
 
+// mustReserve is reserve that has to accept the job.
+func mustReserve(t *testing.T, l *ledger, job *workload.Job) {
+	t.Helper()
+	if refused := l.reserve(job, 0); refused != nil {
+		t.Fatal(refused)
+	}
+}
+
 // fill accepts small jobs of a source until one is refused, lets the store show them, and returns
 // how many were accepted.
 func fill(l *ledger, source uint32) int {
@@ -70,13 +78,12 @@
 			}
 		}, jobOf("x", 1), false},
 		"jobs that the store has not shown count for all hosts": {func(l *ledger) {
-			for i := range room {
-				l.reserve(jobOf(fmt.Sprint(i), uint32(10+i)), 0)
+			for i := 0; l.reserve(jobOf(fmt.Sprint(i), uint32(10+i)), 0) == nil; i++ {
 			}
 		}, jobOf("x", otherSource), true},
 		"reservations were taken back": {func(l *ledger) {
 			for i := range room / unseenWeight {
-				l.reserve(jobOf(fmt.Sprint(i), 1), 0)
+				mustReserve(t, l, jobOf(fmt.Sprint(i), 1))
 				l.release(fleet.JobID(fmt.Sprint(i)), 0)
 			}
 		}, jobOf("x", otherSource), false},
@@ -116,10 +123,12 @@
 func TestUnknownOutcomeStaysReserved(t *testing.T) {
 	l := newLedger(400 * smallBytes)
 	for i := range 20 {
-		l.reserve(jobOf(fmt.Sprint(i), 1), 0)
+		mustReserve(t, l, jobOf(fmt.Sprint(i), 1))
 	}
 	l.apply(shown(jobOf("3", 1), workload.StateRunning), time.Second)
-	l.reserve(jobOf("x", 1), unseenTimeout)
+	if refused := l.reserve(jobOf("x", 1), unseenTimeout); refused != nil {
+		t.Error(refused)
+	}
 	if len(l.accounts) != 2 {
 		t.Errorf("%d jobs are counted, want the one that was shown and the new one", len(l.accounts))
 	}
@@ -156,7 +165,7 @@
 	for id, state := range map[string]workload.State{"a": workload.StateQueued, "b": workload.StateQueued, "c": workload.StateRunning, "d": workload.StateCompleted} {
 		l.apply(shown(jobOf(id, 1), state), 0)
 	}
-	l.reserve(jobOf("e", 1), 0)
+	mustReserve(t, l, jobOf("e", 1))
 	l.apply(shown(jobOf("b", 1), workload.StateRunning), 0)
 	l.apply(store.Event{Entry: store.Entry{Key: StatePrefix + "d"}, Deleted: true}, 0)
 	if got := l.pending("q"); got != 1 {
