Repeated job counts as waiting between two occurrences

Found in reading the diff: since ended occurrences are dropped, a repeated job between two occurrences looked like one that had not been planned yet, whose whole work waits: the owner published too much waiting work, and hosts would refuse jobs for it.

Change: a job counts as planned once any of its occurrences was opened. Beside it: a job that was held back keeps the time of its acceptance, and plans look at a task that has not been started in one place instead of allocating it. The soak has a host with memory for few jobs, which refuses and holds back.

Evidence: TestEndedOccurrencesCountAsWaiting fails before in its batch and its serving case.

--- a/dispatch/backlog.go
+++ b/dispatch/backlog.go
@@ -172,7 +172,7 @@
 // waitingWork returns the expected work of the tasks of a job that are ready and not started.
 // Room opens as running tasks end, so what is running delays nothing that waits.
 func (m *Machine) waitingWork(j *job) float64 {
-	if len(j.occurrences) == 0 {
+	if !j.isPlanned() {
 		return m.remainingWork(j) // not planned yet
 	}
 	work := 0.0
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -129,7 +129,7 @@
 
 // waitingServing returns the millicores of a job's waiting serving tasks.
 func (j *job) waitingServing() int64 {
-	if len(j.occurrences) == 0 {
+	if !j.isPlanned() {
 		return servingRequest(&j.Job) // not planned yet
 	}
 	total := int64(0)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -22,8 +22,8 @@
 	progressRevision store.Revision
 	inherited        bool          // was accepted under a former owner
 	arrivedAt        time.Duration // when it was accepted
-	// occurrences are those from firstOccurrence on, by number; future ones are nil or
-	// missing. The earlier ones have ended.
+	// occurrences are those from firstOccurrence on, by number. Nothing is left of the earlier
+	// ones; those that are nil or missing have not been opened.
 	occurrences     []*occurrence
 	firstOccurrence int
 	dueOccurrences  int // how many this owner has found due
@@ -205,6 +205,9 @@
 	}
 }
 
+// isPlanned reports whether the job has been in a plan when any of its occurrences was due.
+func (j *job) isPlanned() bool { return j.firstOccurrence+len(j.occurrences) > 0 }
+
 // setOccurrence sets an occurrence that is not below firstOccurrence.
 func (j *job) setOccurrence(k int, o *occurrence) {
 	for j.firstOccurrence+len(j.occurrences) <= k {
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -119,6 +119,7 @@
 	scarceLoggedAt    []time.Duration // by best-effort image
 	tailsBuffer       []imageTail
 	ratesBuffer       []float64 // scratch space of siblingRate
+	unstarted         task      // scratch space for a task that has no record
 	forgotten         []forgottenRecord
 	orders            []Order
 	startRoom         StartRoom // for the next plan
--- a/dispatch/occurrences_test.go
+++ b/dispatch/occurrences_test.go
@@ -49,3 +49,32 @@
 		t.Error("the job has not ended")
 	}
 }
+
+// Between two occurrences of a repeated job nothing of it waits.
+func TestEndedOccurrencesCountAsWaiting(t *testing.T) {
+	const untilNext = 10_000 // ms
+	serving := cpuStep(1, 100)
+	serving.Serving = true
+	for name, step := range map[string]workload.Step{"batch": cpuStep(1, 100), "serving": serving} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, "w1")
+			job := workload.Job{ID: "a", Queue: testQueue, Repeats: 3, FirstMS: 0, IntervalMS: untilNext, Steps: []workload.Step{step}}
+			r.m.AddJob(&job, workload.StateQueued, 1, workload.Progress{}, r.now, false)
+			j := r.m.jobs["a"]
+			if r.m.waitingWork(j) == 0 {
+				t.Fatal("nothing waits before the first plan")
+			}
+			orders := r.planStarts()
+			if len(orders) != 1 {
+				t.Fatalf("%d starts", len(orders))
+			}
+			r.report("w1", workload.Report{Ended: []workload.EndedRun{r.endOf(orders[0], workload.OutcomeDone)}})
+			if r.planStarts(); j.firstOccurrence != 1 {
+				t.Fatalf("%d occurrences have ended", j.firstOccurrence)
+			}
+			if work, cores := r.m.waitingWork(j), j.waitingServing(); work != 0 || cores != 0 {
+				t.Errorf("%v core-seconds and %d millicores wait", work, cores)
+			}
+		})
+	}
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -180,9 +180,8 @@
 	var chosen []*worker
 	taken := make(map[fleet.WorkerID]int)
 	trial := &placer{m: p.m, eligible: p.eligible, now: p.now, unplaceable: make(map[placementClass]bool), minUnplaced: make(map[string]int64), needsTicket: p.needsTicket}
-	var unstarted task
 	for i := range s.Count {
-		t := s.peek(i, &unstarted)
+		t := s.peek(i, &p.m.unstarted)
 		if t == nil {
 			break
 		}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -286,13 +286,13 @@
 	if s.Serving && !m.mayPlaceServing(now) {
 		return
 	}
-	var unstarted task
+	unstarted := &m.unstarted
 	for i := s.tasks.first; i < s.Count; i++ {
 		if m.room.exhausted() || p.single && s.job.runCount > 0 {
 			break
 		}
-		t := s.peek(i, &unstarted)
-		if t == &unstarted && m.recordRoom <= 0 {
+		t := s.peek(i, unstarted)
+		if t == unstarted && m.recordRoom <= 0 {
 			break
 		}
 		if t == nil || len(t.runs) > 0 || t.hasUnstoredCrash() || m.mayRunElsewhere(t, now) {
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -40,6 +40,13 @@
 	return ln.Addr().String(), nil
 }
 
+const (
+	// smallBudgetEach: one host of so many has memory for a few jobs only. It refuses others, and
+	// as the owner it holds back jobs that other hosts have accepted.
+	smallBudgetEach = 3
+	smallJobBytes   = 40 << 10
+)
+
 // newHost writes a host's settings file and opens its proxy to the store.
 func newHost(dir, daemon string, index int, front *wire.StoreFront) (*hostProcess, error) {
 	link, err := newProxy(front.Address())
@@ -54,9 +61,13 @@
 		}
 	}
 	h.settingsPath, h.logPath = filepath.Join(dir, h.name+".json"), filepath.Join(dir, h.name+".log")
+	jobBytes := int64(0)
+	if index%smallBudgetEach == 1 {
+		jobBytes = smallJobBytes
+	}
 	data, err := wire.HostSettings{
 		Name: h.name, CallersAddress: h.callersAddress, ReadyAddress: ready, MetricsAddress: control, StoreAddress: link.address(),
-		MemoryMB: 256, GraceSeconds: 4, LeaseTTL: 1000,
+		MemoryMB: 256, GraceSeconds: 4, LeaseTTL: 1000, JobBytes: jobBytes,
 	}.Encode()
 	if err != nil {
 		return nil, err
--- a/internal/standin/wire/site.go
+++ b/internal/standin/wire/site.go
@@ -25,6 +25,7 @@
 	MetricsAddress, StoreAddress     string
 	MemoryMB, GraceSeconds, LeaseTTL int            // MemoryMB in MB, GraceSeconds in s, LeaseTTL in ms
 	MaxDescriptors                   int            // 0: unbounded
+	JobBytes                         int64          // for accepted jobs; 0: by the memory
 	PeerAddress                      netip.AddrPort // not valid: none
 }
 
@@ -37,6 +38,9 @@
 		"bounds":   map[string]any{"hold_max_ms": MaxLease.Milliseconds(), "grace_s": h.GraceSeconds, "status_s": 120, "lease_ms": 3000, "stop_timeout_ms": stopDuration.Milliseconds()},
 		"platform": map[string]any{"address": h.StoreAddress, "ttl_min_ms": h.LeaseTTL, "writes_per_s": writesPerSecond, "reads_per_s": readsPerSecond, "history_s": historyKept.Seconds(), "value_bytes": maxValueBytes},
 	}
+	if h.JobBytes > 0 {
+		settings["clients"] = map[string]int64{"job_bytes": h.JobBytes}
+	}
 	if h.PeerAddress.IsValid() {
 		settings["ip"], settings["port_range"] = h.PeerAddress.Addr(), []uint16{h.PeerAddress.Port()}
 	}
--- a/owner/load.go
+++ b/owner/load.go
@@ -281,7 +281,7 @@
 		return true
 	}
 	arrived := now
-	if a.inherited {
+	if a.inherited || !a.mayHoldBack { // held back until now, if it is not inherited
 		arrived = arrivalTime(&job, now, time.Now().UnixMilli())
 	}
 	d.machine.AddJob(&job, record.State, state.Revision, p, arrived, a.inherited)
