--- a/review/harness3/worker.go
+++ b/review/harness3/worker.go
@@ -1,7 +1,9 @@
 package harness3
 
 import (
+	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -27,7 +29,7 @@
 
 // Event is what a worker has seen.
 type Event struct {
-	Kind   string // start, end or ack
+	Kind   string // start, end, ack or crash
 	Worker string
 	Task   string // ID.K.STEP.INDEX
 	Run    int
@@ -47,10 +49,11 @@
 	born    time.Time
 	record  *Record
 	onEvent func(Event)
-	server  *http.Server
+	handler http.Handler
 	address string
 
 	mu       sync.Mutex
+	server   *http.Server // nil: the worker is down
 	token    int64
 	deadline int64 // ms on the worker's clock
 	runs     map[string]*activeRun
@@ -90,12 +93,50 @@
 	mux.HandleFunc("POST /v1/run-stop", w.stop)
 	mux.HandleFunc("POST /v1/hold", w.hold)
 	mux.HandleFunc("POST /v1/pace", w.pace)
-	w.server = &http.Server{Handler: w.checkInstance(mux), ReadHeaderTimeout: time.Second}
-	go func() { _ = w.server.Serve(listener) }() // returns after Close
+	w.handler = w.checkInstance(mux)
+	w.serve(listener)
 	go w.run()
 	return w, nil
 }
 
+func (w *Worker) serve(listener net.Listener) {
+	server := &http.Server{Handler: w.handler, ReadHeaderTimeout: time.Second}
+	w.mu.Lock()
+	w.server = server
+	w.mu.Unlock()
+	go func() { _ = server.Serve(listener) }() // returns after Close
+}
+
+// Crash ends the process of the worker: its runs are gone, its connections are closed and nobody
+// listens at its address.
+func (w *Worker) Crash() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.record.Line("%s crashes with %d runs", w.ID, len(w.runs))
+	_ = w.server.Close()
+	w.server = nil
+	for task, r := range w.runs {
+		w.onEvent(Event{"crash", w.ID, task, r.run, "", time.Now()})
+	}
+	clear(w.runs)
+	clear(w.highest)
+	w.ends, w.lastEnd, w.token, w.deadline = nil, 0, 0, 0
+}
+
+// Restart starts the next lifetime of a worker that has crashed, at the same address.
+func (w *Worker) Restart() error {
+	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", w.address)
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	w.born = time.Now()
+	w.record.Line("%s is up again", w.ID)
+	w.mu.Unlock()
+	w.serve(listener)
+	return nil
+}
+
 // Address returns the host:port of the worker.
 func (w *Worker) Address() string { return w.address }
 
@@ -110,7 +151,11 @@
 // Close stops the worker.
 func (w *Worker) Close() {
 	close(w.done)
-	_ = w.server.Close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.server != nil {
+		_ = w.server.Close()
+	}
 }
 
 // Running returns how many runs the worker has.
