review: script in which one task of a step takes longer than its siblings

Cause: a run that advances more slowly than its siblings is taken for the sign of a slow worker, each time it runs. Change: review/12, a step in which one task of six takes 15 s instead of 1 s.

--- a/review/12/main.go
+++ b/review/12/main.go
@@ -1,5 +1,4 @@
-// Command 13 plays a small deployment whose open connections to the store go silent once, before the
-// job of a caller is cancelled.
+// Command 12 plays a small deployment in which one task of a step takes longer than its siblings.
 package main
 
 import (
@@ -21,8 +20,9 @@
 	kind       = "b" // label of the only worker on which the job may run
 	hosts      = 2
 	workers    = 4
-	estimateMS = 10_000
-	longMS     = 200_000
+	tasks      = 6
+	estimateMS = 1000
+	longMS     = 15_000           // how long the first task takes
 	finish     = 14 * time.Second // finish_s, from the last request on
 	idleBound  = 3 * time.Second
 	watched    = 40 * time.Second
@@ -30,12 +30,12 @@
 	readyTime  = 10 * time.Second
 )
 
-// judge keeps the starts and ends of the task of the job.
+// judge keeps the starts and ends of the tasks of the job.
 type judge struct {
 	mu            sync.Mutex
-	running       bool
-	done          bool
-	idle          time.Time // since when it does not run
+	running       map[string]bool // tasks
+	done          int
+	idle          time.Time // since when none of them runs
 	starts, stops int
 }
 
@@ -45,13 +45,14 @@
 	switch {
 	case e.Job() != jobID:
 	case e.Kind == "start":
-		j.running = true
+		j.running[e.Task] = true
 		j.starts++
 	case e.Kind == "end":
-		j.running, j.idle = false, e.At
+		delete(j.running, e.Task)
+		j.idle = e.At
 		switch e.How {
 		case "done":
-			j.done = true
+			j.done++
 		case "stopped":
 			j.stops++
 		}
@@ -62,7 +63,7 @@
 func (j *judge) idleFor(since time.Time) time.Duration {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.running || j.done {
+	if len(j.running) > 0 || j.done == tasks {
 		return 0
 	}
 	if j.idle.After(since) {
@@ -106,7 +107,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &testCase{dir: dir, record: record}, nil
+	return &testCase{dir: dir, record: record, judge: judge{running: make(map[string]bool)}}, nil
 }
 
 func (c *testCase) start() error {
@@ -153,12 +154,12 @@
 }
 
 func (c *testCase) play(trouble bool) int {
-	runMS := int64(estimateMS)
+	s := harness3.Spec{RunMS: estimateMS}
 	if trouble {
-		runMS = longMS
+		s.FirstMS = longMS
 	}
-	spec, _ := json.Marshal(harness3.Spec{RunMS: runMS})
-	body, _ := json.Marshal(map[string]any{"spec": string(spec), "steps": []any{map[string]any{"count": 1, "cpu": 1000, "mem_mb": 100, "estimate_ms": estimateMS, "constraints": kind}}})
+	spec, _ := json.Marshal(s)
+	body, _ := json.Marshal(map[string]any{"spec": string(spec), "steps": []any{map[string]any{"count": tasks, "cpu": 1000, "mem_mb": 100, "estimate_ms": estimateMS, "constraints": kind}}})
 	if status, _ := c.hosts[0].Call("POST", host, path+jobID, string(body)); status != 200 {
 		return 2
 	}
@@ -172,7 +173,7 @@
 	c.hosts[1].Call("GET", host, path+jobID, "")
 	c.judge.mu.Lock()
 	defer c.judge.mu.Unlock()
-	c.record.Line("%d starts, %d runs stopped while they made progress, done: %v; nothing ran for up to %v on end", c.judge.starts, c.judge.stops, c.judge.done, longest)
+	c.record.Line("%d starts, %d runs stopped while they made progress, %d of %d tasks done; nothing ran for up to %v on end", c.judge.starts, c.judge.stops, c.judge.done, tasks, longest)
 	if longest >= idleBound {
 		c.record.Line("LOST: the accepted job has nothing running for %v, its task's turn has come, and its worker is free", longest)
 		return 1
--- a/review/harness3/worker.go
+++ b/review/harness3/worker.go
@@ -24,7 +24,16 @@
 
 // Spec tells a worker what a task of a job does: callers put it into the job's spec.
 type Spec struct {
-	RunMS int64 `json:"run_ms"` // 0: it lasts until it is stopped
+	RunMS   int64 `json:"run_ms"`             // 0: it lasts until it is stopped
+	FirstMS int64 `json:"first_ms,omitempty"` // instead of RunMS, for the first task of a step; 0: none
+}
+
+// duration returns how long a task ID.K.STEP.INDEX takes.
+func (s Spec) duration(task string) time.Duration {
+	if s.FirstMS > 0 && strings.HasSuffix(task, ".0") {
+		return time.Duration(s.FirstMS) * time.Millisecond
+	}
+	return time.Duration(s.RunMS) * time.Millisecond
 }
 
 // Event is what a worker has seen.
@@ -197,7 +206,7 @@
 	lapsed := w.clock() > w.deadline
 	ended := false
 	for task, r := range w.runs {
-		how := ""
+		var how string
 		switch {
 		case lapsed:
 			how = "lapsed"
@@ -290,7 +299,7 @@
 	var spec Spec
 	_ = json.Unmarshal([]byte(c.Spec), &spec) // another spec lasts
 	now := time.Now()
-	w.runs[c.Task] = &activeRun{run: c.Run, startedAt: now, duration: time.Duration(spec.RunMS) * time.Millisecond}
+	w.runs[c.Task] = &activeRun{run: c.Run, startedAt: now, duration: spec.duration(c.Task)}
 	w.record.Line("%s: run %d of %s starts, token %d", w.ID, c.Run, c.Task, c.Token)
 	w.onEvent(Event{"start", w.ID, c.Task, c.Run, "", now})
 	w.reply(rw, "")
