review: script in which a gang never gets all its tickets

Cause: no further workers are named to the advice service while a step has as many tickets as waiting tasks, also where these are of no use to it.

--- a/review/harness3/host.go
+++ b/review/harness3/host.go
@@ -41,6 +41,7 @@
 type Site struct {
 	Dir    string // for settings and logs
 	Cloud  string // address of the machine API; empty: none
+	Advice string // address of the advice service; empty: none
 	Record *Record
 }
 
@@ -77,6 +78,9 @@
 	if s.Cloud != "" {
 		settings["cloud"] = map[string]any{"address": s.Cloud, "rate_per_s": 60.0, "duties": []string{}, "duties_per_s": 60.0}
 	}
+	if s.Advice != "" {
+		settings["advice"] = s.Advice
+	}
 	data, err := json.Marshal(settings)
 	if err != nil {
 		return nil, err
--- a/review/harness3/worker.go
+++ b/review/harness3/worker.go
@@ -54,7 +54,10 @@
 
 // Worker is a stand-in for a worker that carries out each order at once.
 type Worker struct {
-	ID      string
+	ID string
+	// Allows checks the ticket of a start; nil: none is needed.
+	Allows func(task, worker, ticket string) bool
+
 	born    time.Time
 	record  *Record
 	onEvent func(Event)
@@ -239,6 +242,7 @@
 	Token      int64  `json:"fencing_token"`
 	LastSeen   int64  `json:"last_seen"`
 	WaitMS     int64  `json:"wait_ms"`
+	Ticket     string `json:"ticket"`
 }
 
 // receive reads a command and locks w.mu; false, without the lock, if it is refused.
@@ -296,6 +300,10 @@
 		w.reply(rw, "old")
 		return
 	}
+	if w.Allows != nil && !w.Allows(c.Task, w.ID, c.Ticket) {
+		w.reply(rw, "ticket")
+		return
+	}
 	var spec Spec
 	_ = json.Unmarshal([]byte(c.Spec), &spec) // another spec lasts
 	now := time.Now()
