review: script in which a late start reaches the next life of its worker

Cause: a task whose start got no answer runs elsewhere as soon as its worker has answered a stop; the next life of the worker knows neither that stop nor a fencing token until the owner's first call.

--- a/review/13/main.go
+++ b/review/13/main.go
@@ -1,5 +1,5 @@
-// Command 13 plays a small deployment whose open connections to the store go silent once, before the
-// job of a caller is cancelled.
+// Command 13 plays a small deployment in which a worker leaves a start unanswered, crashes, and carries
+// the start out once it is back.
 package main
 
 import (
@@ -14,49 +14,65 @@
 )
 
 const (
-	service   = "reclaim"
-	host      = "jobs.example"
-	path      = "/check/"
-	jobID     = "00000000000000aa"
-	hosts     = 2
-	workers   = 4
-	clerks    = 60 // who ask at once for jobs that are no longer known
-	steps     = 20
-	runMS     = 1000
-	contact   = 3 * time.Second // contact_ms
-	cancel    = 3 * time.Second // cancel_ms
-	pause     = 3 * time.Second
-	slack     = 100 * time.Millisecond
-	observed  = 14 * time.Second
-	readyTime = 10 * time.Second
+	service    = "reclaim"
+	host       = "jobs.example"
+	path       = "/check/"
+	jobID      = "00000000000000aa"
+	hosts      = 2
+	workers    = 8 // of which one crashes: a share of 0.125
+	tasks      = 24
+	estimateMS = 1000
+	crashAfter = 5 * time.Second // from the start that gets no answer
+	down       = 2 * time.Second
+	late       = 300 * time.Millisecond // from the return of the worker
+	watched    = 4 * time.Second
+	readyTime  = 10 * time.Second
+	startTime  = 5 * time.Second
 )
 
-// judge keeps when tasks of the job started.
+// judge keeps the runs of each task.
 type judge struct {
-	mu     sync.Mutex
-	starts []harness3.Event
+	mu      sync.Mutex
+	running map[string]map[string]bool // workers by task
+	done    map[string]bool            // tasks with an end `done`
+	noted   map[string]bool            // tasks whose end `done` is taken note of
+	again   map[string]bool            // tasks that were started after their end `done`
+	twice   map[string]bool            // tasks with two runs at a time
 }
 
 func (j *judge) event(e harness3.Event) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if e.Job() == jobID && e.Kind == "start" {
-		j.starts = append(j.starts, e)
+	if j.running[e.Task] == nil {
+		j.running[e.Task] = make(map[string]bool)
+	}
+	switch e.Kind {
+	case "start":
+		if j.done[e.Task] {
+			j.again[e.Task] = true
+		}
+		if len(j.running[e.Task]) > 0 {
+			j.twice[e.Task] = true
+		}
+		j.running[e.Task][e.Worker] = true
+	case "end", "crash":
+		delete(j.running[e.Task], e.Worker)
+		if e.How == "done" {
+			j.done[e.Task] = true
+		}
+	case "ack":
+		if e.How == "done" {
+			j.noted[e.Task] = true
+		}
 	}
 }
 
-// count returns how many tasks have started.
-func (j *judge) count() int {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return len(j.starts)
-}
-
-func main() { os.Exit(run(os.Getenv("TROUBLE") != "0")) }
+func main() { os.Exit(run(os.Getenv("TROUBLE"))) }
 
 // run returns the exit status: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
-func run(trouble bool) int {
-	c, err := newCase()
+// The trouble is "0" for none, "late" or "crash" for one half of it alone, or anything else.
+func run(trouble string) int {
+	c, err := newCase(trouble != "0" && trouble != "crash", trouble != "0" && trouble != "late")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
@@ -66,7 +82,11 @@
 		c.record.Line("could not run: %v", err)
 		return 2
 	}
-	return c.play(trouble)
+	if err := c.play(); err != nil {
+		c.record.Line("could not run: %v", err)
+		return 2
+	}
+	return c.verdict()
 }
 
 type testCase struct {
@@ -74,12 +94,17 @@
 	record  *harness3.Record
 	store   *wire.Store
 	workers []*harness3.Worker
-	links   []*harness3.Proxy // from the hosts to the store
+	fronts  []*harness3.Front
 	hosts   []*harness3.Host
 	judge   judge
+	late    bool
+	crash   bool
+
+	mu   sync.Mutex
+	kept bool // a start was kept back
 }
 
-func newCase() (*testCase, error) {
+func newCase(isLate, crashes bool) (*testCase, error) {
 	dir, err := os.MkdirTemp("", "case13")
 	if err != nil {
 		return nil, err
@@ -88,7 +113,20 @@
 	if err != nil {
 		return nil, err
 	}
-	return &testCase{dir: dir, record: record}, nil
+	c := &testCase{dir: dir, record: record, late: isLate, crash: crashes}
+	c.judge = judge{running: make(map[string]map[string]bool), done: make(map[string]bool), noted: make(map[string]bool), again: make(map[string]bool), twice: make(map[string]bool)}
+	return c, nil
+}
+
+// keep keeps the first start of all back.
+func (c *testCase) keep(path string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.late || c.kept || path != "/v1/run-start" {
+		return false
+	}
+	c.kept = true
+	return true
 }
 
 func (c *testCase) start() error {
@@ -102,7 +140,12 @@
 			return err
 		}
 		c.workers = append(c.workers, w)
-		if err := c.store.Put("servers/"+w.ID, w.Entry(w.Address(), service, 16000, 64000)); err != nil {
+		f, err := harness3.NewFront(w, c.record, c.keep)
+		if err != nil {
+			return err
+		}
+		c.fronts = append(c.fronts, f)
+		if err := c.register(i, 1); err != nil {
 			return err
 		}
 	}
@@ -116,12 +159,7 @@
 	}
 	site := harness3.Site{Dir: c.dir, Record: c.record}
 	for i := range hosts {
-		link, err := harness3.NewProxy(c.store.Address())
-		if err != nil {
-			return err
-		}
-		c.links = append(c.links, link)
-		h, err := site.NewHost(fmt.Sprintf("front-%d", i), link.Address())
+		h, err := site.NewHost(fmt.Sprintf("front-%d", i), c.store.Address())
 		if err != nil {
 			return err
 		}
@@ -131,81 +169,93 @@
 		}
 	}
 	return harness3.Await(readyTime, "ready hosts", func() bool {
-		return c.hosts[0].IsReady() && c.hosts[1].IsReady() && (c.owns(0) || c.owns(1))
+		return c.hosts[0].IsReady() && c.hosts[1].IsReady()
 	})
 }
 
-func (c *testCase) owns(i int) bool { return c.hosts[i].LogHas("event=takeover_complete") }
-
-// chain returns the body of a job of steps that run one after the other.
-func chain() string {
-	spec, _ := json.Marshal(harness3.Spec{RunMS: runMS})
-	var list []any
-	for i := range steps {
-		step := map[string]any{"count": 1, "cpu": 1000, "mem_mb": 100, "estimate_ms": runMS}
-		if i > 0 {
-			step["after"] = []int{i - 1}
-		}
-		list = append(list, step)
-	}
-	body, _ := json.Marshal(map[string]any{"spec": string(spec), "steps": list})
-	return string(body)
+// register writes the entry of a worker.
+func (c *testCase) register(i, number int) error {
+	w := c.workers[i]
+	entry := w.Entry(c.fronts[i].Address(), service, 16000, 64000)
+	entry["seq_no"] = number
+	return c.store.Put("servers/"+w.ID, entry)
 }
 
-// ask asks a host at once for jobs that are not known.
-func (c *testCase) ask(h *harness3.Host) {
-	var group sync.WaitGroup
-	for i := range clerks {
-		group.Go(func() { h.Call("GET", host, fmt.Sprintf("%s%016x", path, 0x1000+i), "") })
+// victim returns the worker that has left a start unanswered; the first one if none has.
+func (c *testCase) victim() int {
+	for i, f := range c.fronts {
+		if f.HasKept() {
+			return i
+		}
 	}
-	group.Wait()
+	return 0
 }
 
-func (c *testCase) play(trouble bool) int {
-	own, other := 0, 1 // the host that dispatches, and the one that is handed the job
-	if !c.owns(0) {
-		own, other = 1, 0
+func (c *testCase) play() error {
+	spec, _ := json.Marshal(harness3.Spec{RunMS: estimateMS})
+	body, _ := json.Marshal(map[string]any{"spec": string(spec), "steps": []any{map[string]any{"count": tasks, "cpu": 1000, "mem_mb": 100, "estimate_ms": estimateMS}}})
+	if status, answer := c.hosts[0].Call("POST", host, path+jobID, string(body)); status != 200 {
+		return &harness3.NotInTimeError{What: "an accepted job: " + answer}
 	}
-	if status, _ := c.hosts[other].Call("POST", host, path+jobID, chain()); status != 200 {
-		return 2
+	err := harness3.Await(startTime, "a start", func() bool {
+		c.judge.mu.Lock()
+		defer c.judge.mu.Unlock()
+		return len(c.judge.running) > 0
+	})
+	if err != nil {
+		return err
 	}
-	c.ask(c.hosts[own])
-	time.Sleep(pause)
-	if trouble {
-		c.record.Line("%d open channels from %s to the store go silent for good", c.links[own].Silence(), c.hosts[own].Name)
+	time.Sleep(crashAfter)
+	i := c.victim()
+	if c.crash {
+		c.fronts[i].SetDark(true)
+		c.workers[i].Crash()
 	}
-	time.Sleep(contact + slack)
-	if c.judge.count() == 0 {
-		c.record.Line("the job does not run")
-		return 2
+	time.Sleep(down)
+	if c.crash {
+		if err := c.workers[i].Restart(); err != nil {
+			return err
+		}
+		c.fronts[i].SetDark(false)
+		// It writes its entry again at its next heartbeat.
+		registered := time.AfterFunc(harness3.Heartbeat, func() { _ = c.register(i, 2) })
+		defer registered.Stop()
 	}
-	if status, _ := c.hosts[other].Call("DELETE", host, path+jobID, ""); status != 200 {
-		return 2
+	time.Sleep(late)
+	if c.late {
+		if err := c.fronts[i].Deliver(); err != nil {
+			return err
+		}
 	}
-	acknowledged := time.Now()
-	time.Sleep(observed)
+	time.Sleep(watched)
+	c.hosts[1].Call("GET", host, path+jobID, "")
+	return nil
+}
+
+func (c *testCase) verdict() int {
 	c.judge.mu.Lock()
 	defer c.judge.mu.Unlock()
-	late := 0
-	for _, e := range c.judge.starts {
-		if after := e.At.Sub(acknowledged); after > cancel+slack {
-			late++
-			c.record.Line("UNASKED: %s started on %s %v after its job's cancelling was acknowledged", e.Task, e.Worker, after)
+	broken := 0
+	for task := range c.judge.running {
+		switch {
+		case c.judge.twice[task]:
+			c.record.Line("TWICE: two runs of %s at the same time", task)
+			broken = 1
+		case c.judge.again[task] && c.judge.noted[task]:
+			c.record.Line("TWICE: %s was started after a run of it had ended done, and that end is taken note of", task)
+			broken = 1
 		}
 	}
-	c.record.Line("%d tasks started later than cancel_ms after the ack", late)
-	if late > 0 {
-		return 1
-	}
-	return 0
+	c.record.Line("%d of %d tasks have ended done", len(c.judge.done), tasks)
+	return broken
 }
 
 func (c *testCase) close() {
 	for _, h := range c.hosts {
 		h.Kill()
 	}
-	for _, l := range c.links {
-		l.Close()
+	for _, f := range c.fronts {
+		f.Close()
 	}
 	for _, w := range c.workers {
 		w.Close()
