TWICE: raise the token with the run in place of an unanswered start

Cause: both starts had the same fencing token, and the stop was answered by the incarnation before. Change: such a start carries a higher token (Order.ReplacesUnanswered), so that whatever incarnation executes it refuses the late one.

--- a/dispatch/late_restart_test.go
+++ b/dispatch/late_restart_test.go
@@ -136,8 +136,8 @@
 	r.stopAndReport()
 	r.noStart("before the worker's record covers the unanswered start")
 	r.storeRecords()
-	if starts := r.planStarts(); len(starts) != 1 || starts[0].Worker != late.Worker {
-		t.Errorf("started %v once it is stored, want the task on %s", starts, late.Worker)
+	if starts := r.planStarts(); len(starts) != 1 || starts[0].Worker != late.Worker || !starts[0].ReplacesUnanswered {
+		t.Errorf("started %+v once it is stored, want the task on %s in place of the unanswered start", starts, late.Worker)
 	}
 }
 
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -46,8 +46,11 @@
 	Payload    string
 	Checkpoint string
 	Ticket     string // issued by the advice service, if the queue has one
-	Percent    int    // of OrderThrottle: the CPU share of the run
-	Reason     string // for the log
+	// ReplacesUnanswered means that an earlier start of the task may still be executed on the worker,
+	// which must refuse that one from this order on.
+	ReplacesUnanswered bool
+	Percent            int    // of OrderThrottle: the CPU share of the run
+	Reason             string // for the log
 }
 
 // orderOverhead is the size of an order without its variable parts: the headers of a
--- a/dispatch/model_orders_test.go
+++ b/dispatch/model_orders_test.go
@@ -56,6 +56,9 @@
 		return
 	}
 	outcome := Accepted
+	if o.ReplacesUnanswered {
+		l.token++
+	}
 	call := modelCall{token: l.token, deadline: l.deadline}
 	if o.Kind == OrderStart && l.deadline-l.minClock(w.now) < time.Second {
 		w.m.StartAnswered(o, Refused, w.now)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -372,6 +372,7 @@
 	m.attach(t, w, number, now).startInFlight = true
 	o := Order{
 		Kind: OrderStart, Worker: w.ID, Task: t.name, Run: number, Payload: t.job.Payload, Checkpoint: t.checkpoint, Ticket: ticketText,
+		ReplacesUnanswered: len(t.unanswered) > 0,
 	}
 	m.orders = append(m.orders, o)
 	m.room.Starts--
--- a/owner/orders.go
+++ b/owner/orders.go
@@ -76,6 +76,9 @@
 	token := w.currentToken()
 	switch o.Kind {
 	case dispatch.OrderStart:
+		if o.ReplacesUnanswered {
+			token = w.raiseToken()
+		}
 		w.mu.Lock()
 		deadline, left := w.deadline, time.Duration(w.deadline-w.minClock(now))*time.Millisecond
 		w.mu.Unlock()
--- a/owner/renewal.go
+++ b/owner/renewal.go
@@ -49,7 +49,8 @@
 	failedAt time.Duration
 	// token is the current fencing token for orders to the worker. It increases
 	// with each incarnation, so that a delayed order to the previous one is
-	// refused: its deadline is meaningless on the restarted clock.
+	// refused: its deadline is meaningless on the restarted clock. So it does with a start that
+	// takes the place of an unanswered one.
 	token int64
 }
 
@@ -148,6 +149,17 @@
 	return w.token
 }
 
+// raiseToken returns a new fencing token, with which an order makes whatever incarnation executes it refuse
+// the earlier ones. The last token of a term is not raised.
+func (w *workerLoop) raiseToken() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if (w.token+1)%tokensPerTerm != 0 {
+		w.token++
+	}
+	return w.token
+}
+
 // minClock returns a lower bound of the worker's clock at now, in ms, or 0 if the
 // clock is not known. w.mu is held.
 func (w *workerLoop) minClock(now time.Duration) int64 {
