LOST: tell a long task from a slow worker

A task of 15 s beside siblings of 1 s is stopped each time some 2 s after its start and never ends; its job has nothing running for 3.9 s at a time. Without constraints it goes from worker to worker, and each is closed. Cause: compareWithSiblings put the rate of one run down to its worker, and nothing remembered that the task was as slow elsewhere. Change: runs of two steps show that a worker is slow; a single slow run is tried on another worker once, if it fits there. Faster there: the first worker is slow. As slow: the task is long, is not compared any more, and both workers open.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -104,6 +104,8 @@
 	formerConfirmed bool // the former owner knew that the run was executed
 	formerBound     bool // see workload.TaskProgress.Bound
 	unanswered      []*unansweredStart
+	slowOn          fleet.WorkerID // worker that a run was moved off as it was slow there
+	isLong          bool           // slow on a second worker, too: it takes longer than its siblings
 	waitingSince    time.Duration
 }
 
@@ -139,7 +141,8 @@
 	gauge                      int64
 	rate                       float64 // recent progress, in percent per second
 	hasRate                    bool    // rate has been measured
-	rateBasePercent            int     // progress at rateBaseAt, where the measurement of rate began
+	speed                      speed
+	rateBasePercent            int // progress at rateBaseAt, where the measurement of rate began
 	rateBaseAt                 time.Duration
 	lastReport                 int64 // the worker's last report that listed it
 	restarted                  bool  // its worker has restarted, and no report has listed it
--- a/dispatch/outcomes.go
+++ b/dispatch/outcomes.go
@@ -56,6 +56,7 @@
 		if r.state == runOrdered {
 			r.state = runUnresolved
 			w.close(now, noAnswerPause)
+			w.unansweredUntil = now + noAnswerPause
 			m.emit("start_unanswered", o.Task.Job, "task", o.Task, "run", o.Run, "worker", w.ID)
 		}
 	}
--- a/dispatch/slow.go
+++ b/dispatch/slow.go
@@ -13,13 +13,19 @@
 	// minSiblings is the minimum number of other runs of its step that a run is
 	// compared with.
 	minSiblings = 2
-	// speedWeight is the weight of the newest comparison in a worker's speed, and
-	// slowSpeed the speed up to which it counts as slow. Tasks of a step differ by
-	// a third; slow workers are slower by a factor of five or more.
+	// speedWeight is the weight of the newest comparison in the speed of a run or a worker,
+	// slowSpeed the speed up to which it counts as slow, and soundSpeed the one from which a run
+	// does not. Slow workers are slower by a factor of five or more, and so are long tasks.
 	speedWeight = 0.3
 	slowSpeed   = 0.45
-	// minSpeedSamples is the number of comparisons needed to detect a slow worker.
+	soundSpeed  = 0.7
+	// percents is the number of steps in which a run reports its progress.
+	percents = 100
+	// minSpeedSamples is the number of comparisons needed to judge a run or a worker.
 	minSpeedSamples = 3
+	// minSlowSteps is the number of steps whose runs must be slow on a worker to show that
+	// the worker is, rather than their tasks.
+	minSlowSteps = 2
 	// slowClosure is how long a slow worker is closed, counted from the last
 	// comparison that shows it.
 	slowClosure = 2500 * time.Millisecond
@@ -28,6 +34,8 @@
 	// move itself takes.
 	moveGain = 1.5
 	moveCost = 300 * time.Millisecond
+	// minRelativeSpeed bounds what a slow worker is taken to slow a run down by.
+	minRelativeSpeed = 0.05
 	// starvedShare is the share of its request that a best-effort run must get to be
 	// compared: with less, the worker is full rather than slow.
 	starvedShare = 0.6
@@ -67,30 +75,96 @@
 	return rates[len(rates)/2]
 }
 
+// speed is the rate of runs relative to their siblings on other workers; 1 is equal.
+type speed struct {
+	value   float64
+	samples int
+}
+
+// add adds a comparison.
+func (s *speed) add(relative float64) {
+	if s.samples == 0 {
+		s.value = 1
+	}
+	s.value += speedWeight * (relative - s.value)
+	s.samples++
+}
+
+func (s *speed) isSlow() bool { return s.samples >= minSpeedSamples && s.value <= slowSpeed }
+
+func (s *speed) isSound() bool { return s.samples >= minSpeedSamples && s.value >= soundSpeed }
+
+// slowStep is a step of which a run was slow on a worker.
+type slowStep struct {
+	step *step
+	at   time.Duration
+}
+
 // compareWithSiblings compares the rate of a run with that of its siblings on other
-// workers. It closes a worker that proves slow and moves its runs where they end
-// sooner: some workers become slow while their reports look healthy.
+// workers, as some workers become slow while their reports look healthy. A run may also be slow
+// because its task takes longer than its siblings. Runs of several steps show that the
+// worker is slow; a single one is tried on another worker, once.
 func (m *Machine) compareWithSiblings(r *run, now time.Duration) {
-	s, w := r.task.step, r.worker
-	if s.Serving || r.state != runRunning || r.cpuShare != fullCPUShare || s.BestEffort && float64(r.gauge) < starvedShare*float64(s.Need.MilliCores) {
+	s, t, w := r.task.step, r.task, r.worker
+	if s.Serving || t.isLong || r.state != runRunning || r.cpuShare != fullCPUShare || s.BestEffort && float64(r.gauge) < starvedShare*float64(s.Need.MilliCores) {
 		return
 	}
 	siblings := m.siblingRate(r)
 	if siblings == 0 {
 		return
 	}
-	speed := min(r.rate/siblings, 2)
-	if w.speedSamples == 0 || now-w.speedAt > slowClosure {
-		w.speed, w.speedSamples = 1, 0
+	relative := min(r.rate/siblings, 2)
+	r.speed.add(relative)
+	if now-w.speedAt > slowClosure {
+		w.speed = speed{}
 	}
-	w.speed += speedWeight * (speed - w.speed)
-	w.speedSamples++
+	w.speed.add(relative)
 	w.speedAt = now
-	if w.speedSamples < minSpeedSamples || w.speed > slowSpeed {
+	switch former := m.workers[t.slowOn]; {
+	case t.slowOn == "" || t.slowOn == w.ID:
+	case r.speed.isSound():
+		t.slowOn = ""
+		if former != nil {
+			m.recordSlowWorker(former, now)
+		}
+	case r.speed.isSlow() && now >= w.slowClosureEnd:
+		m.recordLongTask(r, former, now)
+		return
+	}
+	if !r.speed.isSlow() {
 		return
 	}
+	w.recordSlowStep(s, now)
+	switch {
+	case !w.speed.isSlow():
+	case now < w.slowClosureEnd || w.countSlowSteps(now) >= minSlowSteps:
+		m.recordSlowWorker(w, now)
+	case t.slowOn == "":
+		m.moveIfFaster(r, now)
+	}
+}
+
+// recordSlowStep records that a run of a step is slow on the worker.
+func (w *worker) recordSlowStep(s *step, now time.Duration) {
+	w.slowSteps = slices.DeleteFunc(w.slowSteps, func(x slowStep) bool { return x.step == s || now-x.at > slowClosure })
+	w.slowSteps = append(w.slowSteps, slowStep{s, now})
+}
+
+// countSlowSteps returns the number of steps of which runs were slow on the worker lately.
+func (w *worker) countSlowSteps(now time.Duration) int {
+	n := 0
+	for _, x := range w.slowSteps {
+		if now-x.at <= slowClosure {
+			n++
+		}
+	}
+	return n
+}
+
+// recordSlowWorker closes a worker that proves slow, and moves its runs where they end sooner.
+func (m *Machine) recordSlowWorker(w *worker, now time.Duration) {
 	if now >= w.closedUntil {
-		m.emit("worker_slow", "", "worker", w.ID, "speed", w.speed, "compared", w.speedSamples)
+		m.emit("worker_slow", "", "worker", w.ID, "speed", w.speed.value, "compared", w.speed.samples, "steps", w.countSlowSteps(now))
 	}
 	w.closeAsSlow(now)
 	for _, o := range w.runs {
@@ -98,20 +172,47 @@
 	}
 }
 
+// recordLongTask records that a task is as slow on a second worker: it takes longer than its
+// siblings wherever it runs, and says nothing about workers. former is the first worker, or
+// nil if it is gone.
+func (m *Machine) recordLongTask(r *run, former *worker, now time.Duration) {
+	t := r.task
+	t.isLong = true
+	m.emit("task_long", t.job.ID, "task", t.name, "worker", r.worker.ID, "former", t.slowOn, "rate", r.rate, "speed", r.speed.value)
+	for _, w := range []*worker{r.worker, former} {
+		if w != nil {
+			w.forgetSlowStep(t.step, now)
+		}
+	}
+}
+
+// forgetSlowStep withdraws the comparisons with runs of a step, and opens the worker unless
+// other steps show that it is slow.
+func (w *worker) forgetSlowStep(s *step, now time.Duration) {
+	w.slowSteps = slices.DeleteFunc(w.slowSteps, func(x slowStep) bool { return x.step == s })
+	if w.countSlowSteps(now) >= minSlowSteps {
+		return
+	}
+	w.speed, w.slowClosureEnd = speed{}, 0
+	w.closedUntil = max(w.refusedUntil, w.unansweredUntil, w.failureClosureEnd)
+}
+
 // closeAsSlow closes a worker that proves slow.
 func (w *worker) closeAsSlow(now time.Duration) {
 	w.close(now, slowClosure)
 	w.slowClosureEnd = now + slowClosure
 }
 
-// moveIfFaster stops a batch run on a slow worker if its task would end sooner
-// elsewhere.
+// moveIfFaster stops a batch run if its task would end sooner on another worker.
 func (m *Machine) moveIfFaster(r *run, now time.Duration) {
 	s := r.task.step
 	if s.Serving || s.Gang || r.state != runRunning || !r.hasRate || r.cpuShare != fullCPUShare {
 		return
 	}
 	siblings := m.siblingRate(r)
+	if r.task.isLong {
+		siblings = r.rate / max(r.worker.speed.value, minRelativeSpeed)
+	}
 	if siblings == 0 {
 		return
 	}
@@ -124,10 +225,20 @@
 		left = float64(100 - r.percent)
 	}
 	elsewhere := time.Duration(left/siblings*float64(time.Second)) + moveCost
-	if float64(here) < moveGain*float64(elsewhere) {
+	if float64(here) < moveGain*float64(elsewhere) || !m.fitsElsewhere(r, now) {
 		return
 	}
 	m.emit("run_moved", r.task.job.ID, "task", r.task.name, "run", r.number, "worker", r.worker.ID, "percent", r.percent, "rate", r.rate, "siblings", siblings, "here", here, "elsewhere", elsewhere)
+	r.task.slowOn = r.worker.ID
 	m.avoid(r.task, r.worker, now)
 	m.requestStop(r, "slow worker")
 }
+
+// fitsElsewhere reports whether the task of a run fits on another worker that takes work.
+func (m *Machine) fitsElsewhere(r *run, now time.Duration) bool {
+	q, _ := m.config.Queue(r.task.job.Queue)
+	p := &placer{m: m, now: now, needsTicket: q.Advice != nil}
+	return slices.ContainsFunc(m.workerList, func(o *worker) bool {
+		return o != r.worker && o.Service == r.worker.Service && m.mayStart(o, now) && p.hasRoom(r.task, o, nil)
+	})
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -48,32 +48,32 @@
 	acknowledgedEnd int64         // number of the last end that is stored, up to which the worker may forget ends
 	unacknowledged  []unacknowledgedEnd
 	// closedUntil is when it may get new work again, after a refusal or failures.
-	closedUntil    time.Duration
-	refusedUntil   time.Duration // until when a refusal closes it
-	replaced       bool          // another worker answers at its address
-	answeredSentAt time.Duration // when the newest of the answered renewals was sent
-	failedAt       time.Duration // when a call first failed since the last report; 0: none
-	wentDownAt     time.Duration // the last failedAt that was not 0
-	lapsed         []*run        // released when their lease expired, and not known to be lost in a crash
+	closedUntil time.Duration
+	// refusedUntil and unansweredUntil are until when a refused and an unanswered start close it.
+	refusedUntil    time.Duration
+	unansweredUntil time.Duration
+	replaced        bool          // another worker answers at its address
+	answeredSentAt  time.Duration // when the newest of the answered renewals was sent
+	failedAt        time.Duration // when a call first failed since the last report; 0: none
+	wentDownAt      time.Duration // the last failedAt that was not 0
+	lapsed          []*run        // released when their lease expired, and not known to be lost in a crash
 	// probations counts the runs on probation, during which it gets no new work.
 	probations          int
 	probationReviewedAt time.Duration
-	// speed is the rate of its runs relative to their siblings on other workers;
-	// 1 is equal.
-	speed             float64
-	speedSamples      int
-	speedAt           time.Duration
-	failureStreak     int // consecutive failures, of different jobs
-	lastFailedJob     fleet.JobID
-	failuresCountFrom time.Duration // when a run was ordered at the earliest for its failure to count
-	failureClosureEnd time.Duration // until when failures close it
-	slowClosureEnd    time.Duration // until when it is closed as slow
-	throttleChangedAt time.Duration // when CPU shares were last changed
-	observedAt        time.Duration // when tail latencies were last observed
-	highTailAt        time.Duration // when a tail latency was last too high
-	loadedAt          time.Duration // when best-effort work last used processor beside serving tasks
-	trials            []*trial
-	usages            []pastUsage // within unloadedDelay
+	speed               speed // of its runs
+	speedAt             time.Duration
+	slowSteps           []slowStep
+	failureStreak       int // consecutive failures, of different jobs
+	lastFailedJob       fleet.JobID
+	failuresCountFrom   time.Duration // when a run was ordered at the earliest for its failure to count
+	failureClosureEnd   time.Duration // until when failures close it
+	slowClosureEnd      time.Duration // until when it is closed as slow
+	throttleChangedAt   time.Duration // when CPU shares were last changed
+	observedAt          time.Duration // when tail latencies were last observed
+	highTailAt          time.Duration // when a tail latency was last too high
+	loadedAt            time.Duration // when best-effort work last used processor beside serving tasks
+	trials              []*trial
+	usages              []pastUsage // within unloadedDelay
 	// drainingChangedAt is when the worker last began or stopped draining.
 	drainingChangedAt time.Duration
 	colocated         colocatedLoad
