LOST: measure a standstill by how long a percent of the task takes

Seen: a task of 200 s is stopped some 1.5 s after its start as if it hung, 8 times in 45 s, and never ends. Cause: progress is reported in whole percents, and stalledAfter (1.5 s) took no account of how long one lasts.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -106,6 +106,7 @@
 	unanswered      []*unansweredStart
 	slowOn          fleet.WorkerID // worker that a run was moved off as it was slow there
 	isLong          bool           // slow on a second worker, too: it takes longer than its siblings
+	stalls          int            // runs that were stopped for lack of progress
 	waitingSince    time.Duration
 }
 
@@ -142,7 +143,8 @@
 	rate                       float64 // recent progress, in percent per second
 	hasRate                    bool    // rate has been measured
 	speed                      speed
-	rateBasePercent            int // progress at rateBaseAt, where the measurement of rate began
+	longestStandstill          time.Duration // between two changes of percent
+	rateBasePercent            int           // progress at rateBaseAt, where the measurement of rate began
 	rateBaseAt                 time.Duration
 	lastReport                 int64 // the worker's last report that listed it
 	restarted                  bool  // its worker has restarted, and no report has listed it
--- a/dispatch/long_task_test.go
+++ b/dispatch/long_task_test.go
@@ -145,14 +145,20 @@
 		long      time.Duration
 		mostStops int // of a task
 	}{
-		"15 s beside 1 s":            {4, []workload.Step{cpuStep(6, 1000)}, 15 * time.Second, 1},
-		"label of one worker":        {4, []workload.Step{step(4, func(s *workload.Step) { s.Label = "b" })}, 15 * time.Second, 0},
-		"many short siblings":        {4, []workload.Step{cpuStep(60, 1000)}, 15 * time.Second, 1},
-		"two tasks":                  {4, []workload.Step{cpuStep(2, 1000)}, 15 * time.Second, 1},
-		"three tasks":                {4, []workload.Step{cpuStep(3, 1000)}, 15 * time.Second, 1},
-		"checkpoints":                {4, []workload.Step{step(6, func(s *workload.Step) { s.Checkpoints = true })}, 15 * time.Second, 1},
-		"gang":                       {4, []workload.Step{step(4, func(s *workload.Step) { s.Gang = true })}, 15 * time.Second, 0},
-		"long tasks of several jobs": {4, []workload.Step{cpuStep(4, 1000), cpuStep(4, 1000), cpuStep(4, 1000)}, 15 * time.Second, 1},
+		"15 s beside 1 s":             {4, []workload.Step{cpuStep(6, 1000)}, 15 * time.Second, 1},
+		"label of one worker":         {4, []workload.Step{step(4, func(s *workload.Step) { s.Label = "b" })}, 15 * time.Second, 0},
+		"many short siblings":         {4, []workload.Step{cpuStep(60, 1000)}, 15 * time.Second, 1},
+		"two tasks":                   {4, []workload.Step{cpuStep(2, 1000)}, 15 * time.Second, 1},
+		"three tasks":                 {4, []workload.Step{cpuStep(3, 1000)}, 15 * time.Second, 1},
+		"checkpoints":                 {4, []workload.Step{step(6, func(s *workload.Step) { s.Checkpoints = true })}, 15 * time.Second, 1},
+		"gang":                        {4, []workload.Step{step(4, func(s *workload.Step) { s.Gang = true })}, 15 * time.Second, 0},
+		"long tasks of several jobs":  {4, []workload.Step{cpuStep(4, 1000), cpuStep(4, 1000), cpuStep(4, 1000)}, 15 * time.Second, 1},
+		"a minute":                    {4, []workload.Step{cpuStep(6, 1000)}, time.Minute, 1},
+		"minutes, estimated":          {4, []workload.Step{step(6, func(s *workload.Step) { s.EstimateMS = 200_000 })}, 200 * time.Second, 1},
+		"minutes, estimated at 1 s":   {4, []workload.Step{cpuStep(6, 1000)}, 200 * time.Second, 3},
+		"minutes, label of one":       {4, []workload.Step{step(6, func(s *workload.Step) { s.Label = "b" })}, 200 * time.Second, 2},
+		"minutes, without siblings":   {4, []workload.Step{cpuStep(1, 1000)}, 200 * time.Second, 2},
+		"minutes, on a single worker": {1, []workload.Step{cpuStep(4, 1000)}, 200 * time.Second, 2},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -379,31 +379,3 @@
 	m.room.Bytes -= o.Size()
 	m.emit("run_started", t.job.ID, "task", t.name, "run", number, "worker", w.ID, "waited", waited, "report_age", now-w.reportedAt)
 }
-
-const (
-	// stalledAfter is how long a batch run may report no progress. A run of 5 s
-	// advances by 1% every 50 ms, and one that is five times slower every 250 ms.
-	stalledAfter = 1500 * time.Millisecond
-)
-
-// stopStalled stops batch runs that make no progress, so that their tasks start
-// again elsewhere: on some workers tasks hang while reports continue to arrive.
-func (m *Machine) stopStalled(now time.Duration) {
-	for _, w := range m.workerList {
-		if now-w.reportedAt > stalledAfter/2 {
-			continue
-		}
-		for _, r := range w.runs {
-			if r.task.step.Serving || r.state != runRunning || r.cpuShare != fullCPUShare || r.percentAt == 0 {
-				continue
-			}
-			if now-max(r.percentAt, r.confirmedAt) < stalledAfter {
-				continue
-			}
-			m.emit("run_stalled", r.task.job.ID, "task", r.task.name, "run", r.number, "worker", w.ID, "percent", r.percent, "still", now-r.percentAt)
-			m.avoid(r.task, w, now)
-			m.recordFailure(w, r.task.job.ID, r.orderedAt, now)
-			m.requestStop(r, "no progress")
-		}
-	}
-}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -93,6 +93,8 @@
 	if rep.PercentDone != r.percent || r.percentAt == 0 {
 		if r.percentAt == 0 {
 			r.firstPercent, r.firstPercentAt = rep.PercentDone, now
+		} else {
+			r.longestStandstill = max(r.longestStandstill, now-r.percentAt)
 		}
 		r.percent, r.percentAt = rep.PercentDone, now
 	}
