--- a/api/client.go
+++ b/api/client.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/fuchsiahill/fuchsiahill/internal/wait"
+	"github.com/fuchsiahill/fuchsiahill/liveness"
 )
 
 const (
@@ -58,7 +59,7 @@
 	return &Client{
 		base:  strings.TrimRight(baseURL, "/"),
 		token: token,
-		http:  &http.Client{Transport: transport},
+		http:  &http.Client{Transport: liveness.NewTransport(transport)},
 	}
 }
 
--- a/inventory/http_host.go
+++ b/inventory/http_host.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/fuchsiahill/fuchsiahill/liveness"
 )
 
 const (
@@ -50,11 +52,11 @@
 		},
 	}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: liveness.NewTransport(&http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: maxIdleConnsPerHost,
 			IdleConnTimeout:     idleConnTimeout,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/store/http.go
+++ b/store/http.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/fuchsiahill/fuchsiahill/internal/wait"
+	"github.com/fuchsiahill/fuchsiahill/liveness"
 )
 
 const (
@@ -64,7 +65,7 @@
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleConnTimeout,
 	}
-	return &HTTP{baseURL: base, client: &http.Client{Transport: transport}, timeout: timeout}
+	return &HTTP{baseURL: base, client: &http.Client{Transport: liveness.NewTransport(transport)}, timeout: timeout}
 }
 
 // WireWrite is the request body of a write: PUT /v1/kv?key=K.
