gateway: retire idle connections to a server that has gone silent

Change: such a time-out retires the idle connections of the pool. Result: TestSecondRequestIsLostToSilence fails on the code before ("unknown (first_byte)") and passes.

--- a/backend/response.go
+++ b/backend/response.go
@@ -196,6 +196,9 @@
 				remaining, reason = x.limitToDeadline(now, remaining), ReasonDeadline
 			}
 			if remaining <= 0 {
+				if x.isSilent() {
+					x.pool.CloseIdle(now) // they may be as silent
+				}
 				return nil, x.abandon(reason, nil)
 			}
 			timer.Reset(remaining)
@@ -203,6 +206,11 @@
 	}
 }
 
+// isSilent reports whether the request is on its way, and nothing has arrived on its connection since.
+func (x *exchange) isSilent() bool {
+	return x.writeStartedAt.Load() != 0 && x.conn.Load().lastReadAt.Load() == 0
+}
+
 // limitToDeadline returns d, or the time until the caller's deadline if that is
 // shorter.
 func (x *exchange) limitToDeadline(now time.Time, d time.Duration) time.Duration {
