dispatch: name the four closures of a worker alike

Cause: unansweredUntil named a closure of a worker and the bound of unanswered starts of a gang. Change: names only.

--- a/dispatch/outcomes.go
+++ b/dispatch/outcomes.go
@@ -38,7 +38,7 @@
 			return
 		}
 		w.close(now, refusedPause)
-		w.refusedUntil = now + refusedPause
+		w.refusalClosureEnd = now + refusedPause
 		if outcome == Unhealthy {
 			m.avoid(r.task, w, now)
 			m.recordFailure(w, r.task.job.ID, r.orderedAt, now)
@@ -56,7 +56,7 @@
 		if r.state == runOrdered {
 			r.state = runUnresolved
 			w.close(now, noAnswerPause)
-			w.unansweredUntil = now + noAnswerPause
+			w.noAnswerClosureEnd = now + noAnswerPause
 			m.emit("start_unanswered", o.Task.Job, "task", o.Task, "run", o.Run, "worker", w.ID)
 		}
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -17,9 +17,9 @@
 	m        *Machine
 	eligible []*worker
 	closed   []*worker // that a serving task may try
-	// unanswering are closed as they left a start unanswered; its task may start there again.
-	unanswering []*worker
-	now         time.Duration
+	// closedForNoAnswer have left a start unanswered; its task may start there again.
+	closedForNoAnswer []*worker
+	now               time.Duration
 	// unplaceable holds the classes of tasks that did not fit, so that similar
 	// tasks are not tried again in the same plan.
 	unplaceable map[placementClass]bool
@@ -77,8 +77,8 @@
 			p.eligible = append(p.eligible, w)
 		case m.mayTry(w, now):
 			p.closed = append(p.closed, w)
-		case m.isUnanswering(w, now):
-			p.unanswering = append(p.unanswering, w)
+		case m.isClosedForNoAnswer(w, now):
+			p.closedForNoAnswer = append(p.closedForNoAnswer, w)
 		}
 	}
 	return p
@@ -100,9 +100,9 @@
 	return m.isUsable(w, now) && now < w.closedUntil && w.closedUntil <= end
 }
 
-// isUnanswering reports whether a worker is closed only because it left a start unanswered.
-func (m *Machine) isUnanswering(w *worker, now time.Duration) bool {
-	return m.isUsable(w, now) && now < w.closedUntil && now >= max(w.refusedUntil, w.failureClosureEnd, w.slowClosureEnd)
+// isClosedForNoAnswer reports whether a worker is closed only because it left a start unanswered.
+func (m *Machine) isClosedForNoAnswer(w *worker, now time.Duration) bool {
+	return m.isUsable(w, now) && now < w.closedUntil && now >= max(w.refusalClosureEnd, w.failureClosureEnd, w.slowClosureEnd)
 }
 
 // isUsable reports whether a worker is there for new work, unless it is closed.
@@ -137,7 +137,7 @@
 	}
 	candidates := p.eligible
 	if len(t.unanswered) > 0 {
-		candidates = slices.Concat(p.eligible, p.unanswering)
+		candidates = slices.Concat(p.eligible, p.closedForNoAnswer)
 	}
 	var best *worker
 	var bestScore int64
@@ -192,7 +192,7 @@
 func (p *placer) placeAll(s *step, service fleet.Service) []*worker {
 	chosen, count := make([]*worker, s.Count), 0
 	taken := make(map[fleet.WorkerID]int)
-	trial := &placer{m: p.m, eligible: p.eligible, unanswering: p.unanswering, now: p.now, unplaceable: make(map[placementClass]bool), minUnplaced: make(map[string]int64), needsTicket: p.needsTicket}
+	trial := &placer{m: p.m, eligible: p.eligible, closedForNoAnswer: p.closedForNoAnswer, now: p.now, unplaceable: make(map[placementClass]bool), minUnplaced: make(map[string]int64), needsTicket: p.needsTicket}
 	for _, i := range s.placementOrder() {
 		t := s.peek(i, &p.m.unstarted)
 		if t == nil {
@@ -247,9 +247,9 @@
 				inRack.eligible = append(inRack.eligible, o)
 			}
 		}
-		for _, o := range p.unanswering {
+		for _, o := range p.closedForNoAnswer {
 			if o.Rack == w.Rack {
-				inRack.unanswering = append(inRack.unanswering, o)
+				inRack.closedForNoAnswer = append(inRack.closedForNoAnswer, o)
 			}
 		}
 		if chosen := inRack.placeAll(s, service); chosen != nil {
--- a/dispatch/slow.go
+++ b/dispatch/slow.go
@@ -194,7 +194,7 @@
 		return
 	}
 	w.speed, w.slowClosureEnd = speed{}, 0
-	w.closedUntil = max(w.refusedUntil, w.unansweredUntil, w.failureClosureEnd)
+	w.closedUntil = max(w.refusalClosureEnd, w.noAnswerClosureEnd, w.failureClosureEnd)
 }
 
 // closeAsSlow closes a worker that proves slow.
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -49,14 +49,14 @@
 	unacknowledged  []unacknowledgedEnd
 	// closedUntil is when it may get new work again, after a refusal or failures.
 	closedUntil time.Duration
-	// refusedUntil and unansweredUntil are until when a refused and an unanswered start close it.
-	refusedUntil    time.Duration
-	unansweredUntil time.Duration
-	replaced        bool          // another worker answers at its address
-	answeredSentAt  time.Duration // when the newest of the answered renewals was sent
-	failedAt        time.Duration // when a call first failed since the last report; 0: none
-	wentDownAt      time.Duration // the last failedAt that was not 0
-	lapsed          []*run        // released when their lease expired, and not known to be lost in a crash
+	// refusalClosureEnd and noAnswerClosureEnd are until when a refused and an unanswered start close it.
+	refusalClosureEnd  time.Duration
+	noAnswerClosureEnd time.Duration
+	replaced           bool          // another worker answers at its address
+	answeredSentAt     time.Duration // when the newest of the answered renewals was sent
+	failedAt           time.Duration // when a call first failed since the last report; 0: none
+	wentDownAt         time.Duration // the last failedAt that was not 0
+	lapsed             []*run        // released when their lease expired, and not known to be lost in a crash
 	// probations counts the runs on probation, during which it gets no new work.
 	probations          int
 	probationReviewedAt time.Duration
