Clear the mark of unanswered starts once it has passed

Cause: a record kept it for good. An owner that has not seen the claim of the mark's term counts from its own start, and would withhold all ends on that worker for up to 17 s at each takeover. Change: the mark is cleared with a write of its own. Result: TestPassedMarkOfUnansweredStartIsKept fails without the change ("the record has the mark {Term:1 AfterMS:16000}") and passes.

--- a/dispatch/late_restart_test.go
+++ b/dispatch/late_restart_test.go
@@ -281,3 +281,23 @@
 		t.Errorf("started %v %v after a start without an answer, want the task", starts, maxOrderDelay+unansweredMarkStep)
 	}
 }
+
+// A mark that has passed stayed in the record: an owner that has not seen the claim of its term would
+// withhold the ends on that worker anew.
+func TestPassedMarkOfUnansweredStartIsKept(t *testing.T) {
+	r, late := lateStartRig(t, cpuStep(1, 1000))
+	w := r.m.workers[late.Worker]
+	if w.record.stored.Unanswered == (UnansweredEnd{}) {
+		t.Fatal("the record has no mark")
+	}
+	r.now += maxOrderDelay + unansweredMarkStep
+	r.reportIdle()
+	r.planStarts()
+	r.storeRecords()
+	if w.record.stored.Unanswered != (UnansweredEnd{}) {
+		t.Errorf("the record has the mark %+v", w.record.stored.Unanswered)
+	}
+	if writes := r.m.TakeWorkerWrites(1000, r.now); len(writes) != 0 {
+		t.Errorf("the record is written again: %+v", writes)
+	}
+}
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -169,7 +169,7 @@
 	}
 	silent := now-max(w.reportedAt, w.foundAt) >= limit
 	failing := w.failedAt > 0
-	marks := m.markUnanswered(w, w.record.possible)
+	marks := m.markUnanswered(w, w.record.possible, now)
 	switch {
 	case w.adopted && !failing:
 		marks.UnreachedSince, marks.LeaseEnd = 0, LeaseEnd{}
--- a/dispatch/unanswered.go
+++ b/dispatch/unanswered.go
@@ -104,13 +104,17 @@
 }
 
 // markUnanswered returns the marks with a later UnansweredEnd if they don't cover all unanswered
-// starts on a worker.
-func (m *Machine) markUnanswered(w *worker, marks WorkerMarks) WorkerMarks {
+// starts on a worker, and without it once it has passed: an owner that has not seen the claim of that
+// term counts from its own start.
+func (m *Machine) markUnanswered(w *worker, marks WorkerMarks, now time.Duration) WorkerMarks {
 	var until time.Duration
 	for _, u := range w.unanswered {
 		until = max(until, u.until)
 	}
-	if until > m.unansweredEnd(marks) {
+	switch marked := m.unansweredEnd(marks); {
+	case now >= max(until, marked):
+		marks.Unanswered = UnansweredEnd{}
+	case until > marked:
 		steps := (until - m.claimedAt + unansweredMarkStep - 1) / unansweredMarkStep
 		marks.Unanswered = UnansweredEnd{Term: m.term, AfterMS: (steps * unansweredMarkStep).Milliseconds()}
 	}
