Find slow workers as soon as before

Change: each comparison counts as evidence of its step at once, a run is moved if any other open worker may run it, and a standstill is counted by percent.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -142,8 +142,8 @@
 	gauge                      int64
 	rate                       float64 // recent progress, in percent per second
 	hasRate                    bool    // rate has been measured
-	speed                      speed
-	longestStandstill          time.Duration // between two changes of percent
+	speed                      runSpeed
+	slowestPercent             time.Duration // the longest time that a percent took
 	rateBasePercent            int           // progress at rateBaseAt, where the measurement of rate began
 	rateBaseAt                 time.Duration
 	lastReport                 int64 // the worker's last report that listed it
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -94,7 +94,7 @@
 		if r.percentAt == 0 {
 			r.firstPercent, r.firstPercentAt = rep.PercentDone, now
 		} else {
-			r.longestStandstill = max(r.longestStandstill, now-r.percentAt)
+			r.slowestPercent = max(r.slowestPercent, (now-r.percentAt)/time.Duration(max(1, rep.PercentDone-r.percent)))
 		}
 		r.percent, r.percentAt = rep.PercentDone, now
 	}
--- a/dispatch/slow.go
+++ b/dispatch/slow.go
@@ -13,16 +13,18 @@
 	// minSiblings is the minimum number of other runs of its step that a run is
 	// compared with.
 	minSiblings = 2
-	// speedWeight is the weight of the newest comparison in the speed of a run or a worker,
-	// slowSpeed the speed up to which it counts as slow, and soundSpeed the one from which a run
-	// does not. Slow workers are slower by a factor of five or more, and so are long tasks.
+	// speedWeight is the weight of the newest comparison in the speed of a worker, slowSpeed the
+	// speed up to which a worker or a run counts as slow, and soundSpeed the one from which a run does
+	// not. Slow workers are slower by a factor of five or more, and so are long tasks.
 	speedWeight = 0.3
 	slowSpeed   = 0.45
 	soundSpeed  = 0.7
 	// percents is the number of steps in which a run reports its progress.
 	percents = 100
-	// minSpeedSamples is the number of comparisons needed to judge a run or a worker.
+	// minSpeedSamples and minRunSamples are the numbers of comparisons needed to judge a worker
+	// and a run.
 	minSpeedSamples = 3
+	minRunSamples   = 2
 	// minSlowSteps is the number of steps whose runs must be slow on a worker to show that
 	// the worker is, rather than their tasks.
 	minSlowSteps = 2
@@ -75,14 +77,15 @@
 	return rates[len(rates)/2]
 }
 
-// speed is the rate of runs relative to their siblings on other workers; 1 is equal.
-type speed struct {
+// workerSpeed is the rate of the runs on a worker relative to their siblings on others, the
+// newest comparisons weighing most; 1 is equal.
+type workerSpeed struct {
 	value   float64
 	samples int
 }
 
 // add adds a comparison.
-func (s *speed) add(relative float64) {
+func (s *workerSpeed) add(relative float64) {
 	if s.samples == 0 {
 		s.value = 1
 	}
@@ -90,9 +93,27 @@
 	s.samples++
 }
 
-func (s *speed) isSlow() bool { return s.samples >= minSpeedSamples && s.value <= slowSpeed }
+func (s *workerSpeed) isSlow() bool { return s.samples >= minSpeedSamples && s.value <= slowSpeed }
 
-func (s *speed) isSound() bool { return s.samples >= minSpeedSamples && s.value >= soundSpeed }
+// runSpeed is the mean rate of a run relative to its siblings on other workers.
+type runSpeed struct {
+	sum     float64
+	samples int
+}
+
+// add adds a comparison.
+func (s *runSpeed) add(relative float64) {
+	s.sum += relative
+	s.samples++
+}
+
+func (s *runSpeed) isSlow() bool {
+	return s.samples >= minRunSamples && s.sum <= slowSpeed*float64(s.samples)
+}
+
+func (s *runSpeed) isSound() bool {
+	return s.samples >= minRunSamples && s.sum >= soundSpeed*float64(s.samples)
+}
 
 // slowStep is a step of which a run was slow on a worker.
 type slowStep struct {
@@ -116,7 +137,7 @@
 	relative := min(r.rate/siblings, 2)
 	r.speed.add(relative)
 	if now-w.speedAt > slowClosure {
-		w.speed = speed{}
+		w.speed = workerSpeed{}
 	}
 	w.speed.add(relative)
 	w.speedAt = now
@@ -131,15 +152,14 @@
 		m.recordLongTask(r, former, now)
 		return
 	}
-	if !r.speed.isSlow() {
-		return
+	if relative <= slowSpeed {
+		w.recordSlowStep(s, now)
 	}
-	w.recordSlowStep(s, now)
 	switch {
 	case !w.speed.isSlow():
 	case now < w.slowClosureEnd || w.countSlowSteps(now) >= minSlowSteps:
 		m.recordSlowWorker(w, now)
-	case t.slowOn == "":
+	case t.slowOn == "" && r.speed.isSlow():
 		m.moveIfFaster(r, now)
 	}
 }
@@ -178,7 +198,7 @@
 func (m *Machine) recordLongTask(r *run, former *worker, now time.Duration) {
 	t := r.task
 	t.isLong = true
-	m.emit("task_long", t.job.ID, "task", t.name, "worker", r.worker.ID, "former", t.slowOn, "rate", r.rate, "speed", r.speed.value)
+	m.emit("task_long", t.job.ID, "task", t.name, "worker", r.worker.ID, "former", t.slowOn, "rate", r.rate, "compared", r.speed.samples)
 	for _, w := range []*worker{r.worker, former} {
 		if w != nil {
 			w.forgetSlowStep(t.step, now)
@@ -193,7 +213,7 @@
 	if w.countSlowSteps(now) >= minSlowSteps {
 		return
 	}
-	w.speed, w.slowClosureEnd = speed{}, 0
+	w.speed, w.slowClosureEnd = workerSpeed{}, 0
 	w.closedUntil = max(w.refusalClosureEnd, w.noAnswerClosureEnd, w.failureClosureEnd)
 }
 
@@ -225,7 +245,7 @@
 		left = float64(100 - r.percent)
 	}
 	elsewhere := time.Duration(left/siblings*float64(time.Second)) + moveCost
-	if float64(here) < moveGain*float64(elsewhere) || !m.fitsElsewhere(r, now) {
+	if float64(here) < moveGain*float64(elsewhere) || !m.hasAlternative(r.task, r.worker, now) {
 		return
 	}
 	m.emit("run_moved", r.task.job.ID, "task", r.task.name, "run", r.number, "worker", r.worker.ID, "percent", r.percent, "rate", r.rate, "siblings", siblings, "here", here, "elsewhere", elsewhere)
@@ -233,12 +253,3 @@
 	m.avoid(r.task, r.worker, now)
 	m.requestStop(r, "slow worker")
 }
-
-// fitsElsewhere reports whether the task of a run fits on another worker that takes work.
-func (m *Machine) fitsElsewhere(r *run, now time.Duration) bool {
-	q, _ := m.config.Queue(r.task.job.Queue)
-	p := &placer{m: m, now: now, needsTicket: q.Advice != nil}
-	return slices.ContainsFunc(m.workerList, func(o *worker) bool {
-		return o != r.worker && o.Service == r.worker.Service && m.mayStart(o, now) && p.hasRoom(r.task, o, nil)
-	})
-}
--- a/dispatch/stalled.go
+++ b/dispatch/stalled.go
@@ -21,7 +21,7 @@
 func (r *run) stallPatience() time.Duration {
 	t := r.task
 	expected := time.Duration(t.step.EstimateMS) * time.Millisecond / percents
-	return max(stalledAfter<<min(t.stalls, maxStallDoublings), standstillFactor*expected, standstillFactor*r.longestStandstill)
+	return max(stalledAfter<<min(t.stalls, maxStallDoublings), standstillFactor*expected, standstillFactor*r.slowestPercent)
 }
 
 // stopStalled stops batch runs that make no progress, so that their tasks start
@@ -59,6 +59,6 @@
 func (m *Machine) hasAlternative(t *task, w *worker, now time.Duration) bool {
 	s := t.step
 	return slices.ContainsFunc(m.workerList, func(o *worker) bool {
-		return o != w && o.Service == w.Service && m.isUsable(o, now) && s.Need.Fits(o.Capacity) && (s.Label == "" || slices.Contains(o.Labels, s.Label)) && t.mayStartOn(o.ID)
+		return o != w && o.Service == w.Service && m.mayStart(o, now) && s.Need.Fits(o.Capacity) && (s.Label == "" || slices.Contains(o.Labels, s.Label)) && t.mayStartOn(o.ID)
 	})
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -60,7 +60,7 @@
 	// probations counts the runs on probation, during which it gets no new work.
 	probations          int
 	probationReviewedAt time.Duration
-	speed               speed // of its runs
+	speed               workerSpeed
 	speedAt             time.Duration
 	slowSteps           []slowStep
 	failureStreak       int // consecutive failures, of different jobs
