Place gangs without a list of their members

Cause: the order in which members are placed was a list of all 10,000, made anew for each gang in each plan. Change: members that are bound to a worker are placed first, without a list.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -190,48 +190,52 @@
 // fit. What does not fit next to the first tasks may fit without them, so failed
 // placements are not recorded in p.
 func (p *placer) placeAll(s *step, service fleet.Service) []*worker {
-	chosen, count := make([]*worker, s.Count), 0
 	taken := make(map[fleet.WorkerID]int)
 	trial := &placer{m: p.m, eligible: p.eligible, closedForNoAnswer: p.closedForNoAnswer, now: p.now, unplaceable: make(map[placementClass]bool), minUnplaced: make(map[string]int64), needsTicket: p.needsTicket}
-	for _, i := range s.placementOrder() {
-		t := s.peek(i, &p.m.unstarted)
-		if t == nil {
-			break
-		}
+	place := func(t *task) *worker {
 		w := trial.place(t, service, taken)
-		if w == nil {
+		if w != nil {
+			w.addUsage(s.Step, 1)
+			taken[w.ID]++
+		}
+		return w
+	}
+	// First those that may start on one worker only.
+	bound := make(map[int]*worker)
+	fits := true
+	for t := range s.tasks.recorded() {
+		if len(t.unanswered) == 0 || t.done {
+			continue
+		}
+		w := place(t)
+		if fits = w != nil; !fits {
 			break
 		}
-		w.addUsage(s.Step, 1)
-		taken[w.ID]++
-		chosen[i] = w
-		count++
+		bound[t.name.Index] = w
+	}
+	var chosen []*worker
+	for i := 0; fits && i < s.Count; i++ {
+		w, ok := bound[i]
+		delete(bound, i)
+		if t := s.peek(i, &p.m.unstarted); !ok && t != nil {
+			w = place(t)
+		}
+		if fits = w != nil; fits {
+			chosen = append(chosen, w)
+		}
 	}
 	for _, w := range chosen {
-		if w != nil {
-			w.addUsage(s.Step, -1)
-		}
+		w.addUsage(s.Step, -1)
 	}
-	if count < s.Count {
+	for _, w := range bound {
+		w.addUsage(s.Step, -1)
+	}
+	if !fits {
 		return nil
 	}
 	return chosen
 }
 
-// placementOrder returns the numbers of the tasks of a step, those first that may start on one
-// worker only.
-func (s *step) placementOrder() []int {
-	var first, others []int
-	for i := range s.Count {
-		if t := s.tasks.get(i); t != nil && len(t.unanswered) > 0 {
-			first = append(first, i)
-		} else {
-			others = append(others, i)
-		}
-	}
-	return append(first, others...)
-}
-
 // placeInOneRack returns workers of a single rack for all tasks of a step, or
 // nil if no rack holds them all.
 func (p *placer) placeInOneRack(s *step, service fleet.Service) []*worker {
