--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -404,10 +404,12 @@
 		return
 	}
 	if w, ok := m.workers[t.formerWorker]; ok {
-		if !t.formerConfirmed && !t.formerBound {
+		switch {
+		case t.formerBound:
+			m.recordUnanswered(t, w, 0, w.formerUnansweredEnd, now)
+		case !t.formerConfirmed:
 			m.recordUnanswered(t, w, t.lastRun, w.formerOrdersEnd, now)
 		}
-		m.recordUnanswered(t, w, 0, w.formerUnansweredEnd, now)
 	}
 	t.formerWorker = ""
 	t.job.recordPlacementEnd(now)
--- a/dispatch/late_restart_test.go
+++ b/dispatch/late_restart_test.go
@@ -301,3 +301,30 @@
 		t.Errorf("the record is written again: %+v", writes)
 	}
 }
+
+// The next owner bound each task that it found on a worker that had left other starts unanswered: services
+// whose runs there had lapsed waited for up to 17 s with room elsewhere.
+func TestNextOwnerBindsTasksOfAnsweredStarts(t *testing.T) {
+	r, late := lateStartRig(t, cpuStep(1, 1000))
+	s := cpuStep(1, 3000)
+	s.Serving = true
+	r.m.AddJob(&workload.Job{ID: "b", Queue: testQueue, Steps: []workload.Step{s}}, workload.StateQueued, 1, workload.Progress{}, r.now, false)
+	b := r.m.jobs["b"].find(workload.TaskName{Job: "b"})
+	sound := r.m.attach(b, r.m.workers[late.Worker], 1, r.now)
+	sound.state = runRunning
+	sound.confirm(r.now)
+	for _, p := range r.m.progress(r.m.jobs["b"]).Tasks {
+		if p.Bound {
+			t.Errorf("a task whose start was answered is stored as bound to %s", p.Worker)
+		}
+	}
+	next := r.succeed(late)
+	next.m.AddJob(&r.m.jobs["b"].Job, workload.StateRunning, 2, r.m.progress(r.m.jobs["b"]), next.now, true)
+	next.report(late.Worker, workload.Report{Ended: []workload.EndedRun{{Sequence: 1, Task: b.name, Run: 1, Outcome: workload.OutcomeLeaseExpired}}})
+	next.m.workers[late.Worker].addUsage(&workload.Step{Need: testCapacity}, 1)
+	next.now += maxServingDelay
+	next.reportIdle()
+	if starts := next.planStarts(); len(starts) != 1 || starts[0].Task != b.name {
+		t.Errorf("started %v, want the service elsewhere", starts)
+	}
+}
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -28,8 +28,8 @@
 	// LeaseEnd is when what owners of earlier terms than UnreachedSince have done there has
 	// ended. Records of earlier versions lack it.
 	LeaseEnd LeaseEnd `json:"LeaseEnd,omitzero"`
-	// Unanswered covers the starts on the worker that got no answer: until then the next owner
-	// starts the tasks that the worker had nowhere else, and acknowledges none of its ends.
+	// Unanswered covers the starts on the worker that got no answer: until then the next owner starts
+	// the tasks that are bound to the worker nowhere else, and acknowledges no ends of what has ended.
 	Unanswered UnansweredEnd `json:"Unanswered,omitzero"`
 }
 
--- a/dispatch/unanswered.go
+++ b/dispatch/unanswered.go
@@ -18,7 +18,7 @@
 type unansweredStart struct {
 	task   *task
 	worker fleet.WorkerID
-	run    int // 0: any run that a former owner has started
+	run    int // 0: one that a former owner has started
 	until  time.Duration
 }
 
@@ -79,10 +79,10 @@
 	return !slices.ContainsFunc(t.unanswered, func(u *unansweredStart) bool { return u.until > recorded })
 }
 
-// isBound reports whether a task has no run, and its worker's record says until when an unanswered
-// start may be executed there.
+// isBound reports whether an unanswered start of a task may be executed on its worker, whose record says
+// until when.
 func (m *Machine) isBound(t *task) bool {
-	if len(t.runs) > 0 || len(t.unanswered) == 0 {
+	if len(t.unanswered) == 0 {
 		return false
 	}
 	w, ok := m.workers[t.worker()]
@@ -151,19 +151,20 @@
 	return max(w.unlistedAt, startedAt) + entryReturnTime
 }
 
-// withheldUntil returns until when a worker must not forget an end, or 0. t is nil for a
-// job that the owner doesn't know: a former one may have stored that it has ended.
+// withheldUntil returns until when a worker must not forget an end, or 0. t is nil for a job that the owner
+// doesn't know. If a former one has stored that the job or the task has ended, nothing tells for
+// which of the unanswered starts on the worker the end has to be kept.
 func (w *worker) withheldUntil(t *task, e workload.EndedRun) time.Duration {
 	if e.Outcome != workload.OutcomeDone && e.Outcome != workload.OutcomeFailed {
 		return 0
 	}
-	until := w.formerUnansweredEnd
-	if t == nil {
-		return until
+	if t == nil || t.done {
+		return w.formerUnansweredEnd
 	}
 	if t.step.Speculative {
 		return 0
 	}
+	var until time.Duration
 	if t.step.Gang {
 		until = max(until, t.step.unansweredUntil)
 	}
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -306,8 +306,8 @@
 	Worker fleet.WorkerID `json:"w,omitempty"`
 	// Confirmed means that the latest run is known to have been executed.
 	Confirmed bool `json:"a,omitempty"`
-	// Bound means that Worker has no run of the task, but may still execute a start that got
-	// no answer. Until when is in the worker's record.
+	// Bound means that Worker may still execute an earlier start that got no answer. Until when is
+	// in the worker's record.
 	Bound bool `json:"b,omitempty"`
 }
 
