LOST: keep the room of a task that is bound to its worker

A service whose start got no answer may run on that worker only, and finds no room there until the start can't arrive any more. Cause: the room was free for other work as soon as the run was known to be absent, or the owner changed. Change: it is kept free for the tasks that may start nowhere else.

--- a/dispatch/late_restart_test.go
+++ b/dispatch/late_restart_test.go
@@ -328,3 +328,20 @@
 		t.Errorf("started %v, want the service elsewhere", starts)
 	}
 }
+
+// Other work took the room on the worker of an unanswered start, so that a service that may start nowhere else
+// waited until the start couldn't arrive any more.
+func TestOtherWorkTakesRoomOfBoundTask(t *testing.T) {
+	r := newRig(t, "w1")
+	r.addJob("a", cpuStep(1, 3000))
+	r.planStartsAnswered(NoAnswer)
+	r.stopAndReport()
+	r.addJob("b", cpuStep(1, 3000))
+	r.now += noAnswerPause
+	r.reportIdle()
+	r.noStart("that takes the room before the unanswered start is stored")
+	r.storeRecords()
+	if starts := r.planStarts(); len(starts) != 1 || starts[0].Task.Job != "a" {
+		t.Errorf("started %v, want the task that may start nowhere else", starts)
+	}
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -301,7 +301,7 @@
 	if len(t.unanswered) > 0 && !p.m.mayReplaceUnanswered(t, w) {
 		return false
 	}
-	if !w.used.Add(need).Fits(w.Capacity) || t.avoidance.excludes(w.ID, p.now) || w.probations > 0 {
+	if !w.used.Add(w.boundNeed(t)).Add(need).Fits(w.Capacity) || t.avoidance.excludes(w.ID, p.now) || w.probations > 0 {
 		return false
 	}
 	if t.isSuspect() && p.now-t.waitingSince < suspectPatience && w.hasFreshRun() {
--- a/dispatch/unanswered.go
+++ b/dispatch/unanswered.go
@@ -89,6 +89,24 @@
 	return ok && m.mayReplaceUnanswered(t, w)
 }
 
+// boundNeed returns the resources kept free on the worker for the waiting tasks, other than t, that may start
+// nowhere else.
+func (w *worker) boundNeed(t *task) fleet.Resources {
+	var sum fleet.Resources
+	for _, u := range w.unanswered {
+		o := u.task
+		if o == t || o.done || len(o.runs) > 0 || o.job.state.Final() || len(o.unanswered) == 0 || o.unanswered[0] != u {
+			continue
+		}
+		need := o.step.Need
+		if o.step.BestEffort {
+			need.MilliCores = 0
+		}
+		sum = sum.Add(need)
+	}
+	return sum
+}
+
 // unansweredEnd returns the time up to which marks cover unanswered starts, on this owner's clock.
 func (m *Machine) unansweredEnd(marks WorkerMarks) time.Duration {
 	end := marks.Unanswered
